--- /dev/null
+++ b/config/doc.go
@@ -0,0 +1,2 @@
+// Package config is described in docs/design.md, section 3.
+package config
--- /dev/null
+++ b/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon is described in docs/design.md, section 3.
+package daemon
--- /dev/null
+++ b/dispatch/doc.go
@@ -0,0 +1,2 @@
+// Package dispatch is described in docs/design.md, section 3.
+package dispatch
--- /dev/null
+++ b/duty/duty.go
@@ -0,0 +1,186 @@
+// Package duty runs named long-lived goroutines.
+//
+// A Duty is one goroutine with one job. A Group starts duties in order and stops them in reverse order, each stop
+// bounded in time. Go statements stand nowhere else in the product's code. A panic in a duty is reported with the
+// duty's name through Group.Failed, so that the process can stop cleanly.
+//
+// The package owns goroutines and their life cycle. It never owns a duty's state.
+package duty
+
+import (
+	"context"
+	"runtime/debug"
+	"time"
+
+	"sequoiasail.example/types"
+)
+
+// DefaultStopTimeout bounds the stop of a duty that sets none.
+const DefaultStopTimeout = 5 * time.Second
+
+// Duty describes one named goroutine.
+type Duty struct {
+	// Name appears in logs, metrics and faults. It must be unique within the group.
+	Name string
+	// Provision acquires what Run needs, for example a listener. Optional.
+	Provision func(ctx context.Context) error
+	// Validate checks the provisioned duty before anything starts. Optional.
+	Validate func() error
+	// Run is the body. It returns nil when ctx ends or after Stop.
+	Run func(ctx context.Context) error
+	// Stop asks Run to finish its work in hand and return. Optional; when nil, or when it returns an error, the
+	// context of Run is cancelled.
+	Stop func(ctx context.Context) error
+	// StopTimeout bounds the stop. Default 5 s.
+	StopTimeout time.Duration
+}
+
+// Failure reports a duty that ended with an error while it was not being stopped.
+type Failure struct {
+	Duty string
+	Err  error
+}
+
+type running struct {
+	duty   Duty
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// Group is an ordered set of duties. It is owned by one goroutine and not safe for concurrent use, except for
+// Failed.
+type Group struct {
+	pending []Duty
+	active  []*running
+	failed  chan Failure
+}
+
+// NewGroup returns an empty group.
+func NewGroup() *Group {
+	return &Group{failed: make(chan Failure, 1)}
+}
+
+// Add registers a duty for Start.
+func (g *Group) Add(d Duty) { g.pending = append(g.pending, d) }
+
+// Start provisions and validates all registered duties, then starts them in order. When one fails nothing runs.
+func (g *Group) Start(ctx context.Context) error {
+	for _, d := range g.pending {
+		if err := prepare(ctx, d); err != nil {
+			return err
+		}
+	}
+	for _, d := range g.pending {
+		g.launch(ctx, d)
+	}
+	g.pending = nil
+	return nil
+}
+
+// Launch provisions, validates and starts one duty of a running group.
+func (g *Group) Launch(ctx context.Context, d Duty) error {
+	if err := prepare(ctx, d); err != nil {
+		return err
+	}
+	g.launch(ctx, d)
+	return nil
+}
+
+// Retire stops the named duty and removes it. It returns a CodeNotFound or CodeTimeout fault.
+func (g *Group) Retire(ctx context.Context, name string) error {
+	for i, r := range g.active {
+		if r.duty.Name != name {
+			continue
+		}
+		g.active = append(g.active[:i], g.active[i+1:]...)
+		return r.stop(ctx)
+	}
+	return types.NewFault(types.CodeNotFound, "no duty named %s", name)
+}
+
+// Stop stops all duties in reverse order of their start and returns the first fault.
+func (g *Group) Stop(ctx context.Context) error {
+	var first error
+	for i := len(g.active) - 1; i >= 0; i-- {
+		if err := g.active[i].stop(ctx); err != nil && first == nil {
+			first = err
+		}
+	}
+	g.active = nil
+	return first
+}
+
+// Failed delivers the first duty that ended with an error or a panic.
+func (g *Group) Failed() <-chan Failure { return g.failed }
+
+// Names returns the names of the running duties in order of their start.
+func (g *Group) Names() []string {
+	names := make([]string, 0, len(g.active))
+	for _, r := range g.active {
+		names = append(names, r.duty.Name)
+	}
+	return names
+}
+
+func prepare(ctx context.Context, d Duty) error {
+	if d.Name == "" || d.Run == nil {
+		return types.NewFault(types.CodeInternal, "duty %q needs a name and a body", d.Name)
+	}
+	if d.Provision != nil {
+		if err := d.Provision(ctx); err != nil {
+			return types.WrapFault(types.CodeOf(err), err, "provision %s", d.Name)
+		}
+	}
+	if d.Validate != nil {
+		if err := d.Validate(); err != nil {
+			return types.WrapFault(types.CodeOf(err), err, "validate %s", d.Name)
+		}
+	}
+	return nil
+}
+
+func (g *Group) launch(ctx context.Context, d Duty) {
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	r := &running{duty: d, cancel: cancel, done: make(chan struct{})}
+	g.active = append(g.active, r)
+	go g.run(runCtx, r)
+}
+
+func (g *Group) run(ctx context.Context, r *running) {
+	defer close(r.done)
+	defer func() {
+		if p := recover(); p != nil {
+			g.report(r.duty.Name, types.NewFault(types.CodePanic, "%v\n%s", p, debug.Stack()))
+		}
+	}()
+	if err := r.duty.Run(ctx); err != nil && ctx.Err() == nil {
+		g.report(r.duty.Name, err)
+	}
+}
+
+func (g *Group) report(name string, err error) {
+	select {
+	case g.failed <- Failure{Duty: name, Err: err}:
+	default:
+	}
+}
+
+// stop asks the duty to finish and cancels its context when it does not finish in time.
+func (r *running) stop(ctx context.Context) error {
+	defer r.cancel()
+	limit := r.duty.StopTimeout
+	if limit == 0 {
+		limit = DefaultStopTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if r.duty.Stop == nil || r.duty.Stop(ctx) != nil {
+		r.cancel()
+	}
+	select {
+	case <-r.done:
+		return nil
+	case <-ctx.Done():
+		return types.NewFault(types.CodeTimeout, "duty %s did not stop within %s", r.duty.Name, limit)
+	}
+}
--- /dev/null
+++ b/ownership/doc.go
@@ -0,0 +1,2 @@
+// Package ownership is described in docs/design.md, section 3.
+package ownership
--- /dev/null
+++ b/placement/doc.go
@@ -0,0 +1,2 @@
+// Package placement is described in docs/design.md, section 3.
+package placement
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings is described in docs/design.md, section 3.
+package settings
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin is described in docs/design.md, section 3.
+package standin
--- /dev/null
+++ b/transport/doc.go
@@ -0,0 +1,2 @@
+// Package transport is described in docs/design.md, section 3.
+package transport
--- /dev/null
+++ b/types/fault.go
@@ -0,0 +1,97 @@
+package types
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Code is a stable, machine-readable kind of failure. Codes appear in answers to callers, logs and exit messages.
+type Code string
+
+// Codes of faults.
+const (
+	CodeBadRequest       Code = "bad-request"
+	CodeBadSettings      Code = "bad-settings"
+	CodeBadConfiguration Code = "bad-configuration"
+	CodeUnknownService   Code = "unknown-service"
+	CodeMissingKey       Code = "missing-key"
+	CodeBodyTooLarge     Code = "body-too-large"
+	CodeTruncatedBody    Code = "truncated-body"
+	CodeHeadersTooLarge  Code = "headers-too-large"
+	CodeBadDeadline      Code = "bad-deadline"
+	CodeMissingRequestID Code = "missing-request-id"
+	CodeIDReused         Code = "request-id-reused"
+	CodeDeadlineExceeded Code = "deadline-exceeded"
+	CodeOverloaded       Code = "overloaded"
+	CodeShuttingDown     Code = "shutting-down"
+	CodeCancelled        Code = "cancelled"
+	CodeNoOwner          Code = "no-owner"
+	CodeNoRoute          Code = "no-route"
+	CodeNotHolder        Code = "not-lease-holder"
+	CodeStaleEpoch       Code = "stale-epoch"
+	CodeQuarantined      Code = "quarantined"
+	CodeMemoryLost       Code = "request-memory-lost"
+	CodeTargetFailed     Code = "target-failed"
+	CodeTargetRefused    Code = "target-refused"
+	CodeConflict         Code = "conflict"
+	CodeNotFound         Code = "not-found"
+	CodeStoreUnavailable Code = "store-unavailable"
+	CodeAnswerLost       Code = "answer-lost"
+	CodePeerUnavailable  Code = "peer-unavailable"
+	CodePanic            Code = "panic"
+	CodeTimeout          Code = "timeout"
+	CodeInternal         Code = "internal"
+)
+
+// Fault is the typed failure used by every module.
+type Fault struct {
+	Code    Code
+	Outcome Outcome
+	Path    string // location in settings or configuration, empty elsewhere
+	Message string
+	cause   error
+}
+
+// NewFault returns a fault with outcome unknown.
+func NewFault(code Code, format string, args ...any) *Fault {
+	return &Fault{Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// WrapFault returns a fault that keeps cause for errors.Is and errors.As.
+func WrapFault(code Code, cause error, format string, args ...any) *Fault {
+	f := NewFault(code, format, args...)
+	f.cause = cause
+	return f
+}
+
+// NotRun returns a fault for a request that no target has run.
+func NotRun(code Code, format string, args ...any) *Fault {
+	f := NewFault(code, format, args...)
+	f.Outcome = OutcomeNotRun
+	return f
+}
+
+// Error returns the code, the path and the message, and the cause if there is one.
+func (f *Fault) Error() string {
+	s := string(f.Code) + ": "
+	if f.Path != "" {
+		s += f.Path + ": "
+	}
+	s += f.Message
+	if f.cause != nil {
+		s += ": " + f.cause.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (f *Fault) Unwrap() error { return f.cause }
+
+// CodeOf returns the code of the first fault in err's chain, or CodeInternal.
+func CodeOf(err error) Code {
+	var f *Fault
+	if errors.As(err, &f) {
+		return f.Code
+	}
+	return CodeInternal
+}
