--- /dev/null
+++ b/telemetry/metrics.go
@@ -0,0 +1,41 @@
+package telemetry
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Queue is what a ring shows to operators.
+type Queue interface {
+	Depth() int
+	Cap() int
+	Refused() uint64
+	Replaced() uint64
+}
+
+// Metrics is the metrics set of one process.
+type Metrics struct {
+	set *metrics.Set
+}
+
+// NewMetrics returns an empty set.
+func NewMetrics() *Metrics { return &Metrics{set: metrics.NewSet()} }
+
+// Counter returns the counter with the given name, which may carry labels.
+func (m *Metrics) Counter(name string) *metrics.Counter { return m.set.GetOrCreateCounter(name) }
+
+// Histogram returns the histogram with the given name. Values are seconds.
+func (m *Metrics) Histogram(name string) *metrics.Histogram { return m.set.GetOrCreateHistogram(name) }
+
+// Gauge publishes the value returned by read, which must be safe to call from any goroutine.
+func (m *Metrics) Gauge(name string, read func() float64) { m.set.GetOrCreateGauge(name, read) }
+
+// Ring publishes the depth, capacity, refusals and replacements of a ring.
+func (m *Metrics) Ring(name string, q Queue) {
+	label := fmt.Sprintf("{ring=%q}", name)
+	m.Gauge("sail_ring_depth"+label, func() float64 { return float64(q.Depth()) })
+	m.Gauge("sail_ring_capacity"+label, func() float64 { return float64(q.Cap()) })
+	m.Gauge("sail_ring_refused_total"+label, func() float64 { return float64(q.Refused()) })
+	m.Gauge("sail_ring_replaced_total"+label, func() float64 { return float64(q.Replaced()) })
+}
--- /dev/null
+++ b/telemetry/ops.go
@@ -0,0 +1,95 @@
+package telemetry
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
+)
+
+// Lease is a target lease that a process holds.
+type Lease struct {
+	Service    string `json:"service"`
+	Target     string `json:"target"`
+	LeaseEpoch uint64 `json:"leaseEpoch"`
+	Slots      int    `json:"slots"`
+}
+
+// QueueStatus is the load of one target as seen by its dispatcher.
+type QueueStatus struct {
+	Service  string `json:"service"`
+	Target   string `json:"target"`
+	Waiting  int    `json:"waiting"`
+	InFlight int    `json:"inFlight"`
+	Limit    int    `json:"limit"`
+	// Admitted counts the requests sent to the target since the process started.
+	Admitted uint64 `json:"admitted"`
+}
+
+// Status is the answer of GET /status.
+type Status struct {
+	VM            string        `json:"vm"`
+	Role          string        `json:"role"`
+	DataCentre    string        `json:"dataCentre"`
+	Incarnation   uint64        `json:"incarnation"`
+	ConfigVersion uint64        `json:"configVersion"`
+	OpsRevision   uint64        `json:"opsRevision"`
+	StoreRevision uint64        `json:"storeRevision"`
+	Ready         bool          `json:"ready"`
+	Draining      bool          `json:"draining"`
+	Planner       bool          `json:"planner"`
+	Leases        []Lease       `json:"leases"`
+	Queues        []QueueStatus `json:"queues"`
+}
+
+// Page is the newest published status. The owning duty publishes; the operators' pages read.
+type Page struct {
+	current atomic.Pointer[Status]
+}
+
+// NewPage returns a page that shows initial until the first Publish.
+func NewPage(initial Status) *Page {
+	p := &Page{}
+	p.Publish(initial)
+	return p
+}
+
+// Publish replaces the status. The caller must not change its slices afterwards.
+func (p *Page) Publish(s Status) { p.current.Store(&s) }
+
+// Current returns the newest status.
+func (p *Page) Current() Status { return *p.current.Load() }
+
+// OpsHandler returns the operators' pages: /metrics, /healthz, /readyz and /status. read assembles the status from
+// the pages of all duties.
+func OpsHandler(m *Metrics, read func() Status) http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		m.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		writeReady(w, read())
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(read())
+	}).Methods(http.MethodGet)
+	return r
+}
+
+func writeReady(w http.ResponseWriter, s Status) {
+	switch {
+	case s.Draining:
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+	case !s.Ready:
+		http.Error(w, "starting", http.StatusServiceUnavailable)
+	default:
+		_, _ = w.Write([]byte("ready\n"))
+	}
+}
--- /dev/null
+++ b/transport/peer/link.go
@@ -0,0 +1,250 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync/atomic"
+	"time"
+
+	"sequoiasail.example/duty"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/types"
+)
+
+const (
+	linkCapacity      = 1024
+	maxCallsInFlight  = 1024
+	dialTimeout       = 300 * time.Millisecond
+	writeTimeout      = time.Second
+	expiryInterval    = 5 * time.Millisecond
+	minRedialInterval = 20 * time.Millisecond
+	maxRedialInterval = time.Second
+)
+
+// Call is one request to a peer.
+type Call struct {
+	// Method is one of the Method constants.
+	Method string
+	// Args and Reply are pointers to the message types of the method.
+	Args  any
+	Reply any
+	// Timeout bounds the call from the time it is sent.
+	Timeout time.Duration
+	// Done is called once, on the link's duty. It may block only on a ring whose consumer never waits for this link.
+	Done func(*Call)
+	// Err is set before Done when the call failed. Its outcome tells whether the peer may have received the call.
+	Err *types.Fault
+
+	sentAt    time.Time
+	expiresAt time.Time
+	finished  bool
+}
+
+// Dial opens a connection to a peer.
+type Dial func(ctx context.Context) (net.Conn, error)
+
+// TCP returns a Dial for a plain TCP connection to address.
+func TCP(address string) Dial {
+	return func(ctx context.Context) (net.Conn, error) {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", address)
+	}
+}
+
+// Link owns one net/rpc connection. It redials with exponential backoff and replaces a connection that is silent.
+type Link struct {
+	name string
+	dial Dial
+	in   *ring.Ring[*Call]
+
+	// The fields below belong to the duty.
+	client        *rpc.Client
+	conn          *countingConn
+	completed     chan *rpc.Call
+	calls         map[*rpc.Call]*Call
+	lastAnswer    time.Time
+	redialAt      time.Time
+	redialBackoff time.Duration
+}
+
+// NewLink returns a link named name, which appears in the duty's name.
+func NewLink(name string, dial Dial) *Link {
+	return &Link{
+		name:      name,
+		dial:      dial,
+		in:        ring.New[*Call](linkCapacity),
+		completed: make(chan *rpc.Call, maxCallsInFlight),
+		calls:     make(map[*rpc.Call]*Call),
+	}
+}
+
+// TryCall queues c. It returns ring.ErrFull or ring.ErrClosed, in which case Done is not called.
+func (l *Link) TryCall(c *Call) error { return l.in.TryPut(c) }
+
+// Ring returns the input ring for metrics.
+func (l *Link) Ring() *ring.Ring[*Call] { return l.in }
+
+// Duty returns the duty that runs the link.
+func (l *Link) Duty() duty.Duty {
+	return duty.Duty{
+		Name: "link-" + l.name,
+		Run:  l.run,
+		Stop: func(context.Context) error { l.in.Close(); return nil },
+	}
+}
+
+func (l *Link) run(ctx context.Context) error {
+	tick := time.NewTicker(expiryInterval)
+	defer tick.Stop()
+	defer l.shutdown()
+	for {
+		select {
+		case <-l.in.Ready():
+			l.sendWaiting(ctx)
+		case done := <-l.completed:
+			l.complete(done)
+			l.sendWaiting(ctx)
+		case now := <-tick.C:
+			l.expire(now)
+		case <-l.in.Done():
+			l.sendWaiting(ctx)
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// sendWaiting leaves calls in the ring while too many are in flight, so that the ring refuses further ones.
+func (l *Link) sendWaiting(ctx context.Context) {
+	for len(l.calls) < maxCallsInFlight {
+		c, ok := l.in.TryGet()
+		if !ok {
+			return
+		}
+		l.send(ctx, c)
+	}
+}
+
+func (l *Link) send(ctx context.Context, c *Call) {
+	now := time.Now()
+	if !l.connect(ctx, now) {
+		c.finish(types.NotRun(types.CodePeerUnavailable, "no connection to %s", l.name))
+		return
+	}
+	c.sentAt = now
+	c.expiresAt = now.Add(c.Timeout)
+	before := l.conn.written.Load()
+	sent := l.client.Go(c.Method, c.Args, c.Reply, l.completed)
+	if l.conn.written.Load() == before {
+		// The client was closed by its reader before this call; its completion is ignored.
+		c.finish(types.NotRun(types.CodePeerUnavailable, "connection to %s is closed", l.name))
+		l.disconnect()
+		return
+	}
+	l.calls[sent] = c
+}
+
+func (l *Link) connect(ctx context.Context, now time.Time) bool {
+	if l.client != nil {
+		return true
+	}
+	if now.Before(l.redialAt) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := l.dial(ctx)
+	if err != nil {
+		l.redialBackoff = min(max(2*l.redialBackoff, minRedialInterval), maxRedialInterval)
+		l.redialAt = now.Add(l.redialBackoff)
+		return false
+	}
+	l.redialBackoff = 0
+	l.conn = &countingConn{Conn: conn}
+	l.client = rpc.NewClient(l.conn)
+	l.lastAnswer = now
+	return true
+}
+
+func (l *Link) complete(done *rpc.Call) {
+	c, known := l.calls[done]
+	if !known {
+		return
+	}
+	delete(l.calls, done)
+	l.lastAnswer = time.Now()
+	if done.Error == nil {
+		c.finish(nil)
+		return
+	}
+	c.finish(types.WrapFault(types.CodePeerUnavailable, done.Error, "call to %s failed", l.name))
+	if _, fromServer := done.Error.(rpc.ServerError); !fromServer {
+		l.disconnect()
+	}
+}
+
+// expire ends calls past their timeout. A connection that gave no answer since such a call was sent is replaced,
+// because a middlebox may have lost track of it.
+func (l *Link) expire(now time.Time) {
+	silent := false
+	for _, c := range l.calls {
+		if c.finished || now.Before(c.expiresAt) {
+			continue
+		}
+		c.finish(types.NewFault(types.CodeTimeout, "no answer from %s within %s", l.name, c.Timeout))
+		silent = silent || l.lastAnswer.Before(c.sentAt)
+	}
+	if silent {
+		l.disconnect()
+	}
+}
+
+// disconnect closes the connection and ends all calls on it. Their outcome is unknown.
+func (l *Link) disconnect() {
+	if l.client == nil {
+		return
+	}
+	_ = l.client.Close()
+	l.client = nil
+	for sent, c := range l.calls {
+		c.finish(types.NewFault(types.CodePeerUnavailable, "connection to %s was closed", l.name))
+		delete(l.calls, sent)
+	}
+}
+
+func (l *Link) shutdown() {
+	l.disconnect()
+	for {
+		c, ok := l.in.TryGet()
+		if !ok {
+			return
+		}
+		c.finish(types.NotRun(types.CodeShuttingDown, "link to %s is stopping", l.name))
+	}
+}
+
+func (c *Call) finish(err *types.Fault) {
+	if c.finished {
+		return
+	}
+	c.finished = true
+	c.Err = err
+	c.Done(c)
+}
+
+// countingConn counts written bytes and bounds each write.
+type countingConn struct {
+	net.Conn
+	written atomic.Uint64
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, types.WrapFault(types.CodePeerUnavailable, err, "set write deadline")
+	}
+	n, err := c.Conn.Write(b)
+	c.written.Add(uint64(n))
+	return n, err
+}
--- /dev/null
+++ b/transport/peer/message.go
@@ -0,0 +1,66 @@
+package peer
+
+import "sequoiasail.example/types"
+
+// Names of the calls.
+const (
+	MethodDo         = "Dispatch.Do"
+	MethodCancel     = "Dispatch.Cancel"
+	MethodMemoryPut  = "Memory.Put"
+	MethodConfirm    = "Vouch.Confirm"
+	MethodInstall    = "Vouch.Install"
+	MethodQuarantine = "Control.Quarantine"
+	MethodReport     = "Control.Report"
+)
+
+// DoRequest asks a dispatcher to run a request at one of its targets.
+type DoRequest struct {
+	RequestID  types.RequestID
+	Caller     types.Caller
+	Service    types.Service
+	Target     types.Target
+	Key        string
+	KeyHash    types.KeyHash
+	Slot       types.Slot
+	SlotEpoch  types.Epoch
+	LeaseEpoch types.Epoch
+	Class      types.Class
+	Idempotent bool
+	// MintedAtMs is when the caller created the request, in milliseconds since the Unix epoch. 0 when not given.
+	MintedAtMs int64
+	// RemainingNs is the time left until the caller's deadline, in nanoseconds.
+	RemainingNs int64
+	// Fingerprint is a hash of what the request asks, without its identifier.
+	Fingerprint uint64
+	Method      string
+	Path        string
+	Header      map[string][]string
+	Body        []byte
+}
+
+// Failure is a typed fault as it travels between processes. An empty Code means success.
+type Failure struct {
+	Code    types.Code
+	Message string
+}
+
+// DoAnswer is the result of a DoRequest.
+type DoAnswer struct {
+	Outcome types.Outcome
+	Failure Failure
+	// Replayed is true when the answer was remembered from an earlier attempt.
+	Replayed bool
+	Status   int
+	Header   map[string][]string
+	Body     []byte
+}
+
+// CancelRequest tells a dispatcher that the caller no longer waits.
+type CancelRequest struct {
+	RequestID types.RequestID
+	Service   types.Service
+	Target    types.Target
+}
+
+// Empty is an answer without content.
+type Empty struct{}
--- /dev/null
+++ b/transport/peer/server.go
@@ -0,0 +1,108 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"sequoiasail.example/duty"
+	"sequoiasail.example/types"
+)
+
+// lingerTime lets net/rpc write the last answers before connections are closed.
+const lingerTime = 100 * time.Millisecond
+
+// Server accepts connections from peers.
+type Server struct {
+	address  string
+	rpc      *rpc.Server
+	listener *trackingListener
+}
+
+// NewServer returns a server for address, which is host:port.
+func NewServer(address string) *Server {
+	return &Server{address: address, rpc: rpc.NewServer()}
+}
+
+// Register exposes the methods of service under name.
+func (s *Server) Register(name string, service any) error {
+	if err := s.rpc.RegisterName(name, service); err != nil {
+		return types.WrapFault(types.CodeInternal, err, "register %s", name)
+	}
+	return nil
+}
+
+// Address returns the address in use. It is valid after Provision.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Duty returns the duty that accepts connections.
+func (s *Server) Duty() duty.Duty {
+	return duty.Duty{
+		Name:      "peer-server",
+		Provision: s.provision,
+		Run:       s.run,
+		Stop:      s.stop,
+	}
+}
+
+func (s *Server) provision(ctx context.Context) error {
+	var config net.ListenConfig
+	l, err := config.Listen(ctx, "tcp", s.address)
+	if err != nil {
+		return types.WrapFault(types.CodeBadSettings, err, "listen on %s", s.address)
+	}
+	s.listener = &trackingListener{Listener: l}
+	return nil
+}
+
+func (s *Server) run(context.Context) error {
+	s.rpc.Accept(s.listener)
+	return nil
+}
+
+func (s *Server) stop(ctx context.Context) error {
+	_ = s.listener.Close()
+	linger := time.NewTimer(lingerTime)
+	defer linger.Stop()
+	select {
+	case <-linger.C:
+	case <-ctx.Done():
+	}
+	s.listener.closeConnections()
+	return nil
+}
+
+// trackingListener remembers its open connections so that a stop can close them.
+type trackingListener struct {
+	net.Listener
+	open sync.Map
+}
+
+func (l *trackingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tracked := &trackedConn{Conn: conn, open: &l.open}
+	l.open.Store(tracked, struct{}{})
+	return tracked, nil
+}
+
+func (l *trackingListener) closeConnections() {
+	l.open.Range(func(conn, _ any) bool {
+		_ = conn.(*trackedConn).Close()
+		return true
+	})
+}
+
+type trackedConn struct {
+	net.Conn
+	open *sync.Map
+}
+
+func (c *trackedConn) Close() error {
+	c.open.Delete(c)
+	return c.Conn.Close()
+}
