--- a/standin/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package standin is described in docs/design.md, section 3.
-package standin
--- a/transport/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package transport is described in docs/design.md, section 3.
-package transport
