--- a/daemon/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package daemon is described in docs/design.md, section 3.
-package daemon
--- /dev/null
+++ b/daemon/gateway/frontend.go
@@ -0,0 +1,287 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gorilla/mux"
+
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/peer"
+	"sequoiasail.example/types"
+)
+
+// Headers of the callers' interface.
+const (
+	headerOutcome        = "Sail-Outcome"
+	headerReplayed       = "Sail-Replayed"
+	headerServedBy       = "Sail-Target"
+	headerCaller         = "Sail-Caller"
+	headerSession        = "Sail-Session"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerRequestTime    = "Request-Time"
+	headerTimeout        = "Request-Timeout-Ms"
+)
+
+// Bounds of what callers may send.
+const (
+	maxTimeout       = 10 * time.Minute
+	maxKeyBytes      = 1024
+	maxIDBytes       = 128
+	answerGrace      = 50 * time.Millisecond
+	statusCallerGone = 499
+)
+
+// frontend decodes callers' requests and encodes answers. Its goroutines are those of net/http.
+type frontend struct {
+	gw *Gateway
+}
+
+// failureBody is the JSON body of an answer that is not the target's.
+type failureBody struct {
+	Code      types.Code      `json:"code"`
+	Message   string          `json:"message"`
+	Outcome   string          `json:"outcome"`
+	RequestID types.RequestID `json:"requestId,omitempty"`
+}
+
+func (f *frontend) handler() http.Handler {
+	r := mux.NewRouter()
+	r.UseEncodedPath()
+	r.HandleFunc("/v1/{service}/{key}", f.serve).Methods(http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut)
+	r.NotFoundHandler = http.HandlerFunc(f.notFound)
+	r.MethodNotAllowedHandler = http.HandlerFunc(f.methodNotAllowed)
+	return r
+}
+
+func (f *frontend) notFound(w http.ResponseWriter, r *http.Request) {
+	writeFault(w, r, "", types.NotRun(types.CodeMissingKey, "the path must be /v1/{service}/{key}"))
+}
+
+func (f *frontend) methodNotAllowed(w http.ResponseWriter, r *http.Request) {
+	writeFault(w, r, "", types.NotRun(types.CodeBadRequest, "method %s is not supported", r.Method))
+}
+
+func (f *frontend) serve(w http.ResponseWriter, r *http.Request) {
+	p, err := f.decode(w, r)
+	if err != nil {
+		f.gw.countRefusal(err)
+		writeFault(w, r, types.RequestID(r.Header.Get(headerIdempotencyKey)), err)
+		return
+	}
+	answer, err := f.gw.submit(r.Context(), p)
+	if err != nil {
+		writeFault(w, r, p.request.RequestID, err)
+		return
+	}
+	writeAnswer(w, answer)
+}
+
+// decode reads the whole request, so that nothing is routed before its body is known to be complete.
+func (f *frontend) decode(w http.ResponseWriter, r *http.Request) (*pending, *types.Fault) {
+	vars := mux.Vars(r)
+	view := f.gw.view.Load()
+	service, ok := view.service(types.Service(vars["service"]))
+	if !ok {
+		return nil, types.NotRun(types.CodeUnknownService, "unknown service %q", vars["service"])
+	}
+	key := vars["key"]
+	if len(key) > maxKeyBytes {
+		return nil, types.NotRun(types.CodeBadRequest, "the key is longer than %d bytes", maxKeyBytes)
+	}
+	class := service.classOf(r.Method)
+	timeout, fault := parseTimeout(r.Header.Get(headerTimeout), service.timeout[class])
+	if fault != nil {
+		return nil, fault
+	}
+	id, mintedMs, fault := f.identify(r, class)
+	if fault != nil {
+		return nil, fault
+	}
+	body, fault := readBody(w, r, service.maxBodyBytes)
+	if fault != nil {
+		return nil, fault
+	}
+	p := &pending{
+		deadline: telemetry.Now().Add(timeout),
+		pinned:   types.Target(r.Header.Get(headerSession)),
+		done:     make(chan result, 1),
+		request: peer.DoRequest{
+			RequestID:  id,
+			Caller:     callerOf(r),
+			Service:    service.name,
+			Key:        key,
+			KeyHash:    types.HashKey(key),
+			Class:      class,
+			Idempotent: class.Idempotent(),
+			MintedAtMs: mintedMs,
+			Method:     r.Method,
+			Path:       r.URL.RequestURI(),
+			Header:     forwardedHeaders(r.Header),
+			Body:       body,
+		},
+	}
+	p.request.Fingerprint = fingerprint(&p.request)
+	return p, nil
+}
+
+func (f *frontend) identify(r *http.Request, class types.Class) (types.RequestID, int64, *types.Fault) {
+	id := r.Header.Get(headerIdempotencyKey)
+	if len(id) > maxIDBytes {
+		return "", 0, types.NotRun(types.CodeBadRequest, "%s is longer than %d bytes", headerIdempotencyKey, maxIDBytes)
+	}
+	if class.Idempotent() {
+		return f.gw.newRequestID(), 0, nil
+	}
+	if id == "" {
+		return "", 0, types.NotRun(types.CodeMissingRequestID, "%s is required for %s requests", headerIdempotencyKey, class)
+	}
+	minted, err := time.Parse(time.RFC3339, r.Header.Get(headerRequestTime))
+	if err != nil {
+		return "", 0, types.NotRun(types.CodeMissingRequestID,
+			"%s must be the RFC 3339 time at which the caller created the request", headerRequestTime)
+	}
+	return types.RequestID(id), minted.UnixMilli(), nil
+}
+
+func parseTimeout(text string, standard time.Duration) (time.Duration, *types.Fault) {
+	if text == "" {
+		return standard, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	limit := maxTimeout.Milliseconds()
+	if err != nil || ms < 1 || ms > limit {
+		return 0, types.NotRun(types.CodeBadDeadline, "%s must be a whole number from 1 to %d", headerTimeout, limit)
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *types.Fault) {
+	if r.ContentLength > limit {
+		return nil, types.NotRun(types.CodeBodyTooLarge, "the body is larger than %d bytes", limit)
+	}
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, types.NotRun(types.CodeBodyTooLarge, "the body is larger than %d bytes", limit)
+	default:
+		return nil, types.NotRun(types.CodeTruncatedBody, "the body ended early or came too slowly")
+	}
+}
+
+// hopHeaders are meaningful for one connection only.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Proxy-Connection": true, "Content-Length": true,
+}
+
+func forwardedHeaders(h http.Header) map[string][]string {
+	out := make(map[string][]string, len(h))
+	for name, values := range h {
+		if !hopHeaders[name] {
+			out[name] = values
+		}
+	}
+	return out
+}
+
+// callerOf identifies the caller for fairness. Requests without the header are grouped by IP address.
+func callerOf(r *http.Request) types.Caller {
+	if name := r.Header.Get(headerCaller); name != "" {
+		return types.Caller(name)
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return types.Caller(r.RemoteAddr)
+	}
+	return types.Caller(host)
+}
+
+// fingerprint hashes what the request asks. Two requests that differ only in identifier and time have the same one.
+func fingerprint(r *peer.DoRequest) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{string(r.Service), r.Method, r.Path} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(r.Body)
+	return d.Sum64()
+}
+
+func writeAnswer(w http.ResponseWriter, a *peer.DoAnswer) {
+	h := w.Header()
+	for name, values := range a.Header {
+		if !hopHeaders[name] {
+			h[name] = values
+		}
+	}
+	h.Set(headerOutcome, a.Outcome.String())
+	if a.Replayed {
+		h.Set(headerReplayed, "true")
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+func writeFault(w http.ResponseWriter, r *http.Request, id types.RequestID, fault *types.Fault) {
+	body, err := json.Marshal(failureBody{
+		Code:      fault.Code,
+		Message:   fault.Message,
+		Outcome:   fault.Outcome.String(),
+		RequestID: id,
+	})
+	if err != nil {
+		body = []byte(`{"code":"internal"}`)
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(headerOutcome, fault.Outcome.String())
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	status := statusOf(fault.Code)
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", "1")
+	}
+	w.WriteHeader(status)
+	if r.Method != http.MethodHead {
+		_, _ = w.Write(body)
+	}
+}
+
+// statuses maps codes to HTTP statuses. Codes that are not listed give 503.
+var statuses = map[types.Code]int{
+	types.CodeBadRequest:       http.StatusBadRequest,
+	types.CodeTruncatedBody:    http.StatusBadRequest,
+	types.CodeBadDeadline:      http.StatusBadRequest,
+	types.CodeMissingRequestID: http.StatusBadRequest,
+	types.CodeMissingKey:       http.StatusNotFound,
+	types.CodeUnknownService:   http.StatusNotFound,
+	types.CodeBodyTooLarge:     http.StatusRequestEntityTooLarge,
+	types.CodeIDReused:         http.StatusUnprocessableEntity,
+	types.CodeQuarantined:      http.StatusUnprocessableEntity,
+	types.CodeMemoryLost:       http.StatusConflict,
+	types.CodeDeadlineExceeded: http.StatusGatewayTimeout,
+	types.CodeTimeout:          http.StatusGatewayTimeout,
+	types.CodeCancelled:        statusCallerGone,
+	types.CodeTargetFailed:     http.StatusBadGateway,
+	types.CodeInternal:         http.StatusInternalServerError,
+}
+
+func statusOf(code types.Code) int {
+	if status, ok := statuses[code]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/daemon/process/http.go
@@ -0,0 +1,64 @@
+package process
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"sequoiasail.example/duty"
+	"sequoiasail.example/types"
+)
+
+// Limits of the HTTP servers.
+const (
+	maxHeaderBytes    = 16 << 10
+	readHeaderTimeout = 2 * time.Second
+	readTimeout       = 10 * time.Second
+	idleTimeout       = 60 * time.Second
+)
+
+// HTTPServer is one listener with its handler.
+type HTTPServer struct {
+	Name    string
+	Address string
+	Handler http.Handler
+
+	listener net.Listener
+	server   *http.Server
+}
+
+// Duty returns the duty that serves. Its stop waits for requests in hand.
+func (s *HTTPServer) Duty() duty.Duty {
+	return duty.Duty{
+		Name:      "http-" + s.Name,
+		Provision: s.provision,
+		Run:       s.run,
+		Stop:      func(ctx context.Context) error { return s.server.Shutdown(ctx) },
+	}
+}
+
+func (s *HTTPServer) provision(ctx context.Context) error {
+	var config net.ListenConfig
+	l, err := config.Listen(ctx, "tcp", s.Address)
+	if err != nil {
+		return types.WrapFault(types.CodeBadSettings, err, "listen on %s", s.Address)
+	}
+	s.listener = l
+	s.server = &http.Server{
+		Handler:           s.Handler,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	return nil
+}
+
+func (s *HTTPServer) run(context.Context) error {
+	err := s.server.Serve(s.listener)
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return types.WrapFault(types.CodeInternal, err, "serve %s", s.Name)
+}
--- /dev/null
+++ b/daemon/process/member.go
@@ -0,0 +1,161 @@
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"sequoiasail.example/duty"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+const (
+	memberPrefix      = "member/"
+	memberTTL         = 10 * time.Second
+	keepAliveInterval = 3 * time.Second
+	registerRetry     = 500 * time.Millisecond
+	memberCallTimeout = time.Second
+)
+
+// Roles of processes.
+const (
+	RoleGateway    = "gateway"
+	RoleDispatcher = "dispatcher"
+)
+
+// Member is the registration of one process, stored under member/<vm>/<role>.
+type Member struct {
+	VM          types.VM          `json:"vm"`
+	Role        string            `json:"role"`
+	DataCentre  types.DataCentre  `json:"dataCentre"`
+	Incarnation types.Incarnation `json:"incarnation"`
+	// PeerAddress is host:port of the net/rpc server, empty for a gateway.
+	PeerAddress string `json:"peerAddress,omitempty"`
+	// OpsAddress is host:port of the operators' pages.
+	OpsAddress string `json:"opsAddress"`
+}
+
+// Key returns the store key of the member.
+func (m Member) Key() string { return memberPrefix + string(m.VM) + "/" + m.Role }
+
+// ParseMember decodes a registration. ok is false when the key is not a member key.
+func ParseMember(key string, value []byte) (m Member, ok bool, err error) {
+	if !strings.HasPrefix(key, memberPrefix) {
+		return m, false, nil
+	}
+	if err := json.Unmarshal(value, &m); err != nil {
+		return m, true, types.WrapFault(types.CodeBadConfiguration, err, "decode %s", key)
+	}
+	return m, true, nil
+}
+
+// Registration keeps a Member in the store under a lease.
+type Registration struct {
+	Store  store.Store
+	Member Member
+	Log    *telemetry.Log
+
+	lease store.LeaseID
+	done  chan struct{}
+}
+
+// Duty returns the duty that keeps the registration. Its stop removes the registration.
+func (r *Registration) Duty() duty.Duty {
+	r.done = make(chan struct{})
+	return duty.Duty{
+		Name: "member-registration",
+		Run:  r.run,
+		Stop: func(context.Context) error { close(r.done); return nil },
+	}
+}
+
+func (r *Registration) run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			timer.Reset(r.renew(ctx))
+		case <-r.done:
+			r.remove(ctx)
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// renew registers or keeps the lease alive, and returns the time until the next call.
+func (r *Registration) renew(ctx context.Context) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, memberCallTimeout)
+	defer cancel()
+	if r.lease != 0 {
+		err := r.Store.KeepAlive(ctx, r.lease)
+		if err == nil {
+			return keepAliveInterval
+		}
+		if types.CodeOf(err) != types.CodeNotFound {
+			return registerRetry
+		}
+		r.lease = 0
+	}
+	if err := r.register(ctx); err != nil {
+		r.Log.Warn("registration failed", map[string]any{"error": err.Error()})
+		return registerRetry
+	}
+	r.Log.Info("registered", map[string]any{"member": r.Member.Key(), "incarnation": r.Member.Incarnation})
+	return keepAliveInterval
+}
+
+func (r *Registration) register(ctx context.Context) error {
+	value, err := json.Marshal(r.Member)
+	if err != nil {
+		return types.WrapFault(types.CodeInternal, err, "encode member")
+	}
+	lease, err := r.Store.GrantLease(ctx, memberTTL)
+	if err != nil {
+		return err
+	}
+	expected, err := currentRevision(ctx, r.Store, r.Member.Key())
+	if err != nil {
+		return err
+	}
+	_, err = r.Store.CAS(ctx, store.Write{
+		Key:      r.Member.Key(),
+		Expected: expected,
+		Value:    value,
+		Lease:    lease,
+		WriteID:  NewWriteID(r.Member.VM, r.Member.Incarnation),
+	})
+	if err != nil {
+		return err
+	}
+	r.lease = lease
+	return nil
+}
+
+func (r *Registration) remove(ctx context.Context) {
+	if r.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, memberCallTimeout)
+	defer cancel()
+	if err := r.Store.RevokeLease(ctx, r.lease); err != nil {
+		r.Log.Warn("registration not removed, it lapses by itself", map[string]any{"error": err.Error()})
+	}
+}
+
+// currentRevision returns the revision of key, or 0 when it does not exist.
+func currentRevision(ctx context.Context, s store.Store, key string) (types.Revision, error) {
+	entry, err := s.Get(ctx, key)
+	if types.CodeOf(err) == types.CodeNotFound && err != nil {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return entry.Revision, nil
+}
--- /dev/null
+++ b/daemon/process/watch.go
@@ -0,0 +1,101 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"sequoiasail.example/duty"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+const (
+	listTimeout       = 2 * time.Second
+	watchSlack        = 2 * time.Second
+	watchRetryDelay   = 100 * time.Millisecond
+	watchRetryCeiling = 2 * time.Second
+)
+
+// Update is what the store watch delivers.
+type Update struct {
+	// Snapshot is true when Events holds every key and replaces all that was known.
+	Snapshot bool
+	Events   []store.Event
+	Revision types.Revision
+	// Err is set when the store could not be read; Events is empty then.
+	Err error
+}
+
+// Watch keeps one process informed of all keys of the store with a single waiting call.
+type Watch struct {
+	Store store.Store
+	// Deliver hands an update to its owner. It may block.
+	Deliver func(ctx context.Context, u Update) error
+}
+
+// Duty returns the duty that watches the store.
+func (w *Watch) Duty() duty.Duty {
+	return duty.Duty{Name: "store-watch", Run: w.run}
+}
+
+func (w *Watch) run(ctx context.Context) error {
+	delay := watchRetryDelay
+	for ctx.Err() == nil {
+		revision, err := w.list(ctx)
+		if err == nil {
+			delay = watchRetryDelay
+			err = w.follow(ctx, revision)
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		if types.CodeOf(err) == types.CodeNotFound {
+			continue
+		}
+		if err := w.Deliver(ctx, Update{Err: err}); err != nil {
+			return nil
+		}
+		park(ctx, delay)
+		delay = min(2*delay, watchRetryCeiling)
+	}
+	return nil
+}
+
+func (w *Watch) list(ctx context.Context) (types.Revision, error) {
+	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	entries, revision, err := w.Store.List(listCtx, "")
+	if err != nil {
+		return 0, err
+	}
+	events := make([]store.Event, len(entries))
+	for i, e := range entries {
+		events[i] = store.Event{Entry: e}
+	}
+	return revision, w.Deliver(ctx, Update{Snapshot: true, Events: events, Revision: revision})
+}
+
+func (w *Watch) follow(ctx context.Context, revision types.Revision) error {
+	for {
+		watchCtx, cancel := context.WithTimeout(ctx, store.MaxWatchWait+watchSlack)
+		events, next, err := w.Store.Watch(watchCtx, "", revision)
+		cancel()
+		if err != nil {
+			return err
+		}
+		revision = next
+		if err := w.Deliver(ctx, Update{Events: events, Revision: revision}); err != nil {
+			return err
+		}
+	}
+}
+
+// park waits for d or the end of ctx.
+func park(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
