dispatch: define messages, actions and the core's surface

The dispatcher process is wired against these types while the core is being written.

Bodies and answers stay in the process and are known by a handle until ActionForget.

--- /dev/null
+++ b/dispatch/action.go
@@ -0,0 +1,151 @@
+package dispatch
+
+import (
+	"time"
+
+	"sequoiasail.example/types"
+)
+
+// ActionKind says which fields of an Action are set.
+type ActionKind uint8
+
+// Kinds of actions. Each names the fields it sets.
+const (
+	// ActionNone is the zero value and is never emitted.
+	ActionNone ActionKind = iota
+	// ActionSend: Handle, Attempt, Target, Connection, Fresh, Deadline, Epoch. Send the request on this connection. The
+	// process answers with exactly one MessageResult, also when it could not start.
+	ActionSend
+	// ActionCancelSend: Handle, Attempt, Target, Connection. Close the connection. The result still follows.
+	ActionCancelSend
+	// ActionReply: Handle, Outcome, Code, Replay, Latency, Depth. Answer the caller. With outcome done the answer is the
+	// one kept under Replay.
+	ActionReply
+	// ActionStoreCopy: Handle, Entry. Copy the entry, and the answer if its state is EntryAnswered, to the second
+	// dispatcher. Only an entry with state EntrySent is followed by MessageCopyDone.
+	ActionStoreCopy
+	// ActionForget: Handle. Drop the body and the answer.
+	ActionForget
+	// ActionAnnounceQuarantine: Quarantine. Tell all dispatchers.
+	ActionAnnounceQuarantine
+	// ActionCloseConnection: Target, Connection. Close an idle or silent connection.
+	ActionCloseConnection
+	// ActionReportTarget: Target, Condition, Latency, Depth. Tell the planner and the gateways.
+	ActionReportTarget
+	// ActionDecision: Handle, Attempt, Target, Epoch, Reason, Outcome, ID, Key. One log line.
+	ActionDecision
+)
+
+// Action is one output of the core.
+type Action struct {
+	Kind       ActionKind
+	Outcome    types.Outcome
+	Reason     Reason
+	Condition  Condition
+	Fresh      bool
+	Attempt    Attempt
+	Connection int
+	Handle     Handle
+	// Replay is the handle whose kept answer is to be given. It equals Handle for the request's own answer.
+	Replay     Handle
+	Target     types.TargetID
+	Deadline   types.Instant
+	Epoch      types.Epoch
+	Code       types.Code
+	Latency    time.Duration
+	Depth      int
+	ID         types.RequestID
+	Key        types.KeyHash
+	Entry      Entry
+	Quarantine Quarantine
+}
+
+// Condition is what the core observed about a target.
+type Condition uint8
+
+// Conditions of a target.
+const (
+	// ConditionHealthy ends the other conditions.
+	ConditionHealthy Condition = iota
+	// ConditionSuspectedDead: connections break and new ones fail.
+	ConditionSuspectedDead
+	// ConditionStraggler: answers take far longer than those of the service's other targets.
+	ConditionStraggler
+	// ConditionCold: the limit is rising from one.
+	ConditionCold
+	// ConditionDrained: no request is in flight and none will be sent.
+	ConditionDrained
+)
+
+var conditionNames = [...]string{"healthy", "suspected-dead", "straggler", "cold", "drained"}
+
+// String returns the name used in logs.
+func (c Condition) String() string { return conditionNames[c] }
+
+// Reason says why a decision was taken.
+type Reason uint8
+
+// Reasons of decisions.
+const (
+	ReasonNone Reason = iota
+	// ReasonSent: the request was sent to its target.
+	ReasonSent
+	// ReasonAnswered: the target's own answer was passed on.
+	ReasonAnswered
+	// ReasonRemembered: a resend received the first answer.
+	ReasonRemembered
+	// ReasonJoined: a resend waits for the first send.
+	ReasonJoined
+	// ReasonIDReused: the identifier belongs to a request with another fingerprint.
+	ReasonIDReused
+	// ReasonMemoryLost: the identifier is older than this dispatcher's memory.
+	ReasonMemoryLost
+	// ReasonClockAhead: the identifier is dated in the future.
+	ReasonClockAhead
+	// ReasonNotHolder: this dispatcher does not hold the target's lease.
+	ReasonNotHolder
+	// ReasonStaleEpoch: the gateway routed by another lease or slot epoch.
+	ReasonStaleEpoch
+	// ReasonQueueFull: the class has no place left for this caller.
+	ReasonQueueFull
+	// ReasonTooLate: the request cannot finish before its deadline.
+	ReasonTooLate
+	// ReasonQuarantined: the fingerprint was in flight at two deaths of targets.
+	ReasonQuarantined
+	// ReasonDraining: the target or the process takes no new work.
+	ReasonDraining
+	// ReasonCancelled: the caller no longer waits.
+	ReasonCancelled
+	// ReasonRefusedByTarget: the target said that it did not run the request.
+	ReasonRefusedByTarget
+	// ReasonTargetFailed: the connection or the answer broke.
+	ReasonTargetFailed
+	// ReasonDeadline: the deadline passed.
+	ReasonDeadline
+	// ReasonRetry: the request is sent again.
+	ReasonRetry
+	// ReasonRetryBudget: the retry budget is used up.
+	ReasonRetryBudget
+	// ReasonLateResult: a result belongs to no attempt in flight and was dropped.
+	ReasonLateResult
+	// ReasonCopyFailed: no second dispatcher holds the entry.
+	ReasonCopyFailed
+	// ReasonSilentConnection: a connection was closed because a fresh one answers.
+	ReasonSilentConnection
+	// ReasonTargetDied: the target's death was counted against the requests in flight.
+	ReasonTargetDied
+	// ReasonUnknownService: the configuration has no such service or target.
+	ReasonUnknownService
+	// ReasonTableFull: the deduplication table has no place left.
+	ReasonTableFull
+)
+
+var reasonNames = [...]string{
+	"none", "sent", "answered", "remembered", "joined", "request-id-reused", "memory-lost", "clock-ahead",
+	"not-lease-holder", "stale-epoch", "queue-full", "too-late", "quarantined", "draining", "cancelled",
+	"refused-by-target", "target-failed", "deadline", "retry", "retry-budget", "late-result", "copy-failed",
+	"silent-connection", "target-died", "unknown-service", "table-full",
+}
+
+// String returns the name used in logs.
+func (r Reason) String() string { return reasonNames[r] }
