settings: add strict JSON decoding and the shared command line

Change: settings.Decode and settings.Load refuse unknown and duplicate fields, null, wrong types and trailing data, and return all faults together as settings.Problems with the path of each. settings/startup gives every binary -settings, -check and -version; bad settings exit with code 2, one line per fault, and nothing starts.

Cause: encoding/json stops at the first fault, keeps the last of two equal fields and ignores the case of names, so an operator would repair a file one fault per attempt and a misspelt field could take effect unnoticed.

Ruled out: DisallowUnknownFields (first fault only, no duplicates), and a general decoder of maps into structs, which sees duplicates too late.

Before: no settings module.

Conclusion: binaries can use startup.Main with their settings struct.

--- /dev/null
+++ b/settings/fields.go
@@ -0,0 +1,30 @@
+package settings
+
+import (
+	"reflect"
+	"strings"
+)
+
+// fields describes the JSON fields of a struct type, in order of declaration.
+type fields struct {
+	names []string
+	index map[string][]int
+}
+
+// fieldsOf returns the fields that encoding/json writes for t. Names are compared exactly, not without case.
+func fieldsOf(t reflect.Type) fields {
+	f := fields{index: map[string][]int{}}
+	for _, field := range reflect.VisibleFields(t) {
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		embedded := field.Anonymous && name == ""
+		if !field.IsExported() || embedded || name == "-" {
+			continue
+		}
+		if name == "" {
+			name = field.Name
+		}
+		f.names = append(f.names, name)
+		f.index[name] = field.Index
+	}
+	return f
+}
--- /dev/null
+++ b/settings/startup/startup_test.go
@@ -0,0 +1,84 @@
+package startup_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sequoiasail.example/settings"
+	"sequoiasail.example/settings/startup"
+	"sequoiasail.example/types"
+)
+
+type sample struct {
+	VM   types.VM         `json:"vm"`
+	HTTP settings.Address `json:"http"`
+}
+
+func (s *sample) Validate() error {
+	c := settings.NewChecks()
+	c.Require("vm", string(s.VM))
+	c.Address("http", s.HTTP)
+	return c.Err()
+}
+
+func execute(t *testing.T, document string, args ...string) (code int, started bool, stdout, stderr string) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "s.json")
+	if err := os.WriteFile(file, []byte(document), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errs bytes.Buffer
+	p := startup.Program{Name: "sail-test", Settings: &sample{}, Run: func(context.Context) error {
+		started = true
+		return nil
+	}}
+	for i, a := range args {
+		args[i] = strings.ReplaceAll(a, "FILE", file)
+	}
+	code = p.Execute(context.Background(), args, &out, &errs)
+	return code, started, out.String(), strings.ReplaceAll(errs.String(), file, "FILE")
+}
+
+// Guards against a process that starts, or hides a fault, when its settings are bad.
+func TestBadSettingsStartNothing(t *testing.T) {
+	is := is.New(t)
+	code, started, _, stderr := execute(t, `{"htttp":1}`, "-settings", "FILE")
+	is.Equal(code, startup.ExitSettings)
+	is.True(!started)
+	is.Equal(strings.Count(stderr, "\n"), 3)
+	is.True(strings.Contains(stderr, "FILE: htttp: unknown field"))
+	is.True(strings.Contains(stderr, "FILE: vm: is required (bad-settings)"))
+}
+
+// Guards against -check, -version or a bad command line that start the process.
+func TestCommandLine(t *testing.T) {
+	const good = `{"vm":"a","http":"127.0.0.1:80"}`
+	cases := []struct {
+		args    []string
+		code    int
+		started bool
+	}{
+		{[]string{"-settings", "FILE"}, startup.ExitOK, true},
+		{[]string{"-settings", "FILE", "-check"}, startup.ExitOK, false},
+		{[]string{"-version"}, startup.ExitOK, false},
+		{[]string{}, startup.ExitSettings, false},
+		{[]string{"-settings", "FILE.absent"}, startup.ExitSettings, false},
+		{[]string{"-settings", "FILE", "extra"}, startup.ExitSettings, false},
+		{[]string{"-nosuch"}, startup.ExitSettings, false},
+	}
+	for _, c := range cases {
+		t.Run(strings.Join(c.args, " "), func(t *testing.T) {
+			is := is.New(t)
+			code, started, _, stderr := execute(t, good, c.args...)
+			is.Equal(code, c.code)
+			is.Equal(started, c.started)
+			is.Equal(stderr == "", code == startup.ExitOK)
+		})
+	}
+}
