--- /dev/null
+++ b/daemon/gateway/view.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/types"
+)
+
+// serviceView is what the front end needs to know of a service.
+type serviceView struct {
+	name         types.Service
+	writeClass   types.Class
+	maxBodyBytes int64
+	timeout      [types.ClassCount]time.Duration
+}
+
+// configView is an immutable extract of the configuration in force.
+type configView struct {
+	version  types.Version
+	services map[types.Service]serviceView
+}
+
+func newConfigView(c *config.Configuration) (*configView, error) {
+	v := &configView{version: c.Version, services: make(map[types.Service]serviceView, len(c.Services))}
+	for _, s := range c.Services {
+		view, err := newServiceView(s)
+		if err != nil {
+			return nil, err
+		}
+		v.services[s.Name] = view
+	}
+	return v, nil
+}
+
+func newServiceView(s config.Service) (serviceView, error) {
+	class, err := types.ParseClass(s.WriteClass)
+	if err != nil {
+		return serviceView{}, err
+	}
+	view := serviceView{name: s.Name, writeClass: class, maxBodyBytes: s.Limits.MaxBodyBytes}
+	for _, p := range s.Classes {
+		c, err := types.ParseClass(p.Class)
+		if err != nil {
+			return serviceView{}, err
+		}
+		view.timeout[c] = time.Duration(p.TimeoutMs) * time.Millisecond
+	}
+	return view, nil
+}
+
+func (v *configView) service(name types.Service) (serviceView, bool) {
+	if v == nil {
+		return serviceView{}, false
+	}
+	s, ok := v.services[name]
+	return s, ok
+}
+
+func (s serviceView) classOf(method string) types.Class {
+	if method == http.MethodGet || method == http.MethodHead {
+		return types.ClassLookup
+	}
+	return s.writeClass
+}
--- /dev/null
+++ b/daemon/process/settings.go
@@ -0,0 +1,35 @@
+package process
+
+import (
+	"sequoiasail.example/settings"
+	"sequoiasail.example/types"
+)
+
+// defaultStoreTimeoutMs bounds calls to the store, which answers in milliseconds when it is healthy.
+const defaultStoreTimeoutMs = 1000
+
+// Settings is what gateways and dispatchers have in common.
+type Settings struct {
+	// VM is the name of this VM. Required.
+	VM types.VM `json:"vm"`
+	// DataCentre is the data centre of this VM. Required.
+	DataCentre types.DataCentre `json:"dataCentre"`
+	// OpsAddress is where operators reach the process: metrics, health and status. Required.
+	OpsAddress settings.Address `json:"opsAddress"`
+	// StoreAddress is the address of the platform's store. Required.
+	StoreAddress settings.Address `json:"storeAddress"`
+	// StoreTimeoutMs bounds a call to the store, in milliseconds. Default 1000.
+	StoreTimeoutMs settings.Millis `json:"storeTimeoutMs"`
+}
+
+// Provision fills in the defaults.
+func (s *Settings) Provision() { s.StoreTimeoutMs.Default(defaultStoreTimeoutMs) }
+
+// Check adds the faults of the common settings to c.
+func (s *Settings) Check(c *settings.Checks) {
+	c.Require("vm", string(s.VM))
+	c.Require("dataCentre", string(s.DataCentre))
+	c.Address("opsAddress", s.OpsAddress)
+	c.Address("storeAddress", s.StoreAddress)
+	c.Between("storeTimeoutMs", int64(s.StoreTimeoutMs), 10, 60_000, "ms")
+}
