--- /dev/null
+++ b/transport/target/http.go
@@ -0,0 +1,175 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"sequoiasail.example/transport/internal/exchange"
+	"sequoiasail.example/types"
+)
+
+// Defaults of Options.
+const (
+	// DefaultTimeout bounds a call that has no deadline.
+	DefaultTimeout = 5 * time.Second
+	// DefaultDialTimeout is many times the 1 ms that a target takes to accept a connection.
+	DefaultDialTimeout = 500 * time.Millisecond
+)
+
+// Options describes the connection to a target.
+type Options struct {
+	// Address is host:port.
+	Address string
+	// Timeout bounds a call that has no deadline. Default DefaultTimeout.
+	Timeout time.Duration
+	// DialTimeout bounds the opening of the connection. Default DefaultDialTimeout.
+	DialTimeout time.Duration
+	// MaxAnswer is the largest answer body, in bytes. Default exchange.DefaultMaxAnswer, 16 MiB.
+	MaxAnswer int64
+}
+
+// HTTP is a Client over one HTTP/1.1 connection.
+type HTTP struct {
+	base    string
+	timeout time.Duration
+	client  *exchange.Client
+}
+
+var _ Client = (*HTTP)(nil)
+
+// NewHTTP returns an adapter that connects on its first call.
+func NewHTTP(o Options) *HTTP {
+	if o.Timeout == 0 {
+		o.Timeout = DefaultTimeout
+	}
+	if o.DialTimeout == 0 {
+		o.DialTimeout = DefaultDialTimeout
+	}
+	return &HTTP{
+		base:    "http://" + o.Address,
+		timeout: o.Timeout,
+		client:  exchange.New(exchange.Options{Connections: 1, MaxAnswer: o.MaxAnswer, DialTimeout: o.DialTimeout}),
+	}
+}
+
+// CloseConnection implements Client.
+func (h *HTTP) CloseConnection() { h.client.CloseIdle() }
+
+// Grant implements Client.
+func (h *HTTP) Grant(ctx context.Context, g GrantRequest) (GrantAnswer, error) {
+	return control[GrantAnswer](ctx, h, http.MethodPost, PathGrant, g)
+}
+
+// Renew implements Client.
+func (h *HTTP) Renew(ctx context.Context, r RenewRequest) (GrantAnswer, error) {
+	return control[GrantAnswer](ctx, h, http.MethodPost, PathRenew, r)
+}
+
+// Release implements Client.
+func (h *HTTP) Release(ctx context.Context, r ReleaseRequest) error {
+	_, err := control[struct{}](ctx, h, http.MethodPost, PathRelease, r)
+	return err
+}
+
+// Cancel implements Client.
+func (h *HTTP) Cancel(ctx context.Context, id types.RequestID) error {
+	_, err := control[struct{}](ctx, h, http.MethodPost, PathCancel, CancelRequest{RequestID: id})
+	return err
+}
+
+// Health implements Client.
+func (h *HTTP) Health(ctx context.Context) (Health, error) {
+	return control[Health](ctx, h, http.MethodGet, PathHealth, nil)
+}
+
+// Load implements Client.
+func (h *HTTP) Load(ctx context.Context) (Load, error) {
+	return control[Load](ctx, h, http.MethodGet, PathLoad, nil)
+}
+
+// Drain implements Client.
+func (h *HTTP) Drain(ctx context.Context) error {
+	_, err := control[struct{}](ctx, h, http.MethodPost, PathDrain, struct{}{})
+	return err
+}
+
+// Do implements Client.
+func (h *HTTP) Do(ctx context.Context, r Request) (Response, error) {
+	now := time.Now()
+	ctx, cancel := bounded(ctx, r.Deadline, h.timeout)
+	defer cancel()
+	r.Deadline, _ = ctx.Deadline()
+	a, err := h.client.Do(ctx, exchange.Request{
+		Method: r.Method,
+		URL:    h.base + r.Path,
+		Header: encodeHeader(r, now),
+		Body:   r.Body,
+	})
+	if err != nil {
+		return Response{}, doFailure(err)
+	}
+	if f := checkAnswer(r, a); f != nil {
+		return Response{}, f
+	}
+	return response(a), nil
+}
+
+func response(a exchange.Answer) Response {
+	return Response{
+		Status:      a.Status,
+		Header:      a.Header,
+		Body:        a.Body,
+		Incarnation: parseIncarnation(a.Header.Get(HeaderIncarnation)),
+		Load:        parseLoad(a.Header.Get(HeaderLoad)),
+	}
+}
+
+// bounded applies the deadline if there is one, and the default timeout if the context has no deadline either.
+func bounded(ctx context.Context, deadline time.Time, timeout time.Duration) (context.Context, context.CancelFunc) {
+	if !deadline.IsZero() {
+		return context.WithDeadline(ctx, deadline)
+	}
+	if _, ok := ctx.Deadline(); ok {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, timeout)
+}
+
+func control[T any](ctx context.Context, h *HTTP, method, path string, v any) (T, error) {
+	var zero T
+	ctx, cancel := bounded(ctx, time.Time{}, h.timeout)
+	defer cancel()
+	r := exchange.Request{Method: method, URL: h.base + path}
+	if v != nil {
+		body, err := json.Marshal(v)
+		if err != nil {
+			return zero, types.WrapFault(types.CodeBadRequest, err, "encode %s", path)
+		}
+		r.Body = body
+	}
+	a, err := h.client.Do(ctx, r)
+	if err != nil {
+		return zero, controlFault(err)
+	}
+	if a.Status != http.StatusOK {
+		return zero, decodeFault(a.Status, a.Body)
+	}
+	return decode[T](a.Body)
+}
+
+func controlFault(err error) *types.Fault {
+	var e *exchange.Error
+	if !errors.As(err, &e) {
+		return types.WrapFault(types.CodeInternal, err, "target call")
+	}
+	switch {
+	case e.TimedOut:
+		return types.WrapFault(types.CodeTimeout, err, "target call")
+	case e.Cancelled:
+		return types.WrapFault(types.CodeCancelled, err, "target call")
+	}
+	return types.WrapFault(types.CodeTargetFailed, err, "target call")
+}
