--- /dev/null
+++ b/daemon/dispatcher/settings.go
@@ -0,0 +1,21 @@
+package dispatcher
+
+import (
+	"sequoiasail.example/daemon/process"
+	"sequoiasail.example/settings"
+)
+
+// Settings is the settings file of sail-dispatcher.
+type Settings struct {
+	process.Settings
+	// PeerAddress is where gateways and other dispatchers connect. Required.
+	PeerAddress settings.Address `json:"peerAddress"`
+}
+
+// Validate reports all faults.
+func (s *Settings) Validate() error {
+	c := settings.NewChecks()
+	s.Check(c)
+	c.Address("peerAddress", s.PeerAddress)
+	return c.Err()
+}
--- a/daemon/gateway/router.go
+++ b/daemon/gateway/router.go
@@ -341,7 +341,7 @@
 	if !ok {
 		return
 	}
-	args := &peer.CancelRequest{RequestID: p.request.RequestID, Service: p.request.Service}
+	args := &peer.CancelRequest{RequestID: p.request.RequestID, Caller: p.request.Caller, Service: p.request.Service}
 	for _, a := range p.attempts {
 		if a.number == c.Attempt {
 			args.Target = a.target
--- a/transport/peer/message.go
+++ b/transport/peer/message.go
@@ -15,13 +15,15 @@
 
 // DoRequest asks a dispatcher to run a request at one of its targets.
 type DoRequest struct {
-	RequestID  types.RequestID
-	Caller     types.Caller
-	Service    types.Service
-	Target     types.Target
-	Key        string
-	KeyHash    types.KeyHash
-	Slot       types.Slot
+	RequestID types.RequestID
+	Caller    types.Caller
+	Service   types.Service
+	Target    types.Target
+	Key       string
+	KeyHash   types.KeyHash
+	Slot      types.Slot
+	// HotKey is true when the request was routed by a hot-key row. SlotEpoch is then the epoch of that row.
+	HotKey     bool
 	SlotEpoch  types.Epoch
 	LeaseEpoch types.Epoch
 	Class      types.Class
@@ -58,9 +60,38 @@
 // CancelRequest tells a dispatcher that the caller no longer waits.
 type CancelRequest struct {
 	RequestID types.RequestID
+	Caller    types.Caller
 	Service   types.Service
 	Target    types.Target
 }
 
 // Empty is an answer without content.
 type Empty struct{}
+
+// MemoryEntry is a copy of one entry of a deduplication table. Status, Header and Body hold the answer once there is
+// one.
+type MemoryEntry struct {
+	Service     types.Service
+	Caller      types.Caller
+	ID          types.RequestID
+	Fingerprint uint64
+	Class       types.Class
+	State       uint8
+	Status      int
+	Header      map[string][]string
+	Body        []byte
+}
+
+// MemoryAnswer tells whether the entry is kept.
+type MemoryAnswer struct {
+	Stored bool
+}
+
+// QuarantineNotice announces a request fingerprint that was in flight when targets died.
+type QuarantineNotice struct {
+	From        types.VM
+	Service     types.Service
+	Fingerprint uint64
+	Deaths      uint8
+	AgeMs       int64
+}
