standin: add the substitute store and its command

Tests and the demo need a store with CAS, leases, watches and faults. One duty owns the content and serves a ring of messages with reply slots; HTTP handlers only decode and encode. On stop the state duty ends first and answers the waiting watches, because a listener that shuts down first would wait for them for up to 10 s. Before: no store. Ruled out: a mutex around the maps, which the layout rules forbid. Not done yet: tests.

--- /dev/null
+++ b/standin/internal/loop/loop.go
@@ -0,0 +1,111 @@
+// Package loop runs the duty that owns a stand-in's state: it takes messages from a ring, applies each to the state
+// and wakes up when the state's next timer is due.
+package loop
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"sequoiasail.example/duty"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/types"
+)
+
+// State is owned by one duty. Its methods get the time, so that tests can choose it.
+type State[M any] interface {
+	// Step applies one message.
+	Step(now time.Time, m M)
+	// Tick performs what is due at now.
+	Tick(now time.Time)
+	// Next returns the time of the next Tick, or false when nothing is waiting.
+	Next() (time.Time, bool)
+	// Finish answers every caller that still waits. It is the last call.
+	Finish()
+}
+
+// Duty returns the duty that serves in with s until the ring is closed and empty. It is added after the front end and
+// so stops before it: the callers that wait are answered, and the front end can finish.
+func Duty[M any](name string, in *ring.Ring[M], s State[M]) duty.Duty {
+	return duty.Duty{
+		Name: name,
+		Run:  func(ctx context.Context) error { return run(ctx, in, s) },
+		Stop: func(context.Context) error { in.Close(); return nil },
+	}
+}
+
+func run[M any](ctx context.Context, in *ring.Ring[M], s State[M]) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	defer s.Finish()
+	for {
+		setTimer(timer, s)
+		select {
+		case <-in.Ready():
+			drain(in, s)
+		case now := <-timer.C:
+			s.Tick(now)
+		case <-in.Done():
+			drain(in, s)
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// idleWait is the longest sleep of a state that waits for nothing.
+const idleWait = time.Hour
+
+func setTimer[M any](t *time.Timer, s State[M]) {
+	wait := idleWait
+	if at, ok := s.Next(); ok {
+		wait = time.Until(at)
+	}
+	t.Reset(wait)
+}
+
+func drain[M any](in *ring.Ring[M], s State[M]) {
+	for m, ok := in.TryGet(); ok; m, ok = in.TryGet() {
+		s.Step(time.Now(), m)
+	}
+}
+
+// Ask puts a message into the ring and waits for the reply. The reply slot must hold one element, so that the duty
+// never waits for a caller that has gone.
+func Ask[M, R any](ctx context.Context, in *ring.Ring[M], m M, reply <-chan R) (R, error) {
+	var zero R
+	if err := in.Put(ctx, m); err != nil {
+		return zero, err
+	}
+	return Wait(ctx, reply)
+}
+
+// Wait waits for a reply.
+func Wait[R any](ctx context.Context, reply <-chan R) (R, error) {
+	var zero R
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-ctx.Done():
+		return zero, types.WrapFault(types.CodeCancelled, ctx.Err(), "caller has gone")
+	}
+}
+
+// Pause waits for d. It returns false when ctx ends first.
+func Pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Gone reports whether err says that the caller has gone.
+func Gone(err error) bool { return errors.Is(err, context.Canceled) }
--- /dev/null
+++ b/standin/store/server.go
@@ -0,0 +1,203 @@
+// Package store is a stand-in for the platform's key-value store, in memory, with faults that tests and the demo set.
+//
+// One duty owns the content and serves a ring of messages with reply slots. HTTP handlers only decode, ask and
+// encode. The protocol is that of transport/store, with three more paths: /faults, /calls and POST /v1/vms.
+package store
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"sequoiasail.example/duty"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/standin/internal/httpserve"
+	"sequoiasail.example/standin/internal/loop"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+// Paths that the platform's store does not have.
+const (
+	// PathFaults answers GET by the Faults in force and POST of new ones.
+	PathFaults = "/faults"
+	// PathCalls answers GET by the number of calls of each kind, refused ones included.
+	PathCalls = "/calls"
+)
+
+// DefaultHistory is the number of changes kept for watches.
+const DefaultHistory = 4096
+
+// ringCapacity bounds the calls that wait for the state duty; more callers block.
+const ringCapacity = 1024
+
+// maxBody bounds a request body: a value of the largest size as base64 in JSON, in bytes.
+const maxBody = 2 * store.MaxValueBytes
+
+// Options describes a stand-in store.
+type Options struct {
+	// Listen is host:port.
+	Listen string
+	// History is the number of changes kept for watches. Default DefaultHistory.
+	History int
+}
+
+// Server is the HTTP front end of a stand-in store.
+type Server struct {
+	in     *ring.Ring[message]
+	state  *state
+	counts [kindCount]atomic.Uint64
+}
+
+// Start adds and starts the duties of a stand-in store, and returns its address.
+func Start(ctx context.Context, g *duty.Group, o Options) (string, error) {
+	if o.History == 0 {
+		o.History = DefaultHistory
+	}
+	l, err := httpserve.Listen(ctx, o.Listen)
+	if err != nil {
+		return "", err
+	}
+	s := &Server{in: ring.New[message](ringCapacity), state: newState(o.History)}
+	g.Add(httpserve.Duty("http-store", l, s.routes()))
+	g.Add(loop.Duty("store-state", s.in, s.state))
+	return l.Addr().String(), g.Start(ctx)
+}
+
+func (s *Server) routes() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(store.PathEntries, s.entries).Methods(http.MethodGet)
+	r.HandleFunc(store.PathCAS, s.cas).Methods(http.MethodPost)
+	r.HandleFunc(store.PathLeaseGrant, s.lease(kindLeaseGrant)).Methods(http.MethodPost)
+	r.HandleFunc(store.PathLeaseKeepAlive, s.lease(kindLeaseKeepAlive)).Methods(http.MethodPost)
+	r.HandleFunc(store.PathLeaseRevoke, s.lease(kindLeaseRevoke)).Methods(http.MethodPost)
+	r.HandleFunc(store.PathWatch, s.watch).Methods(http.MethodGet)
+	r.HandleFunc(store.PathVMs, s.vms).Methods(http.MethodGet)
+	r.HandleFunc(store.PathVMs, s.setVMs).Methods(http.MethodPost)
+	r.HandleFunc(PathFaults, s.getFaults).Methods(http.MethodGet)
+	r.HandleFunc(PathFaults, s.setFaults).Methods(http.MethodPost)
+	r.HandleFunc(PathCalls, s.calls).Methods(http.MethodGet)
+	return r
+}
+
+func (s *Server) entries(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	if q.Has("key") {
+		s.serve(w, r, message{kind: kindGet, key: q.Get("key")}, func(a answer) any { return a.entry })
+		return
+	}
+	s.serve(w, r, message{kind: kindList, key: q.Get("prefix")}, func(a answer) any {
+		return store.ListAnswer{Entries: a.entries, Revision: a.revision}
+	})
+}
+
+func (s *Server) cas(w http.ResponseWriter, r *http.Request) {
+	m := message{kind: kindCAS}
+	if err := httpserve.Decode(r, maxBody, &m.write); err != nil {
+		refuse(w, err)
+		return
+	}
+	s.serve(w, r, m, func(a answer) any { return store.WriteAnswer{Revision: a.revision} })
+}
+
+func (s *Server) lease(k kind) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var body store.Lease
+		if err := httpserve.Decode(r, maxBody, &body); err != nil {
+			refuse(w, err)
+			return
+		}
+		m := message{kind: k, lease: body.ID, ttl: time.Duration(body.TTLMs) * time.Millisecond}
+		s.serve(w, r, m, func(a answer) any { return store.Lease{ID: a.lease} })
+	}
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err1 := strconv.ParseUint(q.Get("after"), 10, 64)
+	waitMs, err2 := strconv.ParseInt(q.Get("waitMs"), 10, 32)
+	if err1 != nil || err2 != nil {
+		refuse(w, types.NewFault(types.CodeBadRequest, "watch needs after and waitMs"))
+		return
+	}
+	m := message{kind: kindWatch, key: q.Get("prefix"), after: types.Revision(after)}
+	m.wait = time.Duration(waitMs) * time.Millisecond
+	s.serve(w, r, m, func(a answer) any { return store.WatchAnswer{Events: a.events, Revision: a.revision} })
+}
+
+func (s *Server) vms(w http.ResponseWriter, r *http.Request) {
+	s.serve(w, r, message{kind: kindVMs}, func(a answer) any { return store.VMsAnswer{VMs: a.vms} })
+}
+
+// serve answers one call of the platform's interface under the faults in force.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, m message, body func(answer) any) {
+	s.counts[m.kind].Add(1)
+	m.client = r.Header.Get(store.HeaderClient)
+	f := s.state.faults.Load()
+	if f.silences(m.client) {
+		s.hang(r.Context())
+	}
+	if f.cuts(m.client) || !loop.Pause(r.Context(), time.Duration(f.SlowMs)*time.Millisecond) {
+		httpserve.Break()
+	}
+	if f.Down {
+		refuse(w, types.NewFault(types.CodeStoreUnavailable, "store is down"))
+		return
+	}
+	a, err := s.ask(r.Context(), m)
+	if a.lose || loop.Gone(err) {
+		httpserve.Break()
+	}
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	httpserve.Encode(w, http.StatusOK, body(a))
+}
+
+// hang holds a call until its caller or the store goes away.
+func (s *Server) hang(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-s.in.Done():
+	}
+	httpserve.Break()
+}
+
+// ask returns the answer of the state duty, and its fault as the error.
+func (s *Server) ask(ctx context.Context, m message) (answer, error) {
+	m.reply = make(chan answer, 1)
+	a, err := loop.Ask(ctx, s.in, m, m.reply)
+	if err != nil {
+		return a, err
+	}
+	if a.fault != nil {
+		return a, a.fault
+	}
+	return a, nil
+}
+
+var statusOf = map[types.Code]int{
+	types.CodeConflict:         http.StatusConflict,
+	types.CodeNotFound:         http.StatusNotFound,
+	types.CodeBadRequest:       http.StatusBadRequest,
+	types.CodeBodyTooLarge:     http.StatusRequestEntityTooLarge,
+	types.CodeStoreUnavailable: http.StatusServiceUnavailable,
+	types.CodeShuttingDown:     http.StatusServiceUnavailable,
+}
+
+func refuse(w http.ResponseWriter, err error) {
+	code := types.CodeOf(err)
+	status, ok := statusOf[code]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+	if code == types.CodeShuttingDown {
+		code = types.CodeStoreUnavailable
+	}
+	httpserve.Encode(w, status, store.FaultAnswer{Code: code, Message: httpserve.Message(err)})
+}
--- /dev/null
+++ b/standin/store/state.go
@@ -0,0 +1,176 @@
+package store
+
+import (
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+// vmLists is the number of VM lists that are kept to answer an old one.
+const vmLists = 256
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+type watcher struct {
+	client string
+	prefix string
+	end    time.Time
+	reply  chan answer
+}
+
+type vmSnapshot struct {
+	at  time.Time
+	vms []store.VMStatus
+}
+
+// state is the store's content. The state duty owns it, except for faults, which the front end reads.
+type state struct {
+	revision  types.Revision
+	entries   map[string]store.Entry
+	attached  map[string]store.LeaseID // key to the lease that deletes it
+	leases    map[store.LeaseID]lease
+	lastLease store.LeaseID
+	history   []store.Event // ordered by revision
+	limit     int           // of history
+	forgotten types.Revision
+	watchers  []watcher
+	snapshots []vmSnapshot
+	lose      int
+	faults    atomic.Pointer[Faults]
+}
+
+func newState(historyLimit int) *state {
+	s := &state{
+		entries:  map[string]store.Entry{},
+		attached: map[string]store.LeaseID{},
+		leases:   map[store.LeaseID]lease{},
+		limit:    max(historyLimit, 1),
+	}
+	s.faults.Store(&Faults{})
+	return s
+}
+
+// Step implements loop.State.
+func (s *state) Step(now time.Time, m message) {
+	s.Tick(now)
+	if m.kind == kindWatch {
+		s.watch(now, m)
+		return
+	}
+	m.reply <- s.apply(now, m)
+}
+
+func (s *state) apply(now time.Time, m message) answer {
+	switch m.kind {
+	case kindGet:
+		return s.get(m.key)
+	case kindList:
+		return s.list(m.key)
+	case kindCAS:
+		return s.losable(s.cas(m.write))
+	case kindLeaseGrant:
+		return s.losable(s.grantLease(now, m.ttl))
+	case kindLeaseKeepAlive:
+		return s.losable(s.keepAlive(now, m.lease))
+	case kindLeaseRevoke:
+		return s.losable(s.revokeLease(m.lease))
+	case kindVMs:
+		return s.vms(now)
+	case kindSetVMs:
+		return s.setVMs(now, m.vms)
+	case kindSetFaults:
+		return s.setFaults(m.faults)
+	}
+	return failed(types.CodeInternal, "unknown call")
+}
+
+// losable marks the answer to a write that took effect as lost while answers are to be lost.
+func (s *state) losable(a answer) answer {
+	if a.fault == nil && s.lose > 0 {
+		s.lose--
+		a.lose = true
+	}
+	return a
+}
+
+func (s *state) get(key string) answer {
+	e, ok := s.entries[key]
+	if !ok {
+		return failed(types.CodeNotFound, "no key %s", key)
+	}
+	return answer{entry: e}
+}
+
+func (s *state) list(prefix string) answer {
+	found := []store.Entry{}
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, e)
+		}
+	}
+	slices.SortFunc(found, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return answer{entries: found, revision: s.revision}
+}
+
+func (s *state) cas(w store.Write) answer {
+	if w.Key == "" {
+		return failed(types.CodeBadRequest, "write without a key")
+	}
+	if len(w.Value) > store.MaxValueBytes {
+		return failed(types.CodeBodyTooLarge, "value holds %d bytes", len(w.Value))
+	}
+	if found := s.entries[w.Key].Revision; found != w.Expected {
+		return failed(types.CodeConflict, "key %s has revision %d, expected %d", w.Key, found, w.Expected)
+	}
+	if w.Delete {
+		return s.delete(w.Key, w.WriteID)
+	}
+	if _, ok := s.leases[w.Lease]; !ok && w.Lease != 0 {
+		return failed(types.CodeNotFound, "no lease %d", w.Lease)
+	}
+	s.revision++
+	e := store.Entry{Key: w.Key, Value: w.Value, Revision: s.revision, WriteID: w.WriteID}
+	s.entries[w.Key] = e
+	s.attach(w.Key, w.Lease)
+	s.publish(store.Event{Entry: e})
+	return answer{revision: s.revision}
+}
+
+func (s *state) attach(key string, id store.LeaseID) {
+	if id == 0 {
+		delete(s.attached, key)
+		return
+	}
+	s.attached[key] = id
+}
+
+func (s *state) delete(key, writeID string) answer {
+	if _, ok := s.entries[key]; !ok {
+		return failed(types.CodeNotFound, "no key %s", key)
+	}
+	s.revision++
+	delete(s.entries, key)
+	delete(s.attached, key)
+	s.publish(store.Event{Entry: store.Entry{Key: key, Revision: s.revision, WriteID: writeID}, Deleted: true})
+	return answer{revision: s.revision}
+}
+
+func (s *state) setFaults(f Faults) answer {
+	s.lose = f.LoseAnswers
+	s.faults.Store(&f)
+	s.watchers = slices.DeleteFunc(s.watchers, func(w watcher) bool { return f.silences(w.client) })
+	s.endWatches(func(w watcher) (answer, bool) { return watchEnded, f.Down || f.cuts(w.client) })
+	return answer{}
+}
+
+// Finish implements loop.State.
+func (s *state) Finish() {
+	s.endWatches(func(watcher) (answer, bool) { return watchEnded, true })
+}
--- a/transport/target/http.go
+++ b/transport/target/http.go
@@ -111,10 +111,14 @@
 	if err != nil {
 		return Response{}, doFailure(err)
 	}
-	if f := checkAnswer(r, a); f != nil {
-		return Response{}, f
+	f := checkAnswer(r, a)
+	if f == nil {
+		return response(a), nil
 	}
-	return response(a), nil
+	if f.Kind == KindBadAnswer {
+		h.CloseConnection() // the answers on it belong to other requests
+	}
+	return Response{}, f
 }
 
 func response(a exchange.Answer) Response {
