routing: add the messages and a first routing core

The gateway process needs the message types and a working Core to be wired against. The Core routes keyed requests over hot-key rows, slots and lease rows, chooses among free targets by two random choices, and keeps retry and hedge budgets, ejection and bounded waiting.

--- /dev/null
+++ b/routing/action.go
@@ -0,0 +1,135 @@
+package routing
+
+import (
+	"time"
+
+	"sequoiasail.example/types"
+)
+
+// ActionKind names the action in an Action.
+type ActionKind uint8
+
+// Kinds of actions.
+const (
+	// ActionForward sends a request to a dispatcher. Fills Action.Forward.
+	ActionForward ActionKind = iota + 1
+	// ActionReply answers the caller. Fills Action.Reply.
+	ActionReply
+	// ActionCancel withdraws an attempt whose answer is no longer wanted. Fills Action.Cancel.
+	ActionCancel
+	// ActionDecision is one line of the decision log. Fills Action.Decision.
+	ActionDecision
+)
+
+// Action is one output of the Core. Only the field that Kind names is set.
+type Action struct {
+	Kind     ActionKind
+	Forward  Forward
+	Reply    Reply
+	Cancel   Cancel
+	Decision Decision
+}
+
+// Forward sends one attempt of a request. It must be answered by one Result.
+type Forward struct {
+	Handle     uint64
+	Attempt    uint8
+	VM         types.VM
+	Target     types.TargetID
+	Slot       types.Slot
+	SlotEpoch  types.Epoch
+	LeaseEpoch types.Epoch
+	// Remaining is the time that the dispatcher has to answer.
+	Remaining time.Duration
+}
+
+// Reply ends a request. Attempt names the attempt whose answer the caller receives, 0 when the Core itself answers.
+type Reply struct {
+	Handle  uint64
+	Attempt uint8
+	Outcome types.Outcome
+	Code    types.Code // empty when Outcome is done
+}
+
+// Cancel withdraws one attempt.
+type Cancel struct {
+	Handle  uint64
+	Attempt uint8
+	VM      types.VM
+}
+
+// Decision records why a request was routed, held, retried or refused. Names are empty where none applies.
+type Decision struct {
+	Handle     uint64
+	Key        types.KeyHash
+	Attempt    uint8
+	Target     types.TargetID
+	VM         types.VM
+	SlotEpoch  types.Epoch
+	LeaseEpoch types.Epoch
+	Reason     Reason
+	Outcome    types.Outcome
+	Code       types.Code
+}
+
+// Reason says what led to a Decision.
+type Reason uint8
+
+// Reasons of decisions.
+const (
+	// ReasonSlot forwards to the owner of the key's slot.
+	ReasonSlot Reason = iota + 1
+	// ReasonHotKey forwards to the owner of the key's hot-key row.
+	ReasonHotKey
+	// ReasonTwoChoices forwards to the better of two random targets.
+	ReasonTwoChoices
+	// ReasonPinned forwards to the target that the request names.
+	ReasonPinned
+	// ReasonHedge forwards a second attempt because the first is slow.
+	ReasonHedge
+	// ReasonWaitOwner holds the request until its key has an owner.
+	ReasonWaitOwner
+	// ReasonWaitRoute holds the request until its target has a reachable dispatcher.
+	ReasonWaitRoute
+	// ReasonWaitNewer holds the request until a row newer than the refused one arrives.
+	ReasonWaitNewer
+	// ReasonBackoff holds the request until its retry is due.
+	ReasonBackoff
+	// ReasonAnswered passes on an answer that is not done.
+	ReasonAnswered
+	// ReasonBudget refuses because the retry budget is used up.
+	ReasonBudget
+	// ReasonAttempts refuses because MaxAttempts attempts were made.
+	ReasonAttempts
+	// ReasonDeadline refuses because the deadline leaves no time for an attempt, or has passed.
+	ReasonDeadline
+	// ReasonNoRoute refuses because no route appeared within TakeoverWait, or none can appear.
+	ReasonNoRoute
+	// ReasonOverloaded refuses because a bound on requests is reached.
+	ReasonOverloaded
+	// ReasonCancelled ends a request whose caller has gone.
+	ReasonCancelled
+	// ReasonDuplicate ignores a request whose handle is in use.
+	ReasonDuplicate
+	// ReasonEjected stops using a failing target for a while.
+	ReasonEjected
+	// ReasonOutdated ignores a configuration or row older than the installed one.
+	ReasonOutdated
+)
+
+var reasonNames = [...]string{
+	ReasonSlot: "slot", ReasonHotKey: "hot-key", ReasonTwoChoices: "two-choices", ReasonPinned: "pinned",
+	ReasonHedge: "hedge", ReasonWaitOwner: "wait-owner", ReasonWaitRoute: "wait-route",
+	ReasonWaitNewer: "wait-newer", ReasonBackoff: "backoff", ReasonAnswered: "answered", ReasonBudget: "retry-budget",
+	ReasonAttempts: "attempts", ReasonDeadline: "deadline", ReasonNoRoute: "no-route",
+	ReasonOverloaded: "overloaded", ReasonCancelled: "cancelled", ReasonDuplicate: "duplicate-handle",
+	ReasonEjected: "ejected", ReasonOutdated: "outdated",
+}
+
+// String returns the name used in log lines.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) && reasonNames[r] != "" {
+		return reasonNames[r]
+	}
+	return "invalid"
+}
