--- /dev/null
+++ b/cmd/sail-dispatcher/main.go
@@ -0,0 +1,25 @@
+// Command sail-dispatcher holds target leases and sends requests to targets.
+package main
+
+import (
+	"context"
+	"os"
+
+	"sequoiasail.example/daemon/dispatcher"
+	"sequoiasail.example/settings/startup"
+)
+
+func main() {
+	s := &dispatcher.Settings{}
+	os.Exit(startup.Main(startup.Program{
+		Name:     "sail-dispatcher",
+		Settings: s,
+		Run: func(ctx context.Context) error {
+			d, err := dispatcher.New(s)
+			if err != nil {
+				return err
+			}
+			return d.Run(ctx)
+		},
+	}))
+}
--- /dev/null
+++ b/daemon/dispatcher/dispatcher.go
@@ -0,0 +1,266 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/daemon/process"
+	"sequoiasail.example/dispatch"
+	"sequoiasail.example/duty"
+	"sequoiasail.example/ownership"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/peer"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+// departureTimeout bounds the wait for another dispatcher to take the leases over on a planned stop.
+const departureTimeout = 4 * time.Second
+
+// departureInterval is how often a leaving dispatcher looks whether its leases have moved.
+const departureInterval = 50 * time.Millisecond
+
+// Dispatcher is the target-facing process.
+type Dispatcher struct {
+	settings     *Settings
+	base         *process.Base
+	member       process.Member
+	worker       *worker
+	keeper       *keeper
+	planner      *plannerLease
+	links        *process.Links
+	registration *process.Registration
+	page         *telemetry.Page
+
+	// The fields below belong to the watch duty.
+	roster  *roster
+	status  telemetry.Status
+	centres map[types.TargetID]types.DataCentre
+}
+
+// New assembles a dispatcher from checked settings. Nothing runs before Run.
+func New(s *Settings) (*Dispatcher, error) {
+	d := &Dispatcher{settings: s, base: process.NewBase(s.Settings, process.RoleDispatcher), roster: newRoster()}
+	d.member = process.Member{
+		VM:          s.VM,
+		Role:        process.RoleDispatcher,
+		DataCentre:  s.DataCentre,
+		Incarnation: process.NewIncarnation(),
+		PeerAddress: string(s.PeerAddress),
+		OpsAddress:  string(s.OpsAddress),
+	}
+	d.status = telemetry.Status{
+		VM:          string(s.VM),
+		Role:        process.RoleDispatcher,
+		DataCentre:  string(s.DataCentre),
+		Incarnation: uint64(d.member.Incarnation),
+	}
+	d.page = telemetry.NewPage(d.status)
+	self := ownership.Self{
+		Peer:       ownership.Peer{VM: s.VM, Incarnation: d.member.Incarnation},
+		DataCentre: s.DataCentre,
+	}
+	d.worker = newWorker(s.VM, d.base.Log, d.base.Metrics)
+	d.keeper = newKeeper(self, d.base.Log, d.worker)
+	d.worker.report = d.keeper.observe
+	d.worker.drained = d.keeper.drained
+	d.links = process.NewLinks(d.publishLinks)
+	return d, d.addDuties(self)
+}
+
+// addDuties lists the duties in order of start. They stop in reverse order: departure first, so that the leases have
+// moved before anything else stops, then the peers' listener.
+func (d *Dispatcher) addDuties(self ownership.Self) error {
+	s := d.settings
+	storeClient := store.NewHTTP(store.Options{
+		Address: string(s.StoreAddress),
+		Name:    string(s.VM),
+		Timeout: s.StoreTimeoutMs.Duration(),
+	})
+	server := peer.NewServer(string(s.PeerAddress))
+	services := map[string]any{
+		"Dispatch": &dispatchService{worker: d.worker},
+		"Memory":   &memoryService{worker: d.worker},
+		"Control":  &controlService{worker: d.worker},
+		"Vouch":    &vouchService{keeper: d.keeper},
+	}
+	for name, service := range services {
+		if err := server.Register(name, service); err != nil {
+			return err
+		}
+	}
+	d.planner = &plannerLease{
+		store:   storeClient,
+		self:    self,
+		out:     d.keeper.in,
+		log:     d.base.Log,
+		writeID: func() string { return process.NewWriteID(s.VM, self.Incarnation) },
+	}
+	d.registration = &process.Registration{Store: storeClient, Member: d.member, Log: d.base.Log}
+	watch := &process.Watch{Store: storeClient, Knowledge: process.NewKnowledge(d.base.Log), Deliver: d.deliver}
+	ops := &process.HTTPServer{Name: "ops", Address: string(s.OpsAddress), Handler: telemetry.OpsHandler(d.base.Metrics, d.readStatus)}
+	d.publishRings()
+
+	d.base.Group.Add(ops.Duty())
+	d.base.Group.Add(d.links.Duty())
+	d.base.Group.Add((&writer{store: storeClient, in: d.keeper.writes, out: d.keeper.in}).duty())
+	d.base.Group.Add(d.worker.duty())
+	d.base.Group.Add(d.keeper.duty())
+	d.base.Group.Add((&freshReader{store: storeClient, out: d.keeper.in}).duty())
+	d.base.Group.Add(d.planner.duty())
+	d.base.Group.Add(watch.Duty())
+	d.base.Group.Add(server.Duty())
+	d.base.Group.Add(d.registration.Duty())
+	d.base.Group.Add(d.departure())
+	return nil
+}
+
+func (d *Dispatcher) publishRings() {
+	m := d.base.Metrics
+	m.Ring("dispatch-requests", d.worker.requests)
+	m.Ring("dispatch-results", d.worker.results)
+	m.Ring("dispatch-control", d.worker.controls)
+	m.Ring("ownership", d.keeper.in)
+	m.Ring("ownership-ballots", d.keeper.ballots)
+	m.Ring("store-writer", d.keeper.writes)
+}
+
+// Run serves until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) error { return d.base.Run(ctx) }
+
+// departure is a duty that does nothing until it is stopped. Its stop waits until other dispatchers hold the leases.
+func (d *Dispatcher) departure() duty.Duty {
+	return duty.Duty{
+		Name:        "departure",
+		StopTimeout: departureTimeout + time.Second,
+		Run: func(ctx context.Context) error {
+			<-ctx.Done()
+			return nil
+		},
+		Stop: func(ctx context.Context) error {
+			d.registration.Leave()
+			d.awaitNoLeases(ctx)
+			return types.NewFault(types.CodeCancelled, "departed")
+		},
+	}
+}
+
+func (d *Dispatcher) awaitNoLeases(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
+	defer cancel()
+	tick := time.NewTicker(departureInterval)
+	defer tick.Stop()
+	for len(d.keeper.page.Current().Leases) > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			d.base.Log.Warn("stopping although leases are still held", nil)
+			return
+		}
+	}
+}
+
+// deliver runs on the watch duty.
+func (d *Dispatcher) deliver(ctx context.Context, c process.Change) error {
+	if c.Err != nil {
+		d.base.Log.Warn("store cannot be read", map[string]any{"error": c.Err.Error()})
+		return d.keeper.in.Put(ctx, keeperInput{message: ownership.Message{Kind: ownership.KindStoreFailed}})
+	}
+	if c.Planner != nil {
+		_ = d.planner.vacant.Replace(!*c.Planner)
+	}
+	if err := d.deliverConfig(ctx, c.Config); err != nil {
+		return err
+	}
+	if err := d.deliverMembers(ctx, c); err != nil {
+		return err
+	}
+	d.publish(c)
+	return d.keeper.in.Put(ctx, keeperInput{
+		revision: c.Revision,
+		message: ownership.Message{
+			Kind: ownership.KindStoreRead,
+			Read: ownership.StoreRead{Documents: c.Documents},
+		},
+	})
+}
+
+func (d *Dispatcher) deliverConfig(ctx context.Context, c *config.Configuration) error {
+	if c == nil {
+		return nil
+	}
+	d.centres = make(map[types.TargetID]types.DataCentre)
+	for _, s := range c.Services {
+		for _, t := range s.Targets {
+			d.centres[types.TargetID{Service: s.Name, Target: t.Name}] = t.DataCentre
+		}
+	}
+	if err := d.worker.controls.Put(ctx, workerControl{config: c}); err != nil {
+		return err
+	}
+	message := ownership.Message{Kind: ownership.KindConfiguration, Configuration: c}
+	return d.keeper.in.Put(ctx, keeperInput{message: message})
+}
+
+func (d *Dispatcher) deliverMembers(ctx context.Context, c process.Change) error {
+	changed := d.roster.update(c)
+	if !changed && c.Config == nil {
+		return nil
+	}
+	d.links.Set(d.roster.peers(d.settings.VM))
+	set := &peerSet{members: d.roster.rows(), centres: d.centres}
+	messages := d.drainMessages(c.Ops)
+	if err := d.worker.controls.Put(ctx, workerControl{peers: set, messages: messages}); err != nil {
+		return err
+	}
+	message := ownership.Message{Kind: ownership.KindMembers, Members: d.roster.members()}
+	return d.keeper.in.Put(ctx, keeperInput{message: message})
+}
+
+// drainMessages tells the dispatch core which targets operators drain.
+func (d *Dispatcher) drainMessages(ops *process.Operations) []dispatch.Message {
+	if ops == nil {
+		return nil
+	}
+	var out []dispatch.Message
+	for id, centre := range d.centres {
+		draining := ops.Targets[id] == config.OpsDraining || ops.Targets[id] == config.OpsOut
+		draining = draining || ops.DataCentreState(centre) != config.OpsIn
+		out = append(out, dispatch.Message{
+			Kind:  dispatch.MessageDrain,
+			Drain: dispatch.Drain{Target: id, Off: !draining},
+		})
+	}
+	return out
+}
+
+// publishLinks runs on the links duty.
+func (d *Dispatcher) publishLinks(links map[types.VM]*peer.Link) {
+	ctx := context.Background()
+	_ = d.worker.controls.Put(ctx, workerControl{links: links})
+	_ = d.keeper.in.Put(ctx, keeperInput{links: links})
+}
+
+// publish runs on the watch duty.
+func (d *Dispatcher) publish(c process.Change) {
+	if c.Config != nil {
+		d.status.ConfigVersion = uint64(c.Config.Version)
+		d.status.Ready = true
+	}
+	if c.Ops != nil {
+		d.status.OpsRevision = uint64(c.Ops.Revision)
+	}
+	d.status.StoreRevision = uint64(c.Revision)
+	d.page.Publish(d.status)
+}
+
+// readStatus joins the pages of the duties.
+func (d *Dispatcher) readStatus() telemetry.Status {
+	s := d.page.Current()
+	held := d.keeper.page.Current()
+	s.Leases = held.Leases
+	s.Planner = held.Planner
+	s.Queues = d.worker.page.Current().Queues
+	return s
+}
--- /dev/null
+++ b/daemon/dispatcher/keeper.go
@@ -0,0 +1,347 @@
+package dispatcher
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/dispatch"
+	"sequoiasail.example/duty"
+	"sequoiasail.example/ownership"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/peer"
+	"sequoiasail.example/types"
+)
+
+const (
+	keeperRingCapacity = 1024
+	ballotRingCapacity = 1024
+)
+
+// keeperInput is one element of the ownership duty's ring.
+type keeperInput struct {
+	message ownership.Message
+	// links replaces the links to other dispatchers when it is not nil.
+	links map[types.VM]*peer.Link
+	// fresh tells that the store had revision at sentAt, learned by a read that was sent then.
+	fresh *freshness
+	// revision is the store revision up to which all documents have been delivered.
+	revision types.Revision
+}
+
+type freshness struct {
+	sentAt   types.Instant
+	revision types.Revision
+}
+
+// keeper owns the ownership core.
+type keeper struct {
+	self    ownership.Self
+	in      *ring.Ring[keeperInput]
+	ballots *ring.Ring[ballot]
+	writes  *ring.Ring[ownership.Action]
+	log     *telemetry.Log
+	worker  *worker
+	page    *telemetry.Page
+
+	core     *ownership.Core
+	links    map[types.VM]*peer.Link
+	waiting  map[uint64]chan ownership.Action
+	tickets  uint64
+	leases   *leaseSet
+	served   map[types.TargetID]ownership.Serve
+	planner  bool
+	revision types.Revision
+	pending  []freshness
+	deferred []ownership.Message
+	actions  []ownership.Action
+}
+
+func newKeeper(self ownership.Self, log *telemetry.Log, w *worker) *keeper {
+	k := &keeper{
+		self:    self,
+		in:      ring.New[keeperInput](keeperRingCapacity),
+		ballots: ring.New[ballot](ballotRingCapacity),
+		writes:  ring.New[ownership.Action](writerRingCapacity),
+		log:     log,
+		worker:  w,
+		core:    ownership.New(self, &config.Configuration{}),
+		waiting: make(map[uint64]chan ownership.Action),
+		served:  make(map[types.TargetID]ownership.Serve),
+	}
+	k.leases = newLeaseSet(k.in)
+	k.page = telemetry.NewPage(telemetry.Status{})
+	return k
+}
+
+func (k *keeper) duty() duty.Duty {
+	return duty.Duty{
+		Name: "ownership",
+		Run:  k.run,
+		Stop: func(context.Context) error { k.in.Close(); return nil },
+	}
+}
+
+func (k *keeper) run(ctx context.Context) error {
+	tick := time.NewTicker(ownership.TickInterval)
+	defer tick.Stop()
+	defer k.leases.stop(ctx)
+	for {
+		select {
+		case <-k.in.Ready():
+			k.takeInputs(ctx)
+		case <-k.ballots.Ready():
+			k.takeBallots(ctx)
+		case <-tick.C:
+			k.tick(ctx)
+		case <-k.in.Done():
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (k *keeper) takeInputs(ctx context.Context) {
+	for {
+		m, ok := k.in.TryGet()
+		if !ok {
+			return
+		}
+		k.apply(ctx, m)
+	}
+}
+
+func (k *keeper) apply(ctx context.Context, m keeperInput) {
+	if m.links != nil {
+		k.links = m.links
+	}
+	if m.message.Kind == ownership.KindConfiguration {
+		k.leases.configure(m.message.Configuration)
+	}
+	k.notePlanner(m.message.Kind)
+	if m.message.Kind != 0 {
+		k.step(ctx, m.message)
+	}
+	if m.fresh != nil {
+		k.pending = append(k.pending, *m.fresh)
+	}
+	k.revision = max(k.revision, m.revision)
+	k.confirmReads(ctx)
+}
+
+func (k *keeper) notePlanner(kind ownership.MessageKind) {
+	if kind != ownership.KindPlannerGained && kind != ownership.KindPlannerLost {
+		return
+	}
+	k.planner = kind == ownership.KindPlannerGained
+	k.publish()
+}
+
+// confirmReads reports a read of the store once the watch has delivered everything that the read covers. A read of the
+// revision alone costs the store little, and together with the watch it is a linearizable read of all documents.
+func (k *keeper) confirmReads(ctx context.Context) {
+	for len(k.pending) > 0 && k.pending[0].revision <= k.revision {
+		sentAt := k.pending[0].sentAt
+		k.pending = k.pending[1:]
+		k.step(ctx, ownership.Message{Kind: ownership.KindStoreRead, Read: ownership.StoreRead{SentAt: sentAt}})
+	}
+}
+
+func (k *keeper) takeBallots(ctx context.Context) {
+	for {
+		b, ok := k.ballots.TryGet()
+		if !ok {
+			return
+		}
+		k.tickets++
+		k.waiting[k.tickets] = b.reply
+		b.message.Vouch.Ticket = k.tickets
+		b.message.Install.Ticket = k.tickets
+		k.step(ctx, b.message)
+		// The core answers within the step or not at all.
+		delete(k.waiting, k.tickets)
+	}
+}
+
+func (k *keeper) tick(ctx context.Context) {
+	k.actions = k.core.Tick(telemetry.Now(), k.actions[:0])
+	k.perform(ctx)
+}
+
+func (k *keeper) step(ctx context.Context, m ownership.Message) {
+	k.actions = k.core.Step(telemetry.Now(), m, k.actions[:0])
+	k.perform(ctx)
+}
+
+func (k *keeper) perform(ctx context.Context) {
+	for i := range k.actions {
+		k.act(ctx, k.actions[i])
+	}
+	for len(k.deferred) > 0 {
+		next := k.deferred[0]
+		k.deferred = k.deferred[1:]
+		k.step(ctx, next)
+	}
+}
+
+func (k *keeper) act(ctx context.Context, a ownership.Action) {
+	switch a.Kind {
+	case ownership.ActGrant, ownership.ActRenew, ownership.ActRelease:
+		k.leases.call(ctx, a.Call)
+	case ownership.ActWrite, ownership.ActReadBack:
+		k.write(a)
+	case ownership.ActVouch:
+		k.vouch(a.Vouch)
+	case ownership.ActVouchReply:
+		k.answer(a.VouchReply.Ticket, a, ownership.Message{Kind: ownership.KindVouchReply, VouchReply: a.VouchReply})
+	case ownership.ActInstall:
+		k.install(a.Install)
+	case ownership.ActInstallReply:
+		k.answer(a.InstallReply.Ticket, a, ownership.Message{Kind: ownership.KindInstallReply, InstallReply: a.InstallReply})
+	case ownership.ActServe:
+		k.serve(ctx, a.Serve)
+	case ownership.ActStop:
+		k.stopServing(ctx, a.Serve)
+	case ownership.ActDecision:
+		k.decide(a.Decision)
+	}
+}
+
+func (k *keeper) write(a ownership.Action) {
+	if err := k.writes.TryPut(a); err != nil && a.Kind == ownership.ActWrite {
+		k.deferred = append(k.deferred, ownership.Message{Kind: ownership.KindWriteResult, Write: ownership.WriteResult{
+			Key: a.Write.Document.Key, ID: a.Write.ID, Status: ownership.WriteNotSent,
+		}})
+	}
+}
+
+// answer passes a reply to the front end that waits for it. Ticket 0 is a question that the core asked itself.
+func (k *keeper) answer(ticket uint64, a ownership.Action, own ownership.Message) {
+	if reply, ok := k.waiting[ticket]; ok {
+		reply <- a
+		return
+	}
+	if ticket == 0 {
+		k.deferred = append(k.deferred, own)
+	}
+}
+
+func (k *keeper) vouch(v ownership.VouchRequest) {
+	if v.Member.VM == k.self.VM {
+		k.deferred = append(k.deferred, ownership.Message{Kind: ownership.KindVouchRequest, Vouch: v})
+		return
+	}
+	reply := &peer.ConfirmAnswer{}
+	k.callPeer(v.Member.VM, peer.MethodConfirm, encodeConfirm(v), reply, func() (ownership.Message, error) {
+		decoded, err := decodeConfirmAnswer(v, reply)
+		return ownership.Message{Kind: ownership.KindVouchReply, VouchReply: decoded}, err
+	})
+}
+
+func (k *keeper) install(i ownership.Install) {
+	if i.Member.VM == k.self.VM {
+		k.deferred = append(k.deferred, ownership.Message{Kind: ownership.KindInstall, Install: i})
+		return
+	}
+	documents, err := encodeDocuments(i.Documents)
+	if err != nil {
+		k.log.Warn("document cannot be encoded", map[string]any{"error": err.Error()})
+		return
+	}
+	args := &peer.InstallRequest{Planner: encodeRun(i.Planner), Member: encodeRun(i.Member), Documents: documents}
+	reply := &peer.InstallAnswer{}
+	k.callPeer(i.Member.VM, peer.MethodInstall, args, reply, func() (ownership.Message, error) {
+		versions, err := decodeVersions(reply.Versions)
+		return ownership.Message{Kind: ownership.KindInstallReply, InstallReply: ownership.InstallReply{
+			Ticket: i.Ticket, Planner: i.Planner, Member: decodeRun(reply.Member), Versions: versions,
+		}}, err
+	})
+}
+
+// callPeer sends a call whose loss the core tolerates: it asks again on a later tick.
+func (k *keeper) callPeer(vm types.VM, method string, args, reply any, decode func() (ownership.Message, error)) {
+	link, ok := k.links[vm]
+	if !ok {
+		return
+	}
+	_ = link.TryCall(&peer.Call{
+		Method:  method,
+		Args:    args,
+		Reply:   reply,
+		Timeout: vouchTimeout,
+		Done: func(c *peer.Call) {
+			if c.Err != nil {
+				return
+			}
+			message, err := decode()
+			if err != nil {
+				return
+			}
+			_ = k.in.Put(context.Background(), keeperInput{message: message})
+		},
+	})
+}
+
+func (k *keeper) decide(d ownership.Decision) {
+	k.log.Decide(telemetry.Decision{
+		Kind:    "ownership",
+		Service: string(d.Service),
+		Target:  string(d.Target),
+		VM:      string(d.Peer.VM),
+		Epoch:   uint64(d.Epoch),
+		Reason:  d.Reason.String(),
+		Detail:  d.Document.String(),
+	})
+}
+
+// observe runs on the dispatch duty. A report that finds the ring full is lost; the next result repeats it.
+func (k *keeper) observe(target types.TargetID, condition dispatch.Condition) {
+	message := ownership.Message{Target: target}
+	switch condition {
+	case dispatch.ConditionSuspectedDead:
+		message.Kind = ownership.KindTargetSilent
+	case dispatch.ConditionHealthy:
+		message.Kind = ownership.KindTargetHeard
+	default:
+		return
+	}
+	_ = k.in.TryPut(keeperInput{message: message})
+}
+
+// drained runs on the dispatch duty.
+func (k *keeper) drained(d ownership.Drained) bool {
+	err := k.in.TryPut(keeperInput{message: ownership.Message{Kind: ownership.KindDrained, Drained: d}})
+	return err == nil
+}
+
+// publish shows the leases held on the status page.
+func (k *keeper) publish() {
+	status := telemetry.Status{Planner: k.planner}
+	for id, s := range k.served {
+		status.Leases = append(status.Leases, telemetry.Lease{
+			Service:    string(id.Service),
+			Target:     string(id.Target),
+			LeaseEpoch: uint64(s.Epoch),
+			Slots:      slotCount(s.Areas),
+		})
+	}
+	slices.SortFunc(status.Leases, func(a, b telemetry.Lease) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Target, b.Target))
+	})
+	k.page.Publish(status)
+}
+
+func slotCount(a *ownership.Areas) int {
+	if a == nil {
+		return 0
+	}
+	n := 0
+	for _, s := range a.Slots {
+		n += int(s.Count)
+	}
+	return n
+}
--- a/daemon/dispatcher/memory.go
+++ b/daemon/dispatcher/memory.go
@@ -19,7 +19,6 @@
 
 // peerSet is the set of live dispatchers as this one knows them.
 type peerSet struct {
-	links   map[types.VM]*peer.Link
 	members []member
 	// centres holds the data centre of each target.
 	centres map[types.TargetID]types.DataCentre
@@ -31,15 +30,15 @@
 }
 
 // second returns the link to the dispatcher that would take the target over, so that it finds the copies there.
-func (s *peerSet) second(id types.TargetID, self types.VM) *peer.Link {
-	if s == nil {
+func (w *worker) second(id types.TargetID) *peer.Link {
+	if w.peers == nil {
 		return nil
 	}
 	var best *peer.Link
 	var bestScore uint64
-	for _, m := range s.members {
-		link := s.links[m.vm]
-		if m.vm == self || link == nil || m.dataCentre != s.centres[id] {
+	for _, m := range w.peers.members {
+		link := w.links[m.vm]
+		if m.vm == w.vm || link == nil || m.dataCentre != w.peers.centres[id] {
 			continue
 		}
 		score := types.RendezvousScore(id.String(), string(m.vm))
@@ -57,7 +56,7 @@
 		return
 	}
 	id := types.TargetID{Service: p.request.Service, Target: p.request.Target}
-	link := w.peers.second(id, w.vm)
+	link := w.second(id)
 	wait := a.Entry.State == dispatch.EntrySent
 	if link == nil {
 		w.copyFailed(a.Handle, wait)
@@ -128,9 +127,6 @@
 // announce tells all dispatchers of a quarantined fingerprint.
 func (w *worker) announce(a *dispatch.Action) {
 	w.log.Decide(telemetry.Decision{Kind: "quarantine", Service: string(a.Quarantine.Service), Detail: "announced"})
-	if w.peers == nil {
-		return
-	}
 	notice := &peer.QuarantineNotice{
 		From:        w.vm,
 		Service:     a.Quarantine.Service,
@@ -138,10 +134,7 @@
 		Deaths:      a.Quarantine.Deaths,
 		AgeMs:       a.Quarantine.AgeMs,
 	}
-	for vm, link := range w.peers.links {
-		if vm == w.vm {
-			continue
-		}
+	for _, link := range w.links {
 		_ = link.TryCall(&peer.Call{
 			Method:  peer.MethodQuarantine,
 			Args:    notice,
--- /dev/null
+++ b/daemon/dispatcher/vouchcodec.go
@@ -0,0 +1,148 @@
+package dispatcher
+
+import (
+	"sequoiasail.example/daemon/process"
+	"sequoiasail.example/ownership"
+	"sequoiasail.example/transport/peer"
+	"sequoiasail.example/transport/store"
+)
+
+func encodeRun(p ownership.Peer) peer.VouchRun {
+	return peer.VouchRun{VM: p.VM, Incarnation: p.Incarnation}
+}
+
+func decodeRun(r peer.VouchRun) ownership.Peer {
+	return ownership.Peer{VM: r.VM, Incarnation: r.Incarnation}
+}
+
+func encodeRuns(in []ownership.Peer) []peer.VouchRun {
+	out := make([]peer.VouchRun, len(in))
+	for i, p := range in {
+		out[i] = encodeRun(p)
+	}
+	return out
+}
+
+func decodeRuns(in []peer.VouchRun) []ownership.Peer {
+	out := make([]ownership.Peer, len(in))
+	for i, r := range in {
+		out[i] = decodeRun(r)
+	}
+	return out
+}
+
+func encodeVersions(in []ownership.DocumentVersion) []peer.VouchVersion {
+	out := make([]peer.VouchVersion, len(in))
+	for i, v := range in {
+		out[i] = peer.VouchVersion{Key: v.Key.String(), Epoch: v.Epoch}
+	}
+	return out
+}
+
+func decodeVersions(in []peer.VouchVersion) ([]ownership.DocumentVersion, error) {
+	out := make([]ownership.DocumentVersion, len(in))
+	for i, v := range in {
+		key, err := ownership.ParseDocumentKey(v.Key)
+		if err != nil {
+			return nil, err
+		}
+		out[i] = ownership.DocumentVersion{Key: key, Epoch: v.Epoch}
+	}
+	return out, nil
+}
+
+func encodeDocuments(in []ownership.Document) ([]peer.VouchDocument, error) {
+	out := make([]peer.VouchDocument, len(in))
+	for i, d := range in {
+		value, err := process.EncodeDocument(d)
+		if err != nil {
+			return nil, err
+		}
+		out[i] = peer.VouchDocument{Key: d.Key.String(), Store: d.Store, Value: value}
+	}
+	return out, nil
+}
+
+func decodeDocuments(in []peer.VouchDocument) ([]ownership.Document, error) {
+	out := make([]ownership.Document, 0, len(in))
+	for _, d := range in {
+		event := store.Event{Entry: store.Entry{Key: d.Key, Value: d.Value, Revision: d.Store}}
+		document, ok, err := process.DecodeDocument(event)
+		if err != nil {
+			return nil, err
+		}
+		if ok {
+			out = append(out, document)
+		}
+	}
+	return out, nil
+}
+
+func encodeConfirm(v ownership.VouchRequest) *peer.ConfirmRequest {
+	return &peer.ConfirmRequest{
+		Group:    ownership.GroupDocumentKey(v.Group).String(),
+		Asker:    encodeRun(v.Asker),
+		AskedAt:  v.AskedAt,
+		Member:   encodeRun(v.Member),
+		Versions: encodeVersions(v.Versions),
+		Silent:   v.Silent,
+	}
+}
+
+func decodeConfirm(r *peer.ConfirmRequest) (ownership.VouchRequest, error) {
+	group, err := ownership.ParseDocumentKey(r.Group)
+	if err != nil {
+		return ownership.VouchRequest{}, err
+	}
+	versions, err := decodeVersions(r.Versions)
+	if err != nil {
+		return ownership.VouchRequest{}, err
+	}
+	return ownership.VouchRequest{
+		Group:    group.Group,
+		Asker:    decodeRun(r.Asker),
+		AskedAt:  r.AskedAt,
+		Member:   decodeRun(r.Member),
+		Versions: versions,
+		Silent:   r.Silent,
+	}, nil
+}
+
+func encodeConfirmAnswer(v ownership.VouchReply) (peer.ConfirmAnswer, error) {
+	documents, err := encodeDocuments(v.Documents)
+	if err != nil {
+		return peer.ConfirmAnswer{}, err
+	}
+	return peer.ConfirmAnswer{
+		Status:    uint8(v.Status),
+		Member:    encodeRun(v.Member),
+		Versions:  encodeVersions(v.Versions),
+		Documents: documents,
+		Lost:      encodeRuns(v.Lost),
+		Silent:    v.Silent,
+	}, nil
+}
+
+// decodeConfirmAnswer restores the reply to request.
+func decodeConfirmAnswer(request ownership.VouchRequest, a *peer.ConfirmAnswer) (ownership.VouchReply, error) {
+	versions, err := decodeVersions(a.Versions)
+	if err != nil {
+		return ownership.VouchReply{}, err
+	}
+	documents, err := decodeDocuments(a.Documents)
+	if err != nil {
+		return ownership.VouchReply{}, err
+	}
+	return ownership.VouchReply{
+		Ticket:    request.Ticket,
+		Group:     request.Group,
+		Asker:     request.Asker,
+		AskedAt:   request.AskedAt,
+		Member:    decodeRun(a.Member),
+		Status:    ownership.VouchStatus(a.Status),
+		Versions:  versions,
+		Documents: documents,
+		Lost:      decodeRuns(a.Lost),
+		Silent:    a.Silent,
+	}, nil
+}
--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -8,6 +8,7 @@
 	"sequoiasail.example/config"
 	"sequoiasail.example/dispatch"
 	"sequoiasail.example/duty"
+	"sequoiasail.example/ownership"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
 	"sequoiasail.example/transport/peer"
@@ -34,7 +35,9 @@
 	messages []dispatch.Message
 	config   *config.Configuration
 	peers    *peerSet
+	links    map[types.VM]*peer.Link
 	copied   *peer.MemoryEntry
+	drain    *drainWatch
 }
 
 // payload is what the dispatch core knows by a handle.
@@ -67,6 +70,8 @@
 	page     *telemetry.Page
 	// report tells the ownership duty what was seen of a target.
 	report func(types.TargetID, dispatch.Condition)
+	// drained tells the ownership duty that a drain has ended, and reports whether it took the message.
+	drained func(ownership.Drained) bool
 
 	core      *dispatch.Core
 	addresses map[types.TargetID]string
@@ -96,6 +101,8 @@
 		active:    make(map[requestKey]dispatch.Handle),
 		senders:   make(map[connectionKey]*sender),
 		group:     duty.NewGroup(),
+		drains:    make(map[types.TargetID]drainWatch),
+		page:      telemetry.NewPage(telemetry.Status{}),
 	}
 }
 
@@ -230,6 +237,7 @@
 		p.endAttempt(m)
 	}
 	w.step(ctx, dispatch.Message{Kind: dispatch.MessageResult, Handle: m.handle, Result: m.result})
+	w.checkDrains()
 }
 
 func (p *payload) endAttempt(m sent) {
@@ -260,12 +268,19 @@
 	if m.peers != nil {
 		w.peers = m.peers
 	}
+	if m.links != nil {
+		w.links = m.links
+	}
 	if m.copied != nil {
 		w.storeCopy(ctx, m.copied)
 	}
 	for _, message := range m.messages {
 		w.step(ctx, message)
 	}
+	if m.drain != nil {
+		w.drains[m.drain.target] = *m.drain
+		w.checkDrains()
+	}
 }
 
 func (w *worker) configure(c *config.Configuration) {
@@ -277,6 +292,7 @@
 }
 
 func (w *worker) tick(ctx context.Context) {
+	w.checkDrains()
 	w.actions = w.core.Tick(telemetry.Now(), w.actions[:0])
 	w.perform(ctx)
 }
--- /dev/null
+++ b/daemon/dispatcher/writer.go
@@ -0,0 +1,147 @@
+package dispatcher
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"sequoiasail.example/daemon/process"
+	"sequoiasail.example/duty"
+	"sequoiasail.example/ownership"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+const (
+	writerRingCapacity = 256
+	writeTimeout       = time.Second
+	// freshnessInterval is half of the time that a renewal permit lasts, so that one lost read does not end it.
+	freshnessInterval = 250 * time.Millisecond
+	freshnessTimeout  = 400 * time.Millisecond
+	// freshnessPrefix holds no keys: the read learns only the store's revision.
+	freshnessPrefix = "freshness/"
+)
+
+// writer makes the compare-and-swap calls that the ownership core asks for.
+type writer struct {
+	store store.Store
+	in    *ring.Ring[ownership.Action]
+	out   *ring.Ring[keeperInput]
+}
+
+func (w *writer) duty() duty.Duty {
+	return duty.Duty{
+		Name: "store-writer",
+		Run:  w.run,
+		Stop: func(context.Context) error { w.in.Close(); return nil },
+	}
+}
+
+func (w *writer) run(ctx context.Context) error {
+	for {
+		a, err := w.in.Get(ctx)
+		if err != nil {
+			return nil
+		}
+		message := w.readBack
+		if a.Kind == ownership.ActWrite {
+			message = w.write
+		}
+		if err := w.out.Put(ctx, keeperInput{message: message(ctx, a.Write)}); err != nil {
+			return nil
+		}
+	}
+}
+
+func (w *writer) write(ctx context.Context, write ownership.Write) ownership.Message {
+	result := ownership.WriteResult{Key: write.Document.Key, ID: write.ID, Status: ownership.WriteNotSent}
+	value, err := process.EncodeDocument(write.Document)
+	if err == nil {
+		result.Store, err = w.cas(ctx, write, value)
+		result.Status = writeStatus(err)
+	}
+	return ownership.Message{Kind: ownership.KindWriteResult, Write: result}
+}
+
+func (w *writer) cas(ctx context.Context, write ownership.Write, value []byte) (types.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return w.store.CAS(ctx, store.Write{
+		Key:      write.Document.Key.String(),
+		Expected: write.Document.Store,
+		Value:    value,
+		WriteID:  encodeWriteID(write.ID),
+	})
+}
+
+func encodeWriteID(id ownership.WriteID) string {
+	return string(id.Peer.VM) + "-" + strconv.FormatUint(uint64(id.Peer.Incarnation), 36) + "-w" + strconv.FormatUint(id.Number, 36)
+}
+
+func writeStatus(err error) ownership.WriteStatus {
+	if err == nil {
+		return ownership.WriteConfirmed
+	}
+	switch types.CodeOf(err) {
+	case types.CodeConflict:
+		return ownership.WriteConflict
+	case types.CodeStoreUnavailable, types.CodeBadRequest, types.CodeNotFound:
+		return ownership.WriteNotSent
+	default:
+		return ownership.WriteUnknown
+	}
+}
+
+func (w *writer) readBack(ctx context.Context, write ownership.Write) ownership.Message {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	key := write.Document.Key
+	result := ownership.ReadBackResult{Document: ownership.Document{Key: key}}
+	entry, err := w.store.Get(ctx, key.String())
+	if err == nil {
+		result.Document, _, err = process.DecodeDocument(store.Event{Entry: entry})
+	}
+	result.Failed = err != nil && types.CodeOf(err) != types.CodeNotFound
+	if result.Failed {
+		result.Document = ownership.Document{Key: key}
+	}
+	return ownership.Message{Kind: ownership.KindReadBack, ReadBack: result}
+}
+
+// freshReader learns the store's revision at short intervals. It is the proof that this dispatcher hears the store.
+type freshReader struct {
+	store store.Store
+	out   *ring.Ring[keeperInput]
+}
+
+func (f *freshReader) duty() duty.Duty {
+	return duty.Duty{Name: "store-freshness", Run: f.run}
+}
+
+func (f *freshReader) run(ctx context.Context) error {
+	tick := time.NewTicker(freshnessInterval)
+	defer tick.Stop()
+	for {
+		if err := f.out.Put(ctx, f.read(ctx)); err != nil {
+			return nil
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (f *freshReader) read(ctx context.Context) keeperInput {
+	ctx, cancel := context.WithTimeout(ctx, freshnessTimeout)
+	defer cancel()
+	sentAt := telemetry.Now()
+	_, revision, err := f.store.List(ctx, freshnessPrefix)
+	if err != nil {
+		return keeperInput{message: ownership.Message{Kind: ownership.KindStoreFailed}}
+	}
+	return keeperInput{fresh: &freshness{sentAt: sentAt, revision: revision}}
+}
--- /dev/null
+++ b/daemon/gateway/state.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"context"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/daemon/process"
+	"sequoiasail.example/ownership"
+	"sequoiasail.example/routing"
+	"sequoiasail.example/types"
+)
+
+// translator turns changes of the store into messages of the routing core. It is owned by the watch duty.
+type translator struct {
+	gw *Gateway
+	// hotKeys holds the rows of each slot document, because the core takes all rows of a service at once.
+	hotKeys map[types.Service]map[uint16][]ownership.HotKey
+}
+
+func newTranslator(gw *Gateway) *translator {
+	return &translator{gw: gw, hotKeys: make(map[types.Service]map[uint16][]ownership.HotKey)}
+}
+
+// deliver runs on the watch duty.
+func (t *translator) deliver(ctx context.Context, c process.Change) error {
+	if c.Err != nil {
+		t.gw.base.Log.Warn("store cannot be read", map[string]any{"error": c.Err.Error()})
+		return nil
+	}
+	var out control
+	if c.Config != nil {
+		t.configure(c.Config, &out)
+	}
+	if c.Ops != nil {
+		out.messages = append(out.messages, operationsMessage(c.Ops))
+	}
+	if c.Members != nil {
+		out.messages = append(out.messages, t.members(c))
+	}
+	for _, d := range c.Documents {
+		out.messages = append(out.messages, t.document(d)...)
+	}
+	t.gw.publish(c)
+	if len(out.messages) == 0 {
+		return nil
+	}
+	return t.gw.router.controls.Put(ctx, out)
+}
+
+func (t *translator) configure(c *config.Configuration, out *control) {
+	view, err := newConfigView(c)
+	if err != nil {
+		t.gw.base.Log.Warn("configuration refused", map[string]any{"version": c.Version, "error": err.Error()})
+		return
+	}
+	t.gw.view.Store(view)
+	out.messages = append(out.messages, routing.Message{Kind: routing.KindConfiguration, Configuration: c})
+}
+
+func operationsMessage(o *process.Operations) routing.Message {
+	m := &routing.Operations{Revision: o.Revision}
+	for name, state := range o.DataCentres {
+		m.DataCentres = append(m.DataCentres, routing.DataCentreState{DataCentre: name, State: stateOf(state)})
+	}
+	for name, state := range o.VMs {
+		m.VMs = append(m.VMs, routing.VMState{VM: name, State: stateOf(state)})
+	}
+	for id, state := range o.Targets {
+		m.Targets = append(m.Targets, routing.TargetState{Target: id, State: stateOf(state)})
+	}
+	return routing.Message{Kind: routing.KindOperations, Operations: m}
+}
+
+func stateOf(s config.OpsState) routing.State {
+	switch s {
+	case config.OpsOut:
+		return routing.StateOut
+	case config.OpsDraining:
+		return routing.StateDraining
+	default:
+		return routing.StateIn
+	}
+}
+
+// members also tells the links duty whom to connect to.
+func (t *translator) members(c process.Change) routing.Message {
+	rows := &routing.Members{Revision: c.Revision}
+	var peers []process.Peer
+	for _, m := range c.Members {
+		if m.Role != process.RoleDispatcher {
+			continue
+		}
+		rows.Rows = append(rows.Rows, routing.Member{VM: m.VM, DataCentre: m.DataCentre, Incarnation: m.Incarnation})
+		peers = append(peers, process.Peer{VM: m.VM, Incarnation: m.Incarnation, Address: m.PeerAddress})
+	}
+	t.gw.links.Set(peers)
+	return routing.Message{Kind: routing.KindMembers, Members: rows}
+}
+
+func (t *translator) document(d ownership.Document) []routing.Message {
+	switch {
+	case d.Slots != nil:
+		return []routing.Message{tableMessage(d), t.hotKeyMessage(d)}
+	case d.Leases != nil:
+		return []routing.Message{leasesMessage(d)}
+	default:
+		return nil
+	}
+}
+
+func tableMessage(d ownership.Document) routing.Message {
+	t := &routing.Table{
+		Service:   d.Key.Service,
+		Revision:  types.Revision(d.Slots.Epoch),
+		FirstSlot: types.Slot(uint32(d.Key.Part) * ownership.SlotsPerDocument),
+	}
+	indexes := make(map[types.Target]uint16)
+	for _, run := range d.Slots.Runs {
+		owner := routing.NoOwner
+		if run.State == ownership.SlotOwned {
+			owner = indexOf(t, indexes, run.Owner)
+		}
+		for range run.Count {
+			t.Owners = append(t.Owners, owner)
+			t.Epochs = append(t.Epochs, run.Epoch)
+		}
+	}
+	return routing.Message{Kind: routing.KindTable, Table: t}
+}
+
+func indexOf(t *routing.Table, indexes map[types.Target]uint16, target types.Target) uint16 {
+	index, known := indexes[target]
+	if !known {
+		index = uint16(len(t.Targets))
+		indexes[target] = index
+		t.Targets = append(t.Targets, target)
+	}
+	return index
+}
+
+func (t *translator) hotKeyMessage(d ownership.Document) routing.Message {
+	parts := t.hotKeys[d.Key.Service]
+	if parts == nil {
+		parts = make(map[uint16][]ownership.HotKey)
+		t.hotKeys[d.Key.Service] = parts
+	}
+	parts[d.Key.Part] = d.Slots.HotKeys
+	rows := &routing.HotKeys{Service: d.Key.Service, Revision: d.Store}
+	for _, part := range parts {
+		for _, row := range part {
+			rows.Rows = append(rows.Rows, hotKeyRow(row))
+		}
+	}
+	return routing.Message{Kind: routing.KindHotKeys, HotKeys: rows}
+}
+
+func hotKeyRow(row ownership.HotKey) routing.HotKey {
+	out := routing.HotKey{Key: row.Key, Epoch: row.Epoch}
+	if row.State == ownership.SlotOwned {
+		out.Owner = row.Owner
+	}
+	return out
+}
+
+func leasesMessage(d ownership.Document) routing.Message {
+	out := &routing.Leases{Service: d.Key.Service, Revision: types.Revision(d.Leases.Epoch)}
+	for _, l := range d.Leases.Leases {
+		out.Rows = append(out.Rows, routing.Lease{
+			Target:      l.Target,
+			VM:          l.Holder.VM,
+			Incarnation: l.Holder.Incarnation,
+			Epoch:       l.Epoch,
+			Active:      l.State == ownership.LeaseActive,
+		})
+	}
+	return routing.Message{Kind: routing.KindLeases, Leases: out}
+}
--- a/daemon/process/member.go
+++ b/daemon/process/member.go
@@ -36,6 +36,8 @@
 	PeerAddress string `json:"peerAddress,omitempty"`
 	// OpsAddress is host:port of the operators' pages.
 	OpsAddress string `json:"opsAddress"`
+	// Leaving is true once the process has begun a planned stop. It takes no new leases.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Key returns the store key of the member.
@@ -59,12 +61,14 @@
 	Log    *telemetry.Log
 
 	lease store.LeaseID
+	leave chan struct{}
 	done  chan struct{}
 }
 
 // Duty returns the duty that keeps the registration. Its stop removes the registration.
 func (r *Registration) Duty() duty.Duty {
 	r.done = make(chan struct{})
+	r.leave = make(chan struct{}, 1)
 	return duty.Duty{
 		Name: "member-registration",
 		Run:  r.run,
@@ -79,6 +83,10 @@
 		select {
 		case <-timer.C:
 			timer.Reset(r.renew(ctx))
+		case <-r.leave:
+			r.Member.Leaving = true
+			r.lease = 0
+			timer.Reset(r.renew(ctx))
 		case <-r.done:
 			r.remove(ctx)
 			return nil
@@ -88,6 +96,14 @@
 	}
 }
 
+// Leave marks the process as leaving, so that its leases are moved before it stops.
+func (r *Registration) Leave() {
+	select {
+	case r.leave <- struct{}{}:
+	default:
+	}
+}
+
 // renew registers or keeps the lease alive, and returns the time until the next call.
 func (r *Registration) renew(ctx context.Context) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, memberCallTimeout)
--- a/daemon/process/watch.go
+++ b/daemon/process/watch.go
@@ -16,7 +16,7 @@
 	watchRetryCeiling = 2 * time.Second
 )
 
-// Update is what the store watch delivers.
+// Update is one answer of the store.
 type Update struct {
 	// Snapshot is true when Events holds every key and replaces all that was known.
 	Snapshot bool
@@ -29,8 +29,10 @@
 // Watch keeps one process informed of all keys of the store with a single waiting call.
 type Watch struct {
 	Store store.Store
-	// Deliver hands an update to its owner. It may block.
-	Deliver func(ctx context.Context, u Update) error
+	// Knowledge decodes what the store holds.
+	Knowledge *Knowledge
+	// Deliver hands a change to its owner. It may block.
+	Deliver func(ctx context.Context, c Change) error
 }
 
 // Duty returns the duty that watches the store.
@@ -52,7 +54,7 @@
 		if types.CodeOf(err) == types.CodeNotFound {
 			continue
 		}
-		if err := w.Deliver(ctx, Update{Err: err}); err != nil {
+		if err := w.deliver(ctx, Update{Err: err}); err != nil {
 			return nil
 		}
 		park(ctx, delay)
@@ -72,7 +74,7 @@
 	for i, e := range entries {
 		events[i] = store.Event{Entry: e}
 	}
-	return revision, w.Deliver(ctx, Update{Snapshot: true, Events: events, Revision: revision})
+	return revision, w.deliver(ctx, Update{Snapshot: true, Events: events, Revision: revision})
 }
 
 func (w *Watch) follow(ctx context.Context, revision types.Revision) error {
@@ -84,12 +86,16 @@
 			return err
 		}
 		revision = next
-		if err := w.Deliver(ctx, Update{Events: events, Revision: revision}); err != nil {
+		if err := w.deliver(ctx, Update{Events: events, Revision: revision}); err != nil {
 			return err
 		}
 	}
 }
 
+func (w *Watch) deliver(ctx context.Context, u Update) error {
+	return w.Deliver(ctx, w.Knowledge.Apply(u))
+}
+
 // park waits for d or the end of ctx.
 func park(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/transport/peer/message.go
+++ b/transport/peer/message.go
@@ -95,3 +95,59 @@
 	Deaths      uint8
 	AgeMs       int64
 }
+
+// Vouch messages carry the ownership module's own types. They are defined here as plain copies of its fields so that
+// the wire format does not change when the core does.
+
+// VouchVersion is the epoch at which a process knows a document.
+type VouchVersion struct {
+	Key   string
+	Epoch types.Epoch
+}
+
+// VouchRun is one run of a dispatcher process.
+type VouchRun struct {
+	VM          types.VM
+	Incarnation types.Incarnation
+}
+
+// VouchDocument is one stored document.
+type VouchDocument struct {
+	Key   string
+	Store types.Revision
+	Value []byte
+}
+
+// ConfirmRequest asks a quorum group member to confirm that it knows no newer leases.
+type ConfirmRequest struct {
+	Group    string
+	Asker    VouchRun
+	AskedAt  types.Instant
+	Member   VouchRun
+	Versions []VouchVersion
+	Silent   []types.TargetID
+}
+
+// ConfirmAnswer is a quorum group member's answer. Status is 0 when the member gave none.
+type ConfirmAnswer struct {
+	Status    uint8
+	Member    VouchRun
+	Versions  []VouchVersion
+	Documents []VouchDocument
+	Lost      []VouchRun
+	Silent    []types.TargetID
+}
+
+// InstallRequest carries documents from the planner to a quorum group member.
+type InstallRequest struct {
+	Planner   VouchRun
+	Member    VouchRun
+	Documents []VouchDocument
+}
+
+// InstallAnswer acknowledges the versions that the member now has.
+type InstallAnswer struct {
+	Installed bool
+	Member    VouchRun
+	Versions  []VouchVersion
+}
--- a/transport/target/http.go
+++ b/transport/target/http.go
@@ -60,18 +60,30 @@
 
 // Grant implements Client.
 func (h *HTTP) Grant(ctx context.Context, g GrantRequest) (GrantAnswer, error) {
-	return control[GrantAnswer](ctx, h, http.MethodPost, PathGrant, g)
+	return h.grantCall(ctx, PathGrant, g)
 }
 
 // Renew implements Client.
 func (h *HTTP) Renew(ctx context.Context, r RenewRequest) (GrantAnswer, error) {
-	return control[GrantAnswer](ctx, h, http.MethodPost, PathRenew, r)
+	return h.grantCall(ctx, PathRenew, r)
 }
 
 // Release implements Client.
-func (h *HTTP) Release(ctx context.Context, r ReleaseRequest) error {
-	_, err := control[struct{}](ctx, h, http.MethodPost, PathRelease, r)
-	return err
+func (h *HTTP) Release(ctx context.Context, r ReleaseRequest) (GrantAnswer, error) {
+	return h.grantCall(ctx, PathRelease, r)
+}
+
+// grantCall returns the token of a refusal beside its fault.
+func (h *HTTP) grantCall(ctx context.Context, path string, v any) (GrantAnswer, error) {
+	a, err := h.exchange(ctx, http.MethodPost, path, v)
+	if err != nil {
+		return GrantAnswer{}, err
+	}
+	if a.Status != http.StatusOK {
+		refusal, fault := decodeFault(a.Status, a.Body)
+		return refusal.GrantAnswer, fault
+	}
+	return decode[GrantAnswer](a.Body)
 }
 
 // Cancel implements Client.
@@ -144,24 +156,34 @@
 
 func control[T any](ctx context.Context, h *HTTP, method, path string, v any) (T, error) {
 	var zero T
+	a, err := h.exchange(ctx, method, path, v)
+	if err != nil {
+		return zero, err
+	}
+	if a.Status != http.StatusOK {
+		_, fault := decodeFault(a.Status, a.Body)
+		return zero, fault
+	}
+	return decode[T](a.Body)
+}
+
+// exchange sends v as JSON, or no body when v is nil. Its error is a *types.Fault.
+func (h *HTTP) exchange(ctx context.Context, method, path string, v any) (exchange.Answer, error) {
 	ctx, cancel := bounded(ctx, time.Time{}, h.timeout)
 	defer cancel()
 	r := exchange.Request{Method: method, URL: h.base + path}
 	if v != nil {
 		body, err := json.Marshal(v)
 		if err != nil {
-			return zero, types.WrapFault(types.CodeBadRequest, err, "encode %s", path)
+			return exchange.Answer{}, types.WrapFault(types.CodeBadRequest, err, "encode %s", path)
 		}
 		r.Body = body
 	}
 	a, err := h.client.Do(ctx, r)
 	if err != nil {
-		return zero, controlFault(err)
-	}
-	if a.Status != http.StatusOK {
-		return zero, decodeFault(a.Status, a.Body)
+		return exchange.Answer{}, controlFault(err)
 	}
-	return decode[T](a.Body)
+	return a, nil
 }
 
 func controlFault(err error) *types.Fault {
--- a/transport/target/target.go
+++ b/transport/target/target.go
@@ -21,46 +21,52 @@
 
 // HotKey is a key that is owned apart from its slot.
 type HotKey struct {
-	Hash types.KeyHash `json:"hash"`
-	// Owned is false when the key's slot is in the grant but the key itself belongs to another target.
-	Owned bool        `json:"owned"`
-	Epoch types.Epoch `json:"epoch"`
+	Hash  types.KeyHash `json:"hash"`
+	Epoch types.Epoch   `json:"epoch"`
 }
 
-// GrantRequest gives a target its slots. It replaces the slots of an earlier grant.
-type GrantRequest struct {
+// Authority is what every call about a grant carries. A target accepts a call only with a token that it issued in its
+// present incarnation, less than the time to live ago, and that is newer than the last one it accepted. A call that
+// was delayed on its way, for example to a frozen target, can then neither extend a grant nor bring back slots that
+// were taken away meanwhile.
+type Authority struct {
 	// LeaseEpoch is the fencing token. A target refuses an epoch lower than the highest it has seen.
 	LeaseEpoch types.Epoch `json:"leaseEpoch"`
-	Slots      []SlotRun   `json:"slots"`
-	HotKeys    []HotKey    `json:"hotKeys,omitempty"`
-	// TTL is the time to live, in nanoseconds when encoded. The target counts it from the arrival of the call. Zero
-	// installs the slots without running requests for them until the first renewal: a grant that was delayed on its
-	// way, for example to a frozen target, then gains no time from its late arrival.
+	// Token is the token of the newest answer, 0 when there is none. A call without a token is refused with one.
+	Token       uint64            `json:"token"`
+	Incarnation types.Incarnation `json:"incarnation"`
+}
+
+// GrantRequest gives a target its slots and extends its grant. It replaces the slots of an earlier grant.
+type GrantRequest struct {
+	Authority
+	Slots []SlotRun `json:"slots"`
+	// Except lists keys in these slots that other targets own.
+	Except []types.KeyHash `json:"except,omitempty"`
+	// HotKeys lists keys that the target owns wherever their slots are.
+	HotKeys []HotKey `json:"hotKeys,omitempty"`
+	// TTL is the time to live from the issue of the token, in nanoseconds when encoded.
 	TTL time.Duration `json:"ttl"`
 }
 
 // RenewRequest extends a grant.
 type RenewRequest struct {
-	LeaseEpoch types.Epoch `json:"leaseEpoch"`
-	// Token is the token of an earlier answer. The target counts TTL from the time it issued the token.
-	Token string `json:"token"`
-	// TTL is the time to live, in nanoseconds when encoded.
+	Authority
+	// TTL is the time to live from the issue of the token, in nanoseconds when encoded.
 	TTL time.Duration `json:"ttl"`
 }
 
-// GrantAnswer confirms a grant or a renewal.
+// GrantAnswer answers every call about a grant, also a refusal.
 type GrantAnswer struct {
-	// Token is echoed by the next renewal.
-	Token string `json:"token"`
+	// Token is to be sent with the next call. Tokens of one incarnation rise.
+	Token uint64 `json:"token"`
 	// Incarnation tells one run of the target from the next.
 	Incarnation types.Incarnation `json:"incarnation"`
 }
 
-// ReleaseRequest takes slots from a grant. After the answer the target runs no request for them under LeaseEpoch.
+// ReleaseRequest ends a grant. After the answer the target runs no request under LeaseEpoch.
 type ReleaseRequest struct {
-	LeaseEpoch types.Epoch     `json:"leaseEpoch"`
-	Slots      []SlotRun       `json:"slots"`
-	HotKeys    []types.KeyHash `json:"hotKeys,omitempty"`
+	Authority
 }
 
 // Request is one caller's request on its way to a target.
@@ -116,12 +122,14 @@
 // Client calls one target over at most one connection, which is opened when a call needs it. Calls wait for each
 // other, so a duty that must not wait behind a request, for example to cancel it, owns another Client.
 type Client interface {
-	// Grant gives the target its slots. A stale-epoch fault means that the target has seen a higher lease epoch.
+	// Grant gives the target its slots. It and the next two return the answer together with a refusal: stale-token
+	// when the token is missing, used, expired or of another incarnation, stale-epoch when the target has seen a
+	// higher lease epoch, not-lease-holder when the grant of this epoch has ended.
 	Grant(ctx context.Context, g GrantRequest) (GrantAnswer, error)
-	// Renew extends the grant. A not-lease-holder fault means that the grant has expired or was never given.
+	// Renew extends the grant.
 	Renew(ctx context.Context, r RenewRequest) (GrantAnswer, error)
-	// Release takes slots from the grant. It answers after the requests that run for these slots have ended.
-	Release(ctx context.Context, r ReleaseRequest) error
+	// Release ends the grant. It answers after the requests that run under it have ended.
+	Release(ctx context.Context, r ReleaseRequest) (GrantAnswer, error)
 	// Do sends one request and returns the complete answer. Every error is a *Failure.
 	Do(ctx context.Context, r Request) (Response, error)
 	// Cancel asks the target to abandon a request. A request that has not arrived yet is refused when it does.
--- a/transport/target/wire.go
+++ b/transport/target/wire.go
@@ -61,6 +61,8 @@
 type FaultAnswer struct {
 	Code    types.Code `json:"code"`
 	Message string     `json:"message"`
+	// GrantAnswer is set when a call about a grant is refused.
+	GrantAnswer
 }
 
 // refusalCodes lists the codes that a target may give as the reason of a refusal.
@@ -68,6 +70,7 @@
 	types.CodeOverloaded:       true,
 	types.CodeShuttingDown:     true,
 	types.CodeStaleEpoch:       true,
+	types.CodeStaleToken:       true,
 	types.CodeNotHolder:        true,
 	types.CodeCancelled:        true,
 	types.CodeDeadlineExceeded: true,
@@ -124,12 +127,12 @@
 }
 
 // decodeFault returns the fault of a control answer. A body without a known code gives a target-failed fault.
-func decodeFault(status int, body []byte) *types.Fault {
+func decodeFault(status int, body []byte) (FaultAnswer, *types.Fault) {
 	var a FaultAnswer
 	if json.Unmarshal(body, &a) != nil || !refusalCodes[a.Code] {
-		return types.NewFault(types.CodeTargetFailed, "target answered status %d", status)
+		return FaultAnswer{}, types.NewFault(types.CodeTargetFailed, "target answered status %d", status)
 	}
-	return types.NewFault(a.Code, "%s", a.Message)
+	return a, types.NewFault(a.Code, "%s", a.Message)
 }
 
 // decode reads one control answer.
--- a/types/fault.go
+++ b/types/fault.go
@@ -28,6 +28,7 @@
 	CodeNoOwner          Code = "no-owner"
 	CodeNoRoute          Code = "no-route"
 	CodeNotHolder        Code = "not-lease-holder"
+	CodeStaleToken       Code = "stale-token"
 	CodeStaleEpoch       Code = "stale-epoch"
 	CodeQuarantined      Code = "quarantined"
 	CodeMemoryLost       Code = "request-memory-lost"
