--- a/standin/internal/httpserve/httpserve.go
+++ b/standin/internal/httpserve/httpserve.go
@@ -18,9 +18,12 @@
 // readHeaderTimeout bounds how long a connection may take to send the header of a request.
 const readHeaderTimeout = 10 * time.Second
 
-// Duty returns the duty that serves l with h. Its stop lets the requests in hand finish.
-func Duty(name string, l net.Listener, h http.Handler) duty.Duty {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+// ConnContext returns the context of the requests on a connection.
+type ConnContext func(context.Context, net.Conn) context.Context
+
+// Duty returns the duty that serves l with h. Its stop lets the requests in hand finish. connContext may be nil.
+func Duty(name string, l net.Listener, h http.Handler, connContext ConnContext) duty.Duty {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ConnContext: connContext}
 	return duty.Duty{
 		Name: name,
 		Run: func(context.Context) error {
--- a/standin/store/server.go
+++ b/standin/store/server.go
@@ -63,7 +63,7 @@
 		return "", err
 	}
 	s := &Server{in: ring.New[message](ringCapacity), state: newState(o.History)}
-	g.Add(httpserve.Duty("http-store", l, s.routes()))
+	g.Add(httpserve.Duty("http-store", l, s.routes(), nil))
 	g.Add(loop.Duty("store-state", s.in, s.state))
 	return l.Addr().String(), g.Start(ctx)
 }
--- /dev/null
+++ b/standin/target/decode.go
@@ -0,0 +1,46 @@
+package target
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"sequoiasail.example/transport/target"
+	"sequoiasail.example/types"
+)
+
+// maxDeadline bounds the time that a request may claim to have left, so that it can't overflow a duration.
+const maxDeadline = 24 * time.Hour
+
+// decodeRequest reads the headers of a service request. Malformed numbers count as zero, which no grant covers.
+func decodeRequest(method string, h http.Header, now time.Time) request {
+	r := request{
+		id:         types.RequestID(h.Get(target.HeaderRequestID)),
+		key:        h.Get(target.HeaderKey),
+		slot:       types.Slot(number(h.Get(target.HeaderSlot), 32)),
+		leaseEpoch: types.Epoch(number(h.Get(target.HeaderLeaseEpoch), 64)),
+		method:     method,
+		crash:      h.Get(HeaderCrash) == "true",
+	}
+	if text := h.Get(target.HeaderDeadline); text != "" {
+		r.deadline = now.Add(timeLeft(text))
+	}
+	return r
+}
+
+func number(text string, bits int) uint64 {
+	n, err := strconv.ParseUint(text, 10, bits)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// timeLeft returns 0 for a malformed or negative time.
+func timeLeft(text string) time.Duration {
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 0 {
+		return 0
+	}
+	return time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond
+}
--- /dev/null
+++ b/standin/target/message.go
@@ -0,0 +1,94 @@
+package target
+
+import (
+	"time"
+
+	"sequoiasail.example/transport/target"
+	"sequoiasail.example/types"
+)
+
+// kind is the type of a message to the state duty.
+type kind uint8
+
+const (
+	kindRequest kind = iota
+	kindGrant
+	kindRenew
+	kindRelease
+	kindCancel
+	kindHealth
+	kindLoad
+	kindDrain
+	// The following are answered even while the target is frozen.
+	kindSetFaults
+	kindJournal
+	kindStats
+	kindStop
+)
+
+// message is one call. Only the fields of its kind are set.
+type message struct {
+	kind    kind
+	request request
+	grant   target.GrantRequest
+	renew   target.RenewRequest
+	release target.ReleaseRequest
+	id      types.RequestID
+	faults  Faults
+	after   int // first journal entry wanted
+	// reply holds one element.
+	reply chan answer
+}
+
+// request is what the target knows about a service request.
+type request struct {
+	id         types.RequestID
+	key        string
+	slot       types.Slot
+	leaseEpoch types.Epoch
+	method     string
+	crash      bool
+	// deadline is zero when the request has none.
+	deadline time.Time
+}
+
+// late reports whether the deadline has passed.
+func (r request) late(now time.Time) bool { return !r.deadline.IsZero() && !now.Before(r.deadline) }
+
+func (r request) writes() bool { return r.method != "GET" && r.method != "HEAD" }
+
+// answer is the reply to a message.
+type answer struct {
+	fault  *types.Fault
+	status int
+	body   any
+	// notRun is true when the request never started.
+	notRun bool
+	// lose closes the connection without an answer, cut closes it in the middle of the body.
+	lose, cut   bool
+	incarnation types.Incarnation
+	load        target.Load
+}
+
+// KeyState is the answer to a service request.
+type KeyState struct {
+	Key     string `json:"key"`
+	Counter uint64 `json:"counter"`
+	// LastWriter is the identifier of the last request that wrote the key.
+	LastWriter types.RequestID `json:"lastWriter"`
+}
+
+// Stats counts what happened since the process started.
+type Stats struct {
+	Started     uint64 `json:"started"`
+	Completed   uint64 `json:"completed"`
+	Failed      uint64 `json:"failed"`
+	Cancelled   uint64 `json:"cancelled"`
+	Refused     uint64 `json:"refused"`
+	Crashes     uint64 `json:"crashes"`
+	PeakRunning int    `json:"peakRunning"`
+	// OverAdmitted counts requests above what the cold target bore.
+	OverAdmitted uint64 `json:"overAdmitted"`
+	// GrantViolations counts requests that ran without a valid grant because ChecksGrants is off.
+	GrantViolations uint64 `json:"grantViolations"`
+}
--- /dev/null
+++ b/standin/target/server.go
@@ -0,0 +1,229 @@
+// Package target is a stand-in for a target: it checks grants, runs requests in slots, starts cold, drains, and shows
+// the faults that tests and the demo set. A journal records each request that started.
+//
+// One duty per target owns the state and serves a ring of messages with reply slots. HTTP handlers only decode, ask
+// and encode. The protocol is that of transport/target, with three more paths: /faults, /journal and /stats.
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"sequoiasail.example/ring"
+	"sequoiasail.example/standin/internal/httpserve"
+	"sequoiasail.example/standin/internal/loop"
+	"sequoiasail.example/transport/target"
+	"sequoiasail.example/types"
+)
+
+// Paths that the platform's targets do not have.
+const (
+	// PathFaults answers POST of Faults.
+	PathFaults = "/faults"
+	// PathJournal answers GET with an optional ?after=N, the number of entries to leave out, by a JournalAnswer.
+	PathJournal = "/journal"
+	// PathStats answers GET by Stats.
+	PathStats = "/stats"
+)
+
+// maxBody bounds a request body, in bytes.
+const maxBody = 16 << 20
+
+// ringCapacity is above the connections of a target, each of which has at most one call. More callers block.
+const ringCapacity = 256
+
+// server is the HTTP front end of one target.
+type server struct {
+	in *ring.Ring[message]
+	// connections counts those ever opened. Those up to silentUpTo are silent.
+	connections atomic.Uint64
+	silentUpTo  atomic.Uint64
+}
+
+type connectionKey struct{}
+
+// number gives each connection its place in the order of opening.
+func (s *server) number(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, s.connections.Add(1))
+}
+
+func (s *server) routes() http.Handler {
+	r := mux.NewRouter().SkipClean(true)
+	r.HandleFunc(target.PathGrant, call(s, func(m *message) any { m.kind = kindGrant; return &m.grant }))
+	r.HandleFunc(target.PathRenew, call(s, func(m *message) any { m.kind = kindRenew; return &m.renew }))
+	r.HandleFunc(target.PathRelease, call(s, func(m *message) any { m.kind = kindRelease; return &m.release }))
+	r.HandleFunc(target.PathCancel, s.cancel)
+	r.HandleFunc(target.PathHealth, s.plain(kindHealth))
+	r.HandleFunc(target.PathLoad, s.plain(kindLoad))
+	r.HandleFunc(target.PathDrain, s.plain(kindDrain))
+	r.HandleFunc(PathFaults, s.setFaults).Methods(http.MethodPost)
+	r.HandleFunc(PathJournal, s.journal).Methods(http.MethodGet)
+	r.HandleFunc(PathStats, s.plain(kindStats)).Methods(http.MethodGet)
+	r.PathPrefix("/").HandlerFunc(s.request)
+	return s.silence(r)
+}
+
+// silence holds the calls that arrive on silent connections.
+func (s *server) silence(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, _ := r.Context().Value(connectionKey{}).(uint64)
+		if n > s.silentUpTo.Load() {
+			next.ServeHTTP(w, r)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body) // the server notices that the caller goes away only after the body
+		select {
+		case <-r.Context().Done():
+		case <-s.in.Done():
+		}
+		httpserve.Break()
+	})
+}
+
+// call serves a control call with a JSON body. part returns the part of the message that the body fills.
+func call(s *server, part func(*message) any) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var m message
+		if err := httpserve.Decode(r, maxBody, part(&m)); err != nil {
+			refuse(w, err)
+			return
+		}
+		s.serve(w, r, m)
+	}
+}
+
+func (s *server) cancel(w http.ResponseWriter, r *http.Request) {
+	var body target.CancelRequest
+	if err := httpserve.Decode(r, maxBody, &body); err != nil {
+		refuse(w, err)
+		return
+	}
+	s.serve(w, r, message{kind: kindCancel, id: body.RequestID})
+}
+
+// plain serves a call without content.
+func (s *server) plain(k kind) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, message{kind: k}) }
+}
+
+func (s *server) journal(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
+	s.serve(w, r, message{kind: kindJournal, after: after})
+}
+
+func (s *server) setFaults(w http.ResponseWriter, r *http.Request) {
+	m := message{kind: kindSetFaults}
+	if err := httpserve.Decode(r, maxBody, &m.faults); err != nil {
+		refuse(w, err)
+		return
+	}
+	if m.faults.SilentConnections {
+		s.silentUpTo.Store(s.connections.Load())
+	}
+	s.serve(w, r, m)
+}
+
+// serve answers a control call.
+func (s *server) serve(w http.ResponseWriter, r *http.Request, m message) {
+	a, err := s.ask(r.Context(), m)
+	if a.lose || loop.Gone(err) {
+		httpserve.Break()
+	}
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	httpserve.Encode(w, http.StatusOK, a.body)
+}
+
+// ask returns the answer of the state duty, and its fault as the error.
+func (s *server) ask(ctx context.Context, m message) (answer, error) {
+	m.reply = make(chan answer, 1)
+	a, err := loop.Ask(ctx, s.in, m, m.reply)
+	if err == nil && a.fault != nil {
+		err = a.fault
+	}
+	return a, err
+}
+
+// refuse answers a control call that failed.
+func refuse(w http.ResponseWriter, err error) {
+	body := target.FaultAnswer{Code: types.CodeOf(err), Message: httpserve.Message(err)}
+	httpserve.Encode(w, statusOf(body.Code), body)
+}
+
+func statusOf(c types.Code) int {
+	switch c {
+	case types.CodeStaleEpoch, types.CodeNotHolder:
+		return http.StatusConflict
+	case types.CodeBadRequest:
+		return http.StatusBadRequest
+	case types.CodeTargetFailed:
+		return http.StatusInternalServerError
+	case types.CodeDeadlineExceeded:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+// request serves a service request.
+func (s *server) request(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxBody)); err != nil {
+		httpserve.Break() // an incomplete request does not run
+	}
+	m := message{kind: kindRequest, request: decodeRequest(r.Method, r.Header, time.Now())}
+	a, err := s.ask(r.Context(), m)
+	if a.lose || loop.Gone(err) {
+		httpserve.Break()
+	}
+	if err != nil && a.fault == nil { // the state duty has stopped
+		a = answer{fault: types.NewFault(types.CodeShuttingDown, "target stops"), notRun: true}
+	}
+	encode(w, m.request.id, a)
+}
+
+// encode answers a service request.
+func encode(w http.ResponseWriter, id types.RequestID, a answer) {
+	h := w.Header()
+	h.Set(target.HeaderRequestID, string(id))
+	h.Set(target.HeaderIncarnation, strconv.FormatUint(uint64(a.incarnation), 10))
+	h.Set(target.HeaderLoad, a.load.String())
+	if a.fault != nil {
+		h.Set(target.HeaderCode, string(a.fault.Code))
+		if a.notRun {
+			h.Set(target.HeaderNotRun, "true")
+			httpserve.Encode(w, http.StatusServiceUnavailable, refusal(a.fault))
+			return
+		}
+		httpserve.Encode(w, statusOf(a.fault.Code), refusal(a.fault))
+		return
+	}
+	if a.cut {
+		cut(w, a.body)
+	}
+	httpserve.Encode(w, a.status, a.body)
+}
+
+func refusal(f *types.Fault) target.FaultAnswer {
+	return target.FaultAnswer{Code: f.Code, Message: f.Message}
+}
+
+// cut sends half of the body and closes the connection. It does not return.
+func cut(w http.ResponseWriter, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		httpserve.Break()
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data[:len(data)/2])
+	_ = http.NewResponseController(w).Flush()
+	httpserve.Break()
+}
