--- a/standin/target/grant.go
+++ b/standin/target/grant.go
@@ -10,97 +10,100 @@
 
 // grants is what the target knows about who may give it orders.
 type grants struct {
-	base time.Time // times in tokens count from here
-	// highest is the highest lease epoch seen. A crash forgets it.
+	base        time.Time // tokens are times since then
+	incarnation types.Incarnation
+	// issued is the newest token, accepted the newest that a call used.
+	issued   uint64
+	accepted uint64
+	// highest is the highest lease epoch accepted. A crash forgets it.
 	highest types.Epoch
 	slots   []target.SlotRun
-	hot     map[types.KeyHash]bool // true when owned, false when owned elsewhere
-	// started is false until the grant has a time to live.
-	started bool
-	end     time.Time
+	except  map[types.KeyHash]bool
+	hot     map[types.KeyHash]bool
+	// ended is true once the grant of the highest epoch has ended.
+	ended bool
+	end   time.Time
 }
 
-// grant replaces the slots. A lower epoch is refused, and so is an expired grant of the same epoch.
-func (g *grants) grant(now time.Time, r target.GrantRequest) *types.Fault {
-	if r.LeaseEpoch < g.highest {
-		return types.NewFault(types.CodeStaleEpoch, "lease epoch %d is below %d", r.LeaseEpoch, g.highest)
+// issue returns a token that is newer than all before.
+func (g *grants) issue(now time.Time) target.GrantAnswer {
+	g.issued = max(g.issued+1, uint64(now.Sub(g.base)))
+	return target.GrantAnswer{Token: g.issued, Incarnation: g.incarnation}
+}
+
+// authorize accepts a call or returns why not. ttl counts from the issue of the token.
+func (g *grants) authorize(now time.Time, a target.Authority, ttl time.Duration) *types.Fault {
+	if a.LeaseEpoch < g.highest {
+		return types.NewFault(types.CodeStaleEpoch, "lease epoch %d is below %d", a.LeaseEpoch, g.highest)
 	}
-	if r.LeaseEpoch > g.highest {
-		g.highest = r.LeaseEpoch
-		g.started = false
+	if a.LeaseEpoch == g.highest && g.over(now) {
+		return types.NewFault(types.CodeNotHolder, "the grant of lease epoch %d has ended", a.LeaseEpoch)
 	}
-	if g.expired(now) {
-		return types.NewFault(types.CodeNotHolder, "grant of lease epoch %d has expired", r.LeaseEpoch)
+	fresh := a.Token > g.accepted && a.Token <= g.issued && a.Incarnation == g.incarnation
+	if !fresh || !now.Before(g.endOf(a.Token, ttl)) {
+		return types.NewFault(types.CodeStaleToken, "token %d is missing, used, expired or of another incarnation", a.Token)
 	}
-	g.slots = slices.Clone(r.Slots)
-	g.hot = make(map[types.KeyHash]bool, len(r.HotKeys))
-	for _, k := range r.HotKeys {
-		g.hot[k.Hash] = k.Owned
-	}
-	if r.TTL > 0 {
-		g.extend(now.Add(r.TTL))
+	g.accepted = a.Token
+	if a.LeaseEpoch > g.highest {
+		g.highest = a.LeaseEpoch
+		g.ended = false
+		g.end = time.Time{}
 	}
 	return nil
 }
 
-// renew extends the grant by r.TTL from the issue of the token.
-func (g *grants) renew(now time.Time, incarnation types.Incarnation, r target.RenewRequest) *types.Fault {
-	if r.LeaseEpoch < g.highest {
-		return types.NewFault(types.CodeStaleEpoch, "lease epoch %d is below %d", r.LeaseEpoch, g.highest)
+func (g *grants) endOf(token uint64, ttl time.Duration) time.Time {
+	return g.base.Add(time.Duration(token)).Add(ttl)
+}
+
+// grant replaces the slots and extends the grant.
+func (g *grants) grant(now time.Time, r target.GrantRequest) *types.Fault {
+	if f := g.authorize(now, r.Authority, r.TTL); f != nil {
+		return f
 	}
-	t, ok := parseToken(r.Token)
-	if !ok || t.incarnation != incarnation || t.epoch != r.LeaseEpoch || r.LeaseEpoch != g.highest {
-		return types.NewFault(types.CodeNotHolder, "token was not issued under lease epoch %d", r.LeaseEpoch)
+	g.slots = slices.Clone(r.Slots)
+	g.except = make(map[types.KeyHash]bool, len(r.Except))
+	for _, hash := range r.Except {
+		g.except[hash] = true
 	}
-	end := g.base.Add(t.issued).Add(r.TTL)
-	if g.expired(now) || !now.Before(end) {
-		return types.NewFault(types.CodeNotHolder, "grant of lease epoch %d has expired", r.LeaseEpoch)
+	g.hot = make(map[types.KeyHash]bool, len(r.HotKeys))
+	for _, k := range r.HotKeys {
+		g.hot[k.Hash] = true
 	}
-	g.extend(end)
+	g.end = g.endOf(r.Token, r.TTL)
 	return nil
 }
 
-// extend never shortens a grant: renewals may arrive out of order.
-func (g *grants) extend(end time.Time) {
-	if !g.started || end.After(g.end) {
-		g.end = end
+// renew extends the grant.
+func (g *grants) renew(now time.Time, r target.RenewRequest) *types.Fault {
+	if r.LeaseEpoch > g.highest {
+		return types.NewFault(types.CodeNotHolder, "no grant of lease epoch %d", r.LeaseEpoch)
+	}
+	if f := g.authorize(now, r.Authority, r.TTL); f != nil {
+		return f
 	}
-	g.started = true
+	g.end = g.endOf(r.Token, r.TTL)
+	return nil
 }
 
-func (g *grants) expired(now time.Time) bool { return g.started && !now.Before(g.end) }
+// releaseTTL bounds the age of the token of a release.
+const releaseTTL = time.Minute
 
-// release takes slots and hot keys from the grant.
-func (g *grants) release(r target.ReleaseRequest) *types.Fault {
-	if r.LeaseEpoch < g.highest {
-		return types.NewFault(types.CodeStaleEpoch, "lease epoch %d is below %d", r.LeaseEpoch, g.highest)
-	}
-	for _, run := range r.Slots {
-		g.slots = subtract(g.slots, run)
-	}
-	for _, hash := range r.HotKeys {
-		g.hot[hash] = false
+// release ends the grant.
+func (g *grants) release(now time.Time, r target.ReleaseRequest) *types.Fault {
+	if f := g.authorize(now, r.Authority, releaseTTL); f != nil {
+		return f
 	}
+	g.ended = true
 	return nil
 }
 
-// subtract returns runs without the slots of cut.
-func subtract(runs []target.SlotRun, cut target.SlotRun) []target.SlotRun {
-	left := make([]target.SlotRun, 0, len(runs)+1)
-	first, last := uint64(cut.Start), uint64(cut.Start)+uint64(cut.Count)
-	for _, r := range runs {
-		start, end := uint64(r.Start), uint64(r.Start)+uint64(r.Count)
-		left = appendRun(left, start, min(end, first), r.Epoch)
-		left = appendRun(left, max(start, last), end, r.Epoch)
-	}
-	return left
-}
-
-func appendRun(runs []target.SlotRun, start, end uint64, epoch types.Epoch) []target.SlotRun {
-	if start >= end {
-		return runs
+// over reports whether the grant of the highest epoch has ended. A grant that ended never returns.
+func (g *grants) over(now time.Time) bool {
+	if g.highest > 0 && !now.Before(g.end) {
+		g.ended = true
 	}
-	return append(runs, target.SlotRun{Start: types.Slot(start), Count: uint32(end - start), Epoch: epoch})
+	return g.ended
 }
 
 // check returns the fault of a request that starts now without a valid grant.
@@ -116,7 +119,7 @@
 
 // holds returns a fault unless the grant is valid and contains the request's key.
 func (g *grants) holds(now time.Time, keyed bool, r request) *types.Fault {
-	if !g.started || g.expired(now) {
+	if g.highest == 0 || g.over(now) {
 		return types.NewFault(types.CodeNotHolder, "grant has expired")
 	}
 	if keyed && !g.contains(r) {
@@ -126,10 +129,11 @@
 }
 
 func (g *grants) contains(r request) bool {
-	if owned, ok := g.hot[types.HashKey(r.key)]; ok {
-		return owned
+	hash := types.HashKey(r.key)
+	if g.hot[hash] {
+		return true
 	}
-	return inRuns(g.slots, r.slot)
+	return !g.except[hash] && inRuns(g.slots, r.slot)
 }
 
 func inRuns(runs []target.SlotRun, s types.Slot) bool {
--- a/standin/target/run.go
+++ b/standin/target/run.go
@@ -105,7 +105,7 @@
 	for _, r := range due {
 		s.finish(now, r)
 	}
-	s.endReleases()
+	s.endReleases(now)
 	s.endStops()
 }
 
@@ -201,21 +201,17 @@
 	s.stats.Cancelled++
 	s.reports.load(now, len(s.running))
 	s.unfinished(now, r, OutcomeCancelled, types.NewFault(types.CodeCancelled, "request was cancelled"))
-	s.endReleases()
+	s.endReleases(now)
 	s.endStops()
 }
 
-// endReleases answers the releases for whose slots no request runs.
-func (s *state) endReleases() {
+// endReleases answers the releases under whose grant no request runs any more.
+func (s *state) endReleases(now time.Time) {
 	s.releases = slices.DeleteFunc(s.releases, func(r releasing) bool {
-		over := !slices.ContainsFunc(s.running, func(x *run) bool { return r.covers(x.request) })
+		over := !slices.ContainsFunc(s.running, func(x *run) bool { return x.request.leaseEpoch <= r.epoch })
 		if over {
-			r.reply <- ok(struct{}{})
+			r.reply <- ok(s.grants.issue(now))
 		}
 		return over
 	})
 }
-
-func (r releasing) covers(x request) bool {
-	return inRuns(r.release.Slots, x.slot) || slices.Contains(r.release.HotKeys, types.HashKey(x.key))
-}
--- a/standin/target/server.go
+++ b/standin/target/server.go
@@ -200,10 +200,10 @@
 		h.Set(target.HeaderCode, string(a.fault.Code))
 		if a.notRun {
 			h.Set(target.HeaderNotRun, "true")
-			httpserve.Encode(w, http.StatusServiceUnavailable, refusal(a.fault))
+			httpserve.Encode(w, http.StatusServiceUnavailable, refusal(a))
 			return
 		}
-		httpserve.Encode(w, statusOf(a.fault.Code), refusal(a.fault))
+		httpserve.Encode(w, statusOf(a.fault.Code), refusal(a))
 		return
 	}
 	if a.cut {
@@ -212,8 +212,8 @@
 	httpserve.Encode(w, a.status, a.body)
 }
 
-func refusal(f *types.Fault) target.FaultAnswer {
-	return target.FaultAnswer{Code: f.Code, Message: f.Message}
+func refusal(a answer) target.FaultAnswer {
+	return target.FaultAnswer{Code: a.fault.Code, Message: a.fault.Message, GrantAnswer: a.grant}
 }
 
 // cut sends half of the body and closes the connection. It does not return.
--- a/standin/target/state.go
+++ b/standin/target/state.go
@@ -19,10 +19,10 @@
 	reply  chan answer
 }
 
-// releasing is a release that waits for the requests of its slots.
+// releasing is a release that waits for the requests that run under its grant.
 type releasing struct {
-	release target.ReleaseRequest
-	reply   chan answer
+	epoch types.Epoch
+	reply chan answer
 }
 
 // state is one target. The state duty owns it.
@@ -66,7 +66,7 @@
 // reset starts an incarnation at time now: cold, without grants and without keys.
 func (s *state) reset(now time.Time) {
 	s.draining = false
-	s.grants = grants{base: now, hot: map[types.KeyHash]bool{}}
+	s.grants = grants{base: now, incarnation: s.incarnation}
 	s.keys = map[string]KeyState{}
 	s.cancelled = map[types.RequestID]bool{}
 	s.becomeCold(now)
@@ -109,11 +109,11 @@
 	case kindRequest:
 		s.start(now, m.request, m.reply)
 	case kindRelease:
-		s.release(m.release, m.reply)
+		s.release(now, m.release, m.reply)
 	case kindGrant:
 		m.reply <- s.granted(now, s.grants.grant(now, m.grant))
 	case kindRenew:
-		m.reply <- s.granted(now, s.grants.renew(now, s.incarnation, m.renew))
+		m.reply <- s.granted(now, s.grants.renew(now, m.renew))
 	case kindCancel:
 		s.cancel(now, m.id)
 		m.reply <- ok(struct{}{})
@@ -132,18 +132,18 @@
 
 func (s *state) granted(now time.Time, f *types.Fault) answer {
 	if f != nil && s.settings.ChecksGrants {
-		return answer{fault: f}
+		return answer{fault: f, grant: s.grants.issue(now)}
 	}
-	return ok(target.GrantAnswer{Token: s.grants.issue(now, s.incarnation), Incarnation: s.incarnation})
+	return ok(s.grants.issue(now))
 }
 
-func (s *state) release(r target.ReleaseRequest, reply chan answer) {
-	if f := s.grants.release(r); f != nil && s.settings.ChecksGrants {
-		reply <- answer{fault: f}
+func (s *state) release(now time.Time, r target.ReleaseRequest, reply chan answer) {
+	if f := s.grants.release(now, r); f != nil && s.settings.ChecksGrants {
+		reply <- answer{fault: f, grant: s.grants.issue(now)}
 		return
 	}
-	s.releases = append(s.releases, releasing{release: r, reply: reply})
-	s.endReleases()
+	s.releases = append(s.releases, releasing{epoch: r.LeaseEpoch, reply: reply})
+	s.endReleases(now)
 }
 
 // Tick implements loop.State.
