dispatch: carry requests from admission to reply

The core now decides about requests: deduplication table first, then lease and slot epochs, queue bounds, sends under a limit, results, retries, drain.

A resend is looked up before any refusal, because a request that has run must not be refused as not run. A request that this dispatcher's memory does not cover is refused with outcome unknown, even when this dispatcher itself sent nothing.

Averages are kept per request class. One average over lookups and orders was ruled out: a burst of orders after lookups would look like a target turning cold.

--- a/dispatch/action.go
+++ b/dispatch/action.go
@@ -18,8 +18,10 @@
 	ActionSend
 	// ActionCancelSend: Handle, Attempt, Target, Connection. Close the connection. The result still follows.
 	ActionCancelSend
-	// ActionReply: Handle, Outcome, Code, Replay, Latency, Depth. Answer the caller. With outcome done the answer is the
-	// one kept under Replay.
+	// ActionReply: Handle, Outcome, Code, Replay, Target, Latency, Depth. Answer the caller. With outcome done the answer
+	// is the one kept under Replay. Latency and Depth describe the target, for gateways that choose targets. With
+	// CodeNotHolder and CodeStaleEpoch nothing was sent, so the gateway may route the request again, whatever the outcome:
+	// it is unknown when the identifier may have been sent by another dispatcher earlier.
 	ActionReply
 	// ActionStoreCopy: Handle, Entry. Copy the entry, and the answer if its state is EntryAnswered, to the second
 	// dispatcher. Only an entry with state EntrySent is followed by MessageCopyDone.
@@ -30,6 +32,9 @@
 	ActionAnnounceQuarantine
 	// ActionCloseConnection: Target, Connection. Close an idle or silent connection.
 	ActionCloseConnection
+	// ActionSlotIdle: Target, Slot, HotKey, Key, Epoch. A released slot has no request in flight any more. Its release may
+	// be confirmed.
+	ActionSlotIdle
 	// ActionReportTarget: Target, Condition, Latency, Depth. Tell the planner and the gateways.
 	ActionReportTarget
 	// ActionDecision: Handle, Attempt, Target, Epoch, Reason, Outcome, ID, Key. One log line.
@@ -56,6 +61,8 @@
 	Depth      int
 	ID         types.RequestID
 	Key        types.KeyHash
+	Slot       types.Slot
+	HotKey     bool
 	Entry      Entry
 	Quarantine Quarantine
 }
@@ -88,8 +95,6 @@
 // Reasons of decisions.
 const (
 	ReasonNone Reason = iota
-	// ReasonSent: the request was sent to its target.
-	ReasonSent
 	// ReasonAnswered: the target's own answer was passed on.
 	ReasonAnswered
 	// ReasonRemembered: a resend received the first answer.
@@ -141,7 +146,7 @@
 )
 
 var reasonNames = [...]string{
-	"none", "sent", "answered", "remembered", "joined", "request-id-reused", "memory-lost", "clock-ahead",
+	"none", "answered", "remembered", "joined", "request-id-reused", "memory-lost", "clock-ahead",
 	"not-lease-holder", "stale-epoch", "queue-full", "too-late", "quarantined", "draining", "cancelled",
 	"refused-by-target", "target-failed", "deadline", "retry", "retry-budget", "late-result", "copy-failed",
 	"silent-connection", "target-died", "unknown-service", "table-full",
--- /dev/null
+++ b/dispatch/harness_test.go
@@ -0,0 +1,162 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/types"
+)
+
+const (
+	testSlots = 4
+	startWall = int64(1_700_000_000_000)
+	start     = types.Instant(time.Hour)
+)
+
+var (
+	keyedA = types.TargetID{Service: "mapa", Target: "a"}
+	freeA  = types.TargetID{Service: "objednavky", Target: "a"}
+)
+
+func testConfiguration() *config.Configuration {
+	classes := []config.ClassPolicy{
+		{Class: "confirmation", QueueLimit: 8, RememberMs: 600_000},
+		{Class: "lookup", QueueLimit: 8},
+		{Class: "order", QueueLimit: 8, RememberMs: 600_000},
+	}
+	limits := config.Limits{ColdStartMs: 3000, RetryShare: 0.2}
+	targets := func() []config.Target {
+		var all []config.Target
+		for _, name := range []types.Target{"a", "b", "c", "d"} {
+			all = append(all, config.Target{Name: name, Slots: testSlots})
+		}
+		return all
+	}
+	return &config.Configuration{Version: 1, Services: []config.Service{
+		{Name: "mapa", Keyed: true, Slots: 16, Classes: classes, Limits: limits, Targets: targets()},
+		{Name: "objednavky", Classes: classes, Limits: limits, Targets: targets()},
+	}}
+}
+
+// fixture drives a core and keeps what came out.
+type fixture struct {
+	*is.I
+	core    *Core
+	now     types.Instant
+	next    Handle
+	out     []Action
+	pending []Action // sends without a result
+	replies map[Handle]Action
+	count   map[ActionKind]int
+}
+
+func newFixture(t testing.TB) *fixture {
+	f := &fixture{
+		I: is.New(t), core: New(testConfiguration(), "vm-1", rand.NewPCG(1, 2)), now: start,
+		replies: map[Handle]Action{}, count: map[ActionKind]int{},
+	}
+	for _, id := range []types.TargetID{keyedA, freeA} {
+		f.serve(id, 7, time.Hour, true)
+	}
+	for slot := range types.Slot(16) {
+		f.step(Message{Kind: MessageSlotOwned, Target: keyedA, Slot: SlotRow{Slot: slot, Epoch: 3, MemorySinceMs: startWall - 60_000}})
+	}
+	return f
+}
+
+func (f *fixture) wall() int64 { return startWall + f.now.Sub(start).Milliseconds() }
+
+func (f *fixture) serve(id types.TargetID, epoch types.Epoch, valid time.Duration, warm bool) {
+	l := Lease{Epoch: epoch, ValidUntil: f.now.Add(valid), WallMs: f.wall() - 60_000, Warm: warm, Incarnation: 1}
+	f.step(Message{Kind: MessageServe, Target: id, Lease: l})
+}
+
+func (f *fixture) step(m Message) { f.take(f.core.Step(f.now, m, nil)) }
+
+// advance moves the time on and ticks at every timer on the way.
+func (f *fixture) advance(d time.Duration) {
+	end := f.now.Add(d)
+	for {
+		at, set := f.core.NextWake()
+		if !set || at > end {
+			break
+		}
+		f.now = max(f.now, at)
+		f.take(f.core.Tick(f.now, nil))
+	}
+	f.now = end
+	f.take(f.core.Tick(f.now, nil))
+}
+
+func (f *fixture) take(actions []Action) {
+	f.out = actions
+	for _, a := range actions {
+		f.count[a.Kind]++
+		switch a.Kind {
+		case ActionSend:
+			f.pending = append(f.pending, a)
+		case ActionReply:
+			_, twice := f.replies[a.Handle]
+			f.True(!twice) // one reply per request
+			f.replies[a.Handle] = a
+		}
+	}
+}
+
+func lookup(id types.TargetID) Request {
+	return Request{
+		ID: "l", Caller: "crew", Target: id, Idempotent: true, Deadline: start.Add(10 * time.Minute), LeaseEpoch: 7, SlotEpoch: 3,
+	}
+}
+
+func (f *fixture) order(id types.TargetID, name string) Request {
+	q := lookup(id)
+	q.ID, q.Class, q.Idempotent = types.RequestID(name), types.ClassOrder, false
+	q.MintedMs, q.WallMs = f.wall(), f.wall()
+	q.Fingerprint = Fingerprint(types.HashKey(name))
+	return q
+}
+
+// request hands in a request. The second dispatcher confirms copies at once.
+func (f *fixture) request(q Request) Handle {
+	f.next++
+	f.step(Message{Kind: MessageRequest, Handle: f.next, Request: q})
+	if !q.Idempotent {
+		f.step(Message{Kind: MessageCopyDone, Handle: f.next, Stored: true})
+	}
+	return f.next
+}
+
+// result reports on the oldest send without a result.
+func (f *fixture) result(kind ResultKind) Action {
+	send := f.pending[0]
+	f.pending = f.pending[1:]
+	f.resultOf(send, Result{Kind: kind, Latency: 10 * time.Millisecond, Incarnation: 1, Load: LoadUnknown})
+	return send
+}
+
+// answer gives a complete answer to the oldest send without a result.
+func (f *fixture) answer(r Result) {
+	send := f.pending[0]
+	f.pending = f.pending[1:]
+	f.resultOf(send, r)
+}
+
+func (f *fixture) resultOf(send Action, r Result) {
+	r.Attempt, r.Connection = send.Attempt, send.Connection
+	f.step(Message{Kind: MessageResult, Handle: send.Handle, Result: r})
+}
+
+func (f *fixture) outcome(h Handle, outcome types.Outcome, code types.Code) {
+	a, replied := f.replies[h]
+	f.True(replied) // the request has a reply
+	f.Equal(a.Outcome, outcome)
+	f.Equal(a.Code, code)
+}
+
+func name(prefix string, n int) string { return prefix + strconv.Itoa(n) }
--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -34,10 +34,14 @@
 	MessageServe
 	// MessageStopServing: Target. The lease was released or lost.
 	MessageStopServing
-	// MessageSlotOwned: Target, Slot. The target owns a slot or hot key under the given epoch.
+	// MessageSlotOwned: Target, Slot. The target owns a slot or hot key under the given epoch. Rows of hot keys are also
+	// told when another dispatcher's target is the owner, because they take the key out of its slot.
 	MessageSlotOwned
 	// MessageSlotReleased: Target, Slot. The target no longer owns a slot or hot key.
 	MessageSlotReleased
+	// MessageMemoryReset: Target, Lease.WallMs. Requests for the target may have gone to other dispatchers before WallMs,
+	// although its lease did not move. Identifiers minted before are answered unknown.
+	MessageMemoryReset
 	// MessageCopyDone: Handle, Stored. The second dispatcher stored the entry, or could not be reached.
 	MessageCopyDone
 	// MessageCopyStored: Handle, Entry. Another dispatcher sent a copy of an entry. Handle names the answer's payload.
@@ -134,6 +138,11 @@
 	ValidUntil types.Instant
 	// WallMs is the wall time of this message, in Unix milliseconds. The first message of an epoch dates the takeover.
 	WallMs int64
+	// Incarnation is the target's, from the answer to the grant. 0 when unknown.
+	Incarnation types.Incarnation
+	// Warm is true when the target is known not to have restarted since it last ran at full load. It is read with the
+	// first message of an epoch, which otherwise starts a ramp.
+	Warm bool
 }
 
 // SlotRow names a slot, or a hot key when Hot is true.
@@ -142,8 +151,11 @@
 	Hot   bool
 	Key   types.KeyHash
 	Epoch types.Epoch
-	// WallMs is when this owner got the slot as far as this VM knows, in Unix milliseconds.
-	WallMs int64
+	// Removed is true when a hot key's row is gone from the table, so that its slot's row governs the key again.
+	Removed bool
+	// MemorySinceMs is the wall time, in Unix milliseconds, since which all requests for the slot went through this
+	// dispatcher. It is the time of the move, unless the slot moved between two targets of this dispatcher.
+	MemorySinceMs int64
 }
 
 // EntryState is how far a remembered request got.
--- /dev/null
+++ b/dispatch/send.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import "sequoiasail.example/types"
+
+// pump sends as many queued requests as the target may have, and sets the timer for the next change.
+func (c *Core) pump(t *target) {
+	if t.ramp.finish(c.now) {
+		c.report(t, c.present(t))
+	}
+	for t.queued > 0 && t.canSend(c.now) {
+		i := c.pop(t)
+		if f, refused := c.unsendable(t, i); refused {
+			r := c.requests.at(i)
+			r.state = stateWaiting
+			c.finish(i, r.outcome(), f)
+			continue
+		}
+		c.release(t, i)
+		c.send(t, i)
+	}
+	t.noteBusy(c.now)
+	if at, set := t.wake(c.now); set {
+		c.targetTimers.set(t.index, at)
+	} else {
+		c.targetTimers.clear(t.index)
+	}
+}
+
+// unsendable checks a queued request against what may have changed while it waited.
+func (c *Core) unsendable(t *target, i int32) (failure, bool) {
+	r := c.requests.at(i)
+	if f, refused := c.notServed(t, r); refused {
+		return f, true
+	}
+	if c.suspects.quarantined(t.service.index, r.Fingerprint, c.now) {
+		return failure{types.CodeQuarantined, ReasonQuarantined}, true
+	}
+	if c.now >= r.runUntil {
+		return failure{types.CodeDeadlineExceeded, ReasonDeadline}, true
+	}
+	// With nothing in flight the request is sent all the same: a slow average could otherwise never be corrected.
+	if t.inFlight > 0 && c.now.Add(t.latency.mean()) > r.runUntil {
+		return failure{types.CodeOverloaded, ReasonTooLate}, true
+	}
+	return failure{}, false
+}
+
+// send starts the next attempt. The caller has checked canSend at this instant.
+func (c *Core) send(t *target, i int32) {
+	n := t.freeConnection()
+	conn := &t.connections[n]
+	r := c.requests.at(i)
+	r.state = stateFlying
+	r.attempt++
+	r.connection = int32(n)
+	r.sentAt = c.now
+	r.until = c.now.Add(t.progressDeadline(r))
+	conn.request = i
+	conn.silent, conn.closing = false, false
+	conn.fresh = !conn.open || t.distrusts(conn)
+	if conn.fresh {
+		conn.openedAt = c.now
+	}
+	t.inFlight++
+	c.emit(Action{
+		Kind: ActionSend, Handle: r.handle, Attempt: r.attempt, Target: t.id, Connection: n, Fresh: conn.fresh,
+		Deadline: r.runUntil, Epoch: t.lease.Epoch,
+	})
+	t.noteBusy(c.now)
+	c.schedule(i)
+}
+
+func (c *Core) cancelSend(r *request) {
+	c.emit(Action{
+		Kind: ActionCancelSend, Handle: r.handle, Attempt: r.attempt, Target: r.Target, Connection: int(r.connection),
+	})
+}
--- /dev/null
+++ b/dispatch/silent.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"time"
+
+	"sequoiasail.example/types"
+)
+
+const (
+	// progressFactor times the recent average is how long an attempt may show no progress. An exponentially distributed
+	// service time exceeds 16 times its mean once in 9 million requests.
+	progressFactor = 16
+	// progressMin keeps short answer times from closing connections over a lost packet and its retransmission.
+	progressMin = 250 * time.Millisecond
+	// progressDefault is used before the first answer and is the least for non-idempotent requests.
+	progressDefault = 2 * time.Second
+)
+
+// progressDeadline returns how long an attempt may be without an answer before its connection is suspected. Closing the
+// connection of a non-idempotent request loses its answer, so these get at least progressDefault.
+func (t *target) progressDeadline(r *request) time.Duration {
+	l := &t.byClass[r.Class]
+	if l.samples == 0 || !r.Idempotent {
+		return max(progressFactor*l.mean(), progressDefault)
+	}
+	return max(progressFactor*l.mean(), progressMin)
+}
+
+// distrusts reports whether an open connection must not be used, because one as old as it has gone silent.
+func (t *target) distrusts(conn *connection) bool {
+	return t.silent > 0 && conn.openedAt <= t.silentSince
+}
+
+// progressOverdue marks the connection of request i as silent. An idempotent request is sent again on a fresh one. Any
+// other waits for the proof that fresh connections answer, or for its deadline.
+func (c *Core) progressOverdue(i int32) {
+	r := c.requests.at(i)
+	t := c.targets[r.target]
+	conn := &t.connections[r.connection]
+	if conn.silent {
+		return
+	}
+	conn.silent = true
+	t.silent++
+	t.silentSince = c.now
+	if r.Idempotent && t.budget.tokens >= 1 {
+		c.closeConnection(r, conn)
+	}
+}
+
+// closeSilent closes the silent connections whose requests were sent before a connection was opened that answers.
+func (c *Core) closeSilent(t *target, openedAt types.Instant) {
+	if t.silent == 0 {
+		return
+	}
+	for n := range t.connections {
+		conn := &t.connections[n]
+		if conn.silent && c.requests.at(conn.request).sentAt <= openedAt {
+			c.closeConnection(c.requests.at(conn.request), conn)
+		}
+	}
+}
+
+// closeConnection ends the attempt on a silent connection. Its result still follows.
+func (c *Core) closeConnection(r *request, conn *connection) {
+	if conn.closing {
+		return
+	}
+	conn.closing = true
+	c.cancelSend(r)
+	c.decide(r, ReasonSilentConnection, types.OutcomeUnknown)
+}
