dispatch: test the deduplication table

Before: the table had no test of its own. Each test failed against a copy of the core without its mechanism: joining, replay, fingerprint check, identifiers per caller, copy before send, bounded wait for the copy, takeover without memory with its clock tolerance, moved slots, expiry, identifiers dated ahead, unknown instead of not-run without memory, orders that outlive a cancel, resends that outlive the first deadline.

--- /dev/null
+++ b/dispatch/memory_test.go
@@ -0,0 +1,181 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"sequoiasail.example/types"
+)
+
+// Guards against a resend running a second time, before and after the first answer (R7).
+func TestResendJoinsOrReceivesTheFirstAnswer(t *testing.T) {
+	f := newFixture(t)
+	first := f.request(f.order(freeA, "o1"))
+	joined := f.request(f.order(freeA, "o1"))
+	f.Equal(len(f.pending), 1)
+	f.result(ResultAnswered)
+	later := f.request(f.order(freeA, "o1"))
+	for _, h := range []Handle{first, joined, later} {
+		f.outcome(h, types.OutcomeDone, "")
+		f.Equal(f.replies[h].Replay, first)
+	}
+	f.Equal(f.count[ActionSend], 1)
+	f.advance(11 * time.Minute)
+	f.Equal(f.count[ActionForget], 3) // the first one's answer is dropped with the entry
+	f.Equal(f.core.memory.entries.used(), 0)
+}
+
+// Guards against another request being given the answer that its identifier belongs to.
+func TestReusedIdentifierIsRefused(t *testing.T) {
+	f := newFixture(t)
+	f.request(f.order(freeA, "o1"))
+	q := f.order(freeA, "o1")
+	q.Fingerprint++
+	f.outcome(f.request(q), types.OutcomeNotRun, types.CodeIDReused)
+	q = f.order(freeA, "o1")
+	q.Caller = "another"
+	f.request(q)
+	f.Equal(len(f.pending), 2) // identifiers are per caller
+}
+
+// Guards against a lost answer being run again, and against a refused order not being runnable again.
+func TestResendAfterFailure(t *testing.T) {
+	f := newFixture(t)
+	for _, kind := range []ResultKind{ResultBroken, ResultTimedOut, ResultCutBody} {
+		q := f.order(freeA, name("o", int(kind)))
+		f.request(q)
+		f.result(kind)
+		f.outcome(f.request(q), types.OutcomeUnknown, types.CodeAnswerLost)
+		f.advance(time.Second)
+	}
+	f.Equal(f.count[ActionSend], 3)
+	f.core.targets[f.core.targetByID[freeA]].budget.tokens = 0
+	q := f.order(freeA, "refused")
+	h := f.request(q)
+	f.result(ResultRefused)
+	f.outcome(h, types.OutcomeNotRun, types.CodeTargetRefused)
+	f.request(q)
+	f.Equal(f.count[ActionSend], 5)
+}
+
+// Guards against sending an order before its identifier is safe at a second dispatcher, and against waiting for ever.
+func TestCopyBeforeSend(t *testing.T) {
+	f := newFixture(t)
+	f.step(Message{Kind: MessageRequest, Handle: 1, Request: f.order(freeA, "o1")})
+	f.Equal(f.count[ActionStoreCopy], 1)
+	f.Equal(len(f.pending), 0)
+	f.step(Message{Kind: MessageCopyDone, Handle: 1, Stored: true})
+	f.Equal(len(f.pending), 1)
+	f.step(Message{Kind: MessageRequest, Handle: 2, Request: f.order(freeA, "o2")})
+	f.advance(copyTimeout)
+	f.Equal(len(f.pending), 2)
+}
+
+// Guards against running what the former dispatcher may have run (R7): its target was taken over without its memory.
+func TestTakeoverWithoutMemoryAnswersUnknown(t *testing.T) {
+	f := newFixture(t)
+	old := f.order(freeA, "old")
+	f.now = f.now.Add(10 * time.Second)
+	l := Lease{Epoch: 9, ValidUntil: f.now.Add(time.Hour), WallMs: f.wall(), Warm: true}
+	f.step(Message{Kind: MessageServe, Target: freeA, Lease: l})
+	old.LeaseEpoch = 9
+	old.WallMs = f.wall() + 1000
+	for _, age := range []int64{0, 9_000, 10_000, 10_000 + clockToleranceMs + clockSkewMs} {
+		q := old
+		q.MintedMs += age
+		f.outcome(f.request(q), types.OutcomeUnknown, types.CodeMemoryLost)
+	}
+	f.now = f.now.Add(time.Second)
+	q := f.order(freeA, "new")
+	q.LeaseEpoch = 9
+	f.request(q)
+	f.Equal(len(f.pending), 1)
+}
+
+// Guards against a moved slot's resends running at the next owner (R7).
+func TestMovedSlotAnswersUnknown(t *testing.T) {
+	f := newFixture(t)
+	f.step(Message{Kind: MessageSlotOwned, Target: keyedA, Slot: SlotRow{Epoch: 4, MemorySinceMs: startWall}})
+	q := f.order(keyedA, "o1")
+	q.SlotEpoch = 4
+	f.outcome(f.request(q), types.OutcomeUnknown, types.CodeMemoryLost)
+}
+
+// Guards against identifiers that outlive the memory, or that are dated later than a takeover could tell apart.
+func TestIdentifiersOutsideTheMemoryAreNotRun(t *testing.T) {
+	f := newFixture(t)
+	f.advance(20 * time.Minute)
+	q := f.order(freeA, "old")
+	q.Deadline = f.now.Add(time.Minute)
+	q.MintedMs -= 600_000
+	f.outcome(f.request(q), types.OutcomeUnknown, types.CodeMemoryLost)
+	q.ID, q.MintedMs = "ahead", f.wall()+clockToleranceMs+1
+	f.outcome(f.request(q), types.OutcomeNotRun, types.CodeBadDeadline)
+	f.Equal(len(f.pending), 0)
+}
+
+// Guards against a dispatcher that says not-run about an identifier that another one may have sent (R6).
+func TestRefusalsWithoutMemoryAreNotCalledNotRun(t *testing.T) {
+	f := newFixture(t)
+	foreign := types.TargetID{Service: "objednavky", Target: "b"}
+	f.outcome(f.request(f.order(foreign, "o1")), types.OutcomeUnknown, types.CodeNotHolder)
+	f.outcome(f.request(lookup(foreign)), types.OutcomeNotRun, types.CodeNotHolder)
+	q := f.order(freeA, "o2")
+	f.request(q)
+	f.result(ResultAnswered)
+	f.step(Message{Kind: MessageDrain, Drain: Drain{Process: true}})
+	f.outcome(f.request(q), types.OutcomeDone, "") // remembered, not refused
+}
+
+// Guards against losing the answers of a lost dispatcher that were copied here.
+func TestCopiedEntriesAnswerResends(t *testing.T) {
+	f := newFixture(t)
+	entry := func(id string, s EntryState) Entry {
+		q := f.order(freeA, id)
+		return Entry{Service: "objednavky", Caller: q.Caller, ID: q.ID, Fingerprint: q.Fingerprint, Class: q.Class, State: s}
+	}
+	f.step(Message{Kind: MessageCopyStored, Entry: entry("sent", EntrySent)})
+	f.step(Message{Kind: MessageCopyStored, Handle: 900, Entry: entry("answered", EntryAnswered)})
+	f.step(Message{Kind: MessageCopyStored, Entry: entry("answered", EntrySent)}) // late
+	f.step(Message{Kind: MessageCopyStored, Entry: entry("refused", EntrySent)})
+	f.step(Message{Kind: MessageCopyStored, Entry: entry("refused", EntryNotRun)})
+	f.outcome(f.request(f.order(freeA, "sent")), types.OutcomeUnknown, types.CodeAnswerLost)
+	h := f.request(f.order(freeA, "answered"))
+	f.outcome(h, types.OutcomeDone, "")
+	f.Equal(f.replies[h].Replay, Handle(900))
+	f.request(f.order(freeA, "refused"))
+	f.Equal(len(f.pending), 1)
+}
+
+// Guards against dropping an order because its caller hung up: the resend needs its answer.
+func TestCancelledOrderGoesOn(t *testing.T) {
+	f := newFixture(t)
+	first := f.request(f.order(freeA, "o1"))
+	f.step(Message{Kind: MessageCancel, Handle: first})
+	f.outcome(first, types.OutcomeUnknown, types.CodeCancelled)
+	f.Equal(f.count[ActionCancelSend], 0)
+	resend := f.request(f.order(freeA, "o1"))
+	f.result(ResultAnswered)
+	f.outcome(resend, types.OutcomeDone, "")
+	f.Equal(f.count[ActionSend], 1)
+}
+
+// Guards against the death of a queued first request taking a resend with a later deadline with it.
+func TestResendOutlivesTheFirstDeadline(t *testing.T) {
+	f := newFixture(t)
+	for range testSlots {
+		f.request(lookup(freeA))
+	}
+	q := f.order(freeA, "o1")
+	q.Deadline = f.now.Add(time.Second)
+	first := f.request(q)
+	q.Deadline = f.now.Add(time.Minute)
+	resend := f.request(q)
+	f.advance(time.Second)
+	f.outcome(first, types.OutcomeUnknown, types.CodeDeadlineExceeded)
+	for range testSlots + 1 {
+		f.result(ResultAnswered)
+	}
+	f.outcome(resend, types.OutcomeDone, "")
+	f.True(f.core.Idle())
+}
