--- /dev/null
+++ b/placement/measure/doc.go
@@ -0,0 +1,6 @@
+// Package measure simulates placement in a fleet and compares it with baselines: static modulo hashing, plain
+// consistent hashing, and the planner without hot-key rows.
+//
+// The fleet applies proposed moves at once and serves sampled requests; there are no processes and no network. The
+// package owns no decisions and reads no clock: durations of code are taken with the Clock that the caller passes in.
+package measure
--- /dev/null
+++ b/placement/message.go
@@ -0,0 +1,156 @@
+package placement
+
+import "sequoiasail.example/types"
+
+// Kind names the message in a Message.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	// KindLead says whether this process holds the planner lease. Reads Message.Lead.
+	KindLead Kind = iota + 1
+	// KindTargets installs the targets of a service. Reads Message.Targets.
+	KindTargets
+	// KindOwners installs one part of a slot table. Reads Message.Owners.
+	KindOwners
+	// KindHotKeys installs the hot-key rows of a service. Reads Message.HotKeys.
+	KindHotKeys
+	// KindLoad is a dispatcher's report on one target. Reads Message.Load.
+	KindLoad
+	// KindDispatchers installs the list of dispatchers. Reads Message.Dispatchers.
+	KindDispatchers
+	// KindLeases installs the target lease rows of a service. Reads Message.Leases.
+	KindLeases
+	// KindRemove forgets a service that the configuration no longer lists. Reads Message.Service.
+	KindRemove
+)
+
+// Message is one input of the Core. Only the fields that Kind names are read. What a pointer refers to must not change
+// during Step and is not kept.
+type Message struct {
+	Kind        Kind
+	Lead        bool
+	Service     types.Service
+	Targets     *Targets
+	Owners      *Owners
+	HotKeys     *HotKeys
+	Load        *Load
+	Dispatchers *Dispatchers
+	Leases      *Leases
+}
+
+// State is the planner's view of a target or a dispatcher.
+type State uint8
+
+// States.
+const (
+	// StateIn takes slots according to its weight.
+	StateIn State = iota
+	// StateCold takes slots at the rate of a cold start.
+	StateCold
+	// StateStraggler is slow. It is relieved if it stays slow for StragglerHold.
+	StateStraggler
+	// StateDraining is leaving: it is emptied and takes nothing.
+	StateDraining
+	// StateLost no longer serves: what it held is moved before anything else.
+	StateLost
+)
+
+var stateNames = [...]string{"in", "cold", "straggler", "draining", "lost"}
+
+// String returns the name used in log lines.
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return "invalid"
+}
+
+// leaving reports whether everything must move away.
+func (s State) leaving() bool { return s == StateDraining || s == StateLost }
+
+// Targets lists all targets of a service. A target that is no longer listed counts as lost.
+type Targets struct {
+	Service types.Service
+	// Slots is the size of the slot table, 0 for a service without keys.
+	Slots uint32
+	Rows  []Target
+}
+
+// Target is one target. A target in a data centre that leaves is listed as draining.
+type Target struct {
+	Name       types.Target
+	DataCentre types.DataCentre
+	Weight     float64
+	State      State
+}
+
+// NoOwner in Owners.Owners marks a free slot.
+const NoOwner uint16 = 0xFFFF
+
+// Owners is one stored part of a slot table.
+type Owners struct {
+	Service   types.Service
+	Revision  types.Revision
+	FirstSlot types.Slot
+	// Targets holds the names that Owners refers to.
+	Targets []types.Target
+	// Owners holds one index into Targets, or NoOwner, for each slot from FirstSlot on. A slot that is being released
+	// still counts as owned.
+	Owners []uint16
+}
+
+// HotKeys lists all hot-key rows of a service.
+type HotKeys struct {
+	Service  types.Service
+	Revision types.Revision
+	Rows     []HotKey
+}
+
+// HotKey is one hot-key row.
+type HotKey struct {
+	Key   types.KeyHash
+	Owner types.Target // empty while free
+}
+
+// Load is a dispatcher's report on one target. All loads are rates in the same unit, for example requests per second.
+type Load struct {
+	Service types.Service
+	Target  types.Target
+	// Slots and Loads give the load of the target's slots without the keys that have a hot-key row. Slots that are not
+	// listed have no load.
+	Slots []types.Slot
+	Loads []float32
+	// Keys gives the hottest keys of the target, with and without a hot-key row.
+	Keys []KeyLoad
+}
+
+// KeyLoad is the load of one key.
+type KeyLoad struct {
+	Key  types.KeyHash
+	Load float32
+}
+
+// Dispatchers lists the dispatchers. One that is no longer listed counts as lost.
+type Dispatchers struct {
+	Rows []Dispatcher
+}
+
+// Dispatcher is one dispatcher process. StateCold and StateStraggler count as StateIn.
+type Dispatcher struct {
+	VM         types.VM
+	DataCentre types.DataCentre
+	State      State
+}
+
+// Leases lists the dispatchers of the targets of a service.
+type Leases struct {
+	Service types.Service
+	Rows    []Lease
+}
+
+// Lease is one target lease row. VM is empty if the target has no dispatcher.
+type Lease struct {
+	Target types.Target
+	VM     types.VM
+}
--- /dev/null
+++ b/placement/sketch.go
@@ -0,0 +1,123 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"sequoiasail.example/types"
+)
+
+// DefaultSketchSize is the number of counters of a Sketch. A key is certain to be held if its share of the stream
+// exceeds 1/size; the 13th key of a Zipf 1.1 stream over 400 M keys has a share of 0.6%.
+const DefaultSketchSize = 512
+
+// Sketch counts the heaviest keys of a stream with the space-saving algorithm: a key that has no counter takes over the
+// smallest one and its count. Decay makes it follow changes. It is owned by one duty.
+type Sketch struct {
+	counters []counter // min-heap by count
+	index    map[types.KeyHash]int32
+	size     int
+}
+
+type counter struct {
+	key types.KeyHash
+	// count overestimates the weight of key by at most excess.
+	count, excess float32
+}
+
+// NewSketch returns an empty sketch with size counters.
+func NewSketch(size int) *Sketch {
+	size = max(size, 1)
+	return &Sketch{
+		counters: make([]counter, 0, size), index: make(map[types.KeyHash]int32, size), size: size,
+	}
+}
+
+// Add counts weight for key.
+func (s *Sketch) Add(key types.KeyHash, weight float32) {
+	if i, ok := s.index[key]; ok {
+		s.counters[i].count += weight
+		s.down(int(i))
+		return
+	}
+	if len(s.counters) < s.size {
+		s.counters = append(s.counters, counter{key: key, count: weight})
+		s.up(len(s.counters) - 1)
+		return
+	}
+	least := &s.counters[0]
+	delete(s.index, least.key)
+	least.key = key
+	least.excess = least.count
+	least.count += weight
+	s.index[key] = 0
+	s.down(0)
+}
+
+// Decay multiplies all counts by factor, which lies between 0 and 1.
+func (s *Sketch) Decay(factor float32) {
+	for i := range s.counters {
+		s.counters[i].count *= factor
+		s.counters[i].excess *= factor
+	}
+}
+
+// Top appends the n heaviest keys to out, heaviest first, with the weight that is certain (the count less its largest
+// error) multiplied by scale. Keys without certain weight are left out.
+func (s *Sketch) Top(n int, scale float32, out []KeyLoad) []KeyLoad {
+	from := len(out)
+	for _, c := range s.counters {
+		certain := c.count - c.excess
+		if certain <= 0 {
+			continue
+		}
+		out = append(out, KeyLoad{Key: c.key, Load: certain * scale})
+	}
+	found := out[from:]
+	slices.SortFunc(found, heavierFirst)
+	return out[:from+min(n, len(found))]
+}
+
+func heavierFirst(a, b KeyLoad) int {
+	if c := cmp.Compare(b.Load, a.Load); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Key, b.Key)
+}
+
+func (s *Sketch) place(i int, c counter) {
+	s.counters[i] = c
+	s.index[c.key] = int32(i)
+}
+
+func (s *Sketch) up(i int) {
+	c := s.counters[i]
+	for i > 0 {
+		parent := (i - 1) / 2
+		if s.counters[parent].count <= c.count {
+			break
+		}
+		s.place(i, s.counters[parent])
+		i = parent
+	}
+	s.place(i, c)
+}
+
+func (s *Sketch) down(i int) {
+	c := s.counters[i]
+	for {
+		child := 2*i + 1
+		if child >= len(s.counters) {
+			break
+		}
+		if right := child + 1; right < len(s.counters) && s.counters[right].count < s.counters[child].count {
+			child = right
+		}
+		if c.count <= s.counters[child].count {
+			break
+		}
+		s.place(i, s.counters[child])
+		i = child
+	}
+	s.place(i, c)
+}
