--- a/standin/target/server.go
+++ b/standin/target/server.go
@@ -137,6 +137,10 @@
 	if a.lose || loop.Gone(err) {
 		httpserve.Break()
 	}
+	if a.fault != nil {
+		httpserve.Encode(w, statusOf(a.fault.Code), refusal(a))
+		return
+	}
 	if err != nil {
 		refuse(w, err)
 		return
@@ -162,7 +166,7 @@
 
 func statusOf(c types.Code) int {
 	switch c {
-	case types.CodeStaleEpoch, types.CodeNotHolder:
+	case types.CodeStaleEpoch, types.CodeStaleToken, types.CodeNotHolder:
 		return http.StatusConflict
 	case types.CodeBadRequest:
 		return http.StatusBadRequest
