--- a/cmd/internal/probe/client.go
+++ b/cmd/internal/probe/client.go
@@ -98,7 +98,7 @@
 	request.Header.Set("Sail-Caller", "probe")
 	if j.write {
 		request.Header.Set("Idempotency-Key", j.id)
-		request.Header.Set("Request-Time", time.Now().Format(time.RFC3339))
+		request.Header.Set("Request-Time", time.Now().Format(time.RFC3339Nano))
 	}
 	return c.client.Do(request)
 }
--- a/daemon/dispatcher/keeper.go
+++ b/daemon/dispatcher/keeper.go
@@ -47,17 +47,19 @@
 	worker  *worker
 	page    *telemetry.Page
 
-	core     *ownership.Core
-	links    map[types.VM]*peer.Link
-	waiting  map[uint64]chan ownership.Action
-	tickets  uint64
-	leases   *leaseSet
-	served   map[types.TargetID]ownership.Serve
-	planner  bool
-	revision types.Revision
-	pending  []freshness
-	deferred []ownership.Message
-	actions  []ownership.Action
+	core    *ownership.Core
+	links   map[types.VM]*peer.Link
+	waiting map[uint64]chan ownership.Action
+	tickets uint64
+	leases  *leaseSet
+	served  map[types.TargetID]ownership.Serve
+	// incarnations holds what each target said last.
+	incarnations map[types.TargetID]types.Incarnation
+	planner      bool
+	revision     types.Revision
+	pending      []freshness
+	deferred     []ownership.Message
+	actions      []ownership.Action
 }
 
 func newKeeper(self ownership.Self, log *telemetry.Log, w *worker) *keeper {
@@ -72,6 +74,7 @@
 		waiting: make(map[uint64]chan ownership.Action),
 		served:  make(map[types.TargetID]ownership.Serve),
 	}
+	k.incarnations = make(map[types.TargetID]types.Incarnation)
 	k.leases = newLeaseSet(k.in)
 	k.page = telemetry.NewPage(telemetry.Status{})
 	return k
@@ -123,6 +126,9 @@
 		k.leases.configure(m.message.Configuration)
 	}
 	k.notePlanner(m.message.Kind)
+	if call := m.message.Call; m.message.Kind == ownership.KindCallResult && call.Incarnation != 0 {
+		k.incarnations[call.Target] = call.Incarnation
+	}
 	if m.message.Kind != 0 {
 		k.step(ctx, m.message)
 	}
--- a/daemon/dispatcher/serve.go
+++ b/daemon/dispatcher/serve.go
@@ -53,9 +53,15 @@
 	out := workerControl{messages: []dispatch.Message{{
 		Kind:   dispatch.MessageServe,
 		Target: s.Target,
-		Lease:  dispatch.Lease{Epoch: s.Epoch, ValidUntil: s.ValidUntil, WallMs: wall},
+		Lease: dispatch.Lease{
+			Epoch:       s.Epoch,
+			ValidUntil:  s.ValidUntil,
+			WallMs:      wall,
+			Incarnation: k.incarnations[s.Target],
+		},
 	}}}
 	if !known || before.Number != s.Number {
+		out.messages = append(out.messages, exceptionChanges(s.Target, before.Areas, s.Areas)...)
 		out.messages = append(out.messages, slotChanges(s.Target, before.Areas, s.Areas, wall)...)
 		out.drain = &drainWatch{target: s.Target, number: s.Number, areas: s.Areas}
 		k.publish()
@@ -66,7 +72,8 @@
 func (k *keeper) stopServing(ctx context.Context, s ownership.Serve) {
 	before := k.served[s.Target]
 	delete(k.served, s.Target)
-	messages := slotChanges(s.Target, before.Areas, nil, time.Now().UnixMilli())
+	messages := exceptionChanges(s.Target, before.Areas, nil)
+	messages = append(messages, slotChanges(s.Target, before.Areas, nil, time.Now().UnixMilli())...)
 	messages = append(messages, dispatch.Message{Kind: dispatch.MessageStopServing, Target: s.Target})
 	_ = k.worker.controls.Put(ctx, workerControl{
 		messages: messages,
@@ -119,14 +126,49 @@
 	kind dispatch.MessageKind, target types.TargetID, row slotRow, epoch types.Epoch, wallMs int64,
 ) dispatch.Message {
 	return dispatch.Message{Kind: kind, Target: target, Slot: dispatch.SlotRow{
-		Slot:   row.slot,
-		Hot:    row.hot,
-		Key:    row.key,
-		Epoch:  epoch,
-		WallMs: wallMs,
+		Slot:          row.slot,
+		Hot:           row.hot,
+		Key:           row.key,
+		Epoch:         epoch,
+		MemorySinceMs: wallMs,
 	}}
 }
 
+// exceptionChanges makes the core refuse keys that lie in the target's slots but belong to another target. A hot key
+// that is known but not owned goes before its slot.
+func exceptionChanges(target types.TargetID, before, after *ownership.Areas) []dispatch.Message {
+	old, current := exceptionsOf(before), exceptionsOf(after)
+	var out []dispatch.Message
+	for key := range current {
+		if old[key] {
+			continue
+		}
+		row := slotRow{key: key, hot: true}
+		out = append(out, slotMessage(dispatch.MessageSlotOwned, target, row, 0, 0))
+		out = append(out, slotMessage(dispatch.MessageSlotReleased, target, row, 0, 0))
+	}
+	for key := range old {
+		if current[key] {
+			continue
+		}
+		message := slotMessage(dispatch.MessageSlotReleased, target, slotRow{key: key, hot: true}, 0, 0)
+		message.Slot.Removed = true
+		out = append(out, message)
+	}
+	return out
+}
+
+func exceptionsOf(a *ownership.Areas) map[types.KeyHash]bool {
+	out := make(map[types.KeyHash]bool)
+	if a == nil {
+		return out
+	}
+	for _, key := range a.Except {
+		out[key] = true
+	}
+	return out
+}
+
 // checkDrains reports targets at which nothing outside their areas is in flight any more.
 func (w *worker) checkDrains() {
 	for target, d := range w.drains {
--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -76,6 +76,7 @@
 	core      *dispatch.Core
 	addresses map[types.TargetID]string
 	peers     *peerSet
+	links     map[types.VM]*peer.Link
 	payloads  map[dispatch.Handle]*payload
 	active    map[requestKey]dispatch.Handle
 	senders   map[connectionKey]*sender
@@ -84,6 +85,7 @@
 	actions   []dispatch.Action
 	deferred  []sent
 	failed    []dispatch.Handle
+	drains    map[types.TargetID]drainWatch
 }
 
 func newWorker(vm types.VM, log *telemetry.Log, metrics *telemetry.Metrics) *worker {
