--- /dev/null
+++ b/config/validate.go
@@ -0,0 +1,260 @@
+package config
+
+import (
+	"fmt"
+
+	"sequoiasail.example/settings"
+	"sequoiasail.example/types"
+)
+
+// Bounds of single values. Wider values are taken for mistakes in the unit.
+const (
+	maxLinkMs        = 1000
+	maxLateMs        = 24 * 60 * 60 * 1000
+	maxRememberMs    = 24 * 60 * 60 * 1000
+	maxColdStartMs   = 60 * 60 * 1000
+	maxTimingMs      = 60 * 1000
+	maxBodyBytes     = 16 << 20
+	maxTargetSlots   = 10000
+	maxConnections   = 100000
+	maxWeight        = 100
+	maxVMs           = 1000
+	maxRate          = 10_000_000
+	maxExtraPercent  = 50
+	minVMsForQuorum  = 3
+	probeConnections = 1
+	// connectMs is the time to connect to a target; both users' targets need 1 ms.
+	connectMs = 1
+	// controlTrips is the number of link delays that a takeover spends on messages: one confirmed write to the store
+	// and one round trip to the quorum group.
+	controlTrips = 4
+)
+
+// validator checks answers that carry their defaults.
+type validator struct {
+	*settings.Checks
+	a       Answers
+	centres map[types.DataCentre]DataCentreAnswer
+	// pathMs is the longest time that one request and its answer spend outside queue and target.
+	pathMs int64
+	linkMs int64
+}
+
+// Validate reports all contradictions and impossible values at once, as settings.Problems. Each fault names the path of
+// the answer and how to correct it.
+func (a Answers) Validate() error {
+	a = a.clone()
+	a.Provision()
+	v := &validator{Checks: newChecks(), a: a, centres: map[types.DataCentre]DataCentreAnswer{}}
+	v.dataCentres()
+	v.recovery()
+	v.services()
+	return v.Err()
+}
+
+func (v *validator) dataCentres() {
+	v.Require("team", v.a.Team)
+	if len(v.a.DataCentres) == 0 {
+		v.Fail("dataCentres", "needs at least one data centre")
+	}
+	names := map[types.DataCentre]bool{}
+	var callerMs int64
+	for i, d := range v.a.DataCentres {
+		path := settings.Index("dataCentres", i)
+		unique(v.Checks, path+".name", d.Name, names)
+		if !validName(string(d.Region)) {
+			v.Fail(path+".region", nameRule)
+		}
+		v.Between(path+".oneWayMs", d.OneWayMs, 0, maxLinkMs, "ms")
+		v.Between(path+".callerMs", d.CallerMs, 0, maxLinkMs, "ms")
+		v.Between(path+".vms", int64(d.VMs), 1, maxVMs, "VMs")
+		v.centres[d.Name] = d
+		v.linkMs = max(v.linkMs, plausible(d.OneWayMs))
+		callerMs = max(callerMs, plausible(d.CallerMs))
+	}
+	v.pathMs = 2*callerMs + 2*v.linkMs + connectMs
+}
+
+// plausible returns ms, or 0 when it is out of range: a delay in the wrong unit is reported once and not as an
+// impossible deadline of every service.
+func plausible(ms int64) int64 {
+	if ms > maxLinkMs {
+		return 0
+	}
+	return ms
+}
+
+// recovery checks the promised recovery against the time that a takeover takes at least.
+func (v *validator) recovery() {
+	keyed := false
+	for _, s := range v.a.Services {
+		keyed = keyed || s.Keyed
+	}
+	o := defaultOwnership()
+	least := o.SuspicionMs + o.PermitMs + o.GrantMs + o.MarginMs + controlTrips*v.linkMs
+	if keyed && v.a.RecoverWithinMs < least {
+		v.Fail("recoverWithinMs", "%d ms is too short: suspicion, permit, grant and margin take %d ms with a link delay of "+
+			"%d ms; raise it to %d or more", v.a.RecoverWithinMs, least, v.linkMs, least)
+	}
+	if v.a.RecoverWithinMs > maxTimingMs || !keyed {
+		v.Between("recoverWithinMs", v.a.RecoverWithinMs, 1, maxTimingMs, "ms")
+	}
+}
+
+func (v *validator) services() {
+	if len(v.a.Services) == 0 {
+		v.Fail("services", "needs at least one service")
+	}
+	names, addresses := map[types.Service]bool{}, map[string]string{}
+	for i, s := range v.a.Services {
+		sv := &serviceValidator{validator: v, s: s, path: settings.Index("services", i)}
+		unique(v.Checks, sv.at("name"), s.Name, names)
+		sv.targets(addresses)
+		sv.ownership()
+		sv.tolerance()
+		sv.requests()
+		sv.capacity()
+	}
+}
+
+// serviceValidator checks one service.
+type serviceValidator struct {
+	*validator
+	s    ServiceAnswer
+	path string
+}
+
+func (v *serviceValidator) at(name string) string { return settings.Join(v.path, name) }
+
+func (v *serviceValidator) targets(addresses map[string]string) {
+	if len(v.s.Targets) == 0 {
+		v.Fail(v.at("targets"), "needs at least one target")
+	}
+	names := map[types.Target]bool{}
+	for i, t := range v.s.Targets {
+		path := settings.Index(v.at("targets"), i)
+		unique(v.Checks, path+".name", t.Name, names)
+		if _, known := v.centres[t.DataCentre]; !known {
+			v.Fail(path+".dataCentre", "%q is none of the data centres; add it to dataCentres or correct the name", t.DataCentre)
+		}
+		checkAddress(v.Checks, path+".address", t.Address, addresses)
+		v.capacityOf(path, t)
+	}
+	v.table(v.at("tableSlots"))
+}
+
+func (v *serviceValidator) table(path string) {
+	slots := value(v.s.TableSlots)
+	switch {
+	case !v.s.Keyed && v.s.TableSlots != nil:
+		v.Fail(path, "only a keyed service has a slot table; leave it out or set keyed to true")
+	case v.s.Keyed && int(slots) < max(len(v.s.Targets), 1):
+		v.Fail(path, "%d slots cannot be shared by %d targets; raise it to at least the number of targets", slots,
+			len(v.s.Targets))
+	case slots > maxTableSlots:
+		v.Fail(path, "must be at most %d, not %d", maxTableSlots, slots)
+	}
+}
+
+// capacityOf checks the limits of one target. A value that comes from the common answer is reported there, once.
+func (v *serviceValidator) capacityOf(path string, t TargetAnswer) {
+	slots, connections := path+".slots", path+".connections"
+	if *t.Slots == v.s.Target.Slots {
+		slots = v.at("target.slots")
+	}
+	if *t.Connections == v.s.Target.Connections {
+		connections = v.at("target.connections")
+	}
+	n, conns := *t.Slots, *t.Connections
+	v.once(slots, between(int64(n), 1, maxTargetSlots))
+	v.once(connections, between(int64(conns), 1, maxConnections))
+	if n >= 1 && conns >= 1 && conns < n+probeConnections {
+		v.once(connections, fmt.Sprintf("%d connections cannot carry %d requests at once and a health check; raise "+
+			"connections to %d or lower slots to %d", conns, n, n+probeConnections, max(conns-probeConnections, 1)))
+	}
+	if !(t.Weight > 0 && t.Weight <= maxWeight) {
+		v.Fail(path+".weight", "must be above 0 and at most %d, not %v", maxWeight, t.Weight)
+	}
+}
+
+// once reports why at path, unless why is empty or path has a fault.
+func (v *serviceValidator) once(path, why string) {
+	if why == "" {
+		return
+	}
+	for _, f := range v.Problems {
+		if f.Path == path {
+			return
+		}
+	}
+	v.Fail(path, "%s", why)
+}
+
+func between(value, low, high int64) string {
+	if value >= low && value <= high {
+		return ""
+	}
+	return fmt.Sprintf("must be from %d to %d, not %d", low, high, value)
+}
+
+// ownership checks what a cut-off data centre can do with its keys.
+func (v *serviceValidator) ownership() {
+	switch v.s.CutOff {
+	case CutOffKeep:
+		v.keep()
+	case CutOffMove:
+		v.move()
+	default:
+		v.Fail(v.at("cutOff"), "must be %s or %s, not %q", CutOffKeep, CutOffMove, v.s.CutOff)
+	}
+}
+
+func (v *serviceValidator) keep() {
+	if !v.s.Keyed {
+		return
+	}
+	for _, d := range v.centresInUse() {
+		if d.VMs >= 1 && d.VMs < minVMsForQuorum {
+			v.Fail(v.at("cutOff"), "keep needs %d VMs in %s, which has %d: with fewer, the loss of one VM stops its keys "+
+				"during a cut-off; add VMs or choose move", minVMsForQuorum, d.Name, d.VMs)
+		}
+	}
+}
+
+func (v *serviceValidator) move() {
+	if !v.s.Keyed {
+		v.Fail(v.at("cutOff"), "move has no meaning for a service without keys; leave it out or set keyed to true")
+		return
+	}
+	if in := v.centresInUse(); len(in) == 1 {
+		v.Fail(v.at("cutOff"), "move needs targets in a second data centre: all are in %s; spread them or choose keep", in[0].Name)
+	}
+	total := 0
+	for _, d := range v.a.DataCentres {
+		total += d.VMs
+	}
+	if total < minVMsForQuorum {
+		v.Fail(v.at("cutOff"), "move needs %d VMs in all, there are %d; add VMs", minVMsForQuorum, total)
+	}
+	permit := defaultOwnership().PermitMs
+	if need := controlTrips * v.linkMs; need > permit {
+		v.Fail(v.at("cutOff"), "move needs confirmations from other data centres within %d ms, but two round trips take %d ms "+
+			"at a link delay of %d ms; choose keep", permit, need, v.linkMs)
+	}
+}
+
+// centresInUse returns the known data centres that hold targets of the service, in the order of the answers.
+func (v *serviceValidator) centresInUse() []DataCentreAnswer {
+	used := map[types.DataCentre]bool{}
+	for _, t := range v.s.Targets {
+		used[t.DataCentre] = true
+	}
+	var in []DataCentreAnswer
+	for _, d := range v.a.DataCentres {
+		if used[d.Name] {
+			in = append(in, d)
+			used[d.Name] = false
+		}
+	}
+	return in
+}
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -23,7 +23,11 @@
 	return problems.Err()
 }
 
-// Provisioner fills the defaults of a settings struct.
+// Defaulter sets constant defaults before the members of a struct are decoded, also in lists. Unlike a default filled in
+// afterwards, it leaves a zero that the document gives, so that Validate can refuse it.
+type Defaulter interface{ SetDefaults() }
+
+// Provisioner fills the defaults that depend on other values, after decoding.
 type Provisioner interface{ Provision() }
 
 // Validator reports the faults of a provisioned settings struct, preferably as Problems.
@@ -117,6 +121,9 @@
 		d.fail(path, "must be an object, not %s", kind(n))
 		return
 	}
+	if s, ok := v.Addr().Interface().(Defaulter); ok {
+		s.SetDefaults()
+	}
 	fields := fieldsOf(v.Type())
 	for _, m := range members {
 		index, known := fields.index[m.name]
