--- /dev/null
+++ b/cmd/sail-probe/main.go
@@ -0,0 +1,22 @@
+// Command sail-probe sends requests through gateways and checks what callers get.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"sequoiasail.example/cmd/internal/probe"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&probe.ReadyCommand{}, "")
+	subcommands.Register(&probe.LoadCommand{}, "")
+	subcommands.Register(&probe.AuditCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
