transport/peer: replace a connection that is silent from its first call

Cause: lastAnswer is set to the time of the dial, which equals the time of the first call, and the comparison asked for an earlier answer. Ruled out: a blocked write, the stand-in connection accepts all writes. Before: the first call timed out and the connection stayed (TestSilentConnectionIsReplaced waited its minute). After: the second call dials again and is answered.

--- a/cmd/sail-probe/main.go
+++ b/cmd/sail-probe/main.go
@@ -17,6 +17,7 @@
 	subcommands.Register(&probe.ReadyCommand{}, "")
 	subcommands.Register(&probe.LoadCommand{}, "")
 	subcommands.Register(&probe.AuditCommand{}, "")
+	subcommands.Register(&probe.TargetsCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/daemon/gateway/router.go
+++ b/daemon/gateway/router.go
@@ -69,7 +69,6 @@
 type control struct {
 	messages []routing.Message
 	links    map[types.VM]*peer.Link
-	ready    bool
 }
 
 // router owns the routing core.
--- /dev/null
+++ b/telemetry/log_test.go
@@ -0,0 +1,72 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/matryer/is"
+
+	"sequoiasail.example/duty"
+	"sequoiasail.example/telemetry"
+)
+
+func lines(t *testing.T, fill func(*telemetry.Log)) []map[string]any {
+	t.Helper()
+	var out bytes.Buffer
+	l := telemetry.NewLog(&out, log.Fields{"vm": "vm1"})
+	fill(l)
+	g := duty.NewGroup()
+	g.Add(l.Duty())
+	if err := g.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if err := g.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	var decoded []map[string]any
+	for _, text := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+		var m map[string]any
+		if err := json.Unmarshal([]byte(text), &m); err != nil {
+			t.Fatal(err)
+		}
+		decoded = append(decoded, m)
+	}
+	return decoded
+}
+
+// Guards against a decision line that lost a field which operators search for.
+func TestDecisionLine(t *testing.T) {
+	is := is.New(t)
+	got := lines(t, func(l *telemetry.Log) {
+		l.Decide(telemetry.Decision{
+			Kind: "route", RequestID: "r1", Service: "catalogo", KeyHash: 255, Target: "c-1", VM: "vm2", Epoch: 7,
+			Reason: "slot", Outcome: "done", Code: "none", Detail: "d",
+		})
+	})
+	is.Equal(len(got), 1)
+	is.Equal(got[0]["message"], "route")
+	is.Equal(got[0]["fields"], map[string]any{
+		"vm": "vm1", "request": "r1", "service": "catalogo", "keyHash": "00000000000000ff", "target": "c-1",
+		"toVM": "vm2", "epoch": 7.0, "reason": "slot", "outcome": "done", "code": "none", "detail": "d",
+	})
+}
+
+// Guards against lines that are dropped silently when the output is slow.
+func TestDroppedLinesAreReported(t *testing.T) {
+	is := is.New(t)
+	const extra = 5
+	got := lines(t, func(l *telemetry.Log) {
+		for range telemetry.LogCapacity + extra {
+			l.Decide(telemetry.Decision{Kind: "route"})
+		}
+		is.Equal(l.Dropped(), uint64(extra))
+	})
+	is.Equal(len(got), telemetry.LogCapacity+1)
+	last := got[len(got)-1]
+	is.Equal(last["message"], "log lines dropped")
+	is.Equal(last["fields"].(map[string]any)["dropped"], float64(extra))
+}
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -194,7 +194,7 @@
 			continue
 		}
 		c.finish(types.NewFault(types.CodeTimeout, "no answer from %s within %s", l.name, c.Timeout))
-		silent = silent || l.lastAnswer.Before(c.sentAt)
+		silent = silent || !l.lastAnswer.After(c.sentAt)
 	}
 	if silent {
 		l.disconnect()
--- /dev/null
+++ b/transport/peer/link_test.go
@@ -0,0 +1,182 @@
+package peer_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"sequoiasail.example/duty"
+	"sequoiasail.example/transport/peer"
+	"sequoiasail.example/types"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type echo struct{ block chan struct{} }
+
+func (e *echo) Do(args *peer.DoRequest, out *peer.DoAnswer) error {
+	if e.block != nil {
+		<-e.block
+	}
+	out.Outcome = types.OutcomeDone
+	out.Body = args.Body
+	return nil
+}
+
+func startServer(t *testing.T, service *echo) string {
+	t.Helper()
+	server := peer.NewServer("127.0.0.1:0")
+	if err := server.Register("Dispatch", service); err != nil {
+		t.Fatal(err)
+	}
+	start(t, server.Duty())
+	return server.Address()
+}
+
+func start(t *testing.T, d duty.Duty) {
+	t.Helper()
+	g := duty.NewGroup()
+	g.Add(d)
+	if err := g.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = g.Stop(context.Background()) })
+}
+
+func call(t *testing.T, l *peer.Link, timeout time.Duration) (*peer.Call, *peer.DoAnswer) {
+	t.Helper()
+	answer := &peer.DoAnswer{}
+	done := make(chan *peer.Call, 1)
+	err := l.TryCall(&peer.Call{
+		Method:  peer.MethodDo,
+		Args:    &peer.DoRequest{Body: []byte("whole")},
+		Reply:   answer,
+		Timeout: timeout,
+		Done:    func(c *peer.Call) { done <- c },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return <-done, answer
+}
+
+func TestCallReachesPeer(t *testing.T) {
+	is := is.New(t)
+	l := peer.NewLink("b", peer.TCP(startServer(t, &echo{})))
+	start(t, l.Duty())
+	c, answer := call(t, l, time.Minute)
+	is.True(c.Err == nil)
+	is.Equal(string(answer.Body), "whole")
+}
+
+// Guards against "unknown" for a call that cannot have left the process.
+func TestCallWithoutConnectionIsNotRun(t *testing.T) {
+	is := is.New(t)
+	refuse := func(context.Context) (net.Conn, error) { return nil, io.ErrClosedPipe }
+	l := peer.NewLink("b", refuse)
+	start(t, l.Duty())
+	c, _ := call(t, l, time.Minute)
+	is.Equal(c.Err.Code, types.CodePeerUnavailable)
+	is.Equal(c.Err.Outcome, types.OutcomeNotRun)
+}
+
+// Guards against "not run" for a call that the peer may have received.
+func TestLostConnectionIsUnknown(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	start(t, duty.Duty{Name: "closer", Run: func(context.Context) error {
+		conn, err := listener.Accept()
+		if err != nil {
+			return nil
+		}
+		_, _ = conn.Read(make([]byte, 1))
+		return conn.Close()
+	}, Stop: func(context.Context) error { return listener.Close() }})
+	l := peer.NewLink("b", peer.TCP(listener.Addr().String()))
+	start(t, l.Duty())
+	c, _ := call(t, l, time.Minute)
+	is.Equal(c.Err.Code, types.CodePeerUnavailable)
+	is.Equal(c.Err.Outcome, types.OutcomeUnknown)
+}
+
+// Guards against calls that wait for ever on a connection that has gone silent while new ones work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	address := startServer(t, &echo{})
+	dials := 0
+	l := peer.NewLink("b", func(ctx context.Context) (net.Conn, error) {
+		dials++
+		if dials > 1 {
+			return peer.TCP(address)(ctx)
+		}
+		silent, _ := net.Pipe()
+		return discard{silent}, nil
+	})
+	start(t, l.Duty())
+	c, _ := call(t, l, time.Millisecond)
+	is.Equal(c.Err.Code, types.CodeTimeout)
+	is.Equal(c.Err.Outcome, types.OutcomeUnknown)
+	c, answer := call(t, l, time.Minute)
+	is.True(c.Err == nil)
+	is.Equal(string(answer.Body), "whole")
+}
+
+// discard accepts writes and never answers.
+type discard struct{ net.Conn }
+
+func (discard) Write(b []byte) (int, error)      { return len(b), nil }
+func (discard) SetWriteDeadline(time.Time) error { return nil }
+
+// Guards against callers that wait for a link that has stopped.
+func TestStopEndsCallsInProgress(t *testing.T) {
+	is := is.New(t)
+	block := make(chan struct{})
+	address := startServer(t, &echo{block: block})
+	l := peer.NewLink("b", peer.TCP(address))
+	g := duty.NewGroup()
+	g.Add(l.Duty())
+	is.NoErr(g.Start(context.Background()))
+	done := make(chan *peer.Call, 1)
+	is.NoErr(l.TryCall(&peer.Call{
+		Method: peer.MethodDo, Args: &peer.DoRequest{}, Reply: &peer.DoAnswer{}, Timeout: time.Minute,
+		Done: func(c *peer.Call) { done <- c },
+	}))
+	is.NoErr(g.Stop(context.Background()))
+	c := <-done
+	is.True(c.Err != nil)
+	close(block)
+}
+
+// BenchmarkCall measures one call over loopback; -benchmem shows the allocations of both sides.
+func BenchmarkCall(b *testing.B) {
+	server := peer.NewServer("127.0.0.1:0")
+	if err := server.Register("Dispatch", &echo{}); err != nil {
+		b.Fatal(err)
+	}
+	g := duty.NewGroup()
+	g.Add(server.Duty())
+	if err := g.Start(context.Background()); err != nil {
+		b.Fatal(err)
+	}
+	l := peer.NewLink("b", peer.TCP(server.Address()))
+	g.Add(l.Duty())
+	if err := g.Start(context.Background()); err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = g.Stop(context.Background()) }()
+	done := make(chan *peer.Call, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = l.TryCall(&peer.Call{
+			Method: peer.MethodDo, Args: &peer.DoRequest{Body: []byte("whole")}, Reply: &peer.DoAnswer{},
+			Timeout: time.Minute, Done: func(c *peer.Call) { done <- c },
+		})
+		<-done
+	}
+}
