--- a/routing/estimate.go
+++ b/routing/estimate.go
@@ -19,7 +19,7 @@
 	latencyGain = 0.125
 	// latencyHalving is the time after which an unobserved estimate halves, so that a former straggler, which is
 	// hardly chosen, is tried again.
-	latencyHalving = time.Second
+	latencyHalving = 2 * time.Second
 	// maxHalvings bounds the halving of an unobserved estimate.
 	maxHalvings = 10
 )
--- /dev/null
+++ b/routing/failure_test.go
@@ -0,0 +1,322 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/routing"
+	"sequoiasail.example/types"
+)
+
+var small = size{slots: 64, targets: 8, vms: 4}
+
+// driver steps a Core and sorts its actions.
+type driver struct {
+	*routing.Core
+	now      types.Instant
+	forwards []routing.Forward
+	replies  []routing.Reply
+	cancels  []routing.Cancel
+	notes    []routing.Decision
+}
+
+func drive(c *routing.Core) *driver { return &driver{Core: c, now: types.Instant(time.Hour)} }
+
+func (d *driver) sort(actions []routing.Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case routing.ActionForward:
+			d.forwards = append(d.forwards, a.Forward)
+		case routing.ActionReply:
+			d.replies = append(d.replies, a.Reply)
+		case routing.ActionCancel:
+			d.cancels = append(d.cancels, a.Cancel)
+		case routing.ActionDecision:
+			d.notes = append(d.notes, a.Decision)
+		}
+	}
+}
+
+func (d *driver) step(m routing.Message) { d.sort(d.Step(d.now, &m, nil)) }
+
+func (d *driver) wait(t time.Duration) {
+	for end := d.now.Add(t); d.now < end; {
+		d.now = min(end, d.now.Add(5*time.Millisecond))
+		d.sort(d.Tick(d.now, nil))
+	}
+}
+
+func (d *driver) request(handle uint64, service types.Service, idempotent bool) {
+	d.step(routing.Message{Kind: routing.KindRequest, Request: routing.Request{
+		Handle: handle, Service: service, Key: types.KeyHash(handle), Idempotent: idempotent,
+		Deadline: d.now.Add(10 * time.Second),
+	}})
+}
+
+// answer ends the attempt of a Forward.
+func (d *driver) answer(f routing.Forward, o types.Outcome, code types.Code) {
+	d.step(routing.Message{Kind: routing.KindResult, Result: routing.Result{
+		Handle: f.Handle, Attempt: f.Attempt, Outcome: o, Code: code, RetryAllowed: true,
+	}})
+}
+
+func (d *driver) last() routing.Forward { return d.forwards[len(d.forwards)-1] }
+
+// Guards against a gateway that sends a request again and again to a dispatcher that refuses it as stale.
+func TestStaleRefusalWaitsForNewerRow(t *testing.T) {
+	is := is.New(t)
+	d := drive(ready(small))
+	d.request(1, keyedService, false)
+	d.answer(d.last(), types.OutcomeNotRun, types.CodeStaleEpoch)
+	d.wait(90 * time.Millisecond)
+	is.Equal(len(d.forwards), 1)
+	newer := table(small, 2)
+	newer.Epochs[1] = 4
+	d.step(routing.Message{Kind: routing.KindTable, Table: newer})
+	is.Equal(len(d.forwards), 2)
+	is.Equal(d.last().SlotEpoch, types.Epoch(4))
+}
+
+// Guards against a request that is lost when the gateway's rows are newer than the dispatcher's.
+func TestStaleRefusalIsRetriedWithoutNewerRow(t *testing.T) {
+	is := is.New(t)
+	d := drive(ready(small))
+	d.request(1, keyedService, false)
+	d.answer(d.last(), types.OutcomeNotRun, types.CodeNotHolder)
+	d.wait(150 * time.Millisecond)
+	is.Equal(len(d.forwards), 2)
+	d.answer(d.last(), types.OutcomeDone, "")
+	is.Equal(d.replies[0].Outcome, types.OutcomeDone)
+}
+
+// Guards against keys that stay unserved after a takeover, and against requests that are held without bound.
+func TestTakeoverHoldsRequests(t *testing.T) {
+	is := is.New(t)
+	d := drive(ready(small))
+	d.step(routing.Message{Kind: routing.KindLinkDown, VM: vmName(1)})
+	d.request(1, keyedService, false)
+	is.Equal(len(d.forwards), 0)
+	taken := leases(keyedService, small, 2)
+	taken.Rows[1].VM = vmName(2)
+	taken.Rows[1].Epoch = 8
+	d.wait(2 * time.Second)
+	d.step(routing.Message{Kind: routing.KindLeases, Leases: taken})
+	is.Equal(len(d.forwards), 1)
+	is.Equal(d.last().VM, vmName(2))
+	is.Equal(d.last().LeaseEpoch, types.Epoch(8))
+	d.step(routing.Message{Kind: routing.KindLinkDown, VM: vmName(2)})
+	d.request(2, keyedService, false)
+	d.wait(routing.TakeoverWait)
+	is.Equal(d.replies[0], routing.Reply{Handle: 2, Outcome: types.OutcomeNotRun, Code: types.CodeNoRoute})
+}
+
+// Guards against an unbounded number of held requests while a target is not served.
+func TestHeldRequestsAreBounded(t *testing.T) {
+	is := is.New(t)
+	d := drive(ready(small))
+	for i := range small.vms {
+		d.step(routing.Message{Kind: routing.KindLinkDown, VM: vmName(i)})
+	}
+	for i := range uint64(routing.MaxWaiting + 5) {
+		d.request(i, keyedService, false)
+	}
+	is.Equal(len(d.replies), 5)
+	is.Equal(d.replies[0].Code, types.CodeOverloaded)
+	is.Equal(d.replies[0].Outcome, types.OutcomeNotRun)
+}
+
+// Guards against a retry storm: while everything fails, retries stay within their share of first attempts.
+func TestRetryBudget(t *testing.T) {
+	is := is.New(t)
+	d := drive(ready(small))
+	const requests = 2000
+	answered := 0
+	for i := range uint64(requests) {
+		d.request(i, freeService, true)
+		d.wait(5 * time.Millisecond)
+		for ; answered < len(d.forwards); answered++ {
+			d.answer(d.forwards[answered], types.OutcomeUnknown, types.CodeTargetFailed)
+		}
+	}
+	is.True(len(d.forwards) > requests)           // there are retries
+	is.True(len(d.forwards) <= requests*11/10+11) // RetryShare is 0.1, the reserve is 10
+}
+
+// Guards against a second run of an order whose first run may have happened.
+func TestUnknownOrderIsNotRetried(t *testing.T) {
+	is := is.New(t)
+	d := drive(ready(small))
+	d.request(1, freeService, false)
+	d.answer(d.last(), types.OutcomeUnknown, types.CodeTargetFailed)
+	d.wait(11 * time.Second)
+	is.Equal(len(d.forwards), 1)
+	is.Equal(d.replies, []routing.Reply{{
+		Handle: 1, Attempt: 1, Outcome: types.OutcomeUnknown, Code: types.CodeTargetFailed,
+	}})
+}
+
+// Guards against a "not run" answer while an attempt may still run, after the deadline and after a cancellation.
+func TestOpenAttemptIsNotReportedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	d := drive(ready(small))
+	d.request(1, keyedService, false)
+	d.request(2, keyedService, false)
+	d.step(routing.Message{Kind: routing.KindCancel, Handle: 2})
+	d.wait(11 * time.Second)
+	is.Equal(len(d.replies), 2)
+	for _, r := range d.replies {
+		is.Equal(r.Outcome, types.OutcomeUnknown)
+	}
+	is.Equal(len(d.cancels), 2)
+}
+
+// Guards against crossed answers: the answer of a withdrawn attempt must not end another request.
+func TestLateResultIsIgnored(t *testing.T) {
+	is := is.New(t)
+	d := drive(ready(small))
+	d.request(1, keyedService, false)
+	late := d.last()
+	d.step(routing.Message{Kind: routing.KindCancel, Handle: 1})
+	d.request(2, keyedService, false)
+	d.answer(late, types.OutcomeDone, "")
+	d.answer(routing.Forward{Handle: 2, Attempt: 9}, types.OutcomeDone, "")
+	is.Equal(len(d.replies), 1)
+}
+
+// Guards against ejecting so many targets that the rest is overloaded.
+func TestEjectionIsCapped(t *testing.T) {
+	is := is.New(t)
+	d := drive(ready(small))
+	answered := 0
+	for i := range uint64(500) {
+		d.request(i, freeService, false)
+		for ; answered < len(d.forwards); answered++ {
+			d.answer(d.forwards[answered], types.OutcomeUnknown, types.CodeTargetFailed)
+		}
+	}
+	ejected := map[types.TargetID]bool{}
+	for _, n := range d.notes {
+		if n.Reason == routing.ReasonEjected {
+			ejected[n.Target] = true
+		}
+	}
+	is.Equal(len(ejected), 2) // EjectShare is 0.25 of 8 targets
+}
+
+// Guards against work for a data centre that operators took out, at once for free targets and after DrainGrace for
+// owners of keys.
+func TestOutDataCentreGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	d := drive(ready(small))
+	out := &routing.Operations{Revision: 5, DataCentres: []routing.DataCentreState{{centreName(0), routing.StateDraining}}}
+	d.step(routing.Message{Kind: routing.KindOperations, Operations: out})
+	for i := range uint64(200) {
+		d.request(1000+i, freeService, true)
+		is.True(centreOf(d.last().Target.Target) != centreName(0))
+	}
+	d.request(8, keyedService, false) // slot 8 belongs to target 0 in dc-0
+	is.Equal(d.last().Target.Target, targetName(0))
+	d.wait(routing.DrainGrace)
+	before := len(d.forwards)
+	d.request(16, keyedService, false)
+	is.Equal(len(d.forwards), before)
+	older := &routing.Operations{Revision: 4}
+	d.step(routing.Message{Kind: routing.KindOperations, Operations: older})
+	is.Equal(len(d.forwards), before)
+}
+
+func centreOf(t types.Target) types.DataCentre {
+	var i int
+	_, _ = fmt.Sscanf(string(t), "t-%d", &i)
+	return centreName(i)
+}
+
+// Guards against rows and configurations that revert to an older version.
+func TestOlderVersionsAreIgnored(t *testing.T) {
+	is := is.New(t)
+	d := drive(ready(small))
+	d.step(routing.Message{Kind: routing.KindTable, Table: table(small, 9)})
+	older := table(small, 8)
+	clear(older.Epochs)
+	d.step(routing.Message{Kind: routing.KindTable, Table: older})
+	old := leases(keyedService, small, 0)
+	old.Rows = nil
+	d.step(routing.Message{Kind: routing.KindLeases, Leases: old})
+	d.step(routing.Message{Kind: routing.KindConfiguration, Configuration: &config.Configuration{}})
+	d.request(1, keyedService, false)
+	is.Equal(len(d.forwards), 1)
+	is.Equal(d.last().SlotEpoch, types.Epoch(3))
+}
+
+// Guards against routing by a lease that an earlier run of the dispatcher held.
+func TestLeaseOfEarlierIncarnationIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	d := drive(ready(small))
+	restarted := members(small)
+	restarted.Revision = 2
+	restarted.Rows[1].Incarnation = 2
+	d.step(routing.Message{Kind: routing.KindMembers, Members: restarted})
+	d.request(1, keyedService, false)
+	is.Equal(len(d.forwards), 0)
+}
+
+// Guards against an answer that arrives after the caller has stopped waiting.
+func TestDeadlineShrinksAtTheHop(t *testing.T) {
+	is := is.New(t)
+	d := drive(ready(small))
+	d.request(1, keyedService, true)
+	is.True(d.last().Remaining < 10*time.Second)
+	d.step(routing.Message{Kind: routing.KindRequest, Request: routing.Request{
+		Handle: 2, Service: keyedService, Deadline: d.now.Add(time.Millisecond),
+	}})
+	is.Equal(d.replies[0].Code, types.CodeDeadlineExceeded)
+	is.Equal(d.replies[0].Outcome, types.OutcomeNotRun)
+}
+
+// Guards against a pinned request that runs elsewhere and reads an older state.
+func TestPinnedRequestDoesNotMove(t *testing.T) {
+	is := is.New(t)
+	d := drive(ready(small))
+	r := routing.Request{Handle: 1, Service: freeService, Pinned: targetName(5), Deadline: d.now.Add(time.Second)}
+	d.step(routing.Message{Kind: routing.KindRequest, Request: r})
+	is.Equal(d.last().Target.Target, targetName(5))
+	gone := &routing.Operations{Revision: 1, Targets: []routing.TargetState{
+		{types.TargetID{Service: freeService, Target: targetName(5)}, routing.StateOut},
+	}}
+	d.step(routing.Message{Kind: routing.KindOperations, Operations: gone})
+	r.Handle = 2
+	d.step(routing.Message{Kind: routing.KindRequest, Request: r})
+	is.Equal(d.replies[0].Code, types.CodeNoRoute)
+}
+
+// Guards against heap allocation for each decision, which would cost collector time on the request path.
+func TestDecisionsDoNotAllocate(t *testing.T) {
+	for _, service := range []types.Service{keyedService, freeService} {
+		d := drive(ready(small))
+		out := make([]routing.Action, 0, 8)
+		handle := uint64(0)
+		random := rand.New(rand.NewPCG(1, 1))
+		allocs := testing.AllocsPerRun(5000, func() {
+			handle++
+			d.now = d.now.Add(time.Millisecond)
+			m := routing.Message{Kind: routing.KindRequest, Request: routing.Request{
+				Handle: handle, Service: service, Key: types.KeyHash(random.Uint64()), Idempotent: true,
+				Deadline: d.now.Add(time.Second),
+			}}
+			out = d.Step(d.now, &m, out[:0])
+			m = routing.Message{Kind: routing.KindResult, Result: routing.Result{
+				Handle: handle, Attempt: 1, Outcome: types.OutcomeDone,
+			}}
+			out = d.Step(d.now, &m, out[:0])
+			out = d.Tick(d.now, out[:0])
+		})
+		if allocs != 0 {
+			t.Errorf("%s: %v allocations for each request", service, allocs)
+		}
+	}
+}
--- a/routing/message.go
+++ b/routing/message.go
@@ -155,7 +155,7 @@
 const (
 	// StateIn takes new work.
 	StateIn State = iota
-	// StateDraining takes new work only for keys it owns, and only for DrainGrace.
+	// StateDraining takes new work only for keys it owns and requests pinned to it, and only for DrainGrace.
 	StateDraining
 	// StateOut takes no new work.
 	StateOut
--- /dev/null
+++ b/routing/straggler_test.go
@@ -0,0 +1,85 @@
+package routing_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"sequoiasail.example/routing"
+	"sequoiasail.example/types"
+)
+
+// ending is an attempt that ends at a known time.
+type ending struct {
+	at types.Instant
+	f  routing.Forward
+}
+
+type endings []ending
+
+func (e endings) Len() int           { return len(e) }
+func (e endings) Less(a, b int) bool { return e[a].at < e[b].at }
+func (e endings) Swap(a, b int)      { e[a], e[b] = e[b], e[a] }
+func (e *endings) Push(x any)        { *e = append(*e, x.(ending)) }
+func (e *endings) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// serve sends 20,000 requests, one each 500 us, and returns the 99th percentile of the time to the reply. Targets
+// below slow take ten times as long as the others.
+func serve(slow int) (p99 time.Duration, forwards int) {
+	d := drive(ready(size{slots: 64, targets: 12, vms: 4}))
+	random := rand.New(rand.NewPCG(7, 7))
+	var running endings
+	began := map[uint64]types.Instant{}
+	var times []time.Duration
+	const requests = 20_000
+	for i := uint64(0); len(times) < requests; {
+		if i < requests {
+			began[i] = d.now
+			d.request(i, freeService, true)
+			i++
+		}
+		for _, f := range d.forwards {
+			took := 5*time.Millisecond + time.Duration(random.Uint64N(uint64(5*time.Millisecond)))
+			if slices.Contains(targetNames(slow), f.Target.Target) {
+				took *= 10
+			}
+			heap.Push(&running, ending{d.now.Add(took), f})
+		}
+		forwards += len(d.forwards)
+		d.forwards = d.forwards[:0]
+		next := d.now.Add(500 * time.Microsecond)
+		for len(running) > 0 && running[0].at <= next {
+			e := heap.Pop(&running).(ending)
+			d.now = max(d.now, e.at)
+			d.answer(e.f, types.OutcomeDone, "")
+		}
+		d.now = next
+		d.sort(d.Tick(d.now, nil))
+		for _, r := range d.replies {
+			times = append(times, d.now.Sub(began[r.Handle]))
+		}
+		d.replies = d.replies[:0]
+	}
+	slices.Sort(times)
+	return times[len(times)*99/100], forwards
+}
+
+// Guards against slow targets that keep receiving their full share: with a quarter of the targets slowed tenfold, the
+// 99th percentile may at most double, and hedges stay within their share.
+func TestStragglersDoNotDoubleTheTail(t *testing.T) {
+	undisturbed, _ := serve(0)
+	disturbed, forwards := serve(3)
+	t.Logf("p99 undisturbed %v, with 3 of 12 targets slowed tenfold %v, %d forwards", undisturbed, disturbed, forwards)
+	if disturbed > 2*undisturbed {
+		t.Errorf("p99 rose from %v to %v", undisturbed, disturbed)
+	}
+	if forwards > 20_000*105/100+10 {
+		t.Errorf("%d forwards for 20000 requests exceed HedgeShare 0.05", forwards)
+	}
+}
