--- a/cmd/internal/probe/client.go
+++ b/cmd/internal/probe/client.go
@@ -61,9 +61,9 @@
 func (c *caller) close() { c.client.CloseIdleConnections() }
 
 // call makes one request. A request that got no answer at all counts as unknown.
-func (c *caller) call(ctx context.Context, j job) report {
+func (c *caller) call(ctx context.Context, j job) (r report) {
 	started := time.Now()
-	r := report{job: j, outcome: types.OutcomeUnknown.String()}
+	r = report{job: j, outcome: types.OutcomeUnknown.String()}
 	defer func() {
 		r.at = time.Now()
 		r.latency = r.at.Sub(started)
