ownership: add the core with permits, leases, groups and takeover

Before: Step and Tick returned nothing. After: a core reads the store, holds a permit, grants and renews its target leases and tells the dispatch duty until when it may serve.

Ruled out while writing: - Counting a member's confirmation as soon as it is listed. A new member could confirm without a revocation that a majority of an earlier list had acknowledged, so it first reads the store under the present list. - Treating a lost CAS answer as a failed write. The write may still take effect, so a lease that its holder tries to write vacant gets no call until the document has moved on. - Taking the silence of a target from the time since its last answer alone: after a pause of the dispatcher every target would look silent, so three unanswered calls are needed too.

--- /dev/null
+++ b/ownership/areas.go
@@ -0,0 +1,131 @@
+package ownership
+
+import (
+	"cmp"
+	"slices"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/types"
+)
+
+// HasSlot reports whether slot is among the slots. It accepts a nil value.
+func (a *Areas) HasSlot(slot types.Slot) bool {
+	if a == nil {
+		return false
+	}
+	_, ok := slices.BinarySearchFunc(a.Slots, slot, func(r SlotRange, s types.Slot) int {
+		return compareRun(Run{First: r.First, Count: r.Count}, s)
+	})
+	return ok
+}
+
+// HasKey reports whether key, which is in slot, is owned. It accepts a nil value.
+func (a *Areas) HasKey(key types.KeyHash, slot types.Slot) bool {
+	if a == nil {
+		return false
+	}
+	_, own := slices.BinarySearchFunc(a.Keys, key, func(k KeyArea, h types.KeyHash) int { return cmp.Compare(k.Key, h) })
+	if own {
+		return true
+	}
+	_, excepted := slices.BinarySearch(a.Except, key)
+	return !excepted && a.HasSlot(slot)
+}
+
+// Empty reports whether nothing is owned. It accepts a nil value.
+func (a *Areas) Empty() bool { return a == nil || len(a.Slots) == 0 && len(a.Keys) == 0 }
+
+func (a *Areas) equal(b *Areas) bool {
+	if a == b || a == nil || b == nil {
+		return a == b
+	}
+	return slices.Equal(a.Slots, b.Slots) && slices.Equal(a.Except, b.Except) && slices.Equal(a.Keys, b.Keys)
+}
+
+// areasOf returns what target may be granted under term: owned rows only. A releasing row is in no new grant, so an
+// accepted grant that was sent after the row changed confirms the release.
+func areasOf(t *Table, s *config.Service, target types.Target, term types.Epoch) *Areas {
+	a := &Areas{}
+	for part := range parts(s) {
+		doc := t.slots(s.Name, part)
+		if doc == nil {
+			continue
+		}
+		for _, r := range doc.Runs {
+			if grantable(r.Ownership, target, term) {
+				a.Slots = append(a.Slots, SlotRange{First: r.First, Count: r.Count, Epoch: r.Epoch})
+			}
+		}
+		for _, h := range doc.HotKeys {
+			if a.HasSlot(types.SlotOf(h.Key, s.Slots)) {
+				a.Except = append(a.Except, h.Key)
+			}
+			if grantable(h.Ownership, target, term) {
+				a.Keys = append(a.Keys, KeyArea{Key: h.Key, Epoch: h.Epoch})
+			}
+		}
+	}
+	slices.Sort(a.Except)
+	slices.SortFunc(a.Keys, func(x, y KeyArea) int { return cmp.Compare(x.Key, y.Key) })
+	return a
+}
+
+func grantable(o Ownership, target types.Target, term types.Epoch) bool {
+	return o.State == SlotOwned && o.Owner == target && o.Term == term
+}
+
+// holds reports whether any row is bound to target and term, in whichever state.
+func holds(t *Table, s *config.Service, target types.Target, term types.Epoch) bool {
+	return rowsOf(t, s, func(o Ownership) bool { return o.State != SlotFree && o.Owner == target && o.Term == term })
+}
+
+// rowsOf reports whether any slot or hot key of a service satisfies match.
+func rowsOf(t *Table, s *config.Service, match func(Ownership) bool) bool {
+	for part := range parts(s) {
+		doc := t.slots(s.Name, part)
+		if doc == nil {
+			continue
+		}
+		if slices.ContainsFunc(doc.Runs, func(r Run) bool { return match(r.Ownership) }) {
+			return true
+		}
+		if slices.ContainsFunc(doc.HotKeys, func(h HotKey) bool { return match(h.Ownership) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// intersect returns what is in both, with the epochs of a. size is the number of slots of the table.
+func intersect(a, b *Areas, size uint32) *Areas {
+	if a.equal(b) {
+		return a
+	}
+	out := &Areas{Slots: intersectSlots(a.Slots, b.Slots)}
+	out.Except = append(append(out.Except, a.Except...), b.Except...)
+	slices.Sort(out.Except)
+	out.Except = slices.Compact(out.Except)
+	for _, k := range a.Keys {
+		if b.HasKey(k.Key, types.SlotOf(k.Key, size)) {
+			out.Keys = append(out.Keys, k)
+		}
+	}
+	return out
+}
+
+func intersectSlots(a, b []SlotRange) []SlotRange {
+	var out []SlotRange
+	for i, j := 0, 0; i < len(a) && j < len(b); {
+		first := max(a[i].First, b[j].First)
+		endA, endB := a[i].First+types.Slot(a[i].Count), b[j].First+types.Slot(b[j].Count)
+		if end := min(endA, endB); first < end {
+			out = append(out, SlotRange{First: first, Count: uint32(end - first), Epoch: a[i].Epoch})
+		}
+		if endA <= endB {
+			i++
+		} else {
+			j++
+		}
+	}
+	return out
+}
--- a/ownership/document.go
+++ b/ownership/document.go
@@ -241,7 +241,9 @@
 // Lease is the row of one target.
 type Lease struct {
 	Target types.Target `json:"target"`
-	State  LeaseState   `json:"state"`
+	// DataCentre of the target. Its quorum group confirms the holder's permit under scope data-centre.
+	DataCentre types.DataCentre `json:"dataCentre"`
+	State      LeaseState       `json:"state"`
 	// Epoch is the document's epoch at which the row was written; it fences grants and requests.
 	Epoch types.Epoch `json:"epoch"`
 	// Term is the epoch at which the target's present term of ownership began. It outlasts a change of dispatcher
@@ -251,6 +253,9 @@
 	Holder Peer `json:"holder"`
 	// Next is the dispatcher that follows a planned revocation, empty otherwise.
 	Next Peer `json:"next"`
+	// Ending is true when the revocation ends the term: the target loses its slots. Otherwise only the dispatcher
+	// changes.
+	Ending bool `json:"ending,omitempty"`
 }
 
 // LeaseDocument holds the target leases of a service, ordered by target.
--- /dev/null
+++ b/ownership/holder.go
@@ -0,0 +1,561 @@
+package ownership
+
+import (
+	"slices"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/types"
+)
+
+// Holder keeps the target leases of this dispatcher: it grants and renews at the targets, tells the dispatch duty what
+// to serve, and confirms releases in the table.
+//
+// Phases of a held lease: taken (a store read must show the row together with the slots), granting, granted, lost (the
+// target's grant ended; a new lease epoch is needed), revoked.
+type Holder struct {
+	*env
+	permit *Permit
+	writer *Writer
+	// held is ordered by target.
+	held []*holding
+	// tableAt is the table change that held is computed from.
+	tableAt uint64
+	// calls and serves number the calls and the changes of what is served.
+	calls  uint64
+	serves uint64
+	// groups and silent are what the permit is asked with.
+	groups []GroupKey
+	silent []types.TargetID
+	// permitHeld is for the decision log only.
+	permitHeld bool
+}
+
+// silentMisses is the number of unanswered calls before a target can be silent. They fit into the suspicion time.
+const silentMisses = 3
+
+// holding is one lease row whose holder is this process.
+type holding struct {
+	id    types.TargetID
+	group GroupKey
+	// checks is true when the target refuses requests without a valid grant.
+	checks bool
+	lease  Lease
+	// learnedAt is when the row was learned, confirmed when a store read showed it.
+	learnedAt types.Instant
+	fromStore bool
+
+	// areas is what the table allows, granted what the target last accepted under lease.Epoch, nil if nothing.
+	areas   *Areas
+	granted *Areas
+	// releasing is true when the table asks for the release of a slot or hot key.
+	releasing bool
+	// lost is true when the grant of lease.Epoch ended.
+	lost bool
+	// sentGrant is true once a grant with a token was sent under lease.Epoch.
+	sentGrant bool
+	// ended is true when the target holds no grant and none can still arrive.
+	ended bool
+
+	// token is the newest one with the incarnation that issued it. It was issued after tokenAfter, when the call was
+	// sent that it answered, and before tokenBefore, when the answer arrived.
+	token       Token
+	incarnation types.Incarnation
+	tokenAfter  types.Instant
+	tokenBefore types.Instant
+	// validUntil is the earliest end of the accepted grant, endsBy the latest end of any grant sent so far.
+	validUntil types.Instant
+	endsBy     types.Instant
+
+	// call is the call in flight, with a Number of 0 when there is none.
+	call     TargetCall
+	callFrom types.Instant
+	nextCall types.Instant
+	// refused is true when the last call was refused for its token.
+	refused bool
+
+	// misses counts the calls since the last answer and silentSince is when the first of them was sent. Both are
+	// needed: after a pause of this process one call looks old.
+	misses      int
+	silentSince types.Instant
+	// reported is true when ReasonTargetSilent was logged.
+	reported bool
+	// vacatingAt is the epoch of the lease document from which this process tried to write the lease vacant. Until
+	// the document is newer, that write may take effect, so the target gets no calls.
+	vacatingAt types.Epoch
+
+	// served is the last Serve; serving is true when it was not stopped.
+	served  Serve
+	serving bool
+	// drained is the number of the last Serve outside of which nothing is in flight.
+	drained uint64
+}
+
+func newHolder(e *env, p *Permit, w *Writer) Holder { return Holder{env: e, permit: p, writer: w} }
+
+func (h *Holder) find(id types.TargetID) *holding {
+	i, ok := slices.BinarySearchFunc(h.held, id, func(x *holding, id types.TargetID) int {
+		return compareTargets(x.id, id)
+	})
+	if !ok {
+		return nil
+	}
+	return h.held[i]
+}
+
+// refresh follows the table.
+func (h *Holder) refresh() {
+	if h.tableAt == h.table.changes {
+		return
+	}
+	h.tableAt = h.table.changes
+	for _, x := range h.held {
+		h.follow(x)
+	}
+	h.held = slices.DeleteFunc(h.held, func(x *holding) bool { return !h.mine(x.lease) || h.service(x.id.Service) == nil })
+	for i := range h.cfg.Services {
+		h.take(&h.cfg.Services[i])
+	}
+	h.collectGroups()
+}
+
+func (h *Holder) mine(l Lease) bool { return l.Holder == h.self.Peer && l.State != LeaseVacant }
+
+// follow updates a holding from its row.
+func (h *Holder) follow(x *holding) {
+	row, _ := h.table.lease(x.id)
+	previous := x.lease
+	x.lease = row
+	if !h.mine(row) || row.State != LeaseActive || h.service(x.id.Service) == nil {
+		h.stop(x)
+		if previous.State == LeaseActive {
+			h.decide(Decision{Reason: ReasonLeaseEnded, Service: x.id.Service, Target: x.id.Target, Epoch: previous.Epoch})
+		}
+		return
+	}
+	if row.Epoch != previous.Epoch {
+		h.renewEpoch(x, previous)
+	}
+	h.computeAreas(x)
+}
+
+// renewEpoch starts a new lease epoch. If this process wrote it, the row was its own until then, nobody else can have
+// taken slots from the target, and the slots known are still good. Otherwise the lease may have been with another
+// dispatcher in between.
+func (h *Holder) renewEpoch(x *holding, previous Lease) {
+	x.granted = nil
+	x.lost = false
+	x.sentGrant = false
+	x.ended = false
+	x.nextCall = h.now
+	doc := h.table.leases(x.id.Service)
+	own := doc.Write.Peer == h.self.Peer && doc.Epoch == x.lease.Epoch
+	if own && previous.State == LeaseActive && previous.Term == x.lease.Term {
+		return
+	}
+	x.endsBy = later(x.endsBy, h.timing.grantEnd(h.now))
+	x.learnedAt = h.now
+	x.fromStore = false
+}
+
+// take adds holdings for rows that name this process.
+func (h *Holder) take(s *config.Service) {
+	doc := h.table.leases(s.Name)
+	if doc == nil {
+		return
+	}
+	for i := range doc.Leases {
+		id := types.TargetID{Service: s.Name, Target: doc.Leases[i].Target}
+		if !h.mine(doc.Leases[i]) || h.find(id) != nil {
+			continue
+		}
+		h.add(s, id, doc.Leases[i], doc)
+	}
+}
+
+func (h *Holder) add(s *config.Service, id types.TargetID, l Lease, doc *LeaseDocument) {
+	x := &holding{
+		id: id, lease: l, learnedAt: h.now, checks: s.ChecksGrants, group: GroupOf(doc.Scope, l.DataCentre),
+		silentSince: forever, nextCall: h.now, validUntil: never, tokenAfter: never, tokenBefore: never,
+		// The last holder's tokens were issued before this row was written.
+		endsBy: h.timing.grantEnd(h.now),
+	}
+	i, _ := slices.BinarySearchFunc(h.held, id, func(x *holding, id types.TargetID) int { return compareTargets(x.id, id) })
+	h.held = slices.Insert(h.held, i, x)
+	if l.State != LeaseActive {
+		return
+	}
+	h.computeAreas(x)
+	h.decide(Decision{Reason: ReasonLeaseTaken, Service: id.Service, Target: id.Target, Epoch: l.Epoch})
+}
+
+func (h *Holder) computeAreas(x *holding) {
+	s := h.service(x.id.Service)
+	x.checks = s.ChecksGrants
+	x.group = GroupOf(h.table.leases(s.Name).Scope, x.lease.DataCentre)
+	if areas := areasOf(&h.table, s, x.id.Target, x.lease.Term); !areas.equal(x.areas) {
+		x.areas = areas
+	}
+	x.releasing = rowsOf(&h.table, s, func(o Ownership) bool { return h.released(x, o) })
+}
+
+func (h *Holder) collectGroups() {
+	h.groups = nil
+	for _, x := range h.held {
+		if !slices.Contains(h.groups, x.group) {
+			h.groups = append(h.groups, x.group)
+		}
+	}
+}
+
+// storeRead marks the rows that a store read has shown together with the slots.
+func (h *Holder) storeRead(sentAt types.Instant) {
+	for _, x := range h.held {
+		k := h.table.documents[LeasesKey(x.id.Service)]
+		if x.learnedAt <= sentAt || k.fromStore {
+			x.fromStore = true
+		}
+	}
+}
+
+// result takes a target's answer.
+func (h *Holder) result(r CallResult) {
+	x := h.find(r.Target)
+	if x == nil || x.call.Number == 0 || x.call.Number != r.Number {
+		return
+	}
+	call := x.call
+	x.call.Number = 0
+	if r.Status == CallFailed {
+		x.misses++
+		x.nextCall = h.now.Add(h.timing.retryEvery)
+		return
+	}
+	x.heard()
+	restarted := x.sentGrant && x.incarnation != r.Incarnation
+	x.token, x.incarnation = r.Token, r.Incarnation
+	x.tokenAfter, x.tokenBefore = call.SentAt, h.now
+	x.nextCall = h.now.Add(h.timing.renewEvery)
+	switch {
+	case r.Status == CallAccepted:
+		h.accepted(x, call)
+	case restarted, r.Status == CallExpired, r.Status == CallStaleEpoch:
+		h.grantLost(x, r.Status)
+	case !x.refused:
+		x.nextCall = h.now
+	default:
+		x.nextCall = h.now.Add(h.timing.retryEvery)
+	}
+	x.refused = r.Status == CallStaleToken
+}
+
+func (h *Holder) accepted(x *holding, call TargetCall) {
+	if call.Kind == CallRelease {
+		x.ended = true
+		return
+	}
+	if call.Epoch != x.lease.Epoch || x.lost {
+		return
+	}
+	x.validUntil = x.callFrom.Add(h.timing.grant)
+	if call.Kind != CallGrant {
+		return
+	}
+	if x.granted == nil {
+		h.decide(Decision{Reason: ReasonGranted, Service: x.id.Service, Target: x.id.Target, Epoch: call.Epoch})
+	}
+	x.granted = call.Areas
+}
+
+// grantLost handles a target that has no grant of this epoch any more.
+func (h *Holder) grantLost(x *holding, status CallStatus) {
+	if x.lease.State != LeaseActive {
+		x.ended = status != CallStaleEpoch
+		return
+	}
+	if !x.lost {
+		h.decide(Decision{Reason: ReasonGrantLost, Service: x.id.Service, Target: x.id.Target, Epoch: x.lease.Epoch})
+	}
+	x.lost = true
+	h.stop(x)
+}
+
+func (h *Holder) setDrained(d Drained) {
+	if x := h.find(d.Target); x != nil {
+		x.drained = max(x.drained, d.Number)
+	}
+}
+
+func (h *Holder) targetHeard(id types.TargetID) {
+	if x := h.find(id); x != nil && !x.checks {
+		x.heard()
+	}
+}
+
+// targetSilent takes the dispatch duty's view of a target without grants; the others are judged by their answers to
+// renewals.
+func (h *Holder) targetSilent(id types.TargetID) {
+	if x := h.find(id); x != nil && !x.checks {
+		x.misses = silentMisses
+		x.silentSince = min(x.silentSince, h.now)
+	}
+}
+
+// tick makes the due calls and updates what is served.
+func (h *Holder) tick() {
+	h.logPermit()
+	for _, x := range h.held {
+		h.expireCall(x)
+		if x.lease.State == LeaseActive {
+			h.keep(x)
+		} else {
+			h.giveUp(x)
+		}
+	}
+	h.collectSilent()
+}
+
+func (h *Holder) logPermit() {
+	held := h.permit.held(h.ownGroup())
+	if held == h.permitHeld {
+		return
+	}
+	h.permitHeld = held
+	reason := ReasonPermitLost
+	if held {
+		reason = ReasonPermitHeld
+	}
+	h.decide(Decision{Reason: reason, Peer: h.self.Peer})
+}
+
+func (h *Holder) expireCall(x *holding) {
+	if x.call.Number != 0 && h.now >= x.call.Deadline {
+		x.call.Number = 0
+		x.misses++
+		x.nextCall = h.now
+	}
+}
+
+// keep grants and renews an active lease.
+func (h *Holder) keep(x *holding) {
+	if !x.fromStore || h.vacating(x) {
+		return
+	}
+	if h.silentNow(x) && !x.reported {
+		x.reported = true
+		h.decide(Decision{Reason: ReasonTargetSilent, Service: x.id.Service, Target: x.id.Target, Epoch: x.lease.Epoch})
+	}
+	if !x.checks {
+		h.keepUnchecked(x)
+		return
+	}
+	h.serve(x)
+	if x.call.Number != 0 || x.lost || !h.permit.held(x.group) {
+		return
+	}
+	if x.granted.equal(x.areas) || !h.mayGrant(x) {
+		if x.granted != nil && h.now >= x.nextCall {
+			h.send(x, CallRenew, nil)
+		}
+		return
+	}
+	if h.now >= x.nextCall || x.granted != nil && !x.refused {
+		h.send(x, CallGrant, x.areas)
+	}
+}
+
+// keepUnchecked serves a target that takes no grants. Only the permit and the drain protect its keys.
+func (h *Holder) keepUnchecked(x *holding) {
+	x.validUntil = forever
+	if h.silentNow(x) {
+		x.validUntil = h.now
+	}
+	h.serve(x)
+	if !x.granted.equal(x.areas) && h.mayGrant(x) {
+		x.granted = x.areas
+		h.serve(x)
+	}
+}
+
+// mayGrant reports whether a changed grant may be sent: nothing may be in flight outside the areas served, so that a
+// release confirms that the target runs nothing on the released slots.
+func (h *Holder) mayGrant(x *holding) bool { return x.granted == nil || x.drained >= x.served.Number }
+
+func (h *Holder) send(x *holding, kind CallKind, areas *Areas) {
+	h.calls++
+	x.call = TargetCall{
+		Target: x.id, Kind: kind, Number: h.calls, Epoch: x.lease.Epoch, Token: x.token, Incarnation: x.incarnation,
+		TTLMs: h.timing.grant.Milliseconds(), Areas: areas, SentAt: h.now, Deadline: h.now.Add(h.timing.callTimeout),
+	}
+	x.callFrom = x.tokenAfter
+	x.silentSince = min(x.silentSince, h.now)
+	action := Action{Kind: ActRelease, Call: x.call}
+	if kind != CallRelease && x.token != 0 {
+		x.endsBy = later(x.endsBy, h.timing.grantEnd(x.tokenBefore))
+		x.sentGrant = true
+	}
+	switch kind {
+	case CallGrant:
+		action.Kind = ActGrant
+	case CallRenew:
+		action.Kind = ActRenew
+	}
+	h.emit(action)
+}
+
+// serve tells the dispatch duty what is both allowed by the table and granted by the target.
+func (h *Holder) serve(x *holding) {
+	if x.granted == nil || x.lost {
+		return
+	}
+	until := min(x.validUntil, h.permit.until(x.group))
+	areas := x.served.Areas
+	if !x.serving || x.served.Epoch != x.lease.Epoch || !areas.equal(x.areas) || !x.granted.equal(x.areas) {
+		areas = intersect(x.areas, x.granted, h.service(x.id.Service).Slots)
+	}
+	changed := !x.serving || x.served.Epoch != x.lease.Epoch || !areas.equal(x.served.Areas)
+	if until <= h.now || !changed && until <= x.served.ValidUntil {
+		return
+	}
+	number := x.served.Number
+	if changed {
+		number = h.nextServe()
+	}
+	x.serving = true
+	x.served = Serve{Target: x.id, Epoch: x.lease.Epoch, Number: number, Areas: areas, ValidUntil: until}
+	h.emit(Action{Kind: ActServe, Serve: x.served})
+}
+
+func (h *Holder) nextServe() uint64 {
+	h.serves++
+	return h.serves
+}
+
+// stop tells the dispatch duty to send nothing more to the target.
+func (h *Holder) stop(x *holding) {
+	if !x.serving {
+		return
+	}
+	x.serving = false
+	x.served.Number = h.nextServe()
+	x.served.Areas = nil
+	h.emit(Action{Kind: ActStop, Serve: Serve{Target: x.id, Epoch: x.served.Epoch, Number: x.served.Number}})
+}
+
+// giveUp ends the grant of a revoked lease that is to become vacant.
+func (h *Holder) giveUp(x *holding) {
+	if !x.lease.Ending || x.ended || !x.checks || x.token == 0 || x.call.Number != 0 || h.now < x.nextCall {
+		return
+	}
+	if x.drained >= x.served.Number {
+		h.send(x, CallRelease, nil)
+	}
+}
+
+func (h *Holder) silentNow(x *holding) bool {
+	return x.misses >= silentMisses && h.now >= x.silentSince.Add(h.timing.suspicion)
+}
+
+func (x *holding) heard() {
+	x.misses = 0
+	x.silentSince = forever
+	x.reported = false
+}
+
+func (h *Holder) vacating(x *holding) bool {
+	return x.vacatingAt != 0 && x.vacatingAt >= h.table.epoch(LeasesKey(x.id.Service))
+}
+
+// collectSilent lists the targets without a valid grant.
+func (h *Holder) collectSilent() {
+	same := true
+	n := 0
+	for _, x := range h.held {
+		if x.lease.State != LeaseActive || x.granted != nil && h.now < x.validUntil {
+			continue
+		}
+		same = same && n < len(h.silent) && h.silent[n] == x.id
+		n++
+	}
+	if same && n == len(h.silent) {
+		return
+	}
+	h.silent = make([]types.TargetID, 0, n)
+	for _, x := range h.held {
+		if x.lease.State == LeaseActive && (x.granted == nil || h.now >= x.validUntil) {
+			h.silent = append(h.silent, x.id)
+		}
+	}
+}
+
+// editLeases writes what only the holder may write: a new epoch after a lost grant, a planned hand-over after the
+// drain, and a vacant lease once no grant is left at the target.
+func (h *Holder) editLeases(e *leaseEdit) {
+	for _, x := range h.held {
+		if x.id.Service != e.key.Service {
+			continue
+		}
+		row := x.lease
+		switch {
+		case h.mayVacate(x), h.vacating(x):
+			x.vacatingAt = e.base.Epoch
+			h.stop(x)
+			e.vacate(row, ReasonLeaseVacated)
+		case row.State == LeaseActive && x.lost && !h.silentNow(x):
+			e.put(row, ReasonGrantLost)
+		case row.State == LeaseRevoked && row.Next != (Peer{}) && !row.Ending && x.drained >= x.served.Number:
+			row.State, row.Holder, row.Next = LeaseActive, row.Next, Peer{}
+			e.put(row, ReasonDispatcherMoved)
+		}
+	}
+}
+
+// mayVacate reports whether the target certainly holds no grant and should lose its slots: its lease is being ended,
+// or it owns slots and is silent.
+func (h *Holder) mayVacate(x *holding) bool {
+	expired := h.now >= x.endsBy
+	if !x.checks {
+		expired = x.drained >= x.served.Number && h.now >= h.timing.grantEnd(later(x.learnedAt, x.served.ValidUntil))
+	}
+	if x.lease.State == LeaseRevoked {
+		return x.lease.Ending && (x.ended || expired)
+	}
+	return expired && h.silentNow(x) && holds(&h.table, h.service(x.id.Service), x.id.Target, x.lease.Term)
+}
+
+// editSlots writes the next owner of the slots and hot keys that the held targets have released.
+func (h *Holder) editSlots(e *slotEdit) {
+	for _, x := range h.held {
+		if x.id.Service != e.key.Service || !x.releasing || x.granted == nil || !x.granted.equal(x.areas) {
+			continue
+		}
+		n := 0
+		for _, r := range e.base.Runs {
+			if h.released(x, r.Ownership) {
+				e.setSlots(r.First, r.End(), h.successor(x, r.Ownership))
+				n += int(r.Count)
+			}
+		}
+		for _, k := range e.base.HotKeys {
+			if h.released(x, k.Ownership) {
+				e.setKey(k.Key, h.successor(x, k.Ownership))
+				n++
+			}
+		}
+		if n > 0 {
+			e.note(ReasonReleased, x.id.Target, n)
+		}
+	}
+}
+
+func (h *Holder) released(x *holding, o Ownership) bool {
+	return o.State == SlotReleasing && o.Owner == x.id.Target && o.Term == x.lease.Term
+}
+
+// successor returns the ownership after a release: the next owner if its lease is active, otherwise free.
+func (h *Holder) successor(x *holding, o Ownership) Ownership {
+	next, ok := h.table.lease(types.TargetID{Service: x.id.Service, Target: o.Next})
+	if !ok || next.State != LeaseActive {
+		return Ownership{State: SlotFree}
+	}
+	return Ownership{State: SlotOwned, Owner: o.Next, Term: next.Term}
+}
