--- /dev/null
+++ b/cmd/internal/operator/await_test.go
@@ -0,0 +1,207 @@
+package operator_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiasail.example/config"
+	standin "sequoiasail.example/standin/store"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/types"
+
+	"sequoiasail.example/cmd/internal/operator"
+)
+
+const poll = time.Millisecond
+
+// Guards against "in force everywhere" while a process is silent or follows an older version.
+func TestAwaitVersion(t *testing.T) {
+	is := is.New(t)
+	fleet := &fakeFleet{names: []string{"vm-1", "vm-2", "vm-3"}, ask: func(round int, name string) telemetry.Status {
+		switch {
+		case name == "vm-2" && round < 3:
+			return telemetry.Status{VM: name, ConfigVersion: 6}
+		case name == "vm-3" && round < 5:
+			return telemetry.Status{}
+		}
+		return telemetry.Status{VM: name, ConfigVersion: 7 + uint64(round)}
+	}}
+	o := &operator.Operator{Fleet: fleet}
+	var seen []operator.Progress
+	_, err := o.AwaitVersion(t.Context(), 7, poll, func(p operator.Progress) { seen = append(seen, p) })
+	is.NoErr(err)
+	is.Equal(len(seen), 3) // shown when something changed, not every round
+	is.Equal(seen[0].Waiting, []string{"vm-2/dispatcher: follows version 6"})
+	is.Equal(seen[0].Silent, []string{"vm-3/dispatcher"})
+	is.True(seen[2].Complete())
+}
+
+// Guards against a wait without end, and against one that ends as if all had confirmed.
+func TestAwaitGivesUp(t *testing.T) {
+	is := is.New(t)
+	fleet := &fakeFleet{names: []string{"vm-1", "vm-2"}, ask: func(_ int, name string) telemetry.Status {
+		if name == "vm-2" {
+			return telemetry.Status{}
+		}
+		return telemetry.Status{VM: name, ConfigVersion: 7}
+	}}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	p, err := (&operator.Operator{Fleet: fleet}).AwaitVersion(ctx, 7, poll, func(operator.Progress) {})
+	is.Equal(types.CodeOf(err), types.CodeDeadlineExceeded)
+	is.Equal(p.Silent, []string{"vm-2/dispatcher"})
+}
+
+// Guards against a data centre that counts as out while a process still has work for it or keeps admitting it.
+func TestAwaitDecision(t *testing.T) {
+	f := startApplied(t)
+	jana := f.person("jana", nil)
+	out, err := jana.Decide(t.Context(), takeOut)
+	f.NoErr(err)
+	const target = "mapa-skvrn-03" // in kladno
+	jana.Fleet = &fakeFleet{names: []string{"vm-1"}, ask: func(round int, name string) telemetry.Status {
+		s := telemetry.Status{VM: name, Incarnation: 1, OpsRevision: uint64(out.Revision)}
+		q := telemetry.QueueStatus{Service: "mapa-skvrn", Target: target, Admitted: 9}
+		elsewhere := telemetry.QueueStatus{Service: "mapa-skvrn", Target: "mapa-skvrn-01", InFlight: 4, Admitted: uint64(100 * round)}
+		switch round {
+		case 1:
+			s.OpsRevision--
+		case 2:
+			q.Waiting, q.InFlight, q.Admitted = 2, 1, 5
+		case 3:
+			q.Admitted = 8
+		}
+		s.Queues = []telemetry.QueueStatus{elsewhere, q}
+		return s
+	}}
+	var seen []string
+	_, err = jana.AwaitDecision(t.Context(), out, poll, func(p operator.Progress) { seen = append(seen, p.Waiting...) })
+	f.NoErr(err)
+	f.Equal(jana.Fleet.(*fakeFleet).round, 5)
+	f.Equal(seen, []string{"vm-1/dispatcher: has not seen the decision"})
+}
+
+// Guards against a restart that hides new work: the counter of a new incarnation starts at 0.
+func TestAwaitDecisionSeesWorkAfterRestart(t *testing.T) {
+	f := startApplied(t)
+	jana := f.person("jana", nil)
+	out, err := jana.Decide(t.Context(), takeOut)
+	f.NoErr(err)
+	jana.Fleet = &fakeFleet{names: []string{"vm-1"}, ask: func(round int, name string) telemetry.Status {
+		s := telemetry.Status{VM: name, Incarnation: uint64(round), OpsRevision: uint64(out.Revision)}
+		s.Queues = []telemetry.QueueStatus{{Service: "mapa-skvrn", Target: "mapa-skvrn-03", Admitted: 5}}
+		return s
+	}}
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	p, err := jana.AwaitDecision(ctx, out, poll, func(operator.Progress) {})
+	f.Equal(types.CodeOf(err), types.CodeDeadlineExceeded)
+	f.True(strings.Contains(p.Waiting[0], "admitted 5 requests"))
+}
+
+// Guards against a process that hangs and delays the picture of all others, and against its late answer being taken
+// for one to a later question.
+func TestFleetAnswersWithoutTheSilent(t *testing.T) {
+	is := is.New(t)
+	var calls atomic.Int64
+	release := make(chan struct{})
+	slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			select {
+			case <-release:
+			case <-r.Context().Done():
+			}
+		}
+		_ = json.NewEncoder(w).Encode(telemetry.Status{VM: "vm-2"})
+	}))
+	defer slow.Close()
+	defer close(release)
+	quick := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"vm":"vm-1","configVersion":3,"addedLater":true}`))
+	}))
+	defer quick.Close()
+	address := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	fleet, err := operator.StartFleet(t.Context(), []operator.Process{
+		{VM: "vm-1", Role: "gateway", Address: address(quick)},
+		{VM: "vm-2", Role: "gateway", Address: address(slow)},
+		{VM: "vm-3", Role: "gateway", Address: "127.0.0.1:1"},
+	}, 200*time.Millisecond, time.Now)
+	is.NoErr(err)
+	reports := fleet.Ask(t.Context())
+	is.Equal(reports[0].Status.ConfigVersion, uint64(3))
+	is.Equal(types.CodeOf(reports[1].Err), types.CodePeerUnavailable)
+	is.Equal(types.CodeOf(reports[2].Err), types.CodePeerUnavailable)
+	reports = fleet.Ask(t.Context())
+	is.NoErr(reports[1].Err)
+	is.NoErr(fleet.Stop(t.Context()))
+}
+
+// Guards against a picture that shows nothing while the store is down, or that hides how old it is.
+func TestLookDuringOutage(t *testing.T) {
+	f := startApplied(t)
+	jana := f.person("jana", nil)
+	_, err := jana.Decide(t.Context(), takeOut)
+	f.NoErr(err)
+	answers := true
+	jana.Fleet = &fakeFleet{names: []string{"vm-1"}, ask: func(_ int, name string) telemetry.Status {
+		if !answers {
+			return telemetry.Status{}
+		}
+		return telemetry.Status{VM: name, ConfigVersion: 1}
+	}}
+	first := jana.Look(t.Context(), nil)
+	f.True(first.InForce())
+	f.faults(standin.Faults{Down: true})
+	second := jana.Look(t.Context(), &first)
+	f.True(second.Store.Error != "")
+	f.Equal(second.Store.Rows[takeOut.Key].State, config.OpsOut)
+	f.Equal(second.Store.SeenAt, first.Store.SeenAt)
+	f.Equal(second.Processes[0].Status.ConfigVersion, uint64(1))
+	f.True(!second.InForce())
+	answers = false
+	third := jana.Look(t.Context(), &second)
+	f.Equal(third.Processes[0].SeenAt, second.Processes[0].SeenAt)
+	f.True(third.Processes[0].Error != "")
+}
+
+// Guards against changes that a watch misses or repeats, also across an outage.
+func TestFollow(t *testing.T) {
+	f := startApplied(t)
+	jana := f.person("jana", nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var seen []string
+	step := 0
+	err := jana.Follow(ctx, func(n operator.News) {
+		seen = append(seen, n.Key+" "+n.Text)
+		step++
+		switch step {
+		case 1:
+			_, err := jana.Decide(t.Context(), takeOut)
+			f.NoErr(err)
+		case 2:
+			f.faults(standin.Faults{Down: true})
+		case 4: // both watches have told the outage
+			f.faults(standin.Faults{})
+		case 6: // and its end
+			_, err := jana.Decide(t.Context(), operator.Decision{Key: takeOut.Key, State: config.OpsIn})
+			f.NoErr(err)
+		case 7:
+			cancel()
+		}
+	})
+	f.NoErr(err)
+	f.Equal(seen[0], "config/current in force")
+	f.Equal(seen[1], "ops/dc/kladno out by jana: power")
+	f.True(strings.Contains(seen[2], "does not answer") && strings.Contains(seen[3], "does not answer"))
+	f.True(strings.Contains(seen[4], "answers again") && strings.Contains(seen[5], "answers again"))
+	f.Equal(seen[6], "ops/dc/kladno in by jana")
+}
--- /dev/null
+++ b/cmd/internal/operator/fleet.go
@@ -0,0 +1,158 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"sequoiasail.example/duty"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/types"
+)
+
+// Process is one process of the system and the address of its operators' pages.
+type Process struct {
+	VM      types.VM
+	Role    string
+	Address string
+}
+
+// Name returns "vm/role".
+func (p Process) Name() string { return string(p.VM) + "/" + p.Role }
+
+// Report is what one process answered.
+type Report struct {
+	Process Process
+	// Status is valid when Err is nil.
+	Status telemetry.Status
+	// At is when the answer arrived or the attempt failed.
+	At  time.Time
+	Err error
+}
+
+const (
+	// DefaultStatusTimeout bounds one question to one process.
+	DefaultStatusTimeout = time.Second
+	// maxStatusBytes bounds an answer; one target takes about 200 bytes.
+	maxStatusBytes = 4 << 20
+)
+
+// HTTPFleet asks processes over HTTP. Each process has a duty with a ring for questions; all duties answer into one
+// ring. A process that does not answer therefore delays nobody else.
+type HTTPFleet struct {
+	processes []Process
+	client    *http.Client
+	timeout   time.Duration
+	now       func() time.Time
+	duties    *duty.Group
+	questions []*ring.Ring[uint64]
+	answers   *ring.Ring[numbered]
+	round     uint64
+}
+
+// numbered is a report on process index in a round of questions.
+type numbered struct {
+	round  uint64
+	index  int
+	report Report
+}
+
+// StartFleet starts one duty per process. A timeout of 0 means DefaultStatusTimeout.
+func StartFleet(ctx context.Context, processes []Process, timeout time.Duration, now func() time.Time) (*HTTPFleet, error) {
+	if timeout == 0 {
+		timeout = DefaultStatusTimeout
+	}
+	f := &HTTPFleet{
+		processes: processes, timeout: timeout, now: now, client: &http.Client{Transport: &http.Transport{}},
+		duties: duty.NewGroup(), answers: ring.New[numbered](len(processes)),
+	}
+	for i, p := range processes {
+		questions := ring.New[uint64](1)
+		f.questions = append(f.questions, questions)
+		f.duties.Add(duty.Duty{
+			Name: "status-" + p.Name(),
+			Run:  func(ctx context.Context) error { return f.serve(ctx, i, questions) },
+		})
+	}
+	return f, f.duties.Start(ctx)
+}
+
+// Stop ends the duties and closes the connections.
+func (f *HTTPFleet) Stop(ctx context.Context) error {
+	err := f.duties.Stop(ctx)
+	f.client.CloseIdleConnections()
+	return err
+}
+
+// Ask implements Fleet. It returns after the timeout of one question at the latest, or when ctx ends.
+func (f *HTTPFleet) Ask(ctx context.Context) []Report {
+	f.round++
+	reports := make([]Report, len(f.processes))
+	for i, q := range f.questions {
+		reports[i] = Report{Process: f.processes[i], Err: types.NewFault(types.CodeTimeout, "not asked in time")}
+		_ = q.Replace(f.round)
+	}
+	for range f.processes {
+		n, err := f.next(ctx)
+		if err != nil {
+			return reports
+		}
+		reports[n.index] = n.report
+	}
+	return reports
+}
+
+// next returns the next answer of this round. Answers to earlier rounds are dropped.
+func (f *HTTPFleet) next(ctx context.Context) (numbered, error) {
+	for {
+		n, err := f.answers.Get(ctx)
+		if err != nil || n.round == f.round {
+			return n, err
+		}
+	}
+}
+
+// serve is the duty of process index.
+func (f *HTTPFleet) serve(ctx context.Context, index int, questions *ring.Ring[uint64]) error {
+	for {
+		round, err := questions.Get(ctx)
+		if err != nil {
+			return err
+		}
+		report := f.ask(ctx, f.processes[index])
+		if err := f.answers.Put(ctx, numbered{round: round, index: index, report: report}); err != nil {
+			return err
+		}
+	}
+}
+
+func (f *HTTPFleet) ask(ctx context.Context, p Process) Report {
+	ctx, cancel := context.WithTimeout(ctx, f.timeout)
+	defer cancel()
+	status, err := f.status(ctx, "http://"+p.Address+"/status")
+	return Report{Process: p, Status: status, At: f.now(), Err: err}
+}
+
+// status decodes leniently: during a rolling upgrade newer processes may report more than this sailctl knows.
+func (f *HTTPFleet) status(ctx context.Context, url string) (telemetry.Status, error) {
+	var s telemetry.Status
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return s, types.WrapFault(types.CodeBadSettings, err, "cannot ask")
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return s, types.WrapFault(types.CodePeerUnavailable, err, "does not answer")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return s, types.NewFault(types.CodePeerUnavailable, "answers %s", response.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&s); err != nil {
+		return s, types.WrapFault(types.CodePeerUnavailable, err, "answers no status")
+	}
+	return s, nil
+}
--- /dev/null
+++ b/cmd/internal/operator/operator.go
@@ -0,0 +1,88 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"time"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+// Store is the part of the platform's store that operators need.
+type Store interface {
+	Get(ctx context.Context, key string) (store.Entry, error)
+	List(ctx context.Context, prefix string) ([]store.Entry, types.Revision, error)
+	CAS(ctx context.Context, w store.Write) (types.Revision, error)
+	Watch(ctx context.Context, prefix string, after types.Revision) ([]store.Event, types.Revision, error)
+}
+
+// Fleet asks the processes for their status.
+type Fleet interface {
+	// Ask returns one report for each process, in the order of the settings.
+	Ask(ctx context.Context) []Report
+}
+
+// Operator acts for one person. It is owned by one goroutine.
+type Operator struct {
+	Store Store
+	Fleet Fleet
+	// Name of the person, as it appears in the history.
+	Name string
+	// Now returns the wall-clock time.
+	Now func() time.Time
+	// NewWriteID returns an identifier that no other write has.
+	NewWriteID func() string
+}
+
+// RandomWriteID returns a source of write identifiers that start with the operator's name.
+func RandomWriteID(name string) func() string {
+	return func() string {
+		var b [16]byte
+		_, _ = rand.Read(b[:]) // never fails, see crypto/rand
+		return name + "-" + hex.EncodeToString(b[:])
+	}
+}
+
+// Stored is the configuration in force. The version is 0 when there is none.
+type Stored struct {
+	Configuration config.Configuration
+	Revision      types.Revision
+	WriteID       string
+}
+
+// Current reads the configuration in force. A store without one is no fault.
+func (o *Operator) Current(ctx context.Context) (Stored, error) {
+	e, err := o.Store.Get(ctx, config.KeyCurrent)
+	if missing(err) {
+		return Stored{}, nil
+	}
+	if err != nil {
+		return Stored{}, err
+	}
+	c, err := config.Parse(e.Value)
+	if err != nil {
+		return Stored{}, types.WrapFault(types.CodeBadConfiguration, err, "the stored configuration is damaged")
+	}
+	return Stored{Configuration: c, Revision: e.Revision, WriteID: e.WriteID}, nil
+}
+
+// stamp returns the time for history records.
+func (o *Operator) stamp() string { return o.Now().UTC().Format(time.RFC3339) }
+
+// pause waits for d without using the processor. It returns a CodeDeadlineExceeded fault when ctx ends first.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return types.WrapFault(types.CodeDeadlineExceeded, ctx.Err(), "stopped waiting")
+	}
+}
+
+// missing reports whether err says that a key does not exist.
+func missing(err error) bool { return types.CodeOf(err) == types.CodeNotFound }
--- /dev/null
+++ b/cmd/internal/operator/operator_test.go
@@ -0,0 +1,120 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/duty"
+	standin "sequoiasail.example/standin/store"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+
+	"sequoiasail.example/cmd/internal/operator"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fixture is a stand-in store with a client.
+type fixture struct {
+	*is.I
+	t       *testing.T
+	address string
+	client  *store.HTTP
+}
+
+func start(t *testing.T) *fixture {
+	t.Helper()
+	g := duty.NewGroup()
+	address, err := standin.Start(t.Context(), g, standin.Options{Listen: "127.0.0.1:0"})
+	f := &fixture{I: is.New(t), t: t, address: address}
+	f.NoErr(err)
+	f.client = store.NewHTTP(store.Options{Address: address, Name: "test", Timeout: 500 * time.Millisecond})
+	t.Cleanup(func() {
+		f.client.Close()
+		http.DefaultClient.CloseIdleConnections()
+		f.NoErr(g.Stop(context.Background()))
+	})
+	return f
+}
+
+func (f *fixture) faults(v standin.Faults) {
+	f.t.Helper()
+	data, err := json.Marshal(v)
+	f.NoErr(err)
+	res, err := http.Post("http://"+f.address+standin.PathFaults, "application/json", bytes.NewReader(data))
+	f.NoErr(err)
+	f.NoErr(res.Body.Close())
+}
+
+// person returns an operator who works over s, or over the fixture's client when s is nil.
+func (f *fixture) person(name string, s operator.Store) *operator.Operator {
+	if s == nil {
+		s = f.client
+	}
+	var n atomic.Int64
+	return &operator.Operator{
+		Store: s, Name: name, Now: func() time.Time { return time.Date(2026, 12, 4, 11, 0, 0, 0, time.UTC) },
+		NewWriteID: func() string { return name + "-" + strconv.FormatInt(n.Add(1), 10) },
+	}
+}
+
+// revision returns the joint venture's configuration with a deadline of its own, so that revisions differ.
+func revision(t testing.TB, expect types.Version, late int64) operator.Revision {
+	t.Helper()
+	data, err := os.ReadFile("../../../examples/joint-venture/answers.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := config.ParseAnswers(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Services[1].Requests[0].LateAfterMs = late
+	c, err := config.Generate(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return operator.Revision{Configuration: c, Expect: expect, Note: "late after " + strconv.FormatInt(late, 10)}
+}
+
+// hooked is a store whose CAS can be replaced.
+type hooked struct {
+	operator.Store
+	cas func(ctx context.Context, w store.Write) (types.Revision, error)
+}
+
+func (h *hooked) CAS(ctx context.Context, w store.Write) (types.Revision, error) {
+	return h.cas(ctx, w)
+}
+
+// fakeFleet answers from a function; an empty VM in the status means no answer.
+type fakeFleet struct {
+	names []string
+	round int
+	ask   func(round int, name string) telemetry.Status
+}
+
+func (f *fakeFleet) Ask(context.Context) []operator.Report {
+	f.round++
+	var out []operator.Report
+	for _, name := range f.names {
+		r := operator.Report{Process: operator.Process{VM: types.VM(name), Role: "dispatcher"}, At: time.Unix(int64(f.round), 0)}
+		if r.Status = f.ask(f.round, name); r.Status.VM == "" {
+			r.Err = types.NewFault(types.CodePeerUnavailable, "does not answer")
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/internal/operator/ops.go
@@ -0,0 +1,146 @@
+package operator
+
+import (
+	"context"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+// Decision is an operator's decision about a data centre, VM or target.
+type Decision struct {
+	// Key is the row's key, see config.DataCentreKey, VMKey and TargetKey.
+	Key   string
+	State config.OpsState
+	// Note says why. Optional.
+	Note string
+	// Force skips the check that every service keeps a target in service, and replaces a damaged row.
+	Force bool
+}
+
+// Decided says what became of a decision.
+type Decided struct {
+	Key     string          `json:"key"`
+	Version types.Version   `json:"version"`
+	State   config.OpsState `json:"state"`
+	// Revision is the store revision of the row.
+	Revision types.Revision `json:"revision"`
+	// Unchanged is true when the row had the state already and nothing was written.
+	Unchanged bool `json:"unchanged,omitempty"`
+	// ReplacedBy is the decision that followed before the answer arrived, if any.
+	ReplacedBy *config.OpsChange `json:"replacedBy,omitempty"`
+}
+
+// Decide writes the row of d. It returns a not-found fault for an unknown name, settings.Problems when a service would
+// have no target left, and a conflict fault that names the other operator when a different decision came first.
+func (o *Operator) Decide(ctx context.Context, d Decision) (Decided, error) {
+	if err := o.permitted(ctx, d); err != nil {
+		return Decided{}, err
+	}
+	row, at, err := o.row(ctx, d.Key)
+	damaged := d.Force && at > 0 && err != nil
+	if damaged {
+		// The store revision is at least the version of any row, so processes install what follows.
+		row, err = config.OpsRow{OpsChange: config.OpsChange{Version: types.Version(at)}}, nil
+	}
+	if err != nil {
+		return Decided{}, err
+	}
+	if row.State == d.State || row.Version == 0 && d.State == config.OpsIn {
+		return Decided{Key: d.Key, Version: row.Version, State: d.State, Revision: at, Unchanged: true}, nil
+	}
+	change := config.OpsChange{State: d.State, Operator: o.Name, Note: d.Note, At: o.stamp(), WriteID: o.NewWriteID()}
+	next := row.Next(change)
+	if damaged {
+		next.History = nil
+	}
+	return o.writeRow(ctx, d, next, at)
+}
+
+// permitted checks the name and what would be left in service.
+func (o *Operator) permitted(ctx context.Context, d Decision) error {
+	now, err := o.Current(ctx)
+	if err != nil {
+		return err
+	}
+	if err := config.KnowsOps(now.Configuration, d.Key); err != nil {
+		return err
+	}
+	if d.Force {
+		return nil
+	}
+	rows, err := o.Rows(ctx)
+	if err != nil {
+		return err
+	}
+	return config.CheckOps(now.Configuration, rows, d.Key, d.State)
+}
+
+func (o *Operator) writeRow(ctx context.Context, d Decision, next config.OpsRow, at types.Revision) (Decided, error) {
+	var newest config.OpsRow
+	w := store.Write{Key: d.Key, Expected: at, Value: next.Encode(), WriteID: next.WriteID}
+	f, revision, err := o.put(ctx, w, func(_ context.Context, e store.Entry) (bool, error) {
+		var err error
+		newest, err = config.ParseOpsRow(e.Value)
+		_, held := newest.Find(next.WriteID)
+		return held, err
+	})
+	if err != nil {
+		return Decided{}, err
+	}
+	out := Decided{Key: d.Key, Version: next.Version, State: d.State, Revision: revision}
+	switch f {
+	case fateRefused:
+		return o.lostRace(ctx, d)
+	case fateReplaced:
+		out.ReplacedBy = &newest.OpsChange
+	}
+	return out, nil
+}
+
+// lostRace reports who came first. Both operators wanting the same is no conflict.
+func (o *Operator) lostRace(ctx context.Context, d Decision) (Decided, error) {
+	row, at, err := o.row(ctx, d.Key)
+	if err != nil {
+		return Decided{}, types.WrapFault(types.CodeConflict, err, "another operator changed %s first", d.Key)
+	}
+	if row.State == d.State {
+		return Decided{Key: d.Key, Version: row.Version, State: d.State, Revision: at, Unchanged: true}, nil
+	}
+	return Decided{}, types.NewFault(types.CodeConflict, "%s set %s to %s at %s first; nothing was changed",
+		row.Operator, d.Key, row.State, row.At)
+}
+
+// row reads one row and its store revision. The version is 0 when there is none.
+func (o *Operator) row(ctx context.Context, key string) (config.OpsRow, types.Revision, error) {
+	e, err := o.Store.Get(ctx, key)
+	if missing(err) {
+		return config.OpsRow{}, 0, nil
+	}
+	if err != nil {
+		return config.OpsRow{}, 0, err
+	}
+	r, err := config.ParseOpsRow(e.Value)
+	if err != nil {
+		return config.OpsRow{}, e.Revision, types.WrapFault(types.CodeBadConfiguration, err, "the row %s is damaged", key)
+	}
+	return r, e.Revision, nil
+}
+
+// Rows reads all operators' rows. A damaged row is an error, since it may hold that something is out of service.
+func (o *Operator) Rows(ctx context.Context) (config.OpsRows, error) {
+	entries, _, err := o.Store.List(ctx, config.PrefixOps)
+	if err != nil {
+		return nil, err
+	}
+	rows := config.OpsRows{}
+	for _, e := range entries {
+		row, err := config.ParseOpsRow(e.Value)
+		if err != nil {
+			return nil, types.WrapFault(types.CodeBadConfiguration, err, "the row %s is damaged", e.Key)
+		}
+		rows[e.Key] = row
+	}
+	return rows, nil
+}
--- /dev/null
+++ b/cmd/internal/operator/watch.go
@@ -0,0 +1,172 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/duty"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+const (
+	// newsCapacity bounds the changes that wait to be shown. A full ring holds the watch back; the store keeps the
+	// history meanwhile.
+	newsCapacity = 256
+	// retryPause is the time between attempts to reach a store that is down.
+	retryPause = time.Second
+)
+
+// News is one thing that a watch has seen.
+type News struct {
+	At  time.Time `json:"at"`
+	Key string    `json:"key,omitempty"`
+	// Revision is the store revision of the change.
+	Revision types.Revision `json:"revision,omitempty"`
+	// Version of the configuration or row.
+	Version types.Version `json:"version,omitempty"`
+	// Text says what happened.
+	Text string `json:"text"`
+}
+
+// Follow shows every change of configuration and operators' rows until ctx ends. It starts with what is there.
+func (o *Operator) Follow(ctx context.Context, show func(News)) error {
+	news := ring.New[News](newsCapacity)
+	duties := duty.NewGroup()
+	for _, prefix := range []string{config.KeyCurrent, config.PrefixOps} {
+		f := &follower{o: o, prefix: prefix, news: news}
+		duties.Add(duty.Duty{Name: "watch-" + prefix, Run: f.run})
+	}
+	if err := duties.Start(ctx); err != nil {
+		return err
+	}
+	for {
+		n, err := news.Get(ctx)
+		if err != nil {
+			return duties.Stop(context.WithoutCancel(ctx))
+		}
+		show(n)
+	}
+}
+
+// follower is the duty that watches one prefix.
+type follower struct {
+	o      *Operator
+	prefix string
+	news   *ring.Ring[News]
+	// after is the revision up to which changes were shown. 0 means that the prefix must be listed.
+	after types.Revision
+	// seen holds the revision of each key that was shown, so that listing again repeats nothing.
+	seen map[string]types.Revision
+	down bool
+}
+
+func (f *follower) run(ctx context.Context) error {
+	f.seen = map[string]types.Revision{}
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case missing(err):
+			f.after = 0
+		case err != nil:
+			_ = f.outage(ctx, err) // fails only when ctx ends, which the loop sees
+		}
+	}
+	return nil
+}
+
+// step lists the prefix or waits for its next changes.
+func (f *follower) step(ctx context.Context) error {
+	if f.after == 0 {
+		return f.list(ctx)
+	}
+	events, after, err := f.o.Store.Watch(ctx, f.prefix, f.after)
+	if err != nil {
+		return err
+	}
+	if err := f.back(ctx); err != nil {
+		return err
+	}
+	for _, e := range events {
+		if err := f.tell(ctx, e); err != nil {
+			return err
+		}
+	}
+	f.after = after
+	return nil
+}
+
+func (f *follower) list(ctx context.Context) error {
+	entries, at, err := f.o.Store.List(ctx, f.prefix)
+	if err != nil {
+		return err
+	}
+	if err := f.back(ctx); err != nil {
+		return err
+	}
+	for _, e := range entries {
+		if err := f.tell(ctx, store.Event{Entry: e}); err != nil {
+			return err
+		}
+	}
+	f.after = at
+	return nil
+}
+
+func (f *follower) tell(ctx context.Context, e store.Event) error {
+	if f.seen[e.Key] >= e.Revision {
+		return nil
+	}
+	f.seen[e.Key] = e.Revision
+	n := News{At: f.o.Now(), Key: e.Key, Revision: e.Revision}
+	n.Version, n.Text = describe(e)
+	return f.news.Put(ctx, n)
+}
+
+func describe(e store.Event) (types.Version, string) {
+	if e.Deleted {
+		return 0, "deleted"
+	}
+	if e.Key == config.KeyCurrent {
+		c, err := config.Parse(e.Value)
+		if err != nil {
+			return 0, "damaged; processes keep the configuration they have"
+		}
+		return c.Version, "in force"
+	}
+	row, err := config.ParseOpsRow(e.Value)
+	if err != nil {
+		return 0, "damaged; processes keep the state they know"
+	}
+	text := string(row.State) + " by " + row.Operator
+	if row.Note != "" {
+		text += ": " + row.Note
+	}
+	return row.Version, text
+}
+
+// outage tells once that the store is down, and waits before the next attempt. That one lists: a watch would answer only
+// after the next change, so the end of the outage would be told up to store.MaxWatchWait late.
+func (f *follower) outage(ctx context.Context, cause error) error {
+	f.after = 0
+	if !f.down {
+		f.down = true
+		n := News{At: f.o.Now(), Text: f.prefix + ": the store does not answer: " + cause.Error()}
+		if err := f.news.Put(ctx, n); err != nil {
+			return err
+		}
+	}
+	return pause(ctx, retryPause)
+}
+
+func (f *follower) back(ctx context.Context) error {
+	if !f.down {
+		return nil
+	}
+	f.down = false
+	return f.news.Put(ctx, News{At: f.o.Now(), Text: f.prefix + ": the store answers again"})
+}
--- /dev/null
+++ b/cmd/internal/operator/write.go
@@ -0,0 +1,103 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+// settlePause is the time between attempts to read back a write whose answer was lost. The store answers within
+// milliseconds, so a shorter pause only adds calls to a store that is in trouble.
+const settlePause = 200 * time.Millisecond
+
+// fate is what became of a write.
+type fate uint8
+
+const (
+	// fateApplied means that the write took effect and is the newest one of its key.
+	fateApplied fate = iota
+	// fateReplaced means that the write took effect and another one followed.
+	fateReplaced
+	// fateRefused means that another write came first. This one never took effect.
+	fateRefused
+)
+
+// remembered reports whether the history of a key holds the write. newest is the entry that is there instead.
+type remembered func(ctx context.Context, newest store.Entry) (bool, error)
+
+// put performs w and settles a lost answer. It returns an answer-lost fault when ctx ends before the fate is known.
+func (o *Operator) put(ctx context.Context, w store.Write, known remembered) (fate, types.Revision, error) {
+	lost := false
+	for {
+		revision, err := o.Store.CAS(ctx, w)
+		switch code := types.CodeOf(err); {
+		case err == nil:
+			return fateApplied, revision, nil
+		case code == types.CodeConflict && !lost:
+			return fateRefused, 0, nil
+		case code == types.CodeConflict, uncertain(code):
+		case lost && code == types.CodeStoreUnavailable:
+		default:
+			return fateRefused, 0, err
+		}
+		lost = true
+		f, revision, again, err := o.settle(ctx, w, known)
+		if err != nil || !again {
+			return f, revision, err
+		}
+	}
+}
+
+// uncertain reports whether a write that failed with code may have taken effect.
+func uncertain(code types.Code) bool {
+	return code == types.CodeAnswerLost || code == types.CodeTimeout || code == types.CodeCancelled
+}
+
+// settle reads back a write whose answer was lost. again is true when the key still has the expected revision: the write
+// has not arrived, and sending it once more is safe, since at most one of both can match that revision.
+func (o *Operator) settle(ctx context.Context, w store.Write, known remembered) (f fate, at types.Revision, again bool, err error) {
+	e, err := o.readBack(ctx, w.Key)
+	if err != nil {
+		return fateRefused, 0, false, lostFault(w, err)
+	}
+	if e.WriteID == w.WriteID {
+		return fateApplied, e.Revision, false, nil
+	}
+	if e.Revision == w.Expected {
+		if err := pause(ctx, settlePause); err != nil {
+			return fateRefused, 0, false, lostFault(w, err)
+		}
+		return fateRefused, 0, true, nil
+	}
+	held, err := known(ctx, e)
+	if err != nil {
+		return fateRefused, 0, false, lostFault(w, err)
+	}
+	if held {
+		return fateReplaced, e.Revision, false, nil
+	}
+	return fateRefused, 0, false, nil
+}
+
+// readBack reads key until the store answers. A missing key has revision 0.
+func (o *Operator) readBack(ctx context.Context, key string) (store.Entry, error) {
+	for {
+		e, err := o.Store.Get(ctx, key)
+		if err == nil {
+			return e, nil
+		}
+		if missing(err) {
+			return store.Entry{}, nil
+		}
+		if err := pause(ctx, settlePause); err != nil {
+			return store.Entry{}, err
+		}
+	}
+}
+
+func lostFault(w store.Write, cause error) error {
+	return types.WrapFault(types.CodeAnswerLost, cause,
+		"the store did not say whether it took write %s to %s; look at the key's history once it answers", w.WriteID, w.Key)
+}
--- /dev/null
+++ b/cmd/internal/sailctl/command.go
@@ -0,0 +1,71 @@
+package sailctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/google/subcommands"
+
+	"sequoiasail.example/types"
+)
+
+// command is one subcommand.
+type command struct {
+	name, group, synopsis, usage string
+	flags                        func(*flag.FlagSet)
+	run                          func(ctx context.Context, args []string) int
+}
+
+// Name implements subcommands.Command.
+func (c *command) Name() string { return c.name }
+
+// Synopsis implements subcommands.Command.
+func (c *command) Synopsis() string { return c.synopsis }
+
+// Usage implements subcommands.Command.
+func (c *command) Usage() string {
+	return name + " " + c.usage + "\n\n" + c.synopsis + ".\n" + exitHelp + "\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *command) SetFlags(f *flag.FlagSet) {
+	if c.flags != nil {
+		c.flags(f)
+	}
+}
+
+// Execute implements subcommands.Command.
+func (c *command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return subcommands.ExitStatus(c.run(ctx, f.Args()))
+}
+
+// usage reports wrong arguments.
+func (a *app) usage(c *command) int {
+	return a.fail("", types.NewFault(types.CodeBadRequest, "usage: %s %s", name, c.usage))
+}
+
+// all returns the subcommands.
+func (a *app) all() []*command {
+	return []*command{
+		a.checkCommand(), a.generateCommand(), a.explainCommand(), a.diffCommand(), a.applyCommand(), a.reapplyCommand(),
+		a.historyCommand(), a.statusCommand(), a.watchCommand(),
+		a.dataCentreCommand(), a.vmCommand(), a.targetCommand(),
+	}
+}
+
+// with opens a session for run and prints its fault.
+func (a *app) with(ctx context.Context, run func(*session) error) int {
+	s, err := a.open(ctx)
+	if err != nil {
+		return a.fail(a.settingsFile, err)
+	}
+	defer s.close(ctx)
+	if err := run(s); err != nil {
+		return a.fail("", err)
+	}
+	return ExitOK
+}
+
+// note prints a line that is not part of the result.
+func (a *app) note(format string, args ...any) { fmt.Fprintf(a.env.Stderr, format+"\n", args...) }
--- /dev/null
+++ b/cmd/internal/sailctl/exit.go
@@ -0,0 +1,91 @@
+package sailctl
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"sequoiasail.example/settings"
+	"sequoiasail.example/types"
+)
+
+// Exit codes.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitRefused     = 2
+	ExitConflict    = 3
+	ExitStore       = 4
+	ExitUnconfirmed = 5
+)
+
+const exitHelp = `
+Exit codes:
+	0  done
+	1  failed for a reason that none of the others covers
+	2  refused: command line, settings, answers, a name that does not exist, or the last target of a service
+	3  conflict: another operator came first; nothing was changed
+	4  the store is unavailable, or did not say whether it took a write
+	5  written, but not every process confirmed in time
+`
+
+// exitCode returns the exit code for err.
+func exitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	switch types.CodeOf(err) {
+	case types.CodeBadConfiguration, types.CodeBadSettings, types.CodeNotFound, types.CodeBadRequest:
+		return ExitRefused
+	case types.CodeConflict, types.CodeStaleEpoch:
+		return ExitConflict
+	case types.CodeStoreUnavailable, types.CodeAnswerLost, types.CodeTimeout:
+		return ExitStore
+	case types.CodeDeadlineExceeded:
+		return ExitUnconfirmed
+	}
+	return ExitFailed
+}
+
+// faultLine is one fault for scripts.
+type faultLine struct {
+	Code    types.Code `json:"code"`
+	Path    string     `json:"path,omitempty"`
+	Message string     `json:"message"`
+}
+
+// fail prints one line per fault, with the name of the file that they are in, and returns the exit code.
+func (a *app) fail(file string, err error) int {
+	var problems settings.Problems
+	if !errors.As(err, &problems) {
+		problems = settings.AsProblems(types.CodeInternal, err)
+	}
+	for _, f := range problems {
+		if a.json {
+			_ = json.NewEncoder(a.env.Stderr).Encode(faultLine{Code: f.Code, Path: f.Path, Message: text(f)})
+			continue
+		}
+		fmt.Fprintln(a.env.Stderr, humanLine(file, f))
+	}
+	return exitCode(err)
+}
+
+// humanLine returns "file: path: message (code)" without the parts that are empty.
+func humanLine(file string, f *types.Fault) string {
+	line := ""
+	for _, part := range []string{file, f.Path} {
+		if part != "" {
+			line += part + ": "
+		}
+	}
+	return line + text(f) + " (" + string(f.Code) + ")"
+}
+
+// text returns the message and the cause without codes and paths.
+func text(f *types.Fault) string {
+	cause := f.Unwrap()
+	if cause == nil {
+		return f.Message
+	}
+	return f.Message + ": " + cause.Error()
+}
--- /dev/null
+++ b/cmd/internal/sailctl/look.go
@@ -0,0 +1,154 @@
+package sailctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"sequoiasail.example/config"
+
+	"sequoiasail.example/cmd/internal/operator"
+)
+
+const groupLook = "looking"
+
+func (a *app) statusCommand() *command {
+	c := &command{
+		name: "status", group: groupLook, usage: "status",
+		synopsis: "Print what store and processes say, also while the store is down, and how old that is",
+	}
+	c.run = func(ctx context.Context, args []string) int {
+		if len(args) != 0 {
+			return a.usage(c)
+		}
+		code := ExitOK
+		opened := a.with(ctx, func(s *session) error {
+			last := loadPicture(s.settings.PictureFile)
+			p := s.Look(ctx, last)
+			if err := savePicture(s.settings.PictureFile, p); err != nil {
+				a.note("%s: cannot keep the picture: %v", s.settings.PictureFile, err)
+			}
+			code = pictureCode(p)
+			return a.print(p, func() { a.showPicture(p) })
+		})
+		return max(opened, code)
+	}
+	return c
+}
+
+// pictureCode returns the exit code for scripts: whether the store answers and its version is in force everywhere.
+func pictureCode(p operator.Picture) int {
+	switch {
+	case p.Store.Error != "":
+		return ExitStore
+	case !p.InForce():
+		return ExitUnconfirmed
+	}
+	return ExitOK
+}
+
+func (a *app) showPicture(p operator.Picture) {
+	if p.Store.Error != "" {
+		a.printf("store: does not answer: %s\n", p.Store.Error)
+		a.printf("version %d and the rows below are as of: %s\n", p.Store.Version, age(p.At, p.Store.SeenAt))
+	} else {
+		a.printf("store: answers, version %d\n", p.Store.Version)
+	}
+	a.showRows(p.Store.Rows)
+	a.printf("\n")
+	a.showProcesses(p)
+}
+
+// showRows lists what is not in service.
+func (a *app) showRows(rows map[string]config.OpsRow) {
+	lines := [][]string{}
+	for _, key := range slices.Sorted(maps.Keys(rows)) {
+		if r := rows[key]; !r.State.AcceptsNewWork() {
+			lines = append(lines, []string{key, string(r.State), r.Operator, r.At, orDash(r.Note)})
+		}
+	}
+	if len(lines) == 0 {
+		a.printf("everything is in service\n")
+		return
+	}
+	a.printf("\n")
+	a.table("ROW STATE OPERATOR AT NOTE", lines)
+}
+
+func (a *app) showProcesses(p operator.Picture) {
+	rows := [][]string{}
+	for _, v := range p.Processes {
+		rows = append(rows, processRow(p.At, v))
+	}
+	a.table("PROCESS DC STATE CONFIG OPS LEASES SLOTS WAITING RUNNING SEEN", rows)
+}
+
+func processRow(now time.Time, v operator.ProcessView) []string {
+	if v.Status == nil {
+		return []string{v.Process, "-", "no answer", "-", "-", "-", "-", "-", "-", age(now, v.SeenAt)}
+	}
+	s := v.Status
+	slots, waiting, inFlight := 0, 0, 0
+	for _, l := range s.Leases {
+		slots += l.Slots
+	}
+	for _, q := range s.Queues {
+		waiting += q.Waiting
+		inFlight += q.InFlight
+	}
+	return []string{
+		v.Process, s.DataCentre, stateOf(v), strconv.FormatUint(s.ConfigVersion, 10), strconv.FormatUint(s.OpsRevision, 10),
+		strconv.Itoa(len(s.Leases)), strconv.Itoa(slots), strconv.Itoa(waiting), strconv.Itoa(inFlight), age(now, v.SeenAt),
+	}
+}
+
+func stateOf(v operator.ProcessView) string {
+	switch {
+	case v.Error != "":
+		return "no answer"
+	case v.Status.Draining:
+		return "draining"
+	case !v.Status.Ready:
+		return "starting"
+	case v.Status.Planner:
+		return "ready, planner"
+	}
+	return "ready"
+}
+
+func (a *app) watchCommand() *command {
+	var limit time.Duration
+	c := &command{
+		name: "watch", group: groupLook, usage: "watch [-for DURATION]",
+		synopsis: "Print every change of configuration and operators' rows as it happens",
+	}
+	c.flags = func(f *flag.FlagSet) {
+		f.DurationVar(&limit, "for", 0, "stop after this time; 0 goes on until interrupted")
+	}
+	c.run = func(ctx context.Context, args []string) int {
+		if len(args) != 0 {
+			return a.usage(c)
+		}
+		if limit > 0 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, limit)
+			defer cancel()
+		}
+		return a.with(ctx, func(s *session) error { return s.Follow(ctx, a.showNews) })
+	}
+	return c
+}
+
+func (a *app) showNews(n operator.News) {
+	_ = a.print(n, func() {
+		what := n.Text
+		if n.Key != "" {
+			what = fmt.Sprintf("%s version %d: %s", n.Key, n.Version, n.Text)
+		}
+		a.printf("%s  %s\n", n.At.UTC().Format(time.RFC3339), what)
+	})
+}
--- /dev/null
+++ b/cmd/internal/sailctl/main.go
@@ -0,0 +1,148 @@
+package sailctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"os/user"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"sequoiasail.example/settings/startup"
+	"sequoiasail.example/transport/store"
+
+	"sequoiasail.example/cmd/internal/operator"
+)
+
+const name = "sailctl"
+
+// Environment is what a run of sailctl gets from its process. Tests replace it.
+type Environment struct {
+	Args           []string
+	Stdout, Stderr io.Writer
+	Now            func() time.Time
+	// NewWriteID returns the source of write identifiers for an operator.
+	NewWriteID func(operator string) func() string
+	// Poll is the time between two rounds of questions while waiting.
+	Poll time.Duration
+}
+
+// Main runs sailctl with the arguments, streams, clock and signals of the process, and returns the exit code.
+func Main() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return Run(ctx, Environment{
+		Args: os.Args[1:], Stdout: os.Stdout, Stderr: os.Stderr, Now: time.Now, NewWriteID: operator.RandomWriteID,
+		Poll: operator.DefaultPoll,
+	})
+}
+
+// Run runs one command line and returns the exit code.
+func Run(ctx context.Context, env Environment) int {
+	top := flag.NewFlagSet(name, flag.ContinueOnError)
+	top.SetOutput(env.Stderr)
+	a := &app{env: env}
+	top.StringVar(&a.settingsFile, "settings", os.Getenv("SAILCTL_SETTINGS"),
+		"read the settings from `FILE` (JSON); default $SAILCTL_SETTINGS")
+	top.BoolVar(&a.json, "json", false, "print JSON for scripts")
+	check := top.Bool("check", false, "check the settings and exit")
+	version := top.Bool("version", false, "print the version and exit")
+	commands := a.commands(top)
+	if err := top.Parse(env.Args); err != nil {
+		if err == flag.ErrHelp {
+			return ExitOK
+		}
+		return ExitRefused
+	}
+	switch {
+	case *version:
+		fmt.Fprintln(env.Stdout, startup.VersionLine(name))
+		return ExitOK
+	case *check:
+		return a.check()
+	}
+	return int(commands.Execute(ctx))
+}
+
+func (a *app) commands(top *flag.FlagSet) *subcommands.Commander {
+	c := subcommands.NewCommander(top, name)
+	c.Output, c.Error = a.env.Stdout, a.env.Stderr
+	c.Register(c.HelpCommand(), "help")
+	c.Register(c.FlagsCommand(), "help")
+	for _, cmd := range a.all() {
+		c.Register(cmd, cmd.group)
+	}
+	explain := c.Explain
+	c.Explain = func(w io.Writer) {
+		explain(w)
+		fmt.Fprint(w, exitHelp)
+	}
+	return c
+}
+
+// app holds what all commands share.
+type app struct {
+	env          Environment
+	settingsFile string
+	json         bool
+}
+
+func (a *app) check() int {
+	var s Settings
+	if err := startup.Read(a.settingsFile, &s); err != nil {
+		startup.Report(a.env.Stderr, a.settingsFile, err)
+		return ExitRefused
+	}
+	fmt.Fprintf(a.env.Stdout, "%s: settings are valid\n", a.settingsFile)
+	return ExitOK
+}
+
+// session is a connection to store and processes.
+type session struct {
+	*operator.Operator
+	settings Settings
+	fleet    *operator.HTTPFleet
+	store    *store.HTTP
+}
+
+// open reads the settings and starts the duties that ask the processes.
+func (a *app) open(ctx context.Context) (*session, error) {
+	s := &session{}
+	if err := startup.Read(a.settingsFile, &s.settings); err != nil {
+		return nil, err
+	}
+	person := s.settings.Operator
+	if person == "" {
+		person = currentUser()
+	}
+	fleet, err := operator.StartFleet(ctx, s.settings.processes(), s.settings.StatusTimeoutMs.Duration(), a.env.Now)
+	if err != nil {
+		return nil, err
+	}
+	s.fleet = fleet
+	s.store = store.NewHTTP(store.Options{
+		Address: string(s.settings.Store), Name: name + "-" + person, Timeout: s.settings.StoreTimeoutMs.Duration(),
+	})
+	s.Operator = &operator.Operator{
+		Store: s.store, Fleet: fleet, Name: person, Now: a.env.Now, NewWriteID: a.env.NewWriteID(person),
+	}
+	return s, nil
+}
+
+func (s *session) close(ctx context.Context) {
+	_ = s.fleet.Stop(context.WithoutCancel(ctx)) // a question that outlives its timeout changes nothing
+	s.store.Close()
+}
+
+func currentUser() string {
+	u, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return u.Username
+}
--- /dev/null
+++ b/cmd/internal/sailctl/print.go
@@ -0,0 +1,70 @@
+package sailctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"sequoiasail.example/types"
+
+	"sequoiasail.example/cmd/internal/operator"
+)
+
+// print writes v as JSON, or calls human.
+func (a *app) print(v any, human func()) error {
+	if !a.json {
+		human()
+		return nil
+	}
+	e := json.NewEncoder(a.env.Stdout)
+	e.SetIndent("", "  ")
+	if err := e.Encode(v); err != nil {
+		return types.WrapFault(types.CodeInternal, err, "cannot print")
+	}
+	return nil
+}
+
+func (a *app) printf(format string, args ...any) { fmt.Fprintf(a.env.Stdout, format, args...) }
+
+// table prints rows below a header.
+func (a *app) table(header string, rows [][]string) {
+	w := tabwriter.NewWriter(a.env.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, strings.ReplaceAll(header, " ", "\t"))
+	for _, row := range rows {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	_ = w.Flush()
+}
+
+// progress prints how far a change has come.
+func (a *app) progress(p operator.Progress) {
+	a.note("%d of %d processes confirmed", p.Done, p.Total)
+	for _, w := range p.Waiting {
+		a.note("  %s", w)
+	}
+	if len(p.Silent) > 0 {
+		a.note("  no answer: %s", strings.Join(p.Silent, ", "))
+	}
+}
+
+// age returns how long ago seen was, for people.
+func age(now time.Time, seen *time.Time) string {
+	if seen == nil {
+		return "never seen"
+	}
+	d := now.Sub(*seen)
+	if d < time.Second {
+		return "now"
+	}
+	return d.Truncate(time.Second).String() + " ago"
+}
+
+// orDash returns s, or "-" when it is empty.
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- /dev/null
+++ b/cmd/internal/sailctl/revise.go
@@ -0,0 +1,231 @@
+package sailctl
+
+import (
+	"context"
+	"flag"
+	"strconv"
+	"time"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/types"
+
+	"sequoiasail.example/cmd/internal/operator"
+)
+
+const (
+	groupRevise = "configuration"
+	// unset tells a flag that was not given from version 0.
+	unset = -1
+	// defaultWrite bounds a write whose answer was lost.
+	defaultWrite = 10 * time.Second
+)
+
+func (a *app) diffCommand() *command {
+	from, to := int64(unset), int64(unset)
+	c := &command{
+		name: "diff", group: groupRevise, usage: "diff [-from VERSION] (ANSWERS | -to VERSION)",
+		synopsis: "Print what a revision changes and which keys it moves, compared to the configuration in force",
+	}
+	c.flags = func(f *flag.FlagSet) {
+		f.Int64Var(&from, "from", unset, "compare to this `VERSION` instead of the one in force")
+		f.Int64Var(&to, "to", unset, "show this earlier `VERSION` instead of answers")
+	}
+	c.run = func(ctx context.Context, args []string) int {
+		if (len(args) == 1) == (to != unset) || len(args) > 1 {
+			return a.usage(c)
+		}
+		var after config.Configuration
+		if len(args) == 1 {
+			var code int
+			if after, code = a.generated(args[0]); code != ExitOK {
+				return code
+			}
+		}
+		return a.with(ctx, func(s *session) error {
+			before, err := s.version(ctx, from)
+			if err == nil && to != unset {
+				after, err = s.version(ctx, to)
+			}
+			if err != nil {
+				return err
+			}
+			return a.showDifference(before, config.Diff(before, after))
+		})
+	}
+	return c
+}
+
+// generated reads answers and generates their configuration.
+func (a *app) generated(file string) (config.Configuration, int) {
+	answers, err := readAnswers(file)
+	if err != nil {
+		return config.Configuration{}, a.fail(file, err)
+	}
+	c, err := config.Generate(answers)
+	if err != nil {
+		return config.Configuration{}, a.fail(file, err)
+	}
+	return c, ExitOK
+}
+
+// version returns version v from the history, or the one in force when v is unset.
+func (s *session) version(ctx context.Context, v int64) (config.Configuration, error) {
+	if v == unset {
+		now, err := s.Current(ctx)
+		return now.Configuration, err
+	}
+	r, err := s.Record(ctx, types.Version(v))
+	return r.Configuration, err
+}
+
+func (a *app) showDifference(before config.Configuration, d config.Difference) error {
+	return a.print(struct {
+		From types.Version `json:"from"`
+		config.Difference
+	}{before.Version, d}, func() {
+		if d.Empty() {
+			a.printf("no change from version %d\n", before.Version)
+			return
+		}
+		rows := [][]string{}
+		for _, c := range d.Changes {
+			rows = append(rows, []string{c.Path, orDash(c.Before), orDash(c.After), c.Effect})
+		}
+		a.printf("from version %d\n", before.Version)
+		a.table("VALUE BEFORE AFTER EFFECT", rows)
+		for _, m := range d.Moves {
+			a.printf("%s: at least %d of %d slots move: %s\n", m.Service, m.Slots, m.Of, m.Why)
+		}
+	})
+}
+
+// writeFlags are the flags of the commands that put a configuration in force.
+type writeFlags struct {
+	expect int64
+	note   string
+	wait   time.Duration
+}
+
+func (w *writeFlags) set(f *flag.FlagSet) {
+	f.Int64Var(&w.expect, "expect", unset, "the `VERSION` in force that you have seen; 0 for none (required)")
+	f.StringVar(&w.note, "note", "", "why, for the history")
+	f.DurationVar(&w.wait, "wait", 0, "wait this long until every process follows the version, and show progress")
+}
+
+func (a *app) applyCommand() *command {
+	var w writeFlags
+	c := &command{
+		name: "apply", group: groupRevise, usage: "apply -expect VERSION [-note TEXT] [-wait DURATION] ANSWERS",
+		synopsis: "Put the configuration of answers in force, if the expected version still is",
+		flags:    w.set,
+	}
+	c.run = func(ctx context.Context, args []string) int {
+		if len(args) != 1 || w.expect < 0 {
+			return a.usage(c)
+		}
+		revision, code := a.generated(args[0])
+		if code != ExitOK {
+			return code
+		}
+		return a.with(ctx, func(s *session) error {
+			return a.accept(ctx, s, w, func(ctx context.Context) (operator.Accepted, error) {
+				return s.Apply(ctx, operator.Revision{Configuration: revision, Expect: types.Version(w.expect), Note: w.note})
+			})
+		})
+	}
+	return c
+}
+
+func (a *app) reapplyCommand() *command {
+	var w writeFlags
+	c := &command{
+		name: "reapply", group: groupRevise, usage: "reapply -expect VERSION [-note TEXT] [-wait DURATION] EARLIER-VERSION",
+		synopsis: "Put the content of an earlier version in force as a new version",
+		flags:    w.set,
+	}
+	c.run = func(ctx context.Context, args []string) int {
+		if len(args) != 1 || w.expect < 0 {
+			return a.usage(c)
+		}
+		earlier, err := strconv.ParseUint(args[0], 10, 64)
+		if err != nil {
+			return a.usage(c)
+		}
+		return a.with(ctx, func(s *session) error {
+			return a.accept(ctx, s, w, func(ctx context.Context) (operator.Accepted, error) {
+				return s.Reapply(ctx, types.Version(earlier), types.Version(w.expect), w.note)
+			})
+		})
+	}
+	return c
+}
+
+// accept performs write, prints what became of it and waits for the processes if asked.
+func (a *app) accept(
+	ctx context.Context, s *session, w writeFlags, write func(context.Context) (operator.Accepted, error),
+) error {
+	bounded, cancel := context.WithTimeout(ctx, defaultWrite)
+	defer cancel()
+	out, err := write(bounded)
+	if err != nil {
+		return err
+	}
+	if err := a.print(out, func() { a.showAccepted(out) }); err != nil {
+		return err
+	}
+	if w.wait == 0 {
+		return nil
+	}
+	bounded, cancel = context.WithTimeout(ctx, w.wait)
+	defer cancel()
+	_, err = s.AwaitVersion(bounded, out.Version, a.env.Poll, a.progress)
+	return err
+}
+
+func (a *app) showAccepted(out operator.Accepted) {
+	switch {
+	case out.Unchanged:
+		a.printf("version %d has this content already; nothing was written\n", out.Version)
+	case out.ReplacedBy != 0:
+		a.printf("version %d was accepted and has since been replaced by version %d\n", out.Version, out.ReplacedBy)
+	default:
+		a.printf("version %d accepted\n", out.Version)
+	}
+	if out.RecordMissing {
+		a.note("the history record of version %d could not be written; the next apply writes it", out.Version)
+	}
+}
+
+func (a *app) historyCommand() *command {
+	var count int
+	c := &command{
+		name: "history", group: groupRevise, usage: "history [-n COUNT]",
+		synopsis: "List the newest versions with operator, time and note",
+	}
+	c.flags = func(f *flag.FlagSet) { f.IntVar(&count, "n", 20, "number of versions") }
+	c.run = func(ctx context.Context, args []string) int {
+		if len(args) != 0 || count < 1 {
+			return a.usage(c)
+		}
+		return a.with(ctx, func(s *session) error {
+			records, err := s.History(ctx, count)
+			if err != nil {
+				return err
+			}
+			return a.print(records, func() { a.showHistory(records) })
+		})
+	}
+	return c
+}
+
+func (a *app) showHistory(records []config.Record) {
+	rows := [][]string{}
+	for _, r := range records {
+		note := r.Note
+		if r.ReapplyOf != 0 {
+			note = "reapplies " + strconv.FormatUint(uint64(r.ReapplyOf), 10) + " " + note
+		}
+		rows = append(rows, []string{strconv.FormatUint(uint64(r.Version), 10), orDash(r.At), orDash(r.Operator), orDash(note)})
+	}
+	a.table("VERSION AT OPERATOR NOTE", rows)
+}
--- /dev/null
+++ b/cmd/internal/sailctl/service.go
@@ -0,0 +1,129 @@
+package sailctl
+
+import (
+	"context"
+	"flag"
+	"slices"
+	"strings"
+	"time"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/types"
+
+	"sequoiasail.example/cmd/internal/operator"
+)
+
+const groupService = "taking out of and into service"
+
+func (a *app) dataCentreCommand() *command {
+	return a.opsCommand("dc", "NAME", "data centre", map[string]config.OpsState{"out": config.OpsOut, "in": config.OpsIn},
+		func(name string) string { return config.DataCentreKey(types.DataCentre(name)) })
+}
+
+func (a *app) vmCommand() *command {
+	return a.opsCommand("vm", "NAME", "VM", map[string]config.OpsState{"out": config.OpsOut, "in": config.OpsIn},
+		func(name string) string { return config.VMKey(types.VM(name)) })
+}
+
+func (a *app) targetCommand() *command {
+	states := map[string]config.OpsState{"drain": config.OpsDraining, "return": config.OpsIn}
+	return a.opsCommand("target", "SERVICE/NAME", "target", states, func(name string) string {
+		service, target, _ := strings.Cut(name, "/")
+		return config.TargetKey(types.TargetID{Service: types.Service(service), Target: types.Target(target)})
+	})
+}
+
+// opsFlags are the flags of the commands that take something out of or into service.
+type opsFlags struct {
+	note  string
+	wait  time.Duration
+	force bool
+}
+
+func (o *opsFlags) set(f *flag.FlagSet) {
+	f.StringVar(&o.note, "note", "", "why, for the other operators")
+	f.DurationVar(&o.wait, "wait", 30*time.Second,
+		"wait this long until every process has seen the decision and no process has work for it; 0 does not wait")
+	f.BoolVar(&o.force, "force", false, "even if a service is left without any target, or the row is damaged")
+}
+
+// opsCommand returns the command that writes one kind of row. verbs gives the state that each verb writes.
+func (a *app) opsCommand(kind, argument, what string, verbs map[string]config.OpsState, key func(string) string) *command {
+	var o opsFlags
+	names := []string{}
+	for verb := range verbs {
+		names = append(names, verb)
+	}
+	slices.Sort(names)
+	choice := strings.Join(names, "|")
+	c := &command{
+		name: kind, group: groupService, usage: kind + " " + choice + " [-note TEXT] [-wait DURATION] [-force] " + argument,
+		synopsis: "Take a " + what + " out of service or bring it back, and wait until it is done",
+	}
+	c.run = func(ctx context.Context, args []string) int {
+		if len(args) == 0 {
+			return a.usage(c)
+		}
+		state, known := verbs[args[0]]
+		rest, ok := a.parse(c, args[1:], o.set)
+		if !known || !ok || len(rest) != 1 {
+			return a.usage(c)
+		}
+		d := operator.Decision{Key: key(rest[0]), State: state, Note: o.note, Force: o.force}
+		if _, _, err := config.SplitOpsKey(d.Key); err != nil {
+			return a.fail("", types.WrapFault(types.CodeBadRequest, err, "%q is not the name of a %s", rest[0], what))
+		}
+		return a.with(ctx, func(s *session) error { return a.decide(ctx, s, d, o.wait) })
+	}
+	return c
+}
+
+// parse reads the flags that follow a verb. They may stand before or after the name.
+func (a *app) parse(c *command, args []string, set func(*flag.FlagSet)) (rest []string, ok bool) {
+	f := flag.NewFlagSet(c.name, flag.ContinueOnError)
+	f.SetOutput(a.env.Stderr)
+	set(f)
+	for len(args) > 0 {
+		if f.Parse(args) != nil {
+			return nil, false
+		}
+		args = f.Args()
+		if len(args) > 0 {
+			rest = append(rest, args[0])
+			args = args[1:]
+		}
+	}
+	return rest, true
+}
+
+// decide writes d, prints what became of it and waits for the processes if asked.
+func (a *app) decide(ctx context.Context, s *session, d operator.Decision, wait time.Duration) error {
+	bounded, cancel := context.WithTimeout(ctx, defaultWrite)
+	defer cancel()
+	out, err := s.Decide(bounded, d)
+	if err != nil {
+		return err
+	}
+	if err := a.print(out, func() { a.showDecided(out) }); err != nil {
+		return err
+	}
+	if wait == 0 || out.ReplacedBy != nil {
+		return nil
+	}
+	bounded, cancel = context.WithTimeout(ctx, wait)
+	defer cancel()
+	_, err = s.AwaitDecision(bounded, out, a.env.Poll, a.progress)
+	return err
+}
+
+func (a *app) showDecided(out operator.Decided) {
+	switch {
+	case out.Unchanged:
+		a.printf("%s is %s already; nothing was written\n", out.Key, out.State)
+	case out.ReplacedBy != nil:
+		a.printf("%s was set to %s, and %s has since set it to %s\n", out.Key, out.State, out.ReplacedBy.Operator,
+			out.ReplacedBy.State)
+	default:
+		a.printf("%s is %s (row version %d)\n", out.Key, out.State, out.Version)
+	}
+}
--- /dev/null
+++ b/cmd/internal/sailctl/settings.go
@@ -0,0 +1,80 @@
+package sailctl
+
+import (
+	"strconv"
+
+	"sequoiasail.example/settings"
+	"sequoiasail.example/types"
+
+	"sequoiasail.example/cmd/internal/operator"
+)
+
+// Settings is the settings file of sailctl.
+type Settings struct {
+	// Store is the IP number and port of the platform's store.
+	Store settings.Address `json:"store"`
+	// StoreTimeoutMs bounds one call to the store, in milliseconds. Default 2000.
+	StoreTimeoutMs settings.Millis `json:"storeTimeoutMs"`
+	// StatusTimeoutMs bounds one question to one process, in milliseconds. Default 1000.
+	StatusTimeoutMs settings.Millis `json:"statusTimeoutMs"`
+	// Operator is the name that the history shows. Default: the name of the user who runs sailctl.
+	Operator string `json:"operator"`
+	// PictureFile keeps the last seen status, so that status can show it while a part is down. Default: none.
+	PictureFile string `json:"pictureFile"`
+	// Processes lists the gateways and dispatchers.
+	Processes []ProcessSettings `json:"processes"`
+}
+
+// ProcessSettings is one process.
+type ProcessSettings struct {
+	VM types.VM `json:"vm"`
+	// Role is gateway or dispatcher.
+	Role string `json:"role"`
+	// Ops is the IP number and port of its operators' pages.
+	Ops settings.Address `json:"ops"`
+}
+
+// Defaults and bounds in milliseconds.
+const (
+	defaultStoreTimeoutMs  = 2000
+	defaultStatusTimeoutMs = 1000
+	maxTimeoutMs           = 60000
+)
+
+// SetDefaults sets the constant defaults before decoding.
+func (s *Settings) SetDefaults() {
+	s.StoreTimeoutMs = defaultStoreTimeoutMs
+	s.StatusTimeoutMs = defaultStatusTimeoutMs
+}
+
+// Validate reports the faults as settings.Problems.
+func (s *Settings) Validate() error {
+	c := settings.NewChecks()
+	c.Address("store", s.Store)
+	c.Between("storeTimeoutMs", int64(s.StoreTimeoutMs), 1, maxTimeoutMs, "ms")
+	c.Between("statusTimeoutMs", int64(s.StatusTimeoutMs), 1, maxTimeoutMs, "ms")
+	seen := map[string]int{}
+	for i, p := range s.Processes {
+		path := settings.Index("processes", i)
+		c.Require(path+".vm", string(p.VM))
+		if p.Role != "gateway" && p.Role != "dispatcher" {
+			c.Fail(path+".role", "must be gateway or dispatcher, not %s", strconv.Quote(p.Role))
+		}
+		c.Address(path+".ops", p.Ops)
+		name := string(p.VM) + "/" + p.Role
+		if other, twice := seen[name]; twice {
+			c.Fail(path, "%s is given at %s already", name, settings.Index("processes", other))
+			continue
+		}
+		seen[name] = i
+	}
+	return c.Err()
+}
+
+func (s *Settings) processes() []operator.Process {
+	out := make([]operator.Process, 0, len(s.Processes))
+	for _, p := range s.Processes {
+		out = append(out, operator.Process{VM: p.VM, Role: p.Role, Address: string(p.Ops)})
+	}
+	return out
+}
