Add the thin whole path: make demo runs both example systems end to end

36 product processes in two runs, stand-in stores and targets, 66 targets in all, requests to all six services, a data centre out and back under load, an audit of the targets' journals, exit code 0 from every process. Seen in it: 26 writes of about 2,100 were answered request-memory-lost while leases moved, because a new dispatcher has no memory of identifiers created before it took over.

--- a/cmd/internal/probe/client.go
+++ b/cmd/internal/probe/client.go
@@ -122,7 +122,12 @@
 	}
 }
 
-// loadConfiguration parses a generated configuration.
+// loadConfiguration parses a configuration as sailctl generate prints it. It has no version until it is applied.
 func loadConfiguration(data []byte) (config.Configuration, error) {
-	return config.Parse(data)
+	var c config.Configuration
+	if err := json.Unmarshal(data, &c); err != nil {
+		return c, types.WrapFault(types.CodeBadConfiguration, err, "decode configuration")
+	}
+	c.Version = max(c.Version, 1)
+	return config.Parse(config.Canonical(c))
 }
--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -21,6 +21,7 @@
 	resultRingCapacity  = 4096
 	controlRingCapacity = 1024
 	workerTick          = 2 * time.Millisecond
+	publishInterval     = 250 * time.Millisecond
 )
 
 // inbound is one element of the request ring.
@@ -86,6 +87,10 @@
 	deferred  []sent
 	failed    []dispatch.Handle
 	drains    map[types.TargetID]drainWatch
+	// admitted counts the sends to each target.
+	admitted  map[types.TargetID]uint64
+	published types.Instant
+	statuses  []dispatch.TargetStatus
 }
 
 func newWorker(vm types.VM, log *telemetry.Log, metrics *telemetry.Metrics) *worker {
@@ -104,6 +109,7 @@
 		senders:   make(map[connectionKey]*sender),
 		group:     duty.NewGroup(),
 		drains:    make(map[types.TargetID]drainWatch),
+		admitted:  make(map[types.TargetID]uint64),
 		page:      telemetry.NewPage(telemetry.Status{}),
 	}
 }
@@ -295,6 +301,7 @@
 
 func (w *worker) tick(ctx context.Context) {
 	w.checkDrains()
+	w.publish()
 	w.actions = w.core.Tick(telemetry.Now(), w.actions[:0])
 	w.perform(ctx)
 }
@@ -349,6 +356,7 @@
 	if !ok || p.request == nil {
 		return
 	}
+	w.admitted[a.Target]++
 	sendCtx, cancel := context.WithCancel(ctx)
 	if p.cancels == nil {
 		p.cancels = make(map[dispatch.Attempt]context.CancelFunc, 1)
@@ -447,3 +455,26 @@
 		Code:      string(a.Code),
 	})
 }
+
+// publish shows the queues on the status page.
+func (w *worker) publish() {
+	now := telemetry.Now()
+	if now.Sub(w.published) < publishInterval {
+		return
+	}
+	w.published = now
+	w.statuses = w.core.Targets(now, w.statuses[:0])
+	queues := make([]telemetry.QueueStatus, len(w.statuses))
+	for i, s := range w.statuses {
+		queues[i] = telemetry.QueueStatus{
+			Service:   string(s.ID.Service),
+			Target:    string(s.ID.Target),
+			Waiting:   s.Waiting,
+			InFlight:  s.InFlight,
+			Limit:     s.Limit,
+			Admitted:  w.admitted[s.ID],
+			Condition: s.Condition.String(),
+		}
+	}
+	w.page.Publish(telemetry.Status{Queues: queues})
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,68 @@
+#!/usr/bin/env bash
+# Runs both users' systems on loopback, with their real services and numbers of targets, one after the other:
+# generates the configuration from the answers, starts the processes, sends requests to all services, takes a data
+# centre out and brings it back while requests go on, audits the targets' journals, and stops everything.
+set -u
+cd "$(dirname "$0")/.."
+. scripts/lib.sh
+. scripts/fleet.sh
+trap 'kill $(jobs -p) 2>/dev/null' EXIT
+
+vms_per_centre=3
+rate=300
+load_seconds=9s
+
+generate() { .bin/sailctl generate "$answers" >"$dir/configuration.json"; }
+apply() { fleet_ctl apply -expect 0 -note "demo" -wait 15s "$answers"; }
+ready() { .bin/sail-probe ready -config "$dir/configuration.json" -gateways "$(fleet_gateways)"; }
+load() {
+  .bin/sail-probe load -config "$dir/configuration.json" -gateways "$(fleet_gateways)" -rate "$rate" \
+    -name "$1" -seed "$2" -record "$dir/$1.record" "${@:3}"
+}
+audit() { .bin/sail-probe audit -config "$dir/configuration.json" -gateways none -records "$dir/steady.record,$dir/moving.record"; }
+
+show_owners() {
+  echo "-- who owns what in $fleet"
+  fleet_ctl status
+}
+
+# The load runs for the whole time in which the data centre leaves and returns.
+leave_and_return() {
+  local pid bad=0
+  load moving 2 -duration "$load_seconds" >"$dir/moving.txt" 2>&1 &
+  pid=$!
+  fleet_ctl dc out -note "demo" -wait 6s "$1" || bad=1
+  fleet_ctl dc in -note "demo" -wait 6s "$1" || bad=1
+  wait "$pid" || bad=1
+  cat "$dir/moving.txt"
+  return $bad
+}
+
+show_step() { # NAME COMMAND...: like step, and shows the output of success too
+  local before=$failed
+  step "$@"
+  [ "$failed" -gt "$before" ] || cat "$step_output"
+}
+
+run_user() { # FLEET ANSWERS BASE_PORT LEAVING_CENTRE DATA_CENTRE...
+  answers=$2
+  local leaving=$4
+  fleet_init "$1" "$3" "${@:5}"
+  echo "== $fleet: $answers"
+  step "$fleet: generate configuration" generate
+  fleet_operator_settings "$vms_per_centre"
+  fleet_start_standins
+  fleet_start_vms "$vms_per_centre"
+  step "$fleet: apply configuration" apply
+  step "$fleet: all gateways serve all services" ready
+  show_step "$fleet: requests get their own answers" load steady 1 -duration 3s
+  show_owners
+  show_step "$fleet: data centre $leaving leaves and returns" leave_and_return "$leaving"
+  show_step "$fleet: no write lost, none ran twice" audit
+  step "$fleet: every process stops with exit code 0" fleet_stop
+}
+
+rm -rf .demo
+run_user joint-venture examples/joint-venture/answers.json 20000 kladno praha-a praha-b kladno
+run_user semillas examples/semillas/answers.json 23000 cl-centro-c cl-centro-a cl-centro-b cl-centro-c
+finish
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -79,3 +79,20 @@
   standins=()
   return $bad
 }
+
+fleet_operator_settings() { # writes the settings of sailctl
+  local vm processes="" n centre index=0
+  for centre in "${centres[@]}"; do
+    for n in $(seq "$1"); do
+      vm=$centre-vm$n
+      processes+="{\"vm\": \"$vm\", \"role\": \"gateway\", \"ops\": \"127.0.0.1:$((base + 200 + index))\"},"
+      processes+="{\"vm\": \"$vm\", \"role\": \"dispatcher\", \"ops\": \"127.0.0.1:$((base + 400 + index))\"},"
+      index=$((index + 1))
+    done
+  done
+  cat >"$dir/sailctl.json" <<JSON
+{"store": "$store", "operator": "demo", "processes": [${processes%,}]}
+JSON
+}
+
+fleet_ctl() { .bin/sailctl -settings "$dir/sailctl.json" "$@"; }
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -2,21 +2,24 @@
 passed=0
 failed=0
 
+step_output=$(mktemp)
+
+# The command runs in this shell, not in a subshell, so that it can wait for background processes.
 step() {
   local name=$1
   shift
-  local out
-  if out=$("$@" 2>&1); then
+  if "$@" >"$step_output" 2>&1; then
     passed=$((passed + 1))
     echo "ok   $name"
   else
     failed=$((failed + 1))
     echo "FAIL $name"
-    printf '%s\n' "$out" | tail -n 60
+    tail -n 60 "$step_output"
   fi
 }
 
 finish() {
+  rm -f "$step_output"
   echo "$passed passed, $failed failed"
   [ "$failed" -eq 0 ]
 }
--- a/telemetry/ops.go
+++ b/telemetry/ops.go
@@ -26,6 +26,8 @@
 	Limit    int    `json:"limit"`
 	// Admitted counts the requests sent to the target since the process started.
 	Admitted uint64 `json:"admitted"`
+	// Condition is what the dispatcher observed: healthy, cold, straggler, suspected-dead or drained.
+	Condition string `json:"condition"`
 }
 
 // Status is the answer of GET /status.
