--- a/cmd/internal/sailctl/command.go
+++ b/cmd/internal/sailctl/command.go
@@ -13,8 +13,10 @@
 // command is one subcommand.
 type command struct {
 	name, group, synopsis, usage string
-	flags                        func(*flag.FlagSet)
-	run                          func(ctx context.Context, args []string) int
+	// details follow the synopsis in the help.
+	details string
+	flags   func(*flag.FlagSet)
+	run     func(ctx context.Context, args []string) int
 }
 
 // Name implements subcommands.Command.
@@ -25,7 +27,7 @@
 
 // Usage implements subcommands.Command.
 func (c *command) Usage() string {
-	return name + " " + c.usage + "\n\n" + c.synopsis + ".\n" + exitHelp + "\n"
+	return name + " " + c.usage + "\n\n" + c.synopsis + ".\n" + c.details + exitHelp + "\n"
 }
 
 // SetFlags implements subcommands.Command.
--- a/cmd/internal/sailctl/exit.go
+++ b/cmd/internal/sailctl/exit.go
@@ -49,20 +49,25 @@
 
 // faultLine is one fault for scripts.
 type faultLine struct {
-	Code    types.Code `json:"code"`
-	Path    string     `json:"path,omitempty"`
-	Message string     `json:"message"`
+	Code types.Code `json:"code"`
+	// In is the file or the part of the store that the path is in.
+	In      string `json:"in,omitempty"`
+	Path    string `json:"path,omitempty"`
+	Message string `json:"message"`
 }
 
-// fail prints one line per fault, with the name of the file that they are in, and returns the exit code.
+// fail prints one line per fault, with the name of the file or the part that they are in, and returns the exit code.
 func (a *app) fail(file string, err error) int {
 	var problems settings.Problems
 	if !errors.As(err, &problems) {
 		problems = settings.AsProblems(types.CodeInternal, err)
 	}
+	if outer, ok := err.(*types.Fault); ok && len(problems) > 0 && problems[0] != outer {
+		file = outer.Message
+	}
 	for _, f := range problems {
 		if a.json {
-			_ = json.NewEncoder(a.env.Stderr).Encode(faultLine{Code: f.Code, Path: f.Path, Message: text(f)})
+			_ = json.NewEncoder(a.env.Stderr).Encode(faultLine{Code: f.Code, In: file, Path: f.Path, Message: text(f)})
 			continue
 		}
 		fmt.Fprintln(a.env.Stderr, humanLine(file, f))
--- a/cmd/internal/sailctl/look.go
+++ b/cmd/internal/sailctl/look.go
@@ -33,13 +33,20 @@
 				a.note("%s: cannot keep the picture: %v", s.settings.PictureFile, err)
 			}
 			code = pictureCode(p)
-			return a.print(p, func() { a.showPicture(p) })
+			return a.print(pictureJSON{p, p.InForce()}, func() { a.showPicture(p) })
 		})
 		return max(opened, code)
 	}
 	return c
 }
 
+// pictureJSON is a picture for scripts.
+type pictureJSON struct {
+	operator.Picture
+	// InForce is true when every process follows the version that the store holds.
+	InForce bool `json:"inForce"`
+}
+
 // pictureCode returns the exit code for scripts: whether the store answers and its version is in force everywhere.
 func pictureCode(p operator.Picture) int {
 	switch {
@@ -52,15 +59,25 @@
 }
 
 func (a *app) showPicture(p operator.Picture) {
-	if p.Store.Error != "" {
-		a.printf("store: does not answer: %s\n", p.Store.Error)
-		a.printf("version %d and the rows below are as of: %s\n", p.Store.Version, age(p.At, p.Store.SeenAt))
-	} else {
+	a.showStore(p)
+	a.printf("\n")
+	a.showProcesses(p)
+}
+
+func (a *app) showStore(p operator.Picture) {
+	switch {
+	case p.Store.Error != "" && p.Store.SeenAt == nil:
+		a.printf("store: no answer: %s\n", p.Store.Error)
+		return
+	case p.Store.Error != "":
+		a.printf("store: no answer: %s\n", p.Store.Error)
+		a.printf("version %d, seen %s\n", p.Store.Version, age(p.At, p.Store.SeenAt))
+	case p.Store.Version == 0:
+		a.printf("store: answers, no configuration yet\n")
+	default:
 		a.printf("store: answers, version %d\n", p.Store.Version)
 	}
 	a.showRows(p.Store.Rows)
-	a.printf("\n")
-	a.showProcesses(p)
 }
 
 // showRows lists what is not in service.
--- a/cmd/internal/sailctl/service.go
+++ b/cmd/internal/sailctl/service.go
@@ -44,7 +44,7 @@
 	f.StringVar(&o.note, "note", "", "why, for the other operators")
 	f.DurationVar(&o.wait, "wait", 30*time.Second,
 		"wait this long until every process has seen the decision and no process has work for it; 0 does not wait")
-	f.BoolVar(&o.force, "force", false, "even if a service is left without any target, or the row is damaged")
+	f.BoolVar(&o.force, "force", false, "even if a service is left without any target, the row is damaged, or the VM is not in the settings")
 }
 
 // opsCommand returns the command that writes one kind of row. verbs gives the state that each verb writes.
@@ -59,6 +59,7 @@
 	c := &command{
 		name: kind, group: groupService, usage: kind + " " + choice + " [-note TEXT] [-wait DURATION] [-force] " + argument,
 		synopsis: "Take a " + what + " out of service or bring it back, and wait until it is done",
+		details:  flagHelp(o.set),
 	}
 	c.run = func(ctx context.Context, args []string) int {
 		if len(args) == 0 {
@@ -73,11 +74,41 @@
 		if _, _, err := config.SplitOpsKey(d.Key); err != nil {
 			return a.fail("", types.WrapFault(types.CodeBadRequest, err, "%q is not the name of a %s", rest[0], what))
 		}
-		return a.with(ctx, func(s *session) error { return a.decide(ctx, s, d, o.wait) })
+		return a.with(ctx, func(s *session) error {
+			if err := s.knowsVM(d); err != nil {
+				return err
+			}
+			return a.decide(ctx, s, d, o.wait)
+		})
 	}
 	return c
 }
 
+// flagHelp describes the flags that follow a verb.
+func flagHelp(set func(*flag.FlagSet)) string {
+	var text strings.Builder
+	f := flag.NewFlagSet("", flag.ContinueOnError)
+	f.SetOutput(&text)
+	set(f)
+	f.PrintDefaults()
+	return text.String()
+}
+
+// knowsVM refuses a VM that is not in the settings: VMs are not part of the configuration, and a row for a misspelt one
+// has no effect.
+func (s *session) knowsVM(d operator.Decision) error {
+	kind, vm, _ := config.SplitOpsKey(d.Key)
+	if kind != config.OpsVM || d.Force {
+		return nil
+	}
+	for _, p := range s.settings.Processes {
+		if string(p.VM) == vm {
+			return nil
+		}
+	}
+	return types.NewFault(types.CodeNotFound, "no process of a VM named %q in the settings; -force writes the row anyway", vm)
+}
+
 // parse reads the flags that follow a verb. They may stand before or after the name.
 func (a *app) parse(c *command, args []string, set func(*flag.FlagSet)) (rest []string, ok bool) {
 	f := flag.NewFlagSet(c.name, flag.ContinueOnError)
@@ -101,6 +132,9 @@
 	bounded, cancel := context.WithTimeout(ctx, defaultWrite)
 	defer cancel()
 	out, err := s.Decide(bounded, d)
+	if types.CodeOf(err) == types.CodeBadConfiguration && !d.Force {
+		a.note("nothing was changed; -force does it all the same:")
+	}
 	if err != nil {
 		return err
 	}
--- a/config/answers.go
+++ b/config/answers.go
@@ -54,10 +54,6 @@
 	StaleMs int64 `json:"staleMs"`
 	// ExtraLoadPercent is the extra load from retries and hedged requests that targets tolerate. Default 10.
 	ExtraLoadPercent *int `json:"extraLoadPercent,omitempty"`
-	// SpareTargets is how many targets may be missing at peak load. Default a quarter of them.
-	SpareTargets *int `json:"spareTargets,omitempty"`
-	// DataCentreOutAtPeak is true when operators may take a data centre out at peak load. Default false.
-	DataCentreOutAtPeak bool `json:"dataCentreOutAtPeak"`
 	// ColdStartMs is how long a freshly started target needs until it carries full load. Default 10000.
 	ColdStartMs *int64 `json:"coldStartMs,omitempty"`
 	// MaxBodyBytes is the largest request body, in bytes. Default 65536.
@@ -66,6 +62,10 @@
 	// Target holds what all targets have in common.
 	Target  TargetDefaults `json:"target"`
 	Targets []TargetAnswer `json:"targets"`
+	// SpareTargets is how many targets may be missing at peak load. Default a quarter of them.
+	SpareTargets *int `json:"spareTargets,omitempty"`
+	// DataCentreOutAtPeak is true when operators may take a data centre out at peak load. Default false.
+	DataCentreOutAtPeak bool `json:"dataCentreOutAtPeak"`
 }
 
 // RequestAnswer describes one class of requests.
--- a/config/questions.go
+++ b/config/questions.go
@@ -116,15 +116,6 @@
 			Unit: "percent", Default: number(defaultExtraPercent), High: maxExtraPercent,
 			Reason: "Bounds retries and hedged requests.",
 		},
-		{
-			Path: "services[].spareTargets", Text: "How many targets may be missing at peak load?", Unit: "targets",
-			DefaultNote: "a quarter of the targets", High: maxTargetSlots,
-			Reason: "Bounds how many stragglers are left out at a time; the others must carry the peak.",
-		},
-		{
-			Path: "services[].dataCentreOutAtPeak", Text: "May a whole data centre be taken out at peak load?", Default: "false",
-			Reason: "Then the targets of the others must carry the peak.",
-		},
 		{
 			Path: "services[].coldStartMs", Text: "How long does a freshly started target need until it carries full load?", Unit: "ms",
 			Default: number(defaultColdStartMs), High: maxColdStartMs,
@@ -211,5 +202,14 @@
 			Default: number(defaultWeight),
 			Reason:  "A target with weight 2 gets twice as many keys as one with weight 1.",
 		},
+		{
+			Path: "services[].spareTargets", Text: "How many targets may be missing at peak load?", Unit: "targets",
+			DefaultNote: "a quarter of the targets", High: maxTargetSlots,
+			Reason: "Bounds how many stragglers are left out at a time; the others must carry the peak.",
+		},
+		{
+			Path: "services[].dataCentreOutAtPeak", Text: "May a whole data centre be taken out at peak load?", Default: "false",
+			Reason: "Then the targets of the others must carry the peak.",
+		},
 	}
 }
