cmd: add sail-questionnaire

Change: questions on a terminal, each with unit, default and reason; -batch with -from and -set for scripts; -schema prints the JSON Schema. Bad input is refused with one line and asked again; an answer that contradicts an earlier one is refused at once; PATH=VALUE at any question changes another answer. Each accepted answer goes to FILE.draft, and an interrupted session goes on after it.

Cause: a new team fills in answers instead of writing configuration; a session of 30 targets must not be lost to a closed terminal.

Ruled out: a form library for terminals, which needs a real terminal in tests and writes nothing until the end.

Before: no questionnaire. After: a session that is interrupted after any of its 78 input lines ends with the same bytes. Seen failing first: a draft without services was written as null and refused when read again, and NaN was accepted as a weight.

Conclusion: the questionnaire covers every field that Questions lists.

--- /dev/null
+++ b/cmd/internal/questionnaire/main.go
@@ -0,0 +1,186 @@
+package questionnaire
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/settings"
+	"sequoiasail.example/settings/startup"
+	"sequoiasail.example/types"
+)
+
+const name = "sail-questionnaire"
+
+// Exit codes.
+const (
+	ExitOK      = 0
+	ExitFailed  = 1
+	ExitRefused = 2
+	ExitStopped = 3
+)
+
+const usage = `usage: sail-questionnaire [-out FILE]
+       sail-questionnaire -batch [-from FILE] [-set PATH=VALUE]... [-out FILE]
+       sail-questionnaire -schema
+
+Fills in the answers from which sailctl generates the configuration: question by question, or with -batch from a file
+and single values. A session that is interrupted goes on where it stopped.
+
+Exit codes:
+	0  the answers are complete and fit together
+	1  failed, for example because the file cannot be written
+	2  refused: command line or answers; with -batch nothing was written
+	3  stopped before the last question; the answers so far are kept in FILE.draft
+
+`
+
+// options is the command line.
+type options struct {
+	out, from              string
+	set                    list
+	batch, schema, version bool
+}
+
+// list collects a flag that may be repeated.
+type list []string
+
+// String implements flag.Value.
+func (l *list) String() string { return strings.Join(*l, ", ") }
+
+// Set implements flag.Value.
+func (l *list) Set(text string) error {
+	*l = append(*l, text)
+	return nil
+}
+
+// Main runs the command with the arguments and standard streams of the process, and returns the exit code.
+func Main() int { return Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr) }
+
+// Run runs one command line and returns the exit code.
+func Run(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	var o options
+	f := flag.NewFlagSet(name, flag.ContinueOnError)
+	f.SetOutput(stderr)
+	f.StringVar(&o.out, "out", "answers.json", "write the answers to `FILE`; - is standard output (with -batch)")
+	f.StringVar(&o.from, "from", "", "start from the answers in `FILE` (with -batch)")
+	f.Var(&o.set, "set", "set one answer, for example services[0].cutOff=move (`PATH=VALUE`, with -batch)")
+	f.BoolVar(&o.batch, "batch", false, "ask nothing")
+	f.BoolVar(&o.schema, "schema", false, "print the JSON Schema of the answers for editors")
+	f.BoolVar(&o.version, "version", false, "print the version and exit")
+	f.Usage = func() { fmt.Fprint(stderr, usage); f.PrintDefaults() }
+	if err := f.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return ExitOK
+		}
+		return ExitRefused
+	}
+	if f.NArg() > 0 || !o.batch && (o.from != "" || len(o.set) > 0 || o.out == "-") {
+		f.Usage()
+		return ExitRefused
+	}
+	return o.run(stdin, stdout, stderr)
+}
+
+func (o options) run(stdin io.Reader, stdout, stderr io.Writer) int {
+	switch {
+	case o.version:
+		fmt.Fprintln(stdout, startup.VersionLine(name))
+		return ExitOK
+	case o.schema:
+		_, _ = stdout.Write(config.Schema())
+		return ExitOK
+	case o.batch:
+		return o.fill(stdout, stderr)
+	}
+	return o.interview(stdin, stdout, stderr)
+}
+
+// interview asks question by question.
+func (o options) interview(stdin io.Reader, stdout, stderr io.Writer) int {
+	file := draftName(o.out)
+	d, err := o.beginning(file)
+	if err != nil {
+		startup.Report(stderr, file, err)
+		return ExitRefused
+	}
+	s := newSession(stdin, stdout, d, func(d draft) error { return d.save(file) })
+	if err := s.run(); errors.Is(err, errStopped) {
+		fmt.Fprintf(stdout, "%d answers are kept in %s; run the same command again to go on\n", len(s.draft.Answered), file)
+		return ExitStopped
+	} else if err != nil {
+		startup.Report(stderr, "", err)
+		return ExitFailed
+	}
+	if err := replaceFile(o.out, config.EncodeAnswers(s.draft.Answers)); err != nil {
+		startup.Report(stderr, "", err)
+		return ExitFailed
+	}
+	_ = os.Remove(file) // the answers are complete; a draft that stays only asks nothing new
+	fmt.Fprintf(stdout, "\n%s is complete; next: sailctl check %s\n", o.out, o.out)
+	return ExitOK
+}
+
+// beginning returns the draft, or the finished answers when there is no draft: their values are proposed again.
+func (o options) beginning(file string) (draft, error) {
+	if _, err := os.Stat(file); err == nil {
+		return loadDraft(file)
+	}
+	if _, err := os.Stat(o.out); err != nil {
+		return loadDraft(file)
+	}
+	data, err := startup.ReadFile(o.out)
+	if err != nil {
+		return draft{}, err
+	}
+	a, err := config.DecodeAnswers(data)
+	return draft{Answers: a}, err
+}
+
+// fill sets answers without questions and writes them if they fit together.
+func (o options) fill(stdout, stderr io.Writer) int {
+	a, err := o.given()
+	if err != nil {
+		startup.Report(stderr, o.from, err)
+		return ExitRefused
+	}
+	data := config.EncodeAnswers(a)
+	if o.out == "-" {
+		_, _ = stdout.Write(data)
+		return ExitOK
+	}
+	if err := replaceFile(o.out, data); err != nil {
+		startup.Report(stderr, "", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+// given returns the answers of -from with those of -set, or the faults of both together.
+func (o options) given() (config.Answers, error) {
+	var a config.Answers
+	a.SetDefaults()
+	if o.from != "" {
+		data, err := startup.ReadFile(o.from)
+		if err != nil {
+			return a, err
+		}
+		if a, err = config.DecodeAnswers(data); err != nil {
+			return a, err
+		}
+	}
+	var problems settings.Problems
+	for _, text := range o.set {
+		path, value, err := assignment(text)
+		if err == nil {
+			err = Set(&a, path, value)
+		}
+		problems = append(problems, settings.AsProblems(types.CodeBadRequest, err)...)
+	}
+	problems = append(problems, settings.AsProblems(types.CodeBadConfiguration, a.Validate())...)
+	return a, problems.Err()
+}
--- /dev/null
+++ b/cmd/internal/questionnaire/questionnaire_test.go
@@ -0,0 +1,174 @@
+package questionnaire_test
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sequoiasail.example/config"
+
+	"sequoiasail.example/cmd/internal/questionnaire"
+)
+
+var update = flag.Bool("update", false, "rewrite golden files")
+
+func run(t *testing.T, input string, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	var out, errs bytes.Buffer
+	code = questionnaire.Run(args, strings.NewReader(input), &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+func read(t *testing.T, name string) string {
+	t.Helper()
+	data, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(name, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got != read(t, name) {
+		t.Errorf("%s differs; check the change and run go test -update\n%s", name, got)
+	}
+}
+
+// Guards against questions without unit, default or reason, bad input that is accepted, and contradictions that are not
+// shown. The input holds one bad answer of each kind.
+func TestSession(t *testing.T) {
+	is := is.New(t)
+	out := filepath.Join(t.TempDir(), "answers.json")
+	code, stdout, stderr := run(t, read(t, "testdata/session.in"), "-out", out)
+	golden(t, "testdata/session.golden", strings.ReplaceAll(stdout, filepath.Dir(out)+"/", ""))
+	is.Equal(stderr, "")
+	is.Equal(code, questionnaire.ExitOK)
+	golden(t, "testdata/answers.golden.json", read(t, out))
+	_, err := config.ParseAnswers([]byte(read(t, out)))
+	is.NoErr(err)
+	_, err = os.Stat(out + ".draft")
+	is.True(os.IsNotExist(err))
+}
+
+// Guards against an answer that is lost, or asked for twice, when the session is interrupted at any line.
+func TestInterruptedSessionLosesNothing(t *testing.T) {
+	lines := strings.SplitAfter(read(t, "testdata/session.in"), "\n")
+	want := read(t, "testdata/answers.golden.json")
+	for k := range len(lines) - 1 {
+		out := filepath.Join(t.TempDir(), "answers.json")
+		code, stdout, _ := run(t, strings.Join(lines[:k], ""), "-out", out)
+		if code != questionnaire.ExitStopped || !strings.Contains(stdout, "answers are kept in ") {
+			t.Fatalf("stopped after %d lines: exit code %d", k, code)
+		}
+		code, stdout, _ = run(t, strings.Join(lines[k:], ""), "-out", out)
+		if code != questionnaire.ExitOK || read(t, out) != want {
+			t.Fatalf("stopped after %d lines: exit code %d\n%s", k, code, stdout)
+		}
+	}
+}
+
+// Guards against finished answers that change when every question is answered by Enter.
+func TestEnterKeepsEveryAnswer(t *testing.T) {
+	for _, user := range []string{"joint-venture", "semillas"} {
+		is := is.New(t)
+		before := read(t, filepath.Join("..", "..", "..", "examples", user, "answers.json"))
+		out := filepath.Join(t.TempDir(), "answers.json")
+		is.NoErr(os.WriteFile(out, []byte(before), 0o600))
+		code, _, _ := run(t, strings.Repeat("\n", 1000), "-out", out)
+		is.Equal(code, questionnaire.ExitOK)
+		is.Equal(generated(t, read(t, out)), generated(t, before))
+	}
+}
+
+func generated(t *testing.T, answers string) string {
+	t.Helper()
+	a, err := config.ParseAnswers([]byte(answers))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := config.Generate(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(config.Canonical(c))
+}
+
+// Guards against bad values that are accepted without a terminal, reported one at a time, or half written.
+func TestBatch(t *testing.T) {
+	is := is.New(t)
+	out := filepath.Join(t.TempDir(), "answers.json")
+	from := filepath.Join("..", "..", "..", "examples", "joint-venture", "answers.json")
+	code, _, stderr := run(t, "", "-batch", "-from", from, "-out", out,
+		"-set", "services[0].cutOff=stop", "-set", "services[0].colour=red", "-set", "services[9].keyed=yes",
+		"-set", "services[0].target=4", "-set", "team", "-set", "dataCentres[0].oneWayMs=2000", "-set", "services[1].staleMs=20")
+	is.Equal(code, questionnaire.ExitRefused)
+	golden(t, "testdata/batch.golden", strings.ReplaceAll(stderr, from+": ", ""))
+	_, err := os.Stat(out)
+	is.True(os.IsNotExist(err))
+
+	code, _, stderr = run(t, "", "-batch", "-from", from, "-out", out, "-set", "services[0].cutOff=keep",
+		"-set", "services[2].targets[6].name=vyuctovani-07", "-set", "services[2].targets[6].dataCentre=kladno",
+		"-set", "services[2].targets[6].address=127.0.0.1:21030")
+	is.Equal(stderr, "")
+	is.Equal(code, questionnaire.ExitOK)
+	a, err := config.ParseAnswers([]byte(read(t, out)))
+	is.NoErr(err)
+	is.Equal(a.Services[0].CutOff, config.CutOffKeep)
+	is.Equal(len(a.Services[2].Targets), 7)
+	is.Equal(a.Services[2].Targets[6].Weight, 1.0)
+}
+
+// Guards against command lines that are half understood.
+func TestCommandLine(t *testing.T) {
+	is := is.New(t)
+	code, stdout, _ := run(t, "", "-schema")
+	is.Equal(code, questionnaire.ExitOK)
+	is.Equal(stdout, read(t, filepath.Join("..", "..", "..", "schema", "answers.schema.json")))
+	code, stdout, _ = run(t, "", "-version")
+	is.Equal(code, questionnaire.ExitOK)
+	is.True(strings.HasPrefix(stdout, "sail-questionnaire "))
+	for _, args := range [][]string{{"-set", "team=x"}, {"-from", "x"}, {"-out", "-"}, {"extra"}, {"-nosuch"}, {"-batch", "-from", "nosuch.json"}} {
+		code, _, stderr := run(t, "", args...)
+		is.Equal(code, questionnaire.ExitRefused)
+		is.True(stderr != "")
+	}
+	damaged := filepath.Join(t.TempDir(), "answers.json")
+	is.NoErr(os.WriteFile(damaged+".draft", []byte(`{"answers":{"teem":"x"}}`), 0o600))
+	code, _, stderr := run(t, "x\n", "-out", damaged)
+	is.Equal(code, questionnaire.ExitRefused)
+	is.True(strings.Contains(stderr, "answers.teem: unknown field"))
+	is.Equal(read(t, damaged+".draft"), `{"answers":{"teem":"x"}}`) // a draft that cannot be read is not overwritten
+}
+
+// Guards against panics on any path or value, and against values that the answers' file format refuses.
+func FuzzSet(f *testing.F) {
+	f.Add("services[0].targets[1].weight", "2.5")
+	f.Add("dataCentres[2].name", "kladno")
+	f.Add("services[0].spareTargets", "0")
+	f.Add("services[[0]].x", "-1")
+	f.Add("team[0]", "1e309")
+	f.Add("services[0].targets[0].weight", "NaN")
+	f.Fuzz(func(t *testing.T, path, text string) {
+		a, err := config.DecodeAnswers([]byte(`{"team":"t","dataCentres":[{},{}],"services":[{"targets":[{}]}]}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if questionnaire.Set(&a, path, text) != nil {
+			return
+		}
+		if _, err := config.DecodeAnswers(config.EncodeAnswers(a)); err != nil {
+			t.Fatalf("%s=%s: %v", path, text, err)
+		}
+	})
+}
--- a/config/answers.go
+++ b/config/answers.go
@@ -11,8 +11,8 @@
 	Team string `json:"team"`
 	// RecoverWithinMs is how soon a key must be served again after a loss, in milliseconds. Default 3000.
 	RecoverWithinMs int64              `json:"recoverWithinMs"`
-	DataCentres     []DataCentreAnswer `json:"dataCentres"`
-	Services        []ServiceAnswer    `json:"services"`
+	DataCentres     []DataCentreAnswer `json:"dataCentres,omitempty"`
+	Services        []ServiceAnswer    `json:"services,omitempty"`
 }
 
 // DataCentreAnswer describes one data centre.
@@ -58,10 +58,10 @@
 	ColdStartMs *int64 `json:"coldStartMs,omitempty"`
 	// MaxBodyBytes is the largest request body, in bytes. Default 65536.
 	MaxBodyBytes int64           `json:"maxBodyBytes"`
-	Requests     []RequestAnswer `json:"requests"`
+	Requests     []RequestAnswer `json:"requests,omitempty"`
 	// Target holds what all targets have in common.
 	Target  TargetDefaults `json:"target"`
-	Targets []TargetAnswer `json:"targets"`
+	Targets []TargetAnswer `json:"targets,omitempty"`
 	// SpareTargets is how many targets may be missing at peak load. Default a quarter of them.
 	SpareTargets *int `json:"spareTargets,omitempty"`
 	// DataCentreOutAtPeak is true when operators may take a data centre out at peak load. Default false.
