--- a/placement/balance.go
+++ b/placement/balance.go
@@ -14,24 +14,32 @@
 	// stopRatio is the highest relative load at which it stops. The distance to startRatio keeps steady noise from
 	// causing moves.
 	stopRatio = 1.05
+	// startLow and stopLow are the corresponding bounds of the lowest relative load, as shares of the median one. A
+	// target that joins n others raises their relative load to (n+1)/n only, which never exceeds startRatio for n above
+	// 6. The median is the measure because one overloaded target lowers the relative load of all others.
+	startLow = 0.75
+	stopLow  = 0.9
 	// minGap is the smallest difference between two targets for which a move is worth it.
 	minGap = 0.05
 	// minGain is the smallest reduction of the higher load, as a share of the fair load.
 	minGain = 0.002
 )
 
-// balance proposes moves that lower the highest relative load. A difference that no move can repair, for example one
+// balance proposes moves from the most to the least loaded targets. A difference that no move can repair, for example one
 // hot key that exceeds a fair share by itself, causes no move.
 func (s *service) balance(now types.Instant, fair float64, out []Action) []Action {
-	peak := s.peak(fair)
-	if s.balancing = s.balancing && peak > stopRatio || peak > startRatio; !s.balancing {
+	high, median, low := s.spread(fair)
+	unbalanced := high > startRatio || low < startLow*median
+	uneven := high > stopRatio || low < stopLow*median
+	s.balancing = unbalanced || (s.balancing && uneven)
+	if !s.balancing {
 		return out
 	}
 	s.group()
 	start := len(out)
 	moved := s.scratch.todo[:0]
 	for s.inMotion < MaxBalancing {
-		slot, ok := s.improve(now, fair, &out)
+		slot, ok := s.improve(now, fair, median, &out)
 		if !ok {
 			break
 		}
@@ -72,12 +80,19 @@
 	return 1
 }
 
-func (s *service) peak(fair float64) float64 {
-	peak := 0.0
-	for i := range s.targets {
-		peak = max(peak, s.targets[i].relative(fair))
+// spread returns the highest, the median and the lowest relative load of targets in service.
+func (s *service) spread(fair float64) (high, median, low float64) {
+	order := s.byLoad(fair)
+	n := 0
+	for _, i := range order {
+		if s.targets[i].capacity > 0 {
+			order[n] = i
+			n++
+		}
 	}
-	return peak
+	order = order[:n]
+	at := func(k int) float64 { return s.targets[order[k]].relative(fair) }
+	return at(0), at(n / 2), at(n - 1)
 }
 
 // group lists the settled slots of each target.
@@ -113,13 +128,13 @@
 
 // improve proposes one move from the most loaded target that a move can relieve to the least loaded one. It returns
 // the slot that moves, or -1 for a hot-key row.
-func (s *service) improve(now types.Instant, fair float64, out *[]Action) (slot int32, ok bool) {
+func (s *service) improve(now types.Instant, fair, median float64, out *[]Action) (slot int32, ok bool) {
 	to, ok := s.receiver(now, fair)
 	if !ok {
 		return 0, false
 	}
 	for _, from := range s.byLoad(fair) {
-		if !s.worthwhile(uint16(from), to, fair) {
+		if !s.worthwhile(uint16(from), to, fair, median) {
 			return 0, false
 		}
 		if slot, ok = s.relieve(now, uint16(from), to, fair, out); ok {
@@ -145,9 +160,9 @@
 	return order
 }
 
-func (s *service) worthwhile(from, to uint16, fair float64) bool {
+func (s *service) worthwhile(from, to uint16, fair, median float64) bool {
 	high, low := s.targets[from].relative(fair), s.targets[to].relative(fair)
-	return high > stopRatio && high-low > minGap
+	return high-low > minGap && (high > stopRatio || low < stopLow*median)
 }
 
 // receiver returns the least loaded target that may take one more slot.
--- /dev/null
+++ b/placement/failure_test.go
@@ -0,0 +1,317 @@
+package placement_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiasail.example/placement"
+	"sequoiasail.example/placement/measure"
+	"sequoiasail.example/types"
+)
+
+const slots = 1024
+
+func name(i int) types.Target {
+	return types.Target("t-" + string(rune('0'+i/10)) + string(rune('0'+i%10)))
+}
+
+// bench drives a Core by hand: nothing is confirmed unless the test does so.
+type bench struct {
+	*placement.Core
+	now  types.Instant
+	rows []placement.Target
+}
+
+// newBench returns a Core in charge of n targets, of which target i owns each slot whose number modulo n is i.
+func newBench(n int) *bench {
+	b := &bench{Core: placement.New(), now: types.Instant(time.Hour)}
+	for i := range n {
+		b.rows = append(b.rows, placement.Target{Name: name(i), DataCentre: "dc", Weight: 1})
+	}
+	b.step(placement.Message{Kind: placement.KindLead, Lead: true})
+	b.targets()
+	b.owners(func(slot int) int { return slot % n })
+	return b
+}
+
+func (b *bench) step(m placement.Message) { b.Step(b.now, &m, nil) }
+
+func (b *bench) targets() {
+	b.step(placement.Message{Kind: placement.KindTargets, Targets: &placement.Targets{
+		Service: measure.Service, Slots: slots, Rows: b.rows,
+	}})
+}
+
+func (b *bench) owners(of func(slot int) int) {
+	m := &placement.Owners{Service: measure.Service}
+	for i := range b.rows {
+		m.Targets = append(m.Targets, b.rows[i].Name)
+	}
+	for slot := range slots {
+		m.Owners = append(m.Owners, uint16(of(slot)))
+	}
+	b.step(placement.Message{Kind: placement.KindOwners, Owners: m})
+}
+
+// confirm carries out moves of a table in which target i owned each slot whose number modulo the targets is i.
+func (b *bench) confirm(actions []placement.Action) {
+	b.owners(func(slot int) int {
+		owner := slot % len(b.rows)
+		for _, a := range actions {
+			if int(a.First) <= slot && slot <= int(a.Last) {
+				owner = slices.IndexFunc(b.rows, func(r placement.Target) bool { return r.Name == a.To })
+			}
+		}
+		return owner
+	})
+}
+
+// load reports the load of every slot of target i.
+func (b *bench) load(i int, of func(slot int) float32) {
+	m := &placement.Load{Service: measure.Service, Target: name(i)}
+	for slot := i; slot < slots; slot += len(b.rows) {
+		m.Slots = append(m.Slots, types.Slot(slot))
+		m.Loads = append(m.Loads, of(slot))
+	}
+	b.step(placement.Message{Kind: placement.KindLoad, Load: m})
+}
+
+func (b *bench) loadAll(of func(slot int) float32) {
+	for i := range b.rows {
+		b.load(i, of)
+	}
+}
+
+func (b *bench) run(d time.Duration) []placement.Action {
+	var out []placement.Action
+	for end := b.now.Add(d); b.now < end; b.now = b.now.Add(placement.UrgentInterval) {
+		out = b.Tick(b.now, out)
+	}
+	return out
+}
+
+func moved(actions []placement.Action) int {
+	n := 0
+	for _, a := range actions {
+		if a.Kind == placement.ActionMoveSlots {
+			n += int(a.Last-a.First) + 1
+		}
+	}
+	return n
+}
+
+func even(int) float32 { return 1 }
+
+// Guards against endless moves of a load that is too large for any target.
+func TestDifferenceThatNoMoveRepairsCausesNoMove(t *testing.T) {
+	is := is.New(t)
+	b := newBench(16)
+	b.loadAll(func(slot int) float32 {
+		if slot == 5 {
+			return 500 // of 1523 in all; a fair share is 95
+		}
+		return 1
+	})
+	actions := b.run(5 * time.Second)
+	is.Equal(moved(actions), 63) // the other slots of target 5 leave it once
+	b.confirm(actions)
+	is.Equal(moved(b.run(time.Minute)), 0)
+}
+
+// Guards against moves for differences within the hysteresis.
+func TestSmallDifferenceCausesNoMove(t *testing.T) {
+	is := is.New(t)
+	b := newBench(16)
+	b.loadAll(func(slot int) float32 {
+		if slot%16 == 3 {
+			return 1.12
+		}
+		return 1
+	})
+	is.Equal(len(b.run(time.Minute)), 0)
+}
+
+// Guards against more unconfirmed moves than the bound, and against moves that are never planned again.
+func TestMovesInProgressAreBounded(t *testing.T) {
+	is := is.New(t)
+	b := newBench(16)
+	b.loadAll(func(slot int) float32 {
+		if slot%16 < 4 {
+			return 10
+		}
+		return 1
+	})
+	is.Equal(moved(b.run(placement.MoveTimeout)), placement.MaxBalancing)
+	is.Equal(moved(b.run(placement.MoveTimeout)), placement.MaxBalancing)
+}
+
+// Guards against balancing while keys of a lost or leaving owner wait, and against a receiver that leaves as well.
+func TestLostThenLeavingOwnersComeFirst(t *testing.T) {
+	is := is.New(t)
+	b := newBench(16)
+	b.loadAll(func(slot int) float32 { return float32(1 + slot%16) })
+	b.rows[15].State = placement.StateDraining
+	b.rows[2].State = placement.StateLost
+	b.targets()
+	actions := b.Tick(b.now, nil)
+	is.Equal(moved(actions), 128)
+	for i, a := range actions {
+		is.True(a.To != name(15) && a.To != name(2))
+		want := placement.ReasonDraining
+		if a.From == name(2) {
+			want = placement.ReasonLost
+		}
+		is.Equal(a.Reason, want)
+		is.True(i == 0 || actions[i-1].Reason <= a.Reason)
+	}
+}
+
+// Guards against slots that stay with a receiver that is lost before it takes them.
+func TestMoveToLostReceiverIsPlannedAnew(t *testing.T) {
+	is := is.New(t)
+	b := newBench(4)
+	b.loadAll(even)
+	b.rows[0].State = placement.StateDraining
+	b.targets()
+	is.Equal(moved(b.run(time.Second)), 256)
+	b.rows[1].State = placement.StateLost
+	b.targets()
+	for _, a := range b.run(time.Second) {
+		is.True(a.To == name(2) || a.To == name(3))
+	}
+}
+
+// Guards against a fresh target that gets its full share at once.
+func TestFreshTargetIsFilledSlowly(t *testing.T) {
+	is := is.New(t)
+	w := measure.NewWorkload(100_000, 0.5, rand.NewPCG(1, 1))
+	f := measure.NewFleet(slots, 8)
+	f.Run(time.Minute, 1000, w)
+	f.Add("new", placement.StateCold)
+	f.Run(6*time.Second, 1000, w)
+	is.True(f.Owned("new") > 0)
+	is.True(f.Owned("new") <= slots/9/4) // a tenth of the ramp has passed; a fair share is a ninth of the slots
+	f.Run(2*time.Minute, 1000, w)
+	t.Logf("owns %d slots, imbalance %.3f", f.Owned("new"), f.Imbalance(w))
+	is.True(f.Owned("new") >= slots/9/2)
+	is.True(f.Imbalance(w) <= 1.15) // the highest relative load at which balancing may rest
+}
+
+// Guards against a new planner that takes a running fleet for a fresh one and moves nothing to it.
+func TestNewPlannerTakesFleetAsWarm(t *testing.T) {
+	is := is.New(t)
+	b := newBench(8)
+	b.loadAll(func(slot int) float32 {
+		if slot%8 == 0 {
+			return 20
+		}
+		return 1
+	})
+	is.Equal(moved(b.Tick(b.now, nil)), placement.MaxBalancing)
+}
+
+// Guards against churn for targets that are slow for a short time, and against stragglers that keep their load.
+func TestOnlyLastingStragglersAreRelieved(t *testing.T) {
+	is := is.New(t)
+	b := newBench(8)
+	b.loadAll(even)
+	b.rows[3].State = placement.StateStraggler
+	b.targets()
+	is.Equal(len(b.run(placement.StragglerHold-time.Second)), 0)
+	actions := b.run(3 * time.Second)
+	is.True(moved(actions) > 0)
+	for _, a := range actions {
+		is.Equal(a.From, name(3))
+		is.Equal(a.Reason, placement.ReasonStraggler)
+	}
+}
+
+// Guards against proposals by a process that does not hold the planner lease.
+func TestOnlyTheLeaderProposes(t *testing.T) {
+	is := is.New(t)
+	b := newBench(4)
+	b.step(placement.Message{Kind: placement.KindLead, Lead: false})
+	b.rows[0].State = placement.StateLost
+	b.targets()
+	is.Equal(len(b.run(time.Minute)), 0)
+	_, ok := b.NextTick()
+	is.True(!ok)
+	b.step(placement.Message{Kind: placement.KindLead, Lead: true})
+	is.Equal(moved(b.run(time.Second)), 256)
+}
+
+// Guards against rows that outlive the heat of their key, and against a row that is removed while its key would change
+// hands without a release.
+func TestHotKeyRowsComeAndGo(t *testing.T) {
+	is := is.New(t)
+	w := measure.NewWorkload(100_000, 1.1, rand.NewPCG(1, 1))
+	f := measure.NewFleet(slots, 16)
+	f.Log = func(_ types.Instant, a placement.Action) {
+		if a.Kind == placement.ActionDropKey {
+			is.Equal(f.Owner(a.Key), a.From)
+		}
+	}
+	f.Run(2*time.Minute, 2000, w)
+	was := w.Hottest(1)[0]
+	is.True(f.HasRow(was))
+	w.ChangeHottest(13)
+	f.Run(6*time.Minute, 2000, w)
+	is.True(!f.HasRow(was))
+	for _, key := range w.Hottest(13) {
+		is.True(f.HasRow(key))
+	}
+}
+
+// Guards against a sketch that grows with the number of keys or that hangs on to former hot keys.
+func TestSketchFollowsTheHottestKeys(t *testing.T) {
+	is := is.New(t)
+	w := measure.NewWorkload(1_000_000, 1.1, rand.NewPCG(1, 1))
+	s := placement.NewSketch(placement.DefaultSketchSize)
+	for range 2 {
+		w.ChangeHottest(13)
+		for range 12 { // two minutes of reports
+			for range 40_000 {
+				s.Add(w.Sample(), 1)
+			}
+			s.Decay(0.5)
+		}
+		found := map[types.KeyHash]bool{}
+		for _, k := range s.Top(16, 1, nil) {
+			found[k.Key] = true
+		}
+		for _, key := range w.Hottest(13) {
+			is.True(found[key])
+		}
+	}
+	is.True(len(s.Top(1<<20, 1, nil)) <= placement.DefaultSketchSize)
+}
+
+// Guards against targets that stay without dispatcher, and against too many changes for targets that are served.
+func TestDispatchersAreReplaced(t *testing.T) {
+	is := is.New(t)
+	b := newBench(40)
+	vms := &placement.Dispatchers{Rows: []placement.Dispatcher{
+		{VM: "a", DataCentre: "dc"}, {VM: "b", DataCentre: "dc", State: placement.StateDraining}, {VM: "c", DataCentre: "elsewhere"},
+	}}
+	b.step(placement.Message{Kind: placement.KindDispatchers, Dispatchers: vms})
+	held := &placement.Leases{Service: measure.Service}
+	for i := range 40 {
+		vm := types.VM("b")
+		if i < 20 {
+			vm = "lost"
+		}
+		held.Rows = append(held.Rows, placement.Lease{Target: name(i), VM: vm})
+	}
+	b.step(placement.Message{Kind: placement.KindLeases, Leases: held})
+	count := map[placement.Reason]int{}
+	for _, a := range b.Tick(b.now, nil) {
+		is.Equal(a.ToVM, types.VM("a"))
+		count[a.Reason]++
+	}
+	is.Equal(count[placement.ReasonLost], 20)
+	is.Equal(count[placement.ReasonDraining], placement.MaxLeaseMoves)
+}
--- a/placement/measure/fleet.go
+++ b/placement/measure/fleet.go
@@ -261,3 +261,6 @@
 
 // Elapsed returns the simulated time since the fleet began.
 func (f *Fleet) Elapsed() time.Duration { return f.now.Sub(types.Instant(time.Hour)) }
+
+// Count adds requests for a slot to the next report.
+func (f *Fleet) Count(slot types.Slot, requests float32) { f.counts[slot] += requests }
--- /dev/null
+++ b/placement/property_test.go
@@ -0,0 +1,152 @@
+package placement_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"sequoiasail.example/placement"
+	"sequoiasail.example/types"
+)
+
+// world applies proposals at once and checks each of them.
+type world struct {
+	*bench
+	t     *rapid.T
+	owner []int
+	moves int
+}
+
+func (w *world) index(n types.Target) int {
+	for i := range w.rows {
+		if w.rows[i].Name == n {
+			return i
+		}
+	}
+	w.t.Fatalf("unknown target %q", n)
+	return 0
+}
+
+func (w *world) tick() int {
+	actions := w.Tick(w.now, nil)
+	for _, a := range actions {
+		if a.Kind != placement.ActionMoveSlots {
+			continue
+		}
+		to := w.index(a.To)
+		if s := w.rows[to].State; s == placement.StateDraining || s == placement.StateLost {
+			w.t.Fatalf("slots %d to %d move to %s, which is %s", a.First, a.Last, a.To, s)
+		}
+		for slot := a.First; slot <= a.Last; slot++ {
+			if from := w.rows[w.owner[slot]].Name; from != a.From || a.From == a.To {
+				w.t.Fatalf("slot %d of %s moves from %s to %s", slot, from, a.From, a.To)
+			}
+			w.owner[slot] = to
+		}
+	}
+	w.owners(func(slot int) int { return w.owner[slot] })
+	w.now = w.now.Add(placement.PlanInterval)
+	return moved(actions)
+}
+
+func (w *world) report(loads []float32) {
+	for i := range w.rows {
+		m := &placement.Load{Service: "catalogo", Target: w.rows[i].Name}
+		for slot, o := range w.owner {
+			if o == i {
+				m.Slots = append(m.Slots, types.Slot(slot))
+				m.Loads = append(m.Loads, loads[slot])
+			}
+		}
+		w.step(placement.Message{Kind: placement.KindLoad, Load: m})
+	}
+}
+
+// Guards against moves to targets that are out, moves that never end at steady load, and targets that are not emptied,
+// for any loads, weights and states.
+func TestMovesAreSoundAndEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(t, "targets")
+		w := &world{bench: newBench(n), t: t, owner: make([]int, slots)}
+		for slot := range w.owner {
+			w.owner[slot] = slot % n
+		}
+		loads := make([]float32, slots)
+		for slot := range loads {
+			loads[slot] = rapid.Float32Range(0, 1).Draw(t, "load")
+		}
+		loads[rapid.IntRange(0, slots-1).Draw(t, "hot")] = rapid.Float32Range(0, 1000).Draw(t, "heat")
+		for range rapid.IntRange(1, 4).Draw(t, "events") {
+			i := rapid.IntRange(0, n-1).Draw(t, "target")
+			w.rows[i].State = placement.State(rapid.IntRange(0, 4).Draw(t, "state"))
+			w.rows[i].Weight = rapid.Float64Range(0.5, 2).Draw(t, "weight")
+			w.targets()
+			for s := range rapid.IntRange(1, 30).Draw(t, "seconds") {
+				w.tick()
+				if s%10 == 0 {
+					w.report(loads)
+				}
+			}
+		}
+		w.settle(loads)
+	})
+}
+
+// settle runs five minutes at steady load and checks that moves end in the last two.
+func (w *world) settle(loads []float32) {
+	last := 0
+	for s := range 300 {
+		if w.tick() > 0 {
+			last = s
+		}
+		if s%10 == 0 {
+			w.report(loads)
+		}
+	}
+	if last > 180 {
+		w.t.Fatalf("slots still move after %d s of steady load", last)
+	}
+	for slot, o := range w.owner {
+		if s := w.rows[o].State; (s == placement.StateDraining || s == placement.StateLost) && w.anyIn() {
+			w.t.Fatalf("slot %d stays with %s, which is %s", slot, w.rows[o].Name, s)
+		}
+	}
+}
+
+func (w *world) anyIn() bool {
+	for _, r := range w.rows {
+		if r.State != placement.StateDraining && r.State != placement.StateLost {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against oscillation: with loads that fluctuate by a tenth around a steady mean, slots move at first only.
+func TestNoisyLoadDoesNotOscillate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{bench: newBench(16), t: t, owner: make([]int, slots)}
+		for slot := range w.owner {
+			w.owner[slot] = slot % 16
+		}
+		skew := rapid.Float32Range(0, 3).Draw(t, "skew")
+		noise := rapid.Uint64().Draw(t, "noise")
+		total := 0
+		for s := range 600 {
+			if s%10 == 0 {
+				loads := make([]float32, slots)
+				for slot := range loads {
+					noise = noise*6364136223846793005 + 1442695040888963407
+					loads[slot] = (1 + skew*float32(slot%16)) * (0.9 + 0.2*float32(noise>>40)/(1<<24))
+				}
+				w.report(loads)
+			}
+			if n := w.tick(); s >= 300 {
+				total += n
+			}
+		}
+		if total > 0 {
+			t.Fatalf("%d slots move in the second five minutes", total)
+		}
+	})
+}
