docs: add the operators' pages, run by a test

Change: pages for a new team, a data centre out, replacing VMs, a store outage and settings. TestPages runs their console blocks against the stand-in store and six processes and compares the output; another test checks that the settings page names every field. Example settings of sailctl for both users.

Cause: a page that shows what a command no longer prints misleads an operator at the worst moment.

Ruled out: checking only that the commands on a page exist, which finds no wrong exit code and no wrong text.

Before, seen by running the pages: a process asked for the first time was said to have admitted all requests since its start; after a loss of data in the store a decision could get a version that processes ignore as too old, and a new configuration one that a process follows already. After: the first round only records the counters, -force writes a row version above all earlier ones, and apply goes above the versions that processes report.

--- a/cmd/internal/operator/apply.go
+++ b/cmd/internal/operator/apply.go
@@ -2,15 +2,16 @@
 
 import (
 	"context"
+	"slices"
 
 	"sequoiasail.example/config"
 	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
 )
 
-// MaxRecords is the number of versions that the history keeps. At 2,100 changes a day and 20 KB each, an unbounded
-// history would take 42 MB a day of the store.
-const MaxRecords = 200
+// MaxRecords is the number of versions that the history keeps. A record of today's users takes 10 KB, so the history
+// takes 1 MB; processes that list the whole store on start read it, so it must stay small.
+const MaxRecords = 100
 
 // Revision is a configuration that an operator wants in force.
 type Revision struct {
@@ -113,9 +114,13 @@
 	return types.NewFault(types.CodeConflict, "version %d is in force%s, not %d; nothing was changed", have, by, expect)
 }
 
-// nextVersion returns the first version above have that the history does not hold. The history is ahead of the current
-// key only if the key was lost or restored from an older copy; versions that processes may have seen are not reused.
+// nextVersion returns the first version above have that neither the history holds nor a process follows. Those are ahead
+// only if the store lost data or was restored from an older copy: processes refuse versions that they have seen with
+// another content.
 func (o *Operator) nextVersion(ctx context.Context, have types.Version) (types.Version, error) {
+	for _, r := range o.ask(ctx) {
+		have = max(have, types.Version(r.Status.ConfigVersion))
+	}
 	for v := have + 1; ; v++ {
 		_, err := o.Store.Get(ctx, config.HistoryKey(v))
 		if missing(err) {
@@ -126,3 +131,11 @@
 		}
 	}
 }
+
+// ask returns the reports of the processes that answer.
+func (o *Operator) ask(ctx context.Context) []Report {
+	if o.Fleet == nil {
+		return nil
+	}
+	return slices.DeleteFunc(o.Fleet.Ask(ctx), func(r Report) bool { return r.Err != nil })
+}
--- a/cmd/internal/operator/apply_test.go
+++ b/cmd/internal/operator/apply_test.go
@@ -9,6 +9,7 @@
 
 	"sequoiasail.example/config"
 	standin "sequoiasail.example/standin/store"
+	"sequoiasail.example/telemetry"
 	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
 
@@ -181,6 +182,15 @@
 	out, err := jana.Apply(t.Context(), revision(t, 0, 1700))
 	f.NoErr(err)
 	f.Equal(out.Version, types.Version(4))
+	jana.Fleet = &fakeFleet{names: []string{"vm-1", "vm-2"}, ask: func(_ int, name string) telemetry.Status {
+		if name == "vm-2" {
+			return telemetry.Status{}
+		}
+		return telemetry.Status{VM: name, ConfigVersion: 11}
+	}}
+	out, err = jana.Apply(t.Context(), revision(t, 4, 1800))
+	f.NoErr(err)
+	f.Equal(out.Version, types.Version(12)) // the history is lost too, but a process follows version 11
 }
 
 // Guards against a reapplied version that gets its old number, or other content.
--- a/cmd/internal/operator/await.go
+++ b/cmd/internal/operator/await.go
@@ -131,24 +131,26 @@
 // workLeft returns what a process still does for affected targets, or for any target when key is about the process's VM.
 func workLeft(affected map[string]bool, key string, before, now telemetry.Status) string {
 	own := key == config.VMKey(types.VM(now.VM))
-	waiting, inFlight := 0, 0
+	queues, waiting, inFlight := 0, 0, 0
 	var admitted uint64
 	for _, q := range now.Queues {
-		if own || affected[q.Service+"/"+q.Target] {
-			waiting += q.Waiting
-			inFlight += q.InFlight
-			admitted += q.Admitted - admittedBefore(before, now, q)
+		if !own && !affected[q.Service+"/"+q.Target] {
+			continue
 		}
+		queues++
+		waiting += q.Waiting
+		inFlight += q.InFlight
+		admitted += q.Admitted - admittedBefore(before, now, q)
 	}
 	switch {
 	case waiting+inFlight > 0:
 		return number(uint64(waiting)) + " requests wait, " + number(uint64(inFlight)) + " are running"
-	case admitted > 0:
-		return "admitted " + number(admitted) + " requests since the last round"
 	case own && len(now.Leases) > 0:
 		return "holds " + number(uint64(len(now.Leases))) + " target leases"
-	case before.VM == "" && len(now.Queues) > 0:
-		return "first round"
+	case queues > 0 && before.VM == "":
+		return "no work in hand; asking again whether it admits any"
+	case admitted > 0:
+		return "admitted " + number(admitted) + " requests since it was last asked"
 	}
 	return ""
 }
--- a/cmd/internal/operator/await_test.go
+++ b/cmd/internal/operator/await_test.go
@@ -73,12 +73,14 @@
 		elsewhere := telemetry.QueueStatus{Service: "mapa-skvrn", Target: "mapa-skvrn-01", InFlight: 4, Admitted: uint64(100 * round)}
 		switch round {
 		case 1:
+			q.Admitted = 4
 			s.OpsRevision--
 		case 2:
 			q.Waiting, q.InFlight, q.Admitted = 2, 1, 5
 		case 3:
 			q.Admitted = 8
 		}
+
 		s.Queues = []telemetry.QueueStatus{elsewhere, q}
 		return s
 	}}
@@ -89,6 +91,24 @@
 	f.Equal(seen, []string{"vm-1/dispatcher: has not seen the decision"})
 }
 
+// Guards against all requests since the start of a process being reported as new work when it is asked for the first
+// time.
+func TestAwaitDecisionComparesTwoRounds(t *testing.T) {
+	f := startApplied(t)
+	jana := f.person("jana", nil)
+	out, err := jana.Decide(t.Context(), takeOut)
+	f.NoErr(err)
+	jana.Fleet = &fakeFleet{names: []string{"vm-1"}, ask: func(_ int, name string) telemetry.Status {
+		s := telemetry.Status{VM: name, Incarnation: 1, OpsRevision: uint64(out.Revision)}
+		s.Queues = []telemetry.QueueStatus{{Service: "mapa-skvrn", Target: "mapa-skvrn-03", Admitted: 152}}
+		return s
+	}}
+	var seen []string
+	_, err = jana.AwaitDecision(t.Context(), out, poll, func(p operator.Progress) { seen = append(seen, p.Waiting...) })
+	f.NoErr(err)
+	f.Equal(seen, []string{"vm-1/dispatcher: no work in hand; asking again whether it admits any"})
+}
+
 // Guards against a restart that hides new work: the counter of a new incarnation starts at 0.
 func TestAwaitDecisionSeesWorkAfterRestart(t *testing.T) {
 	f := startApplied(t)
--- a/cmd/internal/operator/ops.go
+++ b/cmd/internal/operator/ops.go
@@ -15,7 +15,8 @@
 	State config.OpsState
 	// Note says why. Optional.
 	Note string
-	// Force skips the check that every service keeps a target in service, and replaces a damaged row.
+	// Force skips the check that every service keeps a target in service, and writes the row in any case, with a version
+	// above all that processes may have seen: for a damaged row and for a store that lost data.
 	Force bool
 }
 
@@ -40,24 +41,23 @@
 	}
 	row, at, err := o.row(ctx, d.Key)
 	damaged := d.Force && at > 0 && err != nil
-	if damaged {
-		// The store revision is at least the version of any row, so processes install what follows.
-		row, err = config.OpsRow{OpsChange: config.OpsChange{Version: types.Version(at)}}, nil
-	}
-	if err != nil {
+	if err != nil && !damaged {
 		return Decided{}, err
 	}
-	if row.State == d.State || row.Version == 0 && d.State == config.OpsIn {
+	if !d.Force && (row.State == d.State || row.Version == 0 && d.State == config.OpsIn) {
 		return Decided{Key: d.Key, Version: row.Version, State: d.State, Revision: at, Unchanged: true}, nil
 	}
-	change := config.OpsChange{State: d.State, Operator: o.Name, Note: d.Note, At: o.stamp(), WriteID: o.NewWriteID()}
-	next := row.Next(change)
-	if damaged {
-		next.History = nil
+	next := row.Next(config.OpsChange{State: d.State, Operator: o.Name, Note: d.Note, At: o.stamp(), WriteID: o.NewWriteID()})
+	if d.Force {
+		next.Version = max(next.Version, o.forcedVersion())
 	}
 	return o.writeRow(ctx, d, next, at)
 }
 
+// forcedVersion returns the wall clock in seconds. Versions count single decisions, so no row reaches it otherwise, and a
+// later forced one is above an earlier one.
+func (o *Operator) forcedVersion() types.Version { return types.Version(max(o.Now().Unix(), 0)) }
+
 // permitted checks the name and what would be left in service.
 func (o *Operator) permitted(ctx context.Context, d Decision) error {
 	now, err := o.Current(ctx)
--- a/cmd/internal/operator/ops_test.go
+++ b/cmd/internal/operator/ops_test.go
@@ -112,19 +112,24 @@
 	f.NoErr(err)
 }
 
-// Guards against a damaged row that nobody can replace, or whose replacement processes ignore as too old.
-func TestDamagedRowIsReplacedByForce(t *testing.T) {
+// Guards against a damaged row that nobody can replace, and against a decision that processes ignore as too old after
+// the store lost the rows.
+func TestForcedRowSupersedesAll(t *testing.T) {
 	f := startApplied(t)
 	jana := f.person("jana", nil)
-	at, err := f.client.CAS(t.Context(), store.Write{Key: takeOut.Key, Value: []byte("out"), WriteID: "x"})
+	_, err := f.client.CAS(t.Context(), store.Write{Key: takeOut.Key, Value: []byte("out"), WriteID: "x"})
 	f.NoErr(err)
 	_, err = jana.Decide(t.Context(), takeOut)
 	f.Equal(types.CodeOf(err), types.CodeBadConfiguration)
 	forced := takeOut
 	forced.Force = true
-	out, err := jana.Decide(t.Context(), forced)
+	first, err := jana.Decide(t.Context(), forced)
 	f.NoErr(err)
-	f.True(out.Version > types.Version(at))
-	_, err = jana.Rows(t.Context())
+	f.True(first.Version > 1e9) // above any count of decisions
+	second, err := jana.Decide(t.Context(), forced)
 	f.NoErr(err)
+	f.True(second.Version > first.Version) // also within the same second, and with the same state
+	rows, err := jana.Rows(t.Context())
+	f.NoErr(err)
+	f.Equal(len(rows[takeOut.Key].History), 1)
 }
--- /dev/null
+++ b/cmd/internal/sailctl/pages_test.go
@@ -0,0 +1,213 @@
+package sailctl_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/daemon/dispatcher"
+	"sequoiasail.example/daemon/gateway"
+	"sequoiasail.example/settings/startup"
+
+	"sequoiasail.example/cmd/internal/questionnaire"
+	"sequoiasail.example/cmd/internal/sailctl"
+)
+
+const pages = "../../../docs/operating"
+
+// TestPages runs the console blocks of the operators' pages and compares the output. It guards against pages that tell
+// operators what the commands do not do. A comment "test: COMMAND" in a page prepares what the next block shows.
+// UPDATE_PAGES=1 go test rewrites the output in the pages.
+func TestPages(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join(pages, "*.md"))
+	if err != nil || len(files) == 0 {
+		t.Fatal("no pages", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) { testPage(t, file) })
+	}
+}
+
+func testPage(t *testing.T, file string) {
+	w, stop, err := newWorld(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	if err := w.writeSettings([]string{"sailctl.json", "jana"}); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("SAILCTL_SETTINGS", filepath.Join(w.dir, "sailctl.json"))
+	if err := os.Rename(filepath.Join(w.dir, "joint-venture.json"), filepath.Join(w.dir, "answers.json")); err != nil {
+		t.Fatal(err)
+	}
+	before, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	after := replay(t, w, strings.Split(string(before), "\n"))
+	if os.Getenv("UPDATE_PAGES") != "" {
+		if err := os.WriteFile(file, []byte(after), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if after != string(before) {
+		t.Errorf("the page shows other output than the commands; compare after UPDATE_PAGES=1:\n%s", after)
+	}
+}
+
+var directive = regexp.MustCompile(`^<!-- test: (.*) -->$`)
+
+// replay returns the page with the output that its commands have.
+func replay(t *testing.T, w *world, lines []string) string {
+	t.Helper()
+	var out []string
+	inside, skip := false, false
+	for _, line := range lines {
+		if m := directive.FindStringSubmatch(line); m != nil {
+			prepare(t, w, m[1])
+		}
+		switch {
+		case line == "```console":
+			inside = true
+		case line == "```":
+			inside, skip = false, false
+		case inside && strings.HasPrefix(line, "$ "):
+			skip = true
+			out = append(out, line)
+			out = append(out, console(t, w, strings.TrimPrefix(line, "$ "))...)
+			continue
+		}
+		if !inside || !skip {
+			out = append(out, line)
+		}
+	}
+	return strings.Join(out, "\n")
+}
+
+func prepare(t *testing.T, w *world, command string) {
+	t.Helper()
+	args := words(command)
+	var err error
+	switch args[0] {
+	case "store":
+		err = w.setStore(args[1:])
+	case "process":
+		w.setProcess(args[1:])
+	case "clock":
+		err = w.moveClock(args[1:])
+	case "write":
+		err = os.WriteFile(filepath.Join(w.dir, args[1]), []byte(args[2]), 0o600)
+	case "edit":
+		err = editFile(filepath.Join(w.dir, args[1]), args[2], args[3])
+	default:
+		console(t, w, command)
+	}
+	if err != nil {
+		t.Fatal(command, err)
+	}
+}
+
+func editFile(name, old, text string) error {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(name, bytes.Replace(data, []byte(old), []byte(text), 1), 0o600)
+}
+
+// console runs one command line and returns its output as on a terminal.
+func console(t *testing.T, w *world, command string) []string {
+	t.Helper()
+	args := words(command)
+	var out bytes.Buffer
+	code := 0
+	switch args[0] {
+	case "sailctl":
+		code = w.run(args[1:], &out, &out)
+	case "sail-questionnaire":
+		for i, a := range args {
+			if strings.HasSuffix(a, ".json") {
+				args[i] = filepath.Join(w.dir, a)
+			}
+		}
+		code = questionnaire.Run(args[1:], strings.NewReader(""), &out, &out)
+	default:
+		t.Fatalf("a console block may run sailctl and sail-questionnaire only, not %s", args[0])
+	}
+	text := strings.ReplaceAll(out.String(), w.dir+string(filepath.Separator), "")
+	if code != 0 {
+		text += fmt.Sprintf("(exit code %d)\n", code)
+	}
+	return strings.Split(strings.TrimSuffix(text, "\n"), "\n")[:strings.Count(text, "\n")]
+}
+
+// words splits a command line; single quotes keep spaces.
+func words(line string) []string {
+	var out []string
+	for i, part := range strings.Split(line, "'") {
+		if i%2 == 1 {
+			out = append(out, part)
+			continue
+		}
+		out = append(out, strings.Fields(part)...)
+	}
+	return out
+}
+
+// Guards against a settings field that operators find on no page.
+func TestSettingsPageNamesEveryField(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(pages, "settings.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range []any{sailctl.Settings{}, sailctl.ProcessSettings{}, gateway.Settings{}, dispatcher.Settings{}} {
+		for _, f := range reflect.VisibleFields(reflect.TypeOf(v)) {
+			name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+			if name != "" && !bytes.Contains(page, []byte("`"+name+"`")) {
+				t.Errorf("%T: the page does not name %s", v, name)
+			}
+		}
+	}
+}
+
+// Guards against example settings that name other VMs or another number of them than the answers.
+func TestExampleSettings(t *testing.T) {
+	for _, user := range []string{"joint-venture", "semillas"} {
+		dir := filepath.Join("..", "..", "..", "examples", user)
+		var s sailctl.Settings
+		if err := startup.Read(filepath.Join(dir, "sailctl.json"), &s); err != nil {
+			t.Fatal(err)
+		}
+		data, err := os.ReadFile(filepath.Join(dir, "answers.json"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, err := config.ParseAnswers(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		i := 0
+		for _, d := range a.DataCentres {
+			for n := range d.VMs {
+				for _, role := range []string{"gateway", "dispatcher"} {
+					p := s.Processes[i]
+					if want := fmt.Sprintf("%s-vm%d", d.Name, n+1); string(p.VM) != want || p.Role != role {
+						t.Errorf("%s: process %d is %s/%s, want %s/%s", user, i, p.VM, p.Role, want, role)
+					}
+					i++
+				}
+			}
+		}
+		if i != len(s.Processes) {
+			t.Errorf("%s: %d processes, want %d", user, len(s.Processes), i)
+		}
+	}
+}
--- a/cmd/internal/sailctl/script_test.go
+++ b/cmd/internal/sailctl/script_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -45,6 +46,7 @@
 // world is what one script works on.
 type world struct {
 	mu        sync.Mutex
+	dir       string
 	now       time.Time
 	writes    int
 	address   string
@@ -54,11 +56,12 @@
 
 // process is a gateway or dispatcher that follows the store at once.
 type process struct {
-	vm, role, centre string
-	server           *httptest.Server
-	w                *world
-	mode             string
-	admitted         uint64
+	vm, role string
+	server   *httptest.Server
+	w        *world
+	mode     string
+	admitted uint64
+	status   telemetry.Status
 }
 
 type worldKey struct{}
@@ -66,29 +69,39 @@
 func worldOf(ts *testscript.TestScript) *world { return ts.Value(worldKey{}).(*world) }
 
 func setup(env *testscript.Env) error {
-	w := &world{now: time.Date(2026, 12, 4, 11, 0, 0, 0, time.UTC)}
-	g := duty.NewGroup()
-	address, err := standin.Start(context.Background(), g, standin.Options{Listen: "127.0.0.1:0"})
+	w, stop, err := newWorld(env.WorkDir)
 	if err != nil {
 		return err
 	}
-	w.address, w.client = address, store.NewHTTP(store.Options{Address: address, Name: "processes"})
-	for i, centre := range []string{"praha-a", "praha-b", "kladno"} {
+	env.Defer(stop)
+	env.Values[worldKey{}] = w
+	return nil
+}
+
+// newWorld starts a stand-in store and six processes, and copies the examples' answers to dir.
+func newWorld(dir string) (w *world, stop func(), err error) {
+	w = &world{dir: dir, now: time.Date(2026, 12, 4, 11, 0, 0, 0, time.UTC)}
+	g := duty.NewGroup()
+	w.address, err = standin.Start(context.Background(), g, standin.Options{Listen: "127.0.0.1:0"})
+	if err != nil {
+		return nil, nil, err
+	}
+	w.client = store.NewHTTP(store.Options{Address: w.address, Name: "processes"})
+	for _, centre := range []string{"praha-a", "praha-b", "kladno"} {
 		for _, role := range []string{"gateway", "dispatcher"} {
-			p := &process{vm: "vm-" + strconv.Itoa(i+1), role: role, centre: centre, w: w}
+			p := &process{vm: centre + "-vm1", role: role, w: w}
+			p.status = telemetry.Status{VM: p.vm, Role: role, DataCentre: centre, Incarnation: 1, Ready: true}
 			p.server = httptest.NewServer(p)
 			w.processes = append(w.processes, p)
 		}
 	}
-	env.Defer(func() {
+	return w, func() {
 		for _, p := range w.processes {
 			p.server.Close()
 		}
 		w.client.Close()
 		_ = g.Stop(context.Background())
-	})
-	env.Values[worldKey{}] = w
-	return copyExamples(env.WorkDir)
+	}, copyExamples(dir)
 }
 
 func copyExamples(dir string) error {
@@ -112,14 +125,8 @@
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
-	s := telemetry.Status{VM: p.vm, Role: p.role, DataCentre: p.centre, Incarnation: 1, Ready: true}
-	if e, err := p.w.client.Get(context.Background(), config.KeyCurrent); err == nil && p.mode != "behind" {
-		c, _ := config.Parse(e.Value)
-		s.ConfigVersion = uint64(c.Version)
-	}
-	if _, at, err := p.w.client.List(context.Background(), config.PrefixOps); err == nil && p.mode != "behind" {
-		s.OpsRevision = uint64(at)
-	}
+	p.follow()
+	s := p.status
 	if p.role == "dispatcher" {
 		if p.mode == "busy" {
 			p.admitted++
@@ -130,36 +137,76 @@
 	_ = json.NewEncoder(w).Encode(s)
 }
 
-// runSailctl is "sailctl CODE ARGS...": it runs one command line and expects the exit code.
-func runSailctl(ts *testscript.TestScript, neg bool, args []string) {
-	w := worldOf(ts)
-	if neg || len(args) < 2 {
-		ts.Fatalf("usage: sailctl CODE ARGS...")
+// follow installs what the store holds. A process that cannot read the store keeps what it has.
+func (p *process) follow() {
+	if p.mode == "behind" {
+		return
+	}
+	if e, err := p.w.client.Get(context.Background(), config.KeyCurrent); err == nil {
+		c, _ := config.Parse(e.Value)
+		p.status.ConfigVersion = uint64(c.Version)
+	}
+	entries, _, err := p.w.client.List(context.Background(), config.PrefixOps)
+	if err != nil {
+		return
+	}
+	for _, e := range entries {
+		p.status.OpsRevision = max(p.status.OpsRevision, uint64(e.Revision))
 	}
+}
+
+// run runs one sailctl command line. Names of JSON files are taken in the world's folder, whose name is left out of the
+// output.
+func (w *world) run(args []string, stdout, stderr io.Writer) int {
+	args = append([]string(nil), args...)
 	for i, a := range args {
 		if strings.HasSuffix(a, ".json") {
-			args[i] = ts.MkAbs(a)
+			args[i] = filepath.Join(w.dir, a)
 		}
 	}
 	var out, errs bytes.Buffer
-	code := sailctl.Run(context.Background(), sailctl.Environment{
-		Args: args[1:], Stdout: &out, Stderr: &errs, Poll: time.Millisecond,
+	env := sailctl.Environment{
+		Args: args, Stdout: &out, Stderr: &errs, Poll: time.Millisecond,
 		Now: func() time.Time { w.mu.Lock(); defer w.mu.Unlock(); return w.now },
 		NewWriteID: func(operator string) func() string {
 			return func() string { w.writes++; return operator + "-" + strconv.Itoa(w.writes) }
 		},
-	})
-	strip := strings.NewReplacer(ts.MkAbs(".")+string(filepath.Separator), "")
-	fmt.Fprint(ts.Stdout(), strip.Replace(out.String()))
-	fmt.Fprint(ts.Stderr(), strip.Replace(errs.String()))
+	}
+	if stdout == stderr {
+		env.Stderr = &out
+	}
+	code := sailctl.Run(context.Background(), env)
+	strip := strings.NewReplacer(w.dir+string(filepath.Separator), "")
+	fmt.Fprint(stdout, strip.Replace(out.String()))
+	fmt.Fprint(stderr, strip.Replace(errs.String()))
+	return code
+}
+
+// runSailctl is "sailctl CODE ARGS...": it runs one command line and expects the exit code.
+func runSailctl(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: sailctl CODE ARGS...")
+	}
+	code := worldOf(ts).run(args[1:], ts.Stdout(), ts.Stderr())
 	if strconv.Itoa(code) != args[0] {
-		ts.Fatalf("exit code %d, want %s\n%s%s", code, args[0], out.String(), errs.String())
+		ts.Fatalf("exit code %d, want %s", code, args[0])
 	}
 }
 
+func setStore(ts *testscript.TestScript, _ bool, args []string) { ts.Check(worldOf(ts).setStore(args)) }
+
+func setProcess(ts *testscript.TestScript, _ bool, args []string) { worldOf(ts).setProcess(args) }
+
+func moveClock(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(worldOf(ts).moveClock(args))
+}
+
+func writeSettings(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(worldOf(ts).writeSettings(args))
+}
+
 // setStore is "store up|down|lose N|put KEY VALUE".
-func setStore(ts *testscript.TestScript, _ bool, args []string) {
-	w := worldOf(ts)
+func (w *world) setStore(args []string) error {
 	f := standin.Faults{Down: args[0] == "down"}
 	switch args[0] {
 	case "lose":
@@ -170,19 +217,21 @@
 			at = e.Revision
 		}
 		_, err := w.client.CAS(context.Background(), store.Write{Key: args[1], Expected: at, Value: []byte(args[2]), WriteID: "script"})
-		ts.Check(err)
-		return
+		return err
 	}
 	data, err := json.Marshal(f)
-	ts.Check(err)
+	if err != nil {
+		return err
+	}
 	res, err := http.Post("http://"+w.address+standin.PathFaults, "application/json", bytes.NewReader(data))
-	ts.Check(err)
-	ts.Check(res.Body.Close())
+	if err != nil {
+		return err
+	}
+	return res.Body.Close()
 }
 
 // setProcess is "process VM up|down|behind|busy".
-func setProcess(ts *testscript.TestScript, _ bool, args []string) {
-	w := worldOf(ts)
+func (w *world) setProcess(args []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, p := range w.processes {
@@ -193,32 +242,26 @@
 }
 
 // moveClock is "clock DURATION".
-func moveClock(ts *testscript.TestScript, _ bool, args []string) {
-	w := worldOf(ts)
+func (w *world) moveClock(args []string) error {
 	d, err := time.ParseDuration(args[0])
-	ts.Check(err)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.now = w.now.Add(d)
+	return err
 }
 
 // writeSettings is "settings FILE OPERATOR": it writes a settings file for the stand-ins.
-func writeSettings(ts *testscript.TestScript, _ bool, args []string) {
-	w := worldOf(ts)
-	s := sailctl.Settings{
-		Store: "", Operator: args[1], StoreTimeoutMs: 500, StatusTimeoutMs: 500, PictureFile: ts.MkAbs("picture"),
-	}
-	data, err := json.Marshal(s)
-	ts.Check(err)
-	var root map[string]any
-	ts.Check(json.Unmarshal(data, &root))
-	root["store"] = w.address
+func (w *world) writeSettings(args []string) error {
 	list := []any{}
 	for _, p := range w.processes {
 		list = append(list, map[string]any{"vm": p.vm, "role": p.role, "ops": strings.TrimPrefix(p.server.URL, "http://")})
 	}
-	root["processes"] = list
-	data, err = json.Marshal(root)
-	ts.Check(err)
-	ts.Check(os.WriteFile(ts.MkAbs(args[0]), data, 0o600))
+	data, err := json.Marshal(map[string]any{
+		"store": w.address, "operator": args[1], "storeTimeoutMs": 500, "statusTimeoutMs": 500,
+		"pictureFile": filepath.Join(w.dir, "picture"), "processes": list,
+	})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(w.dir, args[0]), data, 0o600)
 }
--- a/cmd/internal/sailctl/service.go
+++ b/cmd/internal/sailctl/service.go
@@ -44,7 +44,7 @@
 	f.StringVar(&o.note, "note", "", "why, for the other operators")
 	f.DurationVar(&o.wait, "wait", 30*time.Second,
 		"wait this long until every process has seen the decision and no process has work for it; 0 does not wait")
-	f.BoolVar(&o.force, "force", false, "even if a service is left without any target, the row is damaged, or the VM is not in the settings")
+	f.BoolVar(&o.force, "force", false, "even if a service is left without any target, the row is damaged or was lost, or the VM is not in the settings")
 }
 
 // opsCommand returns the command that writes one kind of row. verbs gives the state that each verb writes.
@@ -158,6 +158,6 @@
 		a.printf("%s was set to %s, and %s has since set it to %s\n", out.Key, out.State, out.ReplacedBy.Operator,
 			out.ReplacedBy.State)
 	default:
-		a.printf("%s is %s (row version %d)\n", out.Key, out.State, out.Version)
+		a.printf("%s is %s\n", out.Key, out.State)
 	}
 }
