--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -6,7 +6,6 @@
 
 	"sequoiasail.example/config"
 	"sequoiasail.example/daemon/process"
-	"sequoiasail.example/dispatch"
 	"sequoiasail.example/duty"
 	"sequoiasail.example/ownership"
 	"sequoiasail.example/telemetry"
@@ -29,6 +28,7 @@
 	worker       *worker
 	keeper       *keeper
 	planner      *plannerLease
+	placer       *placer
 	links        *process.Links
 	registration *process.Registration
 	page         *telemetry.Page
@@ -65,6 +65,8 @@
 	d.keeper = newKeeper(self, d.base.Log, d.worker)
 	d.worker.report = d.keeper.observe
 	d.worker.drained = d.keeper.drained
+	d.placer = newPlacer(d.keeper.in, d.base.Log)
+	d.worker.toPlanner = d.placer.takeReport
 	d.links = process.NewLinks(d.publishLinks)
 	return d, d.addDuties(self)
 }
@@ -82,7 +84,7 @@
 	services := map[string]any{
 		"Dispatch": &dispatchService{worker: d.worker},
 		"Memory":   &memoryService{worker: d.worker},
-		"Control":  &controlService{worker: d.worker},
+		"Control":  &controlService{worker: d.worker, placer: d.placer},
 		"Vouch":    &vouchService{keeper: d.keeper},
 	}
 	for name, service := range services {
@@ -94,6 +96,7 @@
 		store:   storeClient,
 		self:    self,
 		out:     d.keeper.in,
+		placer:  d.placer,
 		log:     d.base.Log,
 		writeID: func() string { return process.NewWriteID(s.VM, self.Incarnation) },
 	}
@@ -108,6 +111,7 @@
 	d.base.Group.Add(d.worker.duty())
 	d.base.Group.Add(d.keeper.duty())
 	d.base.Group.Add((&freshReader{store: storeClient, out: d.keeper.in}).duty())
+	d.base.Group.Add(d.placer.duty())
 	d.base.Group.Add(d.planner.duty())
 	d.base.Group.Add(watch.Duty())
 	d.base.Group.Add(server.Duty())
@@ -168,7 +172,12 @@
 		return d.keeper.in.Put(ctx, keeperInput{message: ownership.Message{Kind: ownership.KindStoreFailed}})
 	}
 	if c.Planner != nil {
-		_ = d.planner.vacant.Replace(!*c.Planner)
+		_ = d.planner.vacant.Replace(*c.Planner == "")
+	}
+	if c.Planner != nil {
+		if err := d.worker.controls.Put(ctx, workerControl{planner: c.Planner}); err != nil {
+			return err
+		}
 	}
 	if err := d.deliverConfig(ctx, c.Config); err != nil {
 		return err
@@ -176,6 +185,9 @@
 	if err := d.deliverMembers(ctx, c); err != nil {
 		return err
 	}
+	if err := d.deliverPlanner(ctx, c); err != nil {
+		return err
+	}
 	d.publish(c)
 	return d.keeper.in.Put(ctx, keeperInput{
 		revision: c.Revision,
@@ -210,27 +222,29 @@
 	}
 	d.links.Set(d.roster.peers(d.settings.VM))
 	set := &peerSet{members: d.roster.rows(), centres: d.centres}
-	messages := d.drainMessages(c.Ops)
-	if err := d.worker.controls.Put(ctx, workerControl{peers: set, messages: messages}); err != nil {
+	if err := d.worker.controls.Put(ctx, workerControl{peers: set, taken: d.drains(c.Ops)}); err != nil {
 		return err
 	}
 	message := ownership.Message{Kind: ownership.KindMembers, Members: d.roster.members()}
 	return d.keeper.in.Put(ctx, keeperInput{message: message})
 }
 
-// drainMessages tells the dispatch core which targets operators drain.
-func (d *Dispatcher) drainMessages(ops *process.Operations) []dispatch.Message {
+// deliverPlanner passes on what the placement core follows.
+func (d *Dispatcher) deliverPlanner(ctx context.Context, c process.Change) error {
+	if c.Config == nil && c.Ops == nil && len(c.Documents) == 0 {
+		return nil
+	}
+	return d.placer.in.Put(ctx, placerInput{config: c.Config, ops: c.Ops, documents: c.Documents})
+}
+
+// drains lists the targets that operators have taken out, each by itself or with its data centre.
+func (d *Dispatcher) drains(ops *process.Operations) map[types.TargetID]bool {
 	if ops == nil {
 		return nil
 	}
-	var out []dispatch.Message
+	out := make(map[types.TargetID]bool)
 	for id, centre := range d.centres {
-		draining := ops.Targets[id] == config.OpsDraining || ops.Targets[id] == config.OpsOut
-		draining = draining || ops.DataCentreState(centre) != config.OpsIn
-		out = append(out, dispatch.Message{
-			Kind:  dispatch.MessageDrain,
-			Drain: dispatch.Drain{Target: id, Off: !draining},
-		})
+		out[id] = ops.TargetState(id) != config.OpsIn || ops.DataCentreState(centre) != config.OpsIn
 	}
 	return out
 }
--- /dev/null
+++ b/daemon/dispatcher/placer.go
@@ -0,0 +1,349 @@
+package dispatcher
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/daemon/process"
+	"sequoiasail.example/dispatch"
+	"sequoiasail.example/duty"
+	"sequoiasail.example/ownership"
+	"sequoiasail.example/placement"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/peer"
+	"sequoiasail.example/types"
+)
+
+const (
+	placerRingCapacity = 256
+	placerTick         = 100 * time.Millisecond
+)
+
+// placerInput is one element of the planner's ring.
+type placerInput struct {
+	config    *config.Configuration
+	ops       *process.Operations
+	documents []ownership.Document
+	report    *peer.LoadReport
+	// lead is set when the planner lease was gained or lost.
+	lead *bool
+}
+
+// placer owns the placement core. It follows the table all the time and proposes moves only with the planner lease.
+type placer struct {
+	in   *ring.Ring[placerInput]
+	out  *ring.Ring[keeperInput]
+	log  *telemetry.Log
+	core *placement.Core
+
+	cfg        *config.Configuration
+	ops        *process.Operations
+	conditions map[types.TargetID]dispatch.Condition
+	vacant     map[types.TargetID]bool
+	hotKeys    map[types.Service]map[uint16][]ownership.HotKey
+	// wantedKeys holds the hot-key rows that the core wants for each service.
+	wantedKeys map[types.Service]map[types.KeyHash]bool
+	actions    []placement.Action
+}
+
+func newPlacer(out *ring.Ring[keeperInput], log *telemetry.Log) *placer {
+	return &placer{
+		in:         ring.New[placerInput](placerRingCapacity),
+		out:        out,
+		log:        log,
+		core:       placement.New(),
+		conditions: make(map[types.TargetID]dispatch.Condition),
+		vacant:     make(map[types.TargetID]bool),
+		hotKeys:    make(map[types.Service]map[uint16][]ownership.HotKey),
+		wantedKeys: make(map[types.Service]map[types.KeyHash]bool),
+	}
+}
+
+func (p *placer) duty() duty.Duty {
+	return duty.Duty{
+		Name: "planner",
+		Run:  p.run,
+		Stop: func(context.Context) error { p.in.Close(); return nil },
+	}
+}
+
+func (p *placer) run(ctx context.Context) error {
+	tick := time.NewTicker(placerTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-p.in.Ready():
+			p.takeInputs()
+		case <-tick.C:
+			if err := p.plan(ctx); err != nil {
+				return nil
+			}
+		case <-p.in.Done():
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (p *placer) takeInputs() {
+	for {
+		m, ok := p.in.TryGet()
+		if !ok {
+			return
+		}
+		p.apply(m)
+	}
+}
+
+func (p *placer) apply(m placerInput) {
+	if m.lead != nil {
+		p.step(placement.Message{Kind: placement.KindLead, Lead: *m.lead})
+	}
+	if m.config != nil {
+		p.forgetRemoved(m.config)
+		p.cfg = m.config
+	}
+	if m.ops != nil {
+		p.ops = m.ops
+	}
+	changed := m.config != nil || m.ops != nil
+	if m.report != nil {
+		changed = p.applyReport(m.report) || changed
+	}
+	for _, d := range m.documents {
+		changed = p.applyDocument(d) || changed
+	}
+	if changed {
+		p.installTargets()
+	}
+}
+
+// takeReport may be called from any goroutine. A report that finds the ring full is replaced by the next one.
+func (p *placer) takeReport(r *peer.LoadReport) { _ = p.in.TryPut(placerInput{report: r}) }
+
+func (p *placer) step(m placement.Message) {
+	p.core.Step(telemetry.Now(), &m, nil)
+}
+
+func (p *placer) forgetRemoved(next *config.Configuration) {
+	if p.cfg == nil {
+		return
+	}
+	for _, s := range p.cfg.Services {
+		gone := !slices.ContainsFunc(next.Services, func(n config.Service) bool { return n.Name == s.Name })
+		if gone {
+			p.step(placement.Message{Kind: placement.KindRemove, Service: s.Name})
+		}
+	}
+}
+
+// installTargets gives the core the targets of the keyed services with their states.
+func (p *placer) installTargets() {
+	if p.cfg == nil {
+		return
+	}
+	for _, s := range p.cfg.Services {
+		if !s.Keyed {
+			continue
+		}
+		targets := &placement.Targets{Service: s.Name, Slots: s.Slots}
+		for _, t := range s.Targets {
+			targets.Rows = append(targets.Rows, placement.Target{
+				Name:       t.Name,
+				DataCentre: t.DataCentre,
+				Weight:     t.Weight,
+				State:      p.stateOf(types.TargetID{Service: s.Name, Target: t.Name}, t.DataCentre),
+			})
+		}
+		p.step(placement.Message{Kind: placement.KindTargets, Targets: targets})
+	}
+}
+
+func (p *placer) stateOf(id types.TargetID, dc types.DataCentre) placement.State {
+	switch {
+	case p.ops.TargetState(id) != config.OpsIn, p.ops.DataCentreState(dc) != config.OpsIn:
+		return placement.StateDraining
+	case p.vacant[id]:
+		return placement.StateLost
+	}
+	switch p.conditions[id] {
+	case dispatch.ConditionCold:
+		return placement.StateCold
+	case dispatch.ConditionStraggler:
+		return placement.StateStraggler
+	default:
+		return placement.StateIn
+	}
+}
+
+// applyReport reports whether a target's condition changed.
+func (p *placer) applyReport(r *peer.LoadReport) bool {
+	changed := false
+	for _, t := range r.Targets {
+		condition := dispatch.Condition(t.Condition)
+		changed = changed || p.conditions[t.Target] != condition
+		p.conditions[t.Target] = condition
+		load := &placement.Load{Service: t.Target.Service, Target: t.Target.Target, Slots: t.Slots, Loads: t.Loads}
+		for i := range t.Keys {
+			load.Keys = append(load.Keys, placement.KeyLoad{Key: t.Keys[i], Load: t.KeyLoads[i]})
+		}
+		if p.keyed(t.Target.Service) {
+			p.step(placement.Message{Kind: placement.KindLoad, Load: load})
+		}
+	}
+	return changed
+}
+
+func (p *placer) keyed(name types.Service) bool {
+	return p.cfg != nil && slices.ContainsFunc(p.cfg.Services, func(s config.Service) bool {
+		return s.Name == name && s.Keyed
+	})
+}
+
+// applyDocument reports whether a target's lease became vacant or was given out.
+func (p *placer) applyDocument(d ownership.Document) bool {
+	switch {
+	case d.Slots != nil:
+		p.installOwners(d)
+		return false
+	case d.Leases != nil:
+		return p.applyLeases(d)
+	default:
+		return false
+	}
+}
+
+func (p *placer) applyLeases(d ownership.Document) bool {
+	changed := false
+	for _, l := range d.Leases.Leases {
+		id := types.TargetID{Service: d.Key.Service, Target: l.Target}
+		vacant := l.State == ownership.LeaseVacant
+		changed = changed || p.vacant[id] != vacant
+		p.vacant[id] = vacant
+	}
+	return changed
+}
+
+func (p *placer) installOwners(d ownership.Document) {
+	owners := &placement.Owners{
+		Service:   d.Key.Service,
+		Revision:  types.Revision(d.Slots.Epoch),
+		FirstSlot: types.Slot(uint32(d.Key.Part) * ownership.SlotsPerDocument),
+	}
+	indexes := make(map[types.Target]uint16)
+	for _, run := range d.Slots.Runs {
+		index := placement.NoOwner
+		if run.State != ownership.SlotFree {
+			index = ownerIndex(owners, indexes, run.Owner)
+		}
+		for range run.Count {
+			owners.Owners = append(owners.Owners, index)
+		}
+	}
+	p.step(placement.Message{Kind: placement.KindOwners, Owners: owners})
+	p.installHotKeys(d)
+}
+
+func ownerIndex(o *placement.Owners, indexes map[types.Target]uint16, target types.Target) uint16 {
+	index, known := indexes[target]
+	if !known {
+		index = uint16(len(o.Targets))
+		indexes[target] = index
+		o.Targets = append(o.Targets, target)
+	}
+	return index
+}
+
+func (p *placer) installHotKeys(d ownership.Document) {
+	parts := p.hotKeys[d.Key.Service]
+	if parts == nil {
+		parts = make(map[uint16][]ownership.HotKey)
+		p.hotKeys[d.Key.Service] = parts
+	}
+	parts[d.Key.Part] = d.Slots.HotKeys
+	rows := &placement.HotKeys{Service: d.Key.Service, Revision: d.Store}
+	for _, part := range parts {
+		for _, row := range part {
+			rows.Rows = append(rows.Rows, placement.HotKey{Key: row.Key, Owner: row.Owner})
+		}
+	}
+	p.step(placement.Message{Kind: placement.KindHotKeys, HotKeys: rows})
+}
+
+// plan hands the core's proposals to the ownership duty, one message for each service.
+func (p *placer) plan(ctx context.Context) error {
+	p.actions = p.core.Tick(telemetry.Now(), p.actions[:0])
+	moves := make(map[types.Service][]ownership.Move)
+	keysChanged := make(map[types.Service]bool)
+	for i := range p.actions {
+		p.collect(&p.actions[i], moves, keysChanged)
+	}
+	for service, list := range moves {
+		message := ownership.Message{Kind: ownership.KindMoves, Moves: ownership.Moves{Service: service, Moves: list}}
+		if err := p.out.Put(ctx, keeperInput{message: message}); err != nil {
+			return err
+		}
+	}
+	for service := range keysChanged {
+		keys := slices.Sorted(maps.Keys(p.wantedKeys[service]))
+		message := ownership.Message{Kind: ownership.KindHotKeys, HotKeys: ownership.HotKeys{Service: service, Keys: keys}}
+		if err := p.out.Put(ctx, keeperInput{message: message}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *placer) collect(a *placement.Action, moves map[types.Service][]ownership.Move, keys map[types.Service]bool) {
+	switch a.Kind {
+	case placement.ActionMoveSlots:
+		moves[a.Service] = append(moves[a.Service], ownership.Move{
+			First: a.First, Count: uint32(a.Last-a.First) + 1, From: a.From, To: a.To,
+		})
+	case placement.ActionMoveKey:
+		moves[a.Service] = append(moves[a.Service], ownership.Move{Key: a.Key, From: a.From, To: a.To})
+	case placement.ActionCreateKey, placement.ActionDropKey:
+		p.want(a)
+		keys[a.Service] = true
+	default:
+		// The ownership core chooses dispatchers itself.
+		return
+	}
+	p.log.Decide(telemetry.Decision{
+		Kind:    "placement",
+		Service: string(a.Service),
+		KeyHash: uint64(a.Key),
+		Target:  string(a.To),
+		Reason:  a.Reason.String(),
+		Detail:  a.Kind.String() + " from " + string(a.From),
+	})
+}
+
+func (p *placer) want(a *placement.Action) {
+	wanted := p.wantedKeys[a.Service]
+	if wanted == nil {
+		wanted = p.presentKeys(a.Service)
+		p.wantedKeys[a.Service] = wanted
+	}
+	if a.Kind == placement.ActionCreateKey {
+		wanted[a.Key] = true
+		return
+	}
+	delete(wanted, a.Key)
+}
+
+// presentKeys starts from the rows that an earlier planner created.
+func (p *placer) presentKeys(service types.Service) map[types.KeyHash]bool {
+	keys := make(map[types.KeyHash]bool)
+	for _, part := range p.hotKeys[service] {
+		for _, row := range part {
+			keys[row.Key] = true
+		}
+	}
+	return keys
+}
--- a/daemon/dispatcher/planner.go
+++ b/daemon/dispatcher/planner.go
@@ -25,6 +25,7 @@
 	store   store.Store
 	self    ownership.Self
 	out     *ring.Ring[keeperInput]
+	placer  *placer
 	log     *telemetry.Log
 	writeID func() string
 	// vacant holds the newest word of the store watch on whether the key is absent.
@@ -87,7 +88,7 @@
 	}
 	_, err = p.store.CAS(ctx, store.Write{
 		Key:     process.PlannerKey,
-		Value:   []byte(`"` + string(p.self.VM) + `"`),
+		Value:   []byte(p.self.VM),
 		Lease:   lease,
 		WriteID: p.writeID(),
 	})
@@ -129,5 +130,9 @@
 }
 
 func (p *plannerLease) tell(ctx context.Context, kind ownership.MessageKind) error {
+	lead := kind == ownership.KindPlannerGained
+	if err := p.placer.in.Put(ctx, placerInput{lead: &lead}); err != nil {
+		return err
+	}
 	return p.out.Put(ctx, keeperInput{message: ownership.Message{Kind: kind}})
 }
--- a/daemon/dispatcher/service.go
+++ b/daemon/dispatcher/service.go
@@ -53,6 +53,13 @@
 // controlService serves Control.* to other dispatchers.
 type controlService struct {
 	worker *worker
+	placer *placer
+}
+
+// Report takes another dispatcher's loads.
+func (s *controlService) Report(args *peer.LoadReport, _ *peer.Empty) error {
+	s.placer.takeReport(args)
+	return nil
 }
 
 // Quarantine learns of a fingerprint that was in flight when targets died.
--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -39,6 +39,9 @@
 	links    map[types.VM]*peer.Link
 	copied   *peer.MemoryEntry
 	drain    *drainWatch
+	planner  *types.VM
+	// taken tells for each target whether operators have taken it out.
+	taken map[types.TargetID]bool
 }
 
 // payload is what the dispatch core knows by a handle.
@@ -73,6 +76,8 @@
 	report func(types.TargetID, dispatch.Condition)
 	// drained tells the ownership duty that a drain has ended, and reports whether it took the message.
 	drained func(ownership.Drained) bool
+	// toPlanner passes a load report to the planner of this process.
+	toPlanner func(*peer.LoadReport)
 
 	core      *dispatch.Core
 	addresses map[types.TargetID]string
@@ -91,6 +96,11 @@
 	admitted  map[types.TargetID]uint64
 	published types.Instant
 	statuses  []dispatch.TargetStatus
+	meter     *meter
+	planner   types.VM
+	keyed     map[types.Service]bool
+	// drainAt holds when the targets that were taken out get no more work.
+	drainAt map[types.TargetID]types.Instant
 }
 
 func newWorker(vm types.VM, log *telemetry.Log, metrics *telemetry.Metrics) *worker {
@@ -110,6 +120,9 @@
 		group:     duty.NewGroup(),
 		drains:    make(map[types.TargetID]drainWatch),
 		admitted:  make(map[types.TargetID]uint64),
+		meter:     newMeter(),
+		keyed:     make(map[types.Service]bool),
+		drainAt:   make(map[types.TargetID]types.Instant),
 		page:      telemetry.NewPage(telemetry.Status{}),
 	}
 }
@@ -285,6 +298,12 @@
 	for _, message := range m.messages {
 		w.step(ctx, message)
 	}
+	if m.planner != nil {
+		w.planner = *m.planner
+	}
+	if m.taken != nil {
+		w.applyTaken(ctx, m.taken)
+	}
 	if m.drain != nil {
 		w.drains[m.drain.target] = *m.drain
 		w.checkDrains()
@@ -293,6 +312,7 @@
 
 func (w *worker) configure(c *config.Configuration) {
 	for _, s := range c.Services {
+		w.keyed[s.Name] = s.Keyed
 		for _, t := range s.Targets {
 			w.addresses[types.TargetID{Service: s.Name, Target: t.Name}] = t.Address
 		}
@@ -302,6 +322,8 @@
 func (w *worker) tick(ctx context.Context) {
 	w.checkDrains()
 	w.publish()
+	w.reportLoads()
+	w.startDrains(ctx)
 	w.actions = w.core.Tick(telemetry.Now(), w.actions[:0])
 	w.perform(ctx)
 }
@@ -357,6 +379,9 @@
 		return
 	}
 	w.admitted[a.Target]++
+	if w.keyed[a.Target.Service] {
+		w.meter.count(a.Target, p.request)
+	}
 	sendCtx, cancel := context.WithCancel(ctx)
 	if p.cancels == nil {
 		p.cancels = make(map[dispatch.Attempt]context.CancelFunc, 1)
--- a/daemon/process/knowledge.go
+++ b/daemon/process/knowledge.go
@@ -22,8 +22,8 @@
 	// Members holds all registered processes, ordered by key.
 	Members   []Member
 	Documents []ownership.Document
-	// Planner is set when the key of the planner lease appeared or disappeared.
-	Planner  *bool
+	// Planner is set when the holder of the planner lease changed. It is empty when nobody holds it.
+	Planner  *types.VM
 	Revision types.Revision
 	// Err is set when the store could not be read.
 	Err error
@@ -55,7 +55,7 @@
 func (k *Knowledge) Apply(u Update) Change {
 	change := Change{Revision: u.Revision, Err: u.Err}
 	if u.Snapshot {
-		change.Planner = new(bool)
+		change.Planner = new(types.VM)
 	}
 	membersChanged := u.Snapshot && k.forgetMissing(u.Events)
 	opsChanged := false
@@ -66,8 +66,7 @@
 		case strings.HasPrefix(e.Key, config.PrefixOps):
 			opsChanged = k.applyOps(e) || opsChanged
 		case e.Key == PlannerKey:
-			present := !e.Deleted
-			change.Planner = &present
+			change.Planner = plannerOf(e)
 		case strings.HasPrefix(e.Key, memberPrefix):
 			membersChanged = k.applyMember(e) || membersChanged
 		default:
@@ -83,6 +82,14 @@
 	return change
 }
 
+func plannerOf(e store.Event) *types.VM {
+	var vm types.VM
+	if !e.Deleted {
+		vm = types.VM(e.Value)
+	}
+	return &vm
+}
+
 func (k *Knowledge) forgetMissing(events []store.Event) bool {
 	present := make(map[string]bool, len(events))
 	for _, e := range events {
@@ -210,3 +217,11 @@
 	}
 	return o.DataCentres[dc]
 }
+
+// TargetState returns the operators' decision about a target. A nil receiver knows none.
+func (o *Operations) TargetState(id types.TargetID) config.OpsState {
+	if o == nil || o.Targets[id] == "" {
+		return config.OpsIn
+	}
+	return o.Targets[id]
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -10,6 +10,7 @@
 
 vms_per_centre=3
 rate=300
+out_seconds=3
 load_seconds=9s
 
 generate() { .bin/sailctl generate "$answers" >"$dir/configuration.json"; }
@@ -32,6 +33,7 @@
   load moving 2 -duration "$load_seconds" >"$dir/moving.txt" 2>&1 &
   pid=$!
   fleet_ctl dc out -note "demo" -wait 6s "$1" || bad=1
+  sleep "$out_seconds"
   fleet_ctl dc in -note "demo" -wait 6s "$1" || bad=1
   wait "$pid" || bad=1
   cat "$dir/moving.txt"
--- a/transport/peer/message.go
+++ b/transport/peer/message.go
@@ -151,3 +151,21 @@
 	Member    VouchRun
 	Versions  []VouchVersion
 }
+
+// LoadReport tells the planner what a dispatcher observed in the last interval.
+type LoadReport struct {
+	From    types.VM
+	Targets []TargetLoad
+}
+
+// TargetLoad holds the rates of one target in requests per second.
+type TargetLoad struct {
+	Target    types.TargetID
+	Condition uint8
+	// Slots and Loads give the load of slots without the keys that have rows of their own.
+	Slots []types.Slot
+	Loads []float32
+	// Keys and KeyLoads give the hottest keys.
+	Keys     []types.KeyHash
+	KeyLoads []float32
+}
