--- a/cmd/internal/operator/await.go
+++ b/cmd/internal/operator/await.go
@@ -150,7 +150,7 @@
 	case queues > 0 && before.VM == "":
 		return "no work in hand; asking again whether it admits any"
 	case admitted > 0:
-		return "admitted " + number(admitted) + " requests since it was last asked"
+		return "requests admitted since it was last asked: " + number(admitted)
 	}
 	return ""
 }
--- a/cmd/internal/operator/await_test.go
+++ b/cmd/internal/operator/await_test.go
@@ -124,7 +124,7 @@
 	defer cancel()
 	p, err := jana.AwaitDecision(ctx, out, poll, func(operator.Progress) {})
 	f.Equal(types.CodeOf(err), types.CodeDeadlineExceeded)
-	f.True(strings.Contains(p.Waiting[0], "admitted 5 requests"))
+	f.True(strings.Contains(p.Waiting[0], "requests admitted since it was last asked: 5"))
 }
 
 // Guards against a process that hangs and delays the picture of all others, and against its late answer being taken
--- a/cmd/internal/sailctl/script_test.go
+++ b/cmd/internal/sailctl/script_test.go
@@ -131,7 +131,6 @@
 		if p.mode == "busy" {
 			p.admitted++
 		}
-		s.Leases = []telemetry.Lease{{Service: "mapa-skvrn", Target: "mapa-skvrn-03", LeaseEpoch: 4, Slots: 64}}
 		s.Queues = []telemetry.QueueStatus{{Service: "mapa-skvrn", Target: "mapa-skvrn-03", Limit: 4, Admitted: p.admitted}}
 	}
 	_ = json.NewEncoder(w).Encode(s)
@@ -150,8 +149,17 @@
 	if err != nil {
 		return
 	}
+	rows := config.OpsRows{}
 	for _, e := range entries {
 		p.status.OpsRevision = max(p.status.OpsRevision, uint64(e.Revision))
+		if row, err := config.ParseOpsRow(e.Value); err == nil {
+			rows[e.Key] = row
+		}
+	}
+	centre := config.DataCentreKey(types.DataCentre(p.status.DataCentre))
+	p.status.Leases = nil
+	if p.role == "dispatcher" && rows.State(centre) == config.OpsIn && rows.State(config.VMKey(types.VM(p.vm))) == config.OpsIn {
+		p.status.Leases = []telemetry.Lease{{Service: "mapa-skvrn", Target: "mapa-skvrn-03", LeaseEpoch: 4, Slots: 64}}
 	}
 }
 
--- a/config/diff.go
+++ b/config/diff.go
@@ -123,6 +123,9 @@
 	case field == "address" || field == "dataCentre":
 		return "treated as a new target: connections are opened anew and it starts cold"
 	}
+	if field == "weight" {
+		return "its share of the keys changes"
+	}
 	return "takes effect with the next request"
 }
 
--- a/config/diff_test.go
+++ b/config/diff_test.go
@@ -26,7 +26,7 @@
 			"services.mapa-skvrn.targets.mapa-skvrn-01.address \"127.0.0.1:21000\" -> : target removed: it gets no new work",
 		}, 64},
 		{"weight", func(a *config.Answers) { a.Services[0].Targets[3].Weight = 2 }, []string{
-			"services.mapa-skvrn.targets.mapa-skvrn-04.weight 1 -> 2: takes effect with the next request",
+			"services.mapa-skvrn.targets.mapa-skvrn-04.weight 1 -> 2: its share of the keys changes",
 		}, 56},
 		{"address", func(a *config.Answers) { a.Services[2].Targets[0].Address = "127.0.0.1:21900" }, []string{
 			"services.vyuctovani.targets.vyuctovani-01.address \"127.0.0.1:21024\" -> \"127.0.0.1:21900\": treated as a new target",
