--- a/placement/action.go
+++ b/placement/action.go
@@ -15,11 +15,9 @@
 	ActionCreateKey
 	// ActionDropKey removes a hot-key row whose owner also owns the key's slot.
 	ActionDropKey
-	// ActionMoveLease gives a target a new dispatcher.
-	ActionMoveLease
 )
 
-var actionNames = [...]string{"", "move-slots", "move-key", "create-key", "drop-key", "move-lease"}
+var actionNames = [...]string{"", "move-slots", "move-key", "create-key", "drop-key"}
 
 // String returns the name used in log lines.
 func (k ActionKind) String() string {
@@ -39,10 +37,7 @@
 	Key types.KeyHash
 	// From and To are the former and new owner. From is empty if there is none.
 	From, To types.Target
-	// Target, FromVM and ToVM belong to ActionMoveLease. FromVM is empty if there is none.
-	Target       types.Target
-	FromVM, ToVM types.VM
-	Reason       Reason
+	Reason   Reason
 }
 
 // Reason says what led to an Action.
@@ -64,12 +59,10 @@
 	ReasonHot
 	// ReasonCooled removes the row of a key that is no longer hot.
 	ReasonCooled
-	// ReasonPreferred gives a target back to its first dispatcher by rendezvous hashing.
-	ReasonPreferred
 )
 
 var reasonNames = [...]string{
-	"", "lost", "draining", "free", "balance", "straggler", "hot", "cooled", "preferred",
+	"", "lost", "draining", "free", "balance", "straggler", "hot", "cooled",
 }
 
 // String returns the name used in log lines.
--- a/placement/core.go
+++ b/placement/core.go
@@ -37,8 +37,6 @@
 	MaxToFresh = 8
 	// MaxHotKeys is the number of hot-key rows that the table has room for.
 	MaxHotKeys = 64
-	// MaxLeaseMoves bounds the dispatcher changes proposed by one plan for targets that are served.
-	MaxLeaseMoves = 8
 )
 
 // never is later than every instant of the clock.
@@ -50,10 +48,6 @@
 	next     types.Instant
 	order    []types.Service
 	services map[types.Service]*service
-	// dispatchers is ordered by VM.
-	dispatchers []Dispatcher
-	// listNumber counts the lists of dispatchers.
-	listNumber uint64
 }
 
 // New returns an empty Core that does not hold the planner lease.
@@ -72,10 +66,6 @@
 		c.service(m.HotKeys.Service).installHotKeys(now, m.HotKeys)
 	case KindLoad:
 		c.service(m.Load.Service).installLoad(now, m.Load)
-	case KindDispatchers:
-		c.installDispatchers(m.Dispatchers)
-	case KindLeases:
-		c.service(m.Leases.Service).installLeases(m.Leases)
 	case KindRemove:
 		c.remove(m.Service)
 	}
@@ -107,7 +97,6 @@
 	for _, name := range c.order {
 		s := c.services[name]
 		out = s.plan(now, out)
-		out = c.planLeases(now, s, out)
 		urgent = urgent || s.urgent
 	}
 	c.next = now.Add(PlanInterval)
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -1,4 +1,4 @@
-// Package placement decides which target owns which slots and hot keys, and which dispatcher holds which target.
+// Package placement decides which target owns which slots and hot keys.
 //
 // The Core runs in the planner duty and acts only while that duty holds the planner lease. It compares the load that
 // dispatchers report with the weights of the targets, and proposes a bounded number of moves at a time. The ownership
--- a/placement/hotkeys.go
+++ b/placement/hotkeys.go
@@ -238,11 +238,13 @@
 func (s *service) moveKey(now types.Instant, h *hotRow, to uint16, reason Reason, out []Action) []Action {
 	h.pending = to
 	h.expires = now.Add(MoveTimeout)
-	a := Action{
-		Kind: ActionMoveKey, Service: s.name, Key: h.key, To: s.targets[to].name, Reason: reason,
-	}
+	return append(out, s.keyAction(h, to, reason))
+}
+
+func (s *service) keyAction(h *hotRow, to uint16, reason Reason) Action {
+	a := Action{Kind: ActionMoveKey, Service: s.name, Key: h.key, To: s.targets[to].name, Reason: reason}
 	if h.owner != NoOwner {
 		a.From = s.targets[h.owner].name
 	}
-	return append(out, a)
+	return a
 }
--- a/placement/message.go
+++ b/placement/message.go
@@ -17,10 +17,6 @@
 	KindHotKeys
 	// KindLoad is a dispatcher's report on one target. Reads Message.Load.
 	KindLoad
-	// KindDispatchers installs the list of dispatchers. Reads Message.Dispatchers.
-	KindDispatchers
-	// KindLeases installs the target lease rows of a service. Reads Message.Leases.
-	KindLeases
 	// KindRemove forgets a service that the configuration no longer lists. Reads Message.Service.
 	KindRemove
 )
@@ -28,18 +24,16 @@
 // Message is one input of the Core. Only the fields that Kind names are read. What a pointer refers to must not change
 // during Step and is not kept.
 type Message struct {
-	Kind        Kind
-	Lead        bool
-	Service     types.Service
-	Targets     *Targets
-	Owners      *Owners
-	HotKeys     *HotKeys
-	Load        *Load
-	Dispatchers *Dispatchers
-	Leases      *Leases
+	Kind    Kind
+	Lead    bool
+	Service types.Service
+	Targets *Targets
+	Owners  *Owners
+	HotKeys *HotKeys
+	Load    *Load
 }
 
-// State is the planner's view of a target or a dispatcher.
+// State is the planner's view of a target.
 type State uint8
 
 // States.
@@ -79,10 +73,9 @@
 
 // Target is one target. A target in a data centre that leaves is listed as draining.
 type Target struct {
-	Name       types.Target
-	DataCentre types.DataCentre
-	Weight     float64
-	State      State
+	Name   types.Target
+	Weight float64
+	State  State
 }
 
 // NoOwner in Owners.Owners marks a free slot.
@@ -130,27 +123,3 @@
 	Key  types.KeyHash
 	Load float32
 }
-
-// Dispatchers lists the dispatchers. One that is no longer listed counts as lost.
-type Dispatchers struct {
-	Rows []Dispatcher
-}
-
-// Dispatcher is one dispatcher process. StateCold and StateStraggler count as StateIn.
-type Dispatcher struct {
-	VM         types.VM
-	DataCentre types.DataCentre
-	State      State
-}
-
-// Leases lists the dispatchers of the targets of a service.
-type Leases struct {
-	Service types.Service
-	Rows    []Lease
-}
-
-// Lease is one target lease row. VM is empty if the target has no dispatcher.
-type Lease struct {
-	Target types.Target
-	VM     types.VM
-}
--- a/placement/service.go
+++ b/placement/service.go
@@ -41,17 +41,11 @@
 // target is the planner's view of one target.
 type target struct {
 	name   types.Target
-	centre types.DataCentre
 	weight float64
 	state  State
 	since  types.Instant
 	// freshSince is when the target began to take load after having none, or never.
 	freshSince types.Instant
-	vm         types.VM
-	leaseSet   types.Instant // when a dispatcher change was proposed, 0 if none is in progress
-	// preferred is the first dispatcher by rendezvous hashing over the list with number preferredFor.
-	preferred    types.VM
-	preferredFor uint64
 
 	// Of the plan under way.
 	capacity float64
@@ -131,10 +125,6 @@
 // install applies a listed row. A target counts as fresh when it is cold, and when it enters service after the first
 // list: a planner that has just started must not take a warm fleet for a fresh one.
 func (t *target) install(now types.Instant, r Target, listedBefore bool) {
-	if t.centre != r.DataCentre {
-		t.centre = r.DataCentre
-		t.preferredFor = 0
-	}
 	t.weight = max(r.Weight, 0)
 	entered := listedBefore && t.state.leaving()
 	if (r.State == StateCold && t.state != StateCold) || (entered && !r.State.leaving()) {
@@ -238,9 +228,6 @@
 	for i := range s.hot {
 		s.hot[i].pending = NoOwner
 	}
-	for i := range s.targets {
-		s.targets[i].leaseSet = 0
-	}
 }
 
 // expected returns who owns a slot once its proposed move is carried out.
