--- a/daemon/dispatcher/members.go
+++ b/daemon/dispatcher/members.go
@@ -1,6 +1,9 @@
 package dispatcher
 
 import (
+	"maps"
+	"slices"
+
 	"sequoiasail.example/config"
 	"sequoiasail.example/daemon/process"
 	"sequoiasail.example/ownership"
@@ -12,12 +15,18 @@
 // because its leases must be taken over.
 type roster struct {
 	known map[ownership.Peer]ownership.Member
-	ops   *process.Operations
-	list  []process.Member
+	// addresses holds the last registration of each VM. The quorum group goes on without registrations, which all lapse
+	// in a long outage of the store.
+	addresses map[types.VM]process.Peer
+	ops       *process.Operations
+	list      []process.Member
 }
 
 func newRoster() *roster {
-	return &roster{known: make(map[ownership.Peer]ownership.Member)}
+	return &roster{
+		known:     make(map[ownership.Peer]ownership.Member),
+		addresses: make(map[types.VM]process.Peer),
+	}
 }
 
 // update applies c and reports whether the list may have changed.
@@ -67,13 +76,12 @@
 
 // peers returns the other dispatchers to keep links to.
 func (r *roster) peers(self types.VM) []process.Peer {
-	var out []process.Peer
 	for _, m := range r.list {
 		if m.Role == process.RoleDispatcher && m.VM != self {
-			out = append(out, process.Peer{VM: m.VM, Incarnation: m.Incarnation, Address: m.PeerAddress})
+			r.addresses[m.VM] = process.Peer{VM: m.VM, Incarnation: m.Incarnation, Address: m.PeerAddress}
 		}
 	}
-	return out
+	return slices.Collect(maps.Values(r.addresses))
 }
 
 // rows returns the members for the choice of a second dispatcher.
--- a/daemon/dispatcher/placer.go
+++ b/daemon/dispatcher/placer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -45,8 +44,7 @@
 	conditions map[types.TargetID]dispatch.Condition
 	vacant     map[types.TargetID]bool
 	hotKeys    map[types.Service]map[uint16][]ownership.HotKey
-	// wantedKeys holds the hot-key rows that the core wants for each service.
-	wantedKeys map[types.Service]map[types.KeyHash]bool
+	moves      []placement.Action
 	actions    []placement.Action
 }
 
@@ -59,7 +57,6 @@
 		conditions: make(map[types.TargetID]dispatch.Condition),
 		vacant:     make(map[types.TargetID]bool),
 		hotKeys:    make(map[types.Service]map[uint16][]ownership.HotKey),
-		wantedKeys: make(map[types.Service]map[types.KeyHash]bool),
 	}
 }
 
@@ -154,10 +151,9 @@
 		targets := &placement.Targets{Service: s.Name, Slots: s.Slots}
 		for _, t := range s.Targets {
 			targets.Rows = append(targets.Rows, placement.Target{
-				Name:       t.Name,
-				DataCentre: t.DataCentre,
-				Weight:     t.Weight,
-				State:      p.stateOf(types.TargetID{Service: s.Name, Target: t.Name}, t.DataCentre),
+				Name:   t.Name,
+				Weight: t.Weight,
+				State:  p.stateOf(types.TargetID{Service: s.Name, Target: t.Name}, t.DataCentre),
 			})
 		}
 		p.step(placement.Message{Kind: placement.KindTargets, Targets: targets})
@@ -275,45 +271,44 @@
 	p.step(placement.Message{Kind: placement.KindHotKeys, HotKeys: rows})
 }
 
-// plan hands the core's proposals to the ownership duty, one message for each service.
+// plan hands the complete lists of wanted moves and hot-key rows to the ownership duty, which replaces its earlier ones.
 func (p *placer) plan(ctx context.Context) error {
 	p.actions = p.core.Tick(telemetry.Now(), p.actions[:0])
-	moves := make(map[types.Service][]ownership.Move)
-	keysChanged := make(map[types.Service]bool)
+	services := make(map[types.Service]bool)
 	for i := range p.actions {
-		p.collect(&p.actions[i], moves, keysChanged)
+		services[p.actions[i].Service] = true
+		p.decide(&p.actions[i])
 	}
-	for service, list := range moves {
-		message := ownership.Message{Kind: ownership.KindMoves, Moves: ownership.Moves{Service: service, Moves: list}}
-		if err := p.out.Put(ctx, keeperInput{message: message}); err != nil {
-			return err
-		}
-	}
-	for service := range keysChanged {
-		keys := slices.Sorted(maps.Keys(p.wantedKeys[service]))
-		message := ownership.Message{Kind: ownership.KindHotKeys, HotKeys: ownership.HotKeys{Service: service, Keys: keys}}
-		if err := p.out.Put(ctx, keeperInput{message: message}); err != nil {
+	for service := range services {
+		if err := p.send(ctx, service); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (p *placer) collect(a *placement.Action, moves map[types.Service][]ownership.Move, keys map[types.Service]bool) {
-	switch a.Kind {
-	case placement.ActionMoveSlots:
-		moves[a.Service] = append(moves[a.Service], ownership.Move{
-			First: a.First, Count: uint32(a.Last-a.First) + 1, From: a.From, To: a.To,
-		})
-	case placement.ActionMoveKey:
-		moves[a.Service] = append(moves[a.Service], ownership.Move{Key: a.Key, From: a.From, To: a.To})
-	case placement.ActionCreateKey, placement.ActionDropKey:
-		p.want(a)
-		keys[a.Service] = true
-	default:
-		// The ownership core chooses dispatchers itself.
-		return
+func (p *placer) send(ctx context.Context, service types.Service) error {
+	p.moves = p.core.Moves(service, p.moves[:0])
+	moves := ownership.Moves{Service: service}
+	for i := range p.moves {
+		moves.Moves = append(moves.Moves, moveOf(&p.moves[i]))
+	}
+	keys := ownership.HotKeys{Service: service, Keys: p.core.WantedKeys(telemetry.Now(), service, nil)}
+	slices.Sort(keys.Keys)
+	if err := p.out.Put(ctx, keeperInput{message: ownership.Message{Kind: ownership.KindMoves, Moves: moves}}); err != nil {
+		return err
 	}
+	return p.out.Put(ctx, keeperInput{message: ownership.Message{Kind: ownership.KindHotKeys, HotKeys: keys}})
+}
+
+func moveOf(a *placement.Action) ownership.Move {
+	if a.Kind == placement.ActionMoveKey {
+		return ownership.Move{Key: a.Key, From: a.From, To: a.To}
+	}
+	return ownership.Move{First: a.First, Count: uint32(a.Last-a.First) + 1, From: a.From, To: a.To}
+}
+
+func (p *placer) decide(a *placement.Action) {
 	p.log.Decide(telemetry.Decision{
 		Kind:    "placement",
 		Service: string(a.Service),
@@ -323,27 +318,3 @@
 		Detail:  a.Kind.String() + " from " + string(a.From),
 	})
 }
-
-func (p *placer) want(a *placement.Action) {
-	wanted := p.wantedKeys[a.Service]
-	if wanted == nil {
-		wanted = p.presentKeys(a.Service)
-		p.wantedKeys[a.Service] = wanted
-	}
-	if a.Kind == placement.ActionCreateKey {
-		wanted[a.Key] = true
-		return
-	}
-	delete(wanted, a.Key)
-}
-
-// presentKeys starts from the rows that an earlier planner created.
-func (p *placer) presentKeys(service types.Service) map[types.KeyHash]bool {
-	keys := make(map[types.KeyHash]bool)
-	for _, part := range p.hotKeys[service] {
-		for _, row := range part {
-			keys[row.Key] = true
-		}
-	}
-	return keys
-}
--- a/daemon/gateway/router.go
+++ b/daemon/gateway/router.go
@@ -34,6 +34,8 @@
 
 	// The fields below belong to the router.
 	attempts []attempt
+	// mayHaveRun is true once a dispatcher said that another dispatcher may have sent the request earlier.
+	mayHaveRun bool
 }
 
 // attempt is one forwarded copy of a request.
@@ -209,6 +211,12 @@
 		}
 	}
 	outcome, code := outcomeOf(m)
+	if outcome == types.OutcomeUnknown && nothingSent(code) {
+		outcome = types.OutcomeNotRun
+		if p, ok := r.pending[m.handle]; ok {
+			p.mayHaveRun = true
+		}
+	}
 	r.step(routing.Message{Kind: routing.KindResult, Result: routing.Result{
 		Handle:       m.handle,
 		Attempt:      m.attempt,
@@ -219,6 +227,12 @@
 	}})
 }
 
+// nothingSent reports whether the dispatcher that gave code sent nothing itself. The request may then be routed again
+// even if its outcome is unknown because another dispatcher may have sent it earlier.
+func nothingSent(code types.Code) bool {
+	return code == types.CodeNotHolder || code == types.CodeStaleEpoch
+}
+
 func outcomeOf(m attemptResult) (types.Outcome, types.Code) {
 	if m.fault != nil {
 		return m.fault.Outcome, m.fault.Code
@@ -362,6 +376,9 @@
 		return
 	}
 	delete(r.pending, a.Handle)
+	if p.mayHaveRun && a.Outcome == types.OutcomeNotRun {
+		a.Outcome = types.OutcomeUnknown
+	}
 	r.stats.countOutcome(p.request.Service, a.Outcome)
 	p.done <- p.resultFor(a)
 }
--- a/daemon/gateway/state.go
+++ b/daemon/gateway/state.go
@@ -15,10 +15,20 @@
 	gw *Gateway
 	// hotKeys holds the rows of each slot document, because the core takes all rows of a service at once.
 	hotKeys map[types.Service]map[uint16][]ownership.HotKey
+	// holders names the dispatchers that the lease rows of each service name.
+	holders map[types.Service]map[ownership.Peer]bool
+	// dispatchers holds every dispatcher that was ever registered, and registered those that are now.
+	dispatchers map[ownership.Peer]process.Member
+	registered  map[ownership.Peer]bool
 }
 
 func newTranslator(gw *Gateway) *translator {
-	return &translator{gw: gw, hotKeys: make(map[types.Service]map[uint16][]ownership.HotKey)}
+	return &translator{
+		gw:          gw,
+		hotKeys:     make(map[types.Service]map[uint16][]ownership.HotKey),
+		holders:     make(map[types.Service]map[ownership.Peer]bool),
+		dispatchers: make(map[ownership.Peer]process.Member),
+	}
 }
 
 // deliver runs on the watch duty.
@@ -34,12 +44,15 @@
 	if c.Ops != nil {
 		out.messages = append(out.messages, operationsMessage(c.Ops))
 	}
-	if c.Members != nil {
-		out.messages = append(out.messages, t.members(c))
-	}
 	for _, d := range c.Documents {
 		out.messages = append(out.messages, t.document(d)...)
 	}
+	if c.Members != nil {
+		t.register(c.Members)
+	}
+	if c.Members != nil || len(c.Documents) > 0 {
+		out.messages = append(out.messages, t.members(c.Revision))
+	}
 	t.gw.publish(c)
 	if len(out.messages) == 0 {
 		return nil
@@ -82,14 +95,34 @@
 	}
 }
 
-// members also tells the links duty whom to connect to.
-func (t *translator) members(c process.Change) routing.Message {
-	rows := &routing.Members{Revision: c.Revision}
-	var peers []process.Peer
-	for _, m := range c.Members {
+func (t *translator) register(members []process.Member) {
+	t.registered = make(map[ownership.Peer]bool)
+	for _, m := range members {
 		if m.Role != process.RoleDispatcher {
 			continue
 		}
+		p := ownership.Peer{VM: m.VM, Incarnation: m.Incarnation}
+		t.registered[p] = true
+		t.dispatchers[p] = m
+	}
+}
+
+// members tells the core and the links duty which dispatchers there are. One whose registration lapsed, as all do in a
+// long outage of the store, still counts while a lease row names it: it may go on serving.
+func (t *translator) members(revision types.Revision) routing.Message {
+	newest := make(map[types.VM]process.Member)
+	for p, m := range t.dispatchers {
+		if !t.registered[p] && !t.holds(p) {
+			delete(t.dispatchers, p)
+			continue
+		}
+		if m.Incarnation > newest[p.VM].Incarnation {
+			newest[p.VM] = m
+		}
+	}
+	rows := &routing.Members{Revision: revision}
+	var peers []process.Peer
+	for _, m := range newest {
 		rows.Rows = append(rows.Rows, routing.Member{VM: m.VM, DataCentre: m.DataCentre, Incarnation: m.Incarnation})
 		peers = append(peers, process.Peer{VM: m.VM, Incarnation: m.Incarnation, Address: m.PeerAddress})
 	}
@@ -97,11 +130,21 @@
 	return routing.Message{Kind: routing.KindMembers, Members: rows}
 }
 
+func (t *translator) holds(p ownership.Peer) bool {
+	for _, holders := range t.holders {
+		if holders[p] {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *translator) document(d ownership.Document) []routing.Message {
 	switch {
 	case d.Slots != nil:
 		return []routing.Message{tableMessage(d), t.hotKeyMessage(d)}
 	case d.Leases != nil:
+		t.noteHolders(d)
 		return []routing.Message{leasesMessage(d)}
 	default:
 		return nil
@@ -162,6 +205,16 @@
 	return out
 }
 
+func (t *translator) noteHolders(d ownership.Document) {
+	holders := make(map[ownership.Peer]bool)
+	for _, l := range d.Leases.Leases {
+		if l.State == ownership.LeaseActive {
+			holders[l.Holder] = true
+		}
+	}
+	t.holders[d.Key.Service] = holders
+}
+
 func leasesMessage(d ownership.Document) routing.Message {
 	out := &routing.Leases{Service: d.Key.Service, Revision: types.Revision(d.Leases.Epoch)}
 	for _, l := range d.Leases.Leases {
