transport, standin: test the adapters, the targets and the decoders

Frozen targets now report how many calls wait (stats.stalled), because a test can't tell otherwise when a request has arrived.

--- a/standin/target/message.go
+++ b/standin/target/message.go
@@ -87,6 +87,8 @@
 	Refused     uint64 `json:"refused"`
 	Crashes     uint64 `json:"crashes"`
 	PeakRunning int    `json:"peakRunning"`
+	// Stalled is the number of calls that wait for a frozen target.
+	Stalled int `json:"stalled"`
 	// OverAdmitted counts requests above what the cold target bore.
 	OverAdmitted uint64 `json:"overAdmitted"`
 	// GrantViolations counts requests that ran without a valid grant because ChecksGrants is off.
--- a/standin/target/state.go
+++ b/standin/target/state.go
@@ -96,7 +96,9 @@
 	case kindJournal:
 		m.reply <- ok(s.journalFrom(m.after))
 	case kindStats:
-		m.reply <- ok(s.stats)
+		stats := s.stats
+		stats.Stalled = len(s.stalled)
+		m.reply <- ok(stats)
 	case kindStop:
 		s.draining = true
 		s.stops = append(s.stops, m.reply)
--- /dev/null
+++ b/transport/target/wire_test.go
@@ -0,0 +1,80 @@
+package target
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiasail.example/transport/internal/exchange"
+	"sequoiasail.example/types"
+)
+
+// Guards against load reports that read back differently or turn negative.
+func FuzzParseLoad(f *testing.F) {
+	f.Add("3/4")
+	f.Add("-1/4")
+	f.Add("99999999999/1")
+	f.Fuzz(func(t *testing.T, s string) {
+		l := parseLoad(s)
+		if l.Running < 0 || l.Slots < 0 || parseLoad(l.String()) != l {
+			t.Fatalf("%q gave %+v", s, l)
+		}
+	})
+}
+
+// Guards against panics on malformed incarnations.
+func FuzzParseIncarnation(f *testing.F) {
+	f.Add("17")
+	f.Add("-1")
+	f.Fuzz(func(_ *testing.T, s string) { parseIncarnation(s) })
+}
+
+// Guards against a control answer without a known code passing for a refusal.
+func FuzzDecodeAnswers(f *testing.F) {
+	f.Add(409, []byte(`{"code":"stale-epoch","message":"m"}`))
+	f.Add(500, []byte(`{"token":"1.2.3","incarnation":4}`))
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		code := decodeFault(status, body).Code
+		if code != types.CodeTargetFailed && !refusalCodes[code] {
+			t.Fatalf("unexpected code %s", code)
+		}
+		_, _ = decode[GrantAnswer](body)
+		_, _ = decode[Health](body)
+		_, _ = decode[Load](body)
+	})
+}
+
+// Guards against callers setting the headers that fence requests, and against connection headers being forwarded.
+func TestHeadersOfTheInterfaceCannotBeSetByCallers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	h := encodeHeader(Request{
+		RequestID:  "r1",
+		LeaseEpoch: 7,
+		Header:     http.Header{"Sail-Lease-Epoch": {"9"}, "Connection": {"close"}, "Accept": {"*/*"}},
+		Deadline:   now.Add(30 * time.Millisecond),
+	}, now)
+	is.Equal(h.Get(HeaderLeaseEpoch), "7")
+	is.Equal(h.Get(HeaderDeadline), "30")
+	is.Equal(h.Get("Connection"), "")
+	is.Equal(h.Get("Accept"), "*/*")
+}
+
+// Guards against the answer to another request being passed on, and against half promises of "not run".
+func TestCheckAnswer(t *testing.T) {
+	is := is.New(t)
+	r := Request{RequestID: "r1"}
+	check := func(status int, h http.Header) *Failure {
+		return checkAnswer(r, exchange.Answer{Status: status, Header: h})
+	}
+	crossed := check(http.StatusOK, http.Header{HeaderRequestID: {"r2"}})
+	is.Equal(crossed.Kind, KindBadAnswer)
+	is.True(!crossed.NotRun())
+	is.Equal(check(http.StatusServiceUnavailable, nil), nil)
+	is.Equal(check(http.StatusOK, http.Header{HeaderNotRun: {"true"}}), nil)
+	refused := check(http.StatusServiceUnavailable, http.Header{HeaderNotRun: {"true"}, HeaderCode: {"done"}})
+	is.Equal(refused.Fault.Code, types.CodeTargetRefused)
+	is.True(refused.NotRun())
+}
