--- a/standin/target/server.go
+++ b/standin/target/server.go
@@ -137,6 +137,10 @@
 	if a.lose || loop.Gone(err) {
 		httpserve.Break()
 	}
+	if a.fault != nil {
+		httpserve.Encode(w, statusOf(a.fault.Code), refusal(a))
+		return
+	}
 	if err != nil {
 		refuse(w, err)
 		return
@@ -162,7 +166,7 @@
 
 func statusOf(c types.Code) int {
 	switch c {
-	case types.CodeStaleEpoch, types.CodeNotHolder:
+	case types.CodeStaleEpoch, types.CodeStaleToken, types.CodeNotHolder:
 		return http.StatusConflict
 	case types.CodeBadRequest:
 		return http.StatusBadRequest
@@ -200,10 +204,10 @@
 		h.Set(target.HeaderCode, string(a.fault.Code))
 		if a.notRun {
 			h.Set(target.HeaderNotRun, "true")
-			httpserve.Encode(w, http.StatusServiceUnavailable, refusal(a.fault))
+			httpserve.Encode(w, http.StatusServiceUnavailable, refusal(a))
 			return
 		}
-		httpserve.Encode(w, statusOf(a.fault.Code), refusal(a.fault))
+		httpserve.Encode(w, statusOf(a.fault.Code), refusal(a))
 		return
 	}
 	if a.cut {
@@ -212,8 +216,8 @@
 	httpserve.Encode(w, a.status, a.body)
 }
 
-func refusal(f *types.Fault) target.FaultAnswer {
-	return target.FaultAnswer{Code: f.Code, Message: f.Message}
+func refusal(a answer) target.FaultAnswer {
+	return target.FaultAnswer{Code: a.fault.Code, Message: a.fault.Message, GrantAnswer: a.grant}
 }
 
 // cut sends half of the body and closes the connection. It does not return.
