dispatch: estimate waits without outliers and with the rising limit

Cause: after a target froze for a second, its four answers of about a second each raised the average tenfold, and the estimate counted the present limit of a ramp for the whole wait. Orders with 2 s left were refused as too late.

Using the capped average for the detection of stragglers and cold starts too was ruled out: it needs about twice as many answers to see a tenfold slowdown.

--- a/dispatch/latency.go
+++ b/dispatch/latency.go
@@ -29,19 +29,26 @@
 // latency holds moving averages of a target's answer times, in nanoseconds.
 type latency struct {
 	fast, slow float64
-	samples    int
+	// typical follows as fast as fast, but a single answer counts at most jumpFactor times the average. The few answers
+	// of a target that was frozen for a second would otherwise make every wait look hopeless for the next 50 answers.
+	typical float64
+	samples int
 }
 
 func (l *latency) observe(d time.Duration) {
 	l.samples++
 	warmUp := 1 / float64(l.samples)
 	l.fast += (float64(d) - l.fast) * max(fastWeight, warmUp)
-	// Outliers are capped, so that the slow average does not follow a jump before it is seen.
-	capped := float64(d)
-	if l.samples > 1 {
-		capped = min(capped, jumpFactor*l.slow)
+	// Outliers are capped here too, so that the slow average does not follow a jump before it is seen.
+	l.slow += (l.capped(d, l.slow) - l.slow) * max(slowWeight, warmUp)
+	l.typical += (l.capped(d, l.typical) - l.typical) * max(fastWeight, warmUp)
+}
+
+func (l *latency) capped(d time.Duration, average float64) float64 {
+	if l.samples == 1 {
+		return float64(d)
 	}
-	l.slow += (capped - l.slow) * max(slowWeight, warmUp)
+	return min(float64(d), jumpFactor*average)
 }
 
 // jumped reports whether answers have recently become much slower.
@@ -53,8 +60,8 @@
 	l.samples = min(l.samples, jumpSamples/2)
 }
 
-// mean returns the recent average. It is 0 before the first answer.
-func (l *latency) mean() time.Duration { return time.Duration(l.fast) }
+// mean returns the recent average without outliers. It is 0 before the first answer.
+func (l *latency) mean() time.Duration { return time.Duration(l.typical) }
 
 // updateMedian recomputes the typical answer times of the service's targets.
 func (s *service) updateMedian(targets []*target) {
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -165,8 +165,12 @@
 	return false
 }
 
-// expected returns how long a request takes that is queued behind ahead others.
+// expected returns how long a request takes that is queued behind ahead others. A rising limit counts with its value
+// halfway, so that a target in cold start does not refuse what it will handle in time.
 func (t *target) expected(now types.Instant, ahead int) time.Duration {
 	mean := t.latency.mean()
-	return mean + mean*time.Duration(ahead)/time.Duration(t.limit(now))
+	work := mean * time.Duration(ahead)
+	atPresent := work / time.Duration(t.ramp.limit(now, t.slots))
+	halfway := t.ramp.limit(now.Add(atPresent/2), t.slots)
+	return mean + work/time.Duration(halfway)
 }
