--- /dev/null
+++ b/dispatch/measure/measure_test.go
@@ -0,0 +1,75 @@
+package measure
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sequoiasail.example/dispatch"
+)
+
+func source(seed uint64) dispatch.Random { return rand.NewPCG(seed, 0) }
+
+// Guards against a slow target delaying the keys of the others.
+func TestStragglersDoNotDelayOthers(t *testing.T) {
+	is := is.New(t)
+	r := MeasureStragglers(source, 1)
+	t.Logf("%v", r)
+	is.True(r[0].Ratio() <= 2)
+	is.True(r[1].Ratio() > 2) // the measure can tell the difference
+}
+
+// Guards against a restarted target being over-admitted (R3).
+func TestColdTargetIsNeverOverAdmitted(t *testing.T) {
+	is := is.New(t)
+	r := MeasureColdStart(source, 1)
+	t.Logf("%v", r)
+	is.Equal(r[0].OverAdmitted, 0)
+	is.True(r[0].Received > 100)
+	is.True(r[1].OverAdmitted > 0)
+	is.True(r[2].OverAdmitted < r[3].OverAdmitted)
+}
+
+// Guards against congestion collapse and late refusals.
+func TestOverload(t *testing.T) {
+	is := is.New(t)
+	r := MeasureOverload(source, 1)
+	t.Logf("%v", r)
+	is.True(r[0].Goodput >= 0.95)
+	is.True(r[0].FailureP99 <= refusalGoal)
+	is.True(r[1].Goodput < 0.95)
+}
+
+// Guards against doubled, lost and wrongly refused orders (R6, R7).
+func TestOrdersRunAtMostOnce(t *testing.T) {
+	is := is.New(t)
+	r := MeasureOrders(source, 1, 40_000)
+	t.Logf("%v", r)
+	for _, core := range r[:2] {
+		is.Equal(core.Doubled, 0)
+		is.Equal(core.Lost, 0)
+		is.Equal(core.Untrue, 0)
+		is.True(core.Done > 0.5)
+	}
+	is.True(r[0].Losses > 0)
+	is.True(r[2].Doubled > 0)
+}
+
+// BenchmarkMeasure prints all measures at full size.
+func BenchmarkMeasure(b *testing.B) {
+	for b.Loop() {
+		for _, r := range MeasureStragglers(source, 1) {
+			b.Log(r)
+		}
+		for _, r := range MeasureColdStart(source, 1) {
+			b.Log(r)
+		}
+		for _, r := range MeasureOverload(source, 1) {
+			b.Log(r)
+		}
+		for _, r := range MeasureOrders(source, 1, OrderCount) {
+			b.Log(r)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/measure/sim.go
@@ -0,0 +1,172 @@
+package measure
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"sequoiasail.example/dispatch"
+	"sequoiasail.example/types"
+)
+
+// Source returns a random source for a seed, for example rand.NewPCG(seed, 0).
+type Source func(seed uint64) dispatch.Random
+
+const (
+	// connectTime is the time to connect to a target.
+	connectTime = time.Millisecond
+	// begin is the first instant of every run. It is late enough for all leases to be old.
+	begin = types.Instant(time.Hour)
+	// wallAtBegin is the wall time at begin, in Unix milliseconds.
+	wallAtBegin = int64(1_700_000_000_000)
+)
+
+// policy decides when requests are sent. It calls sim.send and sim.reply.
+type policy interface {
+	request(h dispatch.Handle, q dispatch.Request)
+	result(h dispatch.Handle, r dispatch.Result)
+	tick()
+	wake() (types.Instant, bool)
+}
+
+// event is something that happens at an instant. Events of one instant happen in the order of their creation.
+type event struct {
+	at  types.Instant
+	seq uint64
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int      { return len(h) }
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
+}
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
+	return e
+}
+
+// sim is a small discrete-event loop with one dispatcher and a handful of targets.
+type sim struct {
+	now     types.Instant
+	seq     uint64
+	events  eventHeap
+	random  dispatch.Random
+	policy  policy
+	targets map[types.TargetID]*target
+	flying  map[attemptKey]*job
+	// onReply is told every reply.
+	onReply func(a dispatch.Action)
+	// onRun is told when a target starts to run a request.
+	onRun func(h dispatch.Handle)
+}
+
+type attemptKey struct {
+	handle  dispatch.Handle
+	attempt dispatch.Attempt
+}
+
+func newSim(random dispatch.Random) *sim {
+	return &sim{
+		now: begin, random: random, targets: map[types.TargetID]*target{}, flying: map[attemptKey]*job{},
+		onRun: func(dispatch.Handle) {},
+	}
+}
+
+// after schedules run.
+func (s *sim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.events, event{at: s.now.Add(max(d, 0)), seq: s.seq, run: run})
+}
+
+// runFor executes events and timers until d has passed.
+func (s *sim) runFor(d time.Duration) {
+	end := s.now.Add(d)
+	for {
+		at, set := s.policy.wake()
+		if len(s.events) > 0 && (!set || s.events[0].at <= at) {
+			if s.events[0].at > end {
+				break
+			}
+			e := heap.Pop(&s.events).(event)
+			s.now = e.at
+			e.run()
+			continue
+		}
+		if !set || at > end {
+			break
+		}
+		s.now = max(s.now, at)
+		s.policy.tick()
+	}
+	s.now = end
+}
+
+func (s *sim) wallMs() int64 { return wallAtBegin + s.now.Sub(begin).Milliseconds() }
+
+// uniform returns a number in (0, 1].
+func (s *sim) uniform() float64 { return float64(s.random.Uint64()>>11+1) / (1 << 53) }
+
+func (s *sim) intn(n int) int { return int(s.random.Uint64() % uint64(n)) }
+
+// exponential returns an exponentially distributed time.
+func (s *sim) exponential(mean time.Duration) time.Duration {
+	return time.Duration(-math.Log(s.uniform()) * float64(mean))
+}
+
+// send carries out an ActionSend.
+func (s *sim) send(a dispatch.Action) {
+	j := &job{Action: a, sentAt: s.now}
+	s.flying[j.key()] = j
+	s.after(a.Deadline.Sub(s.now), func() { s.end(j, dispatch.ResultTimedOut) })
+	t := s.targets[a.Target]
+	if a.Fresh {
+		s.after(connectTime, func() { t.connect(s, j) })
+		return
+	}
+	t.receive(s, j)
+}
+
+// cancel carries out an ActionCancelSend.
+func (s *sim) cancel(a dispatch.Action) {
+	if j, found := s.flying[attemptKey{a.Handle, a.Attempt}]; found {
+		s.after(0, func() { s.end(j, dispatch.ResultTimedOut) })
+	}
+}
+
+// end delivers the result of an attempt, once.
+func (s *sim) end(j *job, kind dispatch.ResultKind) {
+	if s.flying[j.key()] != j {
+		return
+	}
+	delete(s.flying, j.key())
+	t := s.targets[j.Target]
+	r := dispatch.Result{
+		Attempt: j.Attempt, Connection: j.Connection, Kind: kind, Latency: s.now.Sub(j.sentAt), Load: dispatch.LoadUnknown,
+	}
+	if kind == dispatch.ResultAnswered {
+		r.Incarnation, r.Load = t.told(), t.running
+	}
+	s.policy.result(j.Handle, r)
+}
+
+// poisson schedules n arrivals with the given rate per second, open loop.
+func (s *sim) poisson(n int, rate float64, arrive func()) {
+	if n == 0 {
+		return
+	}
+	s.after(s.exponential(time.Duration(float64(time.Second)/rate)), func() {
+		arrive()
+		s.poisson(n-1, rate, arrive)
+	})
+}
