--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -168,7 +168,11 @@
 		c.sendAgain(t, i)
 	case ResultTimedOut:
 		r.uncertain = true
-		c.retryOrFail(t, i, failure{types.CodeDeadlineExceeded, ReasonDeadline})
+		f := failure{types.CodeDeadlineExceeded, ReasonDeadline}
+		if c.now < r.runUntil { // cancelled by the core, for example on a silent connection
+			f = failure{types.CodeTargetFailed, ReasonTargetFailed}
+		}
+		c.retryOrFail(t, i, f)
 	case ResultCutBody:
 		r.uncertain = true
 		c.retryOrFail(t, i, failure{types.CodeTruncatedBody, ReasonTargetFailed})
