Hand the deduplication table over with targets and keys

Cause: a dispatcher that takes over by plan knew nothing of identifiers created before, and answered unknown for every write in transit although the former dispatcher had drained and could tell. Ruled out: dating the coverage by the second copy alone, since another dispatcher may have served in between. Rows and leases now carry the epoch under which they were owned before (former); the old dispatcher sends its entries and the epochs it served under before the move is written, and the new one relies on them only if its row's former epoch is the same. The same message tells which targets run at full load, so that a takeover does not start a cold ramp.

--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -61,7 +61,7 @@
 		Peer:       ownership.Peer{VM: s.VM, Incarnation: d.member.Incarnation},
 		DataCentre: s.DataCentre,
 	}
-	d.worker = newWorker(s.VM, d.base.Log, d.base.Metrics)
+	d.worker = newWorker(s.VM, s.DataCentre, d.base.Log, d.base.Metrics)
 	d.keeper = newKeeper(self, d.base.Log, d.worker)
 	d.worker.report = d.keeper.observe
 	d.worker.drained = d.keeper.drained
--- a/daemon/dispatcher/keeper.go
+++ b/daemon/dispatcher/keeper.go
@@ -53,6 +53,10 @@
 	tickets uint64
 	leases  *leaseSet
 	served  map[types.TargetID]ownership.Serve
+	// slots holds the size of each service's slot table.
+	slots map[types.Service]uint32
+	// known is reused by documents.
+	known []ownership.Document
 	// incarnations holds what each target said last.
 	incarnations map[types.TargetID]types.Incarnation
 	planner      bool
@@ -74,6 +78,7 @@
 		waiting: make(map[uint64]chan ownership.Action),
 		served:  make(map[types.TargetID]ownership.Serve),
 	}
+	k.slots = make(map[types.Service]uint32)
 	k.incarnations = make(map[types.TargetID]types.Incarnation)
 	k.leases = newLeaseSet(k.in)
 	k.page = telemetry.NewPage(telemetry.Status{})
@@ -124,6 +129,9 @@
 	}
 	if m.message.Kind == ownership.KindConfiguration {
 		k.leases.configure(m.message.Configuration)
+		for _, s := range m.message.Configuration.Services {
+			k.slots[s.Name] = s.Slots
+		}
 	}
 	k.notePlanner(m.message.Kind)
 	if call := m.message.Call; m.message.Kind == ownership.KindCallResult && call.Incarnation != 0 {
--- a/daemon/dispatcher/memory.go
+++ b/daemon/dispatcher/memory.go
@@ -95,6 +95,8 @@
 func memoryEntry(e dispatch.Entry, a *answer) *peer.MemoryEntry {
 	out := &peer.MemoryEntry{
 		Service:     e.Service,
+		Target:      e.Target,
+		Key:         e.Key,
 		Caller:      e.Caller,
 		ID:          e.ID,
 		Fingerprint: uint64(e.Fingerprint),
@@ -116,6 +118,8 @@
 	w.payloads[handle] = &payload{answer: &answer{status: e.Status, header: e.Header, body: e.Body}}
 	w.step(ctx, dispatch.Message{Kind: dispatch.MessageCopyStored, Handle: handle, Entry: dispatch.Entry{
 		Service:     e.Service,
+		Target:      e.Target,
+		Key:         e.Key,
 		Caller:      e.Caller,
 		ID:          e.ID,
 		Fingerprint: dispatch.Fingerprint(e.Fingerprint),
--- a/daemon/dispatcher/meter.go
+++ b/daemon/dispatcher/meter.go
@@ -94,6 +94,7 @@
 		report.Targets = append(report.Targets, load)
 	}
 	w.sendReport(report)
+	w.announceStates()
 }
 
 func (w *worker) sendReport(report *peer.LoadReport) {
--- a/daemon/dispatcher/serve.go
+++ b/daemon/dispatcher/serve.go
@@ -2,195 +2,214 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
-	"sequoiasail.example/dispatch"
 	"sequoiasail.example/ownership"
 	"sequoiasail.example/types"
 )
 
-// drainWatch asks the dispatch duty to report when nothing outside areas is in flight at a target.
-type drainWatch struct {
-	target types.TargetID
-	number uint64
-	areas  *ownership.Areas
-	// stopped is true when nothing at all may be in flight.
-	stopped bool
+// slotRow identifies a slot or hot key of a service.
+type slotRow struct {
+	slot types.Slot
+	key  types.KeyHash
+	hot  bool
 }
 
-// allows reports whether a request may stay in flight. A nil area belongs to a service without keys.
-func (d drainWatch) allows(slot types.Slot, key types.KeyHash) bool {
-	if d.stopped {
-		return false
-	}
-	return d.areas == nil || ownsKey(d.areas, slot, key)
+// ownedRow is a slot or hot key that a target owns or owned.
+type ownedRow struct {
+	slotRow
+	epoch types.Epoch
+	// former is the epoch under which the row was owned before.
+	former types.Epoch
+	// slotEpoch is the epoch of a hot key's slot if the target owns that too, else 0.
+	slotEpoch types.Epoch
+	// next is the VM of the dispatcher that takes a released row over, empty when it is not known.
+	next types.VM
 }
 
-func ownsKey(a *ownership.Areas, slot types.Slot, key types.KeyHash) bool {
-	for _, k := range a.Keys {
-		if k.Key == key {
-			return true
-		}
-	}
-	for _, k := range a.Except {
-		if k == key {
-			return false
-		}
-	}
-	for _, s := range a.Slots {
-		if slot >= s.First && slot < s.First+types.Slot(s.Count) {
-			return true
-		}
-	}
-	return false
+// serveChange tells the dispatch duty what it may send to one target.
+type serveChange struct {
+	target      types.TargetID
+	epoch       types.Epoch
+	number      uint64
+	validUntil  types.Instant
+	incarnation types.Incarnation
+	// areasChanged is true when the lists below and areas are set.
+	areasChanged bool
+	areas        *ownership.Areas
+	released     []ownedRow
+	owned        []ownedRow
+	// excepted and unexcepted are keys in the target's slots that belong to another target, or no longer do.
+	excepted   []types.KeyHash
+	unexcepted []types.KeyHash
+	// former is the epoch under which the lease was active before.
+	former types.Epoch
+	// stopped is true when nothing more may be sent. next is then the VM of the dispatcher that takes the lease over.
+	stopped bool
+	next    types.VM
 }
 
-// serve tells the dispatch duty what it may send.
+// serve passes an ActServe on.
 func (k *keeper) serve(ctx context.Context, s ownership.Serve) {
 	before, known := k.served[s.Target]
 	k.served[s.Target] = s
-	wall := time.Now().UnixMilli()
-	out := workerControl{messages: []dispatch.Message{{
-		Kind:   dispatch.MessageServe,
-		Target: s.Target,
-		Lease: dispatch.Lease{
-			Epoch:       s.Epoch,
-			ValidUntil:  s.ValidUntil,
-			WallMs:      wall,
-			Incarnation: k.incarnations[s.Target],
-		},
-	}}}
+	change := &serveChange{
+		target:      s.Target,
+		epoch:       s.Epoch,
+		number:      s.Number,
+		validUntil:  s.ValidUntil,
+		incarnation: k.incarnations[s.Target],
+	}
 	if !known || before.Number != s.Number {
-		out.messages = append(out.messages, exceptionChanges(s.Target, before.Areas, s.Areas)...)
-		out.messages = append(out.messages, slotChanges(s.Target, before.Areas, s.Areas, wall)...)
-		out.drain = &drainWatch{target: s.Target, number: s.Number, areas: s.Areas}
+		k.describe(change, before.Areas, s.Areas)
 		k.publish()
 	}
-	_ = k.worker.controls.Put(ctx, out)
+	_ = k.worker.controls.Put(ctx, workerControl{serve: change})
 }
 
+// stopServing passes an ActStop on.
 func (k *keeper) stopServing(ctx context.Context, s ownership.Serve) {
 	before := k.served[s.Target]
 	delete(k.served, s.Target)
-	messages := exceptionChanges(s.Target, before.Areas, nil)
-	messages = append(messages, slotChanges(s.Target, before.Areas, nil, time.Now().UnixMilli())...)
-	messages = append(messages, dispatch.Message{Kind: dispatch.MessageStopServing, Target: s.Target})
-	_ = k.worker.controls.Put(ctx, workerControl{
-		messages: messages,
-		drain:    &drainWatch{target: s.Target, number: s.Number, stopped: true},
-	})
+	change := &serveChange{target: s.Target, epoch: before.Epoch, number: s.Number, stopped: true}
+	k.describe(change, before.Areas, nil)
+	if l, ok := k.lease(s.Target); ok && l.State == ownership.LeaseRevoked {
+		change.next = l.Next.VM
+	}
+	_ = k.worker.controls.Put(ctx, workerControl{serve: change})
 	k.publish()
 }
 
-// slotRow identifies a slot or hot key without its epoch.
-type slotRow struct {
-	slot types.Slot
-	key  types.KeyHash
-	hot  bool
-}
-
-// slotChanges returns what the dispatch core must learn when a target's areas change.
-func slotChanges(target types.TargetID, before, after *ownership.Areas, wallMs int64) []dispatch.Message {
-	old, current := rowsOf(before), rowsOf(after)
-	var out []dispatch.Message
+// describe fills in what changed between two areas and who follows on what was released.
+func (k *keeper) describe(c *serveChange, before, after *ownership.Areas) {
+	c.areasChanged = true
+	c.areas = after
+	rows := k.rowsOf(c.target.Service)
+	old, current := epochsOf(before), epochsOf(after)
 	for row, epoch := range old {
 		if _, kept := current[row]; !kept {
-			out = append(out, slotMessage(dispatch.MessageSlotReleased, target, row, epoch, wallMs))
+			released := ownedRow{slotRow: row, epoch: epoch}
+			released.next = k.successor(c.target, rows(row))
+			c.released = append(c.released, released)
 		}
 	}
 	for row, epoch := range current {
-		if previous, kept := old[row]; !kept || previous != epoch {
-			out = append(out, slotMessage(dispatch.MessageSlotOwned, target, row, epoch, wallMs))
+		if previous, kept := old[row]; kept && previous == epoch {
+			continue
 		}
+		c.owned = append(c.owned, k.owned(c.target.Service, row, epoch, rows(row), after))
+	}
+	c.excepted, c.unexcepted = exceptionChanges(before, after)
+	if l, ok := k.lease(c.target); ok {
+		c.former = l.Former
 	}
-	return out
 }
 
-func rowsOf(a *ownership.Areas) map[slotRow]types.Epoch {
-	rows := make(map[slotRow]types.Epoch)
-	if a == nil {
-		return rows
+func (k *keeper) owned(
+	service types.Service, row slotRow, epoch types.Epoch, stored ownership.Ownership, areas *ownership.Areas,
+) ownedRow {
+	out := ownedRow{slotRow: row, epoch: epoch}
+	if stored.Epoch == epoch {
+		out.former = stored.Former
 	}
-	for _, s := range a.Slots {
-		for i := range s.Count {
-			rows[slotRow{slot: s.First + types.Slot(i)}] = s.Epoch
-		}
+	if row.hot {
+		out.slot = types.SlotOf(row.key, k.slots[service])
+		out.slotEpoch = epochsOf(areas)[slotRow{slot: out.slot}]
 	}
-	for _, k := range a.Keys {
-		rows[slotRow{key: k.Key, hot: true}] = k.Epoch
+	return out
+}
+
+// successor returns the VM whose dispatcher takes a row over that from releases.
+func (k *keeper) successor(from types.TargetID, row ownership.Ownership) types.VM {
+	if row.State != ownership.SlotReleasing || row.Owner != from.Target {
+		return ""
 	}
-	return rows
+	l, ok := k.lease(types.TargetID{Service: from.Service, Target: row.Next})
+	if !ok || l.State != ownership.LeaseActive {
+		return ""
+	}
+	return l.Holder.VM
 }
 
-func slotMessage(
-	kind dispatch.MessageKind, target types.TargetID, row slotRow, epoch types.Epoch, wallMs int64,
-) dispatch.Message {
-	return dispatch.Message{Kind: kind, Target: target, Slot: dispatch.SlotRow{
-		Slot:          row.slot,
-		Hot:           row.hot,
-		Key:           row.key,
-		Epoch:         epoch,
-		MemorySinceMs: wallMs,
-	}}
+func (k *keeper) lease(id types.TargetID) (ownership.Lease, bool) {
+	for _, d := range k.documents() {
+		if d.Leases != nil && d.Key.Service == id.Service {
+			return d.Leases.Find(id.Target)
+		}
+	}
+	return ownership.Lease{}, false
 }
 
-// exceptionChanges makes the core refuse keys that lie in the target's slots but belong to another target. A hot key
-// that is known but not owned goes before its slot.
-func exceptionChanges(target types.TargetID, before, after *ownership.Areas) []dispatch.Message {
-	old, current := exceptionsOf(before), exceptionsOf(after)
-	var out []dispatch.Message
-	for key := range current {
-		if old[key] {
-			continue
+// rowsOf returns a function that finds the stored row of a slot or hot key.
+func (k *keeper) rowsOf(service types.Service) func(slotRow) ownership.Ownership {
+	var parts []*ownership.SlotDocument
+	for _, d := range k.documents() {
+		if d.Slots != nil && d.Key.Service == service {
+			parts = append(parts, d.Slots)
 		}
-		row := slotRow{key: key, hot: true}
-		out = append(out, slotMessage(dispatch.MessageSlotOwned, target, row, 0, 0))
-		out = append(out, slotMessage(dispatch.MessageSlotReleased, target, row, 0, 0))
 	}
-	for key := range old {
-		if current[key] {
-			continue
+	return func(row slotRow) ownership.Ownership {
+		for _, part := range parts {
+			if o, ok := findRow(part, row); ok {
+				return o
+			}
 		}
-		message := slotMessage(dispatch.MessageSlotReleased, target, slotRow{key: key, hot: true}, 0, 0)
-		message.Slot.Removed = true
-		out = append(out, message)
+		return ownership.Ownership{}
 	}
-	return out
 }
 
-func exceptionsOf(a *ownership.Areas) map[types.KeyHash]bool {
-	out := make(map[types.KeyHash]bool)
+func findRow(d *ownership.SlotDocument, row slotRow) (ownership.Ownership, bool) {
+	if row.hot {
+		h, ok := d.FindKey(row.key)
+		return h.Ownership, ok
+	}
+	r, ok := d.Find(row.slot)
+	return r.Ownership, ok
+}
+
+func (k *keeper) documents() []ownership.Document {
+	k.known = k.core.Documents(k.known[:0])
+	return k.known
+}
+
+func epochsOf(a *ownership.Areas) map[slotRow]types.Epoch {
+	rows := make(map[slotRow]types.Epoch)
 	if a == nil {
-		return out
+		return rows
+	}
+	for _, s := range a.Slots {
+		for i := range s.Count {
+			rows[slotRow{slot: s.First + types.Slot(i)}] = s.Epoch
+		}
 	}
-	for _, key := range a.Except {
-		out[key] = true
+	for _, key := range a.Keys {
+		rows[slotRow{key: key.Key, hot: true}] = key.Epoch
 	}
-	return out
+	return rows
 }
 
-// checkDrains reports targets at which nothing outside their areas is in flight any more.
-func (w *worker) checkDrains() {
-	for target, d := range w.drains {
-		if w.busyOutside(d) {
-			continue
+func exceptionChanges(before, after *ownership.Areas) (added, removed []types.KeyHash) {
+	old, current := exceptionsOf(before), exceptionsOf(after)
+	for _, key := range current {
+		if !slices.Contains(old, key) {
+			added = append(added, key)
 		}
-		if w.drained(ownership.Drained{Target: target, Number: d.number}) {
-			delete(w.drains, target)
+	}
+	for _, key := range old {
+		if !slices.Contains(current, key) {
+			removed = append(removed, key)
 		}
 	}
+	return added, removed
 }
 
-func (w *worker) busyOutside(d drainWatch) bool {
-	for _, p := range w.payloads {
-		if len(p.cancels) == 0 || p.request == nil {
-			continue
-		}
-		r := p.request
-		same := r.Service == d.target.Service && r.Target == d.target.Target
-		if same && !d.allows(r.Slot, r.KeyHash) {
-			return true
-		}
+func exceptionsOf(a *ownership.Areas) []types.KeyHash {
+	if a == nil {
+		return nil
 	}
-	return false
+	return a.Except
 }
+
+// wallMs returns the wall time in Unix milliseconds.
+func wallMs() int64 { return time.Now().UnixMilli() }
--- a/daemon/dispatcher/service.go
+++ b/daemon/dispatcher/service.go
@@ -50,6 +50,13 @@
 	return nil
 }
 
+// Handover takes what another dispatcher remembers of keys that move here.
+func (s *memoryService) Handover(args *peer.HandoverRequest, out *peer.MemoryAnswer) error {
+	err := s.worker.controls.Put(context.Background(), workerControl{handed: args})
+	out.Stored = err == nil
+	return nil
+}
+
 // controlService serves Control.* to other dispatchers.
 type controlService struct {
 	worker *worker
@@ -62,6 +69,12 @@
 	return nil
 }
 
+// Targets learns which targets run at full load.
+func (s *controlService) Targets(args *peer.TargetStates, _ *peer.Empty) error {
+	_ = s.worker.controls.Put(context.Background(), workerControl{states: args})
+	return nil
+}
+
 // Quarantine learns of a fingerprint that was in flight when targets died.
 func (s *controlService) Quarantine(args *peer.QuarantineNotice, _ *peer.Empty) error {
 	message := dispatch.Message{Kind: dispatch.MessageQuarantined, Quarantine: dispatch.Quarantine{
--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -38,7 +38,10 @@
 	peers    *peerSet
 	links    map[types.VM]*peer.Link
 	copied   *peer.MemoryEntry
-	drain    *drainWatch
+	serve    *serveChange
+	handover *handoverAnswer
+	handed   *peer.HandoverRequest
+	states   *peer.TargetStates
 	planner  *types.VM
 	// taken tells for each target whether operators have taken it out.
 	taken map[types.TargetID]bool
@@ -65,13 +68,14 @@
 
 // worker owns the dispatch core.
 type worker struct {
-	vm       types.VM
-	requests *ring.Ring[inbound]
-	results  *ring.Ring[sent]
-	controls *ring.Ring[workerControl]
-	log      *telemetry.Log
-	metrics  *telemetry.Metrics
-	page     *telemetry.Page
+	vm         types.VM
+	dataCentre types.DataCentre
+	requests   *ring.Ring[inbound]
+	results    *ring.Ring[sent]
+	controls   *ring.Ring[workerControl]
+	log        *telemetry.Log
+	metrics    *telemetry.Metrics
+	page       *telemetry.Page
 	// report tells the ownership duty what was seen of a target.
 	report func(types.TargetID, dispatch.Condition)
 	// drained tells the ownership duty that a drain has ended, and reports whether it took the message.
@@ -91,7 +95,16 @@
 	actions   []dispatch.Action
 	deferred  []sent
 	failed    []dispatch.Handle
-	drains    map[types.TargetID]drainWatch
+	drains    map[types.TargetID]*drainWatch
+	// given holds what other dispatchers handed over, lastEpoch the last lease epoch served here, and warm the
+	// incarnation in which a target was last known to run at full load.
+	given     map[handoverKey]givenTenure
+	lastEpoch map[types.TargetID]types.Epoch
+	warm      map[types.TargetID]types.Incarnation
+	slots     map[types.Service]uint32
+	// incarnations and conditions are what was seen last of the targets served here.
+	incarnations map[types.TargetID]types.Incarnation
+	conditions   map[types.TargetID]dispatch.Condition
 	// admitted counts the sends to each target.
 	admitted  map[types.TargetID]uint64
 	published types.Instant
@@ -103,27 +116,34 @@
 	drainAt map[types.TargetID]types.Instant
 }
 
-func newWorker(vm types.VM, log *telemetry.Log, metrics *telemetry.Metrics) *worker {
+func newWorker(vm types.VM, dataCentre types.DataCentre, log *telemetry.Log, metrics *telemetry.Metrics) *worker {
 	seed := uint64(time.Now().UnixNano())
 	return &worker{
-		vm:        vm,
-		requests:  ring.New[inbound](requestRingCapacity),
-		results:   ring.New[sent](resultRingCapacity),
-		controls:  ring.New[workerControl](controlRingCapacity),
-		log:       log,
-		metrics:   metrics,
-		core:      dispatch.New(&config.Configuration{}, vm, rand.NewPCG(seed, seed)),
-		addresses: make(map[types.TargetID]string),
-		payloads:  make(map[dispatch.Handle]*payload),
-		active:    make(map[requestKey]dispatch.Handle),
-		senders:   make(map[connectionKey]*sender),
-		group:     duty.NewGroup(),
-		drains:    make(map[types.TargetID]drainWatch),
-		admitted:  make(map[types.TargetID]uint64),
-		meter:     newMeter(),
-		keyed:     make(map[types.Service]bool),
-		drainAt:   make(map[types.TargetID]types.Instant),
-		page:      telemetry.NewPage(telemetry.Status{}),
+		vm:           vm,
+		dataCentre:   dataCentre,
+		requests:     ring.New[inbound](requestRingCapacity),
+		results:      ring.New[sent](resultRingCapacity),
+		controls:     ring.New[workerControl](controlRingCapacity),
+		log:          log,
+		metrics:      metrics,
+		core:         dispatch.New(&config.Configuration{}, vm, rand.NewPCG(seed, seed)),
+		addresses:    make(map[types.TargetID]string),
+		payloads:     make(map[dispatch.Handle]*payload),
+		active:       make(map[requestKey]dispatch.Handle),
+		senders:      make(map[connectionKey]*sender),
+		group:        duty.NewGroup(),
+		drains:       make(map[types.TargetID]*drainWatch),
+		given:        make(map[handoverKey]givenTenure),
+		lastEpoch:    make(map[types.TargetID]types.Epoch),
+		warm:         make(map[types.TargetID]types.Incarnation),
+		slots:        make(map[types.Service]uint32),
+		incarnations: make(map[types.TargetID]types.Incarnation),
+		conditions:   make(map[types.TargetID]dispatch.Condition),
+		admitted:     make(map[types.TargetID]uint64),
+		meter:        newMeter(),
+		keyed:        make(map[types.Service]bool),
+		drainAt:      make(map[types.TargetID]types.Instant),
+		page:         telemetry.NewPage(telemetry.Status{}),
 	}
 }
 
@@ -256,6 +276,9 @@
 func (w *worker) applyResult(ctx context.Context, m sent) {
 	if p, ok := w.payloads[m.handle]; ok {
 		p.endAttempt(m)
+		if p.request != nil {
+			w.noteIncarnation(types.TargetID{Service: p.request.Service, Target: p.request.Target}, m.result.Incarnation)
+		}
 	}
 	w.step(ctx, dispatch.Message{Kind: dispatch.MessageResult, Handle: m.handle, Result: m.result})
 	w.checkDrains()
@@ -304,15 +327,32 @@
 	if m.taken != nil {
 		w.applyTaken(ctx, m.taken)
 	}
-	if m.drain != nil {
-		w.drains[m.drain.target] = *m.drain
-		w.checkDrains()
+	w.applyPeerControl(ctx, m)
+}
+
+// applyPeerControl applies what belongs to leases and to other dispatchers.
+func (w *worker) applyPeerControl(ctx context.Context, m workerControl) {
+	if m.serve != nil {
+		w.applyServe(ctx, m.serve)
+	}
+	if m.handed != nil {
+		for i := range m.handed.Entries {
+			w.storeCopy(ctx, &m.handed.Entries[i])
+		}
+		w.takeHandover(m.handed)
+	}
+	if m.handover != nil {
+		w.handoverAnswered(m.handover)
+	}
+	if m.states != nil {
+		w.learnStates(m.states)
 	}
 }
 
 func (w *worker) configure(c *config.Configuration) {
 	for _, s := range c.Services {
 		w.keyed[s.Name] = s.Keyed
+		w.slots[s.Name] = s.Slots
 		for _, t := range s.Targets {
 			w.addresses[types.TargetID{Service: s.Name, Target: t.Name}] = t.Address
 		}
@@ -464,6 +504,7 @@
 		Target:  string(a.Target.Target),
 		Reason:  a.Condition.String(),
 	})
+	w.noteCondition(a.Target, a.Condition)
 	w.report(a.Target, a.Condition)
 }
 
--- a/dispatch/copies.go
+++ b/dispatch/copies.go
@@ -28,7 +28,7 @@
 	kept := c.services[key.service].classes[copied.Class].remember
 	e := entry{
 		key: key, fingerprint: copied.Fingerprint, class: copied.Class, state: copied.State,
-		request: none, resends: none,
+		target: copied.Target, keyHash: copied.Key, request: none, resends: none,
 	}
 	if copied.State == EntryAnswered {
 		e.handle = h
--- a/dispatch/memory.go
+++ b/dispatch/memory.go
@@ -36,6 +36,8 @@
 
 type entry struct {
 	key         entryKey
+	target      types.Target
+	keyHash     types.KeyHash
 	fingerprint Fingerprint
 	class       types.Class
 	state       EntryState
@@ -125,7 +127,7 @@
 	kept := t.service.classes[r.Class].remember + (clockToleranceMs+clockSkewMs)*time.Millisecond
 	r.entry = c.memory.add(entry{
 		key: entryKey{t.service.index, r.Caller, r.ID}, fingerprint: r.Fingerprint, class: r.Class,
-		request: i, handle: r.handle, resends: none,
+		target: r.Target.Target, keyHash: r.Key, request: i, handle: r.handle, resends: none,
 	}, c.now.Add(kept))
 	r.state = stateCopying
 	r.until = c.now.Add(copyTimeout)
@@ -135,7 +137,7 @@
 
 func (c *Core) copyEntry(r *request, s EntryState) {
 	c.emit(Action{Kind: ActionStoreCopy, Handle: r.handle, Target: r.Target, Entry: Entry{
-		Service: r.Target.Service, Caller: r.Caller, ID: r.ID, Fingerprint: r.Fingerprint, Class: r.Class, State: s,
+		Service: r.Target.Service, Target: r.Target.Target, Key: r.Key, Caller: r.Caller, ID: r.ID, Fingerprint: r.Fingerprint, Class: r.Class, State: s,
 	}})
 }
 
--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -174,7 +174,10 @@
 
 // Entry is one line of the deduplication table as it travels between dispatchers.
 type Entry struct {
-	Service     types.Service
+	Service types.Service
+	// Target ran the request, or may have. Key is the request's key.
+	Target      types.Target
+	Key         types.KeyHash
 	Caller      types.Caller
 	ID          types.RequestID
 	Fingerprint Fingerprint
--- a/ownership/document.go
+++ b/ownership/document.go
@@ -191,10 +191,22 @@
 	Term types.Epoch `json:"term,omitempty"`
 	// Epoch is the document's epoch at which the row was written.
 	Epoch types.Epoch `json:"epoch"`
+	// Former is the epoch of the row under which the slot was owned last before this row was written, 0 when it never
+	// was. A new owner's dispatcher compares it with what the former one hands over: if they are equal, nobody served
+	// the slot in between.
+	Former types.Epoch `json:"former,omitempty"`
 	// Next is who becomes the owner after a release.
 	Next types.Target `json:"next,omitempty"`
 }
 
+// lastOwned returns the epoch of the row under which the slot was owned last.
+func (o Ownership) lastOwned() types.Epoch {
+	if o.State == SlotOwned {
+		return o.Epoch
+	}
+	return o.Former
+}
+
 // Run is a range of consecutive slots with the same ownership.
 type Run struct {
 	First types.Slot `json:"first"`
@@ -249,6 +261,8 @@
 	// Term is the epoch at which the target's present term of ownership began. It outlasts a change of dispatcher
 	// and ends when the target loses its slots. A term that ended never returns.
 	Term types.Epoch `json:"term"`
+	// Former is the epoch of the row under which the lease was active last before this row was written.
+	Former types.Epoch `json:"former,omitempty"`
 	// Holder is the dispatcher, the last one when the lease is revoked.
 	Holder Peer `json:"holder"`
 	// Next is the dispatcher that follows a planned revocation, empty otherwise.
@@ -258,6 +272,14 @@
 	Ending bool `json:"ending,omitempty"`
 }
 
+// lastActive returns the epoch of the row under which the lease was active last.
+func (l Lease) lastActive() types.Epoch {
+	if l.State == LeaseActive {
+		return l.Epoch
+	}
+	return l.Former
+}
+
 // LeaseDocument holds the target leases of a service, ordered by target.
 type LeaseDocument struct {
 	Header
--- a/ownership/edit.go
+++ b/ownership/edit.go
@@ -54,6 +54,7 @@
 		return cmp.Compare(x.Target, t)
 	})
 	if found {
+		l.Former = doc.Leases[i].lastActive()
 		doc.Leases[i] = l
 	} else {
 		doc.Leases = slices.Insert(doc.Leases, i, l)
@@ -136,6 +137,7 @@
 		return cmp.Compare(h.Key, k)
 	})
 	if found {
+		o.Former = doc.HotKeys[i].lastOwned()
 		doc.HotKeys[i].Ownership = o
 		return
 	}
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -162,6 +162,7 @@
 			out = appendRun(out, Run{First: r.First, Count: uint32(first - r.First), Ownership: r.Ownership})
 		}
 		from, to := max(first, r.First), min(end, r.End())
+		o.Former = r.lastOwned()
 		out = appendRun(out, Run{First: from, Count: uint32(to - from), Ownership: o})
 		if r.End() > end {
 			out = appendRun(out, Run{First: end, Count: uint32(r.End() - end), Ownership: r.Ownership})
--- a/transport/peer/message.go
+++ b/transport/peer/message.go
@@ -7,6 +7,8 @@
 	MethodDo         = "Dispatch.Do"
 	MethodCancel     = "Dispatch.Cancel"
 	MethodMemoryPut  = "Memory.Put"
+	MethodHandover   = "Memory.Handover"
+	MethodTargets    = "Control.Targets"
 	MethodConfirm    = "Vouch.Confirm"
 	MethodInstall    = "Vouch.Install"
 	MethodQuarantine = "Control.Quarantine"
@@ -72,6 +74,8 @@
 // one.
 type MemoryEntry struct {
 	Service     types.Service
+	Target      types.Target
+	Key         types.KeyHash
 	Caller      types.Caller
 	ID          types.RequestID
 	Fingerprint uint64
@@ -169,3 +173,41 @@
 	Keys     []types.KeyHash
 	KeyLoads []float32
 }
+
+// HandoverRequest passes what a dispatcher remembers to the dispatcher that takes its target or some of its keys over.
+// Calls with entries come first; the last call has the rows, or the lease epoch, and no entries.
+type HandoverRequest struct {
+	From    types.VM
+	Target  types.TargetID
+	Entries []MemoryEntry
+	Rows    []HandoverRow
+	// LeaseEpoch is the epoch under which the sender held the lease when the whole target is handed over, else 0.
+	LeaseEpoch types.Epoch
+	// SinceMs is the wall time, in Unix milliseconds, since which the entries cover the target.
+	SinceMs int64
+}
+
+// HandoverRow is one slot or hot key that is handed over.
+type HandoverRow struct {
+	Slot types.Slot
+	Hot  bool
+	Key  types.KeyHash
+	// Epoch is that of the row under which the sender served.
+	Epoch types.Epoch
+	// SinceMs is the wall time, in Unix milliseconds, since which the entries cover the row.
+	SinceMs int64
+}
+
+// TargetStates tells other dispatchers which targets run at full load, so that one that takes a target over need not
+// treat it as cold.
+type TargetStates struct {
+	From types.VM
+	Rows []TargetState
+}
+
+// TargetState is one target in one incarnation.
+type TargetState struct {
+	Target      types.TargetID
+	Incarnation types.Incarnation
+	Warm        bool
+}
