placement: plan at once when a target starts to leave; hand over whether a target is warm

Cause: the slots of a leaving target waited for the next plan, up to a second, while its dispatcher's grace ran.

--- a/daemon/dispatcher/handover.go
+++ b/daemon/dispatcher/handover.go
@@ -67,6 +67,7 @@
 		h := to(c.next)
 		h.message.LeaseEpoch = c.epoch
 		h.message.SinceMs, _ = w.core.TargetSince(c.target)
+		h.message.State = w.stateOf(c.target)
 	}
 	out := make([]*handover, 0, len(byVM))
 	for _, h := range byVM {
@@ -197,6 +198,7 @@
 		w.given[key] = givenTenure{epoch: row.Epoch, lease: m.LeaseEpoch, sinceMs: row.SinceMs}
 	}
 	if m.LeaseEpoch != 0 {
+		w.learnState(m.State)
 		w.given[handoverKey{target: m.Target}] = givenTenure{epoch: m.LeaseEpoch, sinceMs: m.SinceMs}
 	}
 }
--- a/daemon/dispatcher/warmth.go
+++ b/daemon/dispatcher/warmth.go
@@ -33,13 +33,9 @@
 func (w *worker) announceStates() {
 	states := &peer.TargetStates{From: w.vm}
 	for _, s := range w.statuses {
-		incarnation := w.incarnations[s.ID]
-		if incarnation == 0 {
-			continue
+		if state := w.stateOf(s.ID); state.Incarnation != 0 {
+			states.Rows = append(states.Rows, state)
 		}
-		states.Rows = append(states.Rows, peer.TargetState{
-			Target: s.ID, Incarnation: incarnation, Warm: w.warm[s.ID] == incarnation,
-		})
 	}
 	if len(states.Rows) == 0 || w.peers == nil {
 		return
@@ -59,12 +55,21 @@
 	}
 }
 
+func (w *worker) stateOf(id types.TargetID) peer.TargetState {
+	incarnation := w.incarnations[id]
+	return peer.TargetState{Target: id, Incarnation: incarnation, Warm: incarnation != 0 && w.warm[id] == incarnation}
+}
+
 func (w *worker) learnStates(s *peer.TargetStates) {
 	for _, row := range s.Rows {
-		if row.Warm {
-			w.warm[row.Target] = row.Incarnation
-			continue
-		}
-		delete(w.warm, row.Target)
+		w.learnState(row)
+	}
+}
+
+func (w *worker) learnState(s peer.TargetState) {
+	if s.Warm {
+		w.warm[s.Target] = s.Incarnation
+		return
 	}
+	delete(w.warm, s.Target)
 }
--- a/placement/core.go
+++ b/placement/core.go
@@ -59,7 +59,7 @@
 	case KindLead:
 		c.setLead(now, m.Lead)
 	case KindTargets:
-		c.service(m.Targets.Service).installTargets(now, m.Targets)
+		c.installTargets(now, m.Targets)
 	case KindOwners:
 		c.service(m.Owners.Service).installOwners(now, m.Owners)
 	case KindHotKeys:
@@ -72,6 +72,16 @@
 	return out
 }
 
+// installTargets brings the next plan forward when a target starts to leave: its slots should not wait for the interval.
+func (c *Core) installTargets(now types.Instant, m *Targets) {
+	s := c.service(m.Service)
+	before := s.leaving()
+	s.installTargets(now, m)
+	if c.lead && s.leaving() > before {
+		c.next = min(c.next, now)
+	}
+}
+
 // setLead starts or stops planning. Moves proposed under an earlier lease are forgotten: another planner may have
 // replaced them.
 func (c *Core) setLead(now types.Instant, lead bool) {
--- a/placement/service.go
+++ b/placement/service.go
@@ -266,3 +266,14 @@
 func (t *target) isFresh(now types.Instant) bool {
 	return t.freshSince != never && now.Sub(t.freshSince) < time.Duration(RampTime)
 }
+
+// leaving returns the number of targets that must be emptied.
+func (s *service) leaving() int {
+	n := 0
+	for i := range s.targets {
+		if s.targets[i].state.leaving() {
+			n++
+		}
+	}
+	return n
+}
--- a/transport/peer/message.go
+++ b/transport/peer/message.go
@@ -185,6 +185,8 @@
 	LeaseEpoch types.Epoch
 	// SinceMs is the wall time, in Unix milliseconds, since which the entries cover the target.
 	SinceMs int64
+	// State tells whether the target runs at full load. Set with LeaseEpoch.
+	State TargetState
 }
 
 // HandoverRow is one slot or hot key that is handed over.
