dispatch: probe a failing or frozen target with one request at a time

Cause, found by reading: a failing target got no probe while any request was in flight, so one long order could keep it unserved after another connection broke. And a frozen target swallowed one waiting order after another, each ending as unknown.

Before: limit of one in flight while failing; timeouts were no failure. Now one request sent since the failure may be in flight, and a request that passes its progress deadline or its deadline without any answer from the target since it was sent counts as a failure. Both tests were seen failing against copies of the core without the respective part.

TestSilentConnection now waits reconnectBase before it looks for the fresh send: the target has answered nothing, so the send waits for the backoff. Its checks are the same.

--- a/dispatch/configure.go
+++ b/dispatch/configure.go
@@ -104,7 +104,7 @@
 }
 
 func (c *Core) addTarget(svc *service, id types.TargetID) int32 {
-	t := &target{index: int32(len(c.targets)), id: id, service: svc, budget: newRetryBudget(0)}
+	t := &target{index: int32(len(c.targets)), id: id, service: svc, budget: newRetryBudget(0), probe: noProbe}
 	for k := range t.classes {
 		t.classes[k].head = none
 	}
--- a/dispatch/failures_test.go
+++ b/dispatch/failures_test.go
@@ -144,6 +144,38 @@
 	f.Equal(len(f.core.suspects.byKey), suspectLimit)
 }
 
+// Guards against a long order in flight keeping a target from being probed after another connection broke.
+func TestFailingTargetIsProbedWhileAnOrderRuns(t *testing.T) {
+	f := newFixture(t)
+	f.request(f.order(freeA, "long"))
+	f.request(lookup(freeA))
+	f.resultOf(f.pending[1], Result{Kind: ResultBroken})
+	f.request(lookup(freeA))
+	f.advance(reconnectMax)
+	f.Equal(len(f.pending), 3) // the order, the broken lookup and one probe
+}
+
+// Guards against a frozen target swallowing all waiting orders, each of which ends as unknown.
+func TestFrozenTargetGetsOneProbeAtATime(t *testing.T) {
+	f := newFixture(t)
+	for n := range testSlots + 6 {
+		q := f.order(freeA, name("o", n))
+		if n < testSlots {
+			q.Deadline = f.now.Add(time.Second)
+		}
+		f.request(q)
+	}
+	f.advance(time.Second)
+	for range testSlots {
+		f.result(ResultTimedOut)
+	}
+	f.advance(time.Second)
+	f.Equal(f.count[ActionSend], testSlots+1)
+	f.result(ResultAnswered) // thawed
+	f.advance(4 * time.Second)
+	f.Equal(f.count[ActionSend], 2*testSlots+1)
+}
+
 // Guards against a half-open connection that holds its slot and swallows one request after another.
 func TestSilentConnectionIsClosedWhenAFreshOneAnswers(t *testing.T) {
 	f := newFixture(t)
@@ -158,6 +190,7 @@
 	f.advance(progressDefault)
 	f.Equal(f.count[ActionCancelSend], 0) // nothing shows yet that fresh ones answer
 	f.request(lookup(freeA))
+	f.advance(reconnectBase)
 	f.True(f.pending[1].Fresh) // connections as old as the silent one are not trusted
 	f.resultOf(f.pending[1], Result{Latency: time.Millisecond, Load: LoadUnknown})
 	f.Equal(f.count[ActionCancelSend], 1)
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -34,6 +34,9 @@
 	conn.silent = false
 	conn.open = res.Kind == ResultAnswered || res.Kind == ResultRefused
 	t.inFlight--
+	if t.probe == int(r.connection) {
+		t.probe = noProbe
+	}
 	r.state = stateWaiting
 	r.until = 0
 	c.slotLanded(t, r)
@@ -47,7 +50,7 @@
 	case ResultAnswered:
 		c.answered(t, r, res)
 	case ResultRefused:
-		t.backoff.succeed()
+		t.responds(c.now)
 		t.ramp.halve(c.now, t.slots)
 		c.noteIncarnation(t, res.Incarnation)
 	case ResultNotWritten:
@@ -61,6 +64,7 @@
 	case ResultCutBody:
 		t.backoff.fail(c.now, c.random)
 	case ResultTimedOut:
+		c.checkResponds(t, r)
 		// The answer would have taken longer still. Without this, a frozen target would look as fast as before.
 		if res.Latency > t.byClass[r.Class].mean() {
 			t.observe(r.Class, res.Latency)
@@ -73,7 +77,7 @@
 	if t.connections[r.connection].fresh {
 		c.closeSilent(t, t.connections[r.connection].openedAt)
 	}
-	t.backoff.succeed()
+	t.responds(c.now)
 	c.noteIncarnation(t, res.Incarnation)
 	t.alive = true
 	c.suspects.exonerate(t.service.index, r.Fingerprint)
@@ -167,6 +171,7 @@
 	case ResultNotWritten:
 		c.sendAgain(t, i)
 	case ResultTimedOut:
+		c.checkResponds(t, r)
 		r.uncertain = true
 		f := failure{types.CodeDeadlineExceeded, ReasonDeadline}
 		if c.now < r.runUntil { // cancelled by the core, for example on a silent connection
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -62,6 +62,9 @@
 		conn.openedAt = c.now
 	}
 	t.inFlight++
+	if t.backoff.failing() {
+		t.probe = n
+	}
 	c.emit(Action{
 		Kind: ActionSend, Handle: r.handle, Attempt: r.attempt, Target: t.id, Connection: n, Fresh: conn.fresh,
 		Deadline: r.runUntil, Epoch: t.lease.Epoch,
--- a/dispatch/silent.go
+++ b/dispatch/silent.go
@@ -43,11 +43,20 @@
 	conn.silent = true
 	t.silent++
 	t.silentSince = c.now
+	c.checkResponds(t, r)
 	if r.Idempotent && t.budget.tokens >= 1 {
 		c.closeConnection(r, conn)
 	}
 }
 
+// checkResponds counts a failure of a target that has answered nothing since request r was sent. It may be frozen, and
+// would otherwise swallow one waiting request after another.
+func (c *Core) checkResponds(t *target, r *request) {
+	if t.lastAnswer <= r.sentAt && c.now.Sub(r.sentAt) >= progressMin {
+		t.backoff.fail(c.now, c.random)
+	}
+}
+
 // closeSilent closes the silent connections whose requests were sent before a connection was opened that answers.
 func (c *Core) closeSilent(t *target, openedAt types.Instant) {
 	if t.silent == 0 {
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -9,6 +9,9 @@
 // loadLag is how long a target must have been busy before its load report is expected to show it.
 const loadLag = time.Second
 
+// noProbe is the value of target.probe without a probe.
+const noProbe = -1
+
 // target is everything the core knows about one target.
 type target struct {
 	index    int32
@@ -33,7 +36,11 @@
 
 	ramp    ramp
 	backoff backoff
-	budget  retryBudget
+	// probe is the connection of the request sent while the target fails, or noProbe.
+	probe int
+	// lastAnswer is when the target last answered or refused.
+	lastAnswer types.Instant
+	budget     retryBudget
 	// latency is over all answers, byClass over those of one class, which differ in the work they cause.
 	latency latency
 	byClass [types.ClassCount]latency
@@ -92,16 +99,22 @@
 }
 
 // limit returns how many requests the target may have in flight at now.
-func (t *target) limit(now types.Instant) int {
-	if t.backoff.failing() {
-		return 1
+func (t *target) limit(now types.Instant) int { return t.ramp.limit(now, t.slots) }
+
+// canSend reports whether the lease, the limit and the backoff allow a send at now. A failing target gets one probe at
+// a time. Requests sent before the failure don't count as probes, since they may run for long.
+func (t *target) canSend(now types.Instant) bool {
+	if !t.accepts() || !now.Before(t.lease.ValidUntil) || t.inFlight >= t.limit(now) {
+		return false
 	}
-	return t.ramp.limit(now, t.slots)
+	return !t.backoff.failing() || (now >= t.backoff.until && t.probe == noProbe)
 }
 
-// canSend reports whether the lease, the limit and the backoff allow a send at now.
-func (t *target) canSend(now types.Instant) bool {
-	return t.accepts() && now.Before(t.lease.ValidUntil) && now >= t.backoff.until && t.inFlight < t.limit(now)
+// responds notes that the target answered or refused.
+func (t *target) responds(now types.Instant) {
+	t.backoff.succeed()
+	t.probe = noProbe
+	t.lastAnswer = now
 }
 
 // accepts reports whether the target may receive new work at all.
