dispatch: close idle connections that are distrusted or not ours any more

Cause: ActionCloseConnection was declared and never emitted.

The tests fail without any one of the three calls. The random world now also sends messages that name unknown targets, slots and handles.

--- a/dispatch/action.go
+++ b/dispatch/action.go
@@ -30,7 +30,7 @@
 	ActionForget
 	// ActionAnnounceQuarantine: Quarantine. Tell all dispatchers.
 	ActionAnnounceQuarantine
-	// ActionCloseConnection: Target, Connection. Close an idle or silent connection.
+	// ActionCloseConnection: Target, Connection. Close an idle connection.
 	ActionCloseConnection
 	// ActionSlotIdle: Target, Slot, HotKey, Key, Epoch. A released slot has no request in flight any more. Its release may
 	// be confirmed.
@@ -78,13 +78,16 @@
 	ConditionSuspectedDead
 	// ConditionStraggler: answers take far longer than those of the service's other targets.
 	ConditionStraggler
-	// ConditionCold: the limit is rising from one.
+	// ConditionCold: the limit is reduced and rising, after a cold start or a refusal by the target.
 	ConditionCold
 	// ConditionDrained: no request is in flight and none will be sent.
 	ConditionDrained
 )
 
-var conditionNames = [...]string{"healthy", "suspected-dead", "straggler", "cold", "drained"}
+var conditionNames = [...]string{
+	ConditionHealthy: "healthy", ConditionSuspectedDead: "suspected-dead", ConditionStraggler: "straggler",
+	ConditionCold: "cold", ConditionDrained: "drained",
+}
 
 // String returns the name used in logs.
 func (c Condition) String() string { return conditionNames[c] }
@@ -146,10 +149,31 @@
 )
 
 var reasonNames = [...]string{
-	"none", "answered", "remembered", "joined", "request-id-reused", "memory-lost", "clock-ahead",
-	"not-lease-holder", "stale-epoch", "queue-full", "too-late", "quarantined", "draining", "cancelled",
-	"refused-by-target", "target-failed", "deadline", "retry", "retry-budget", "late-result", "copy-failed",
-	"silent-connection", "target-died", "unknown-service", "table-full",
+	ReasonNone:             "none",
+	ReasonAnswered:         "answered",
+	ReasonRemembered:       "remembered",
+	ReasonJoined:           "joined",
+	ReasonIDReused:         "request-id-reused",
+	ReasonMemoryLost:       "memory-lost",
+	ReasonClockAhead:       "clock-ahead",
+	ReasonNotHolder:        "not-lease-holder",
+	ReasonStaleEpoch:       "stale-epoch",
+	ReasonQueueFull:        "queue-full",
+	ReasonTooLate:          "too-late",
+	ReasonQuarantined:      "quarantined",
+	ReasonDraining:         "draining",
+	ReasonCancelled:        "cancelled",
+	ReasonRefusedByTarget:  "refused-by-target",
+	ReasonTargetFailed:     "target-failed",
+	ReasonDeadline:         "deadline",
+	ReasonRetry:            "retry",
+	ReasonRetryBudget:      "retry-budget",
+	ReasonLateResult:       "late-result",
+	ReasonCopyFailed:       "copy-failed",
+	ReasonSilentConnection: "silent-connection",
+	ReasonTargetDied:       "target-died",
+	ReasonUnknownService:   "unknown-service",
+	ReasonTableFull:        "table-full",
 }
 
 // String returns the name used in logs.
--- a/dispatch/failures_test.go
+++ b/dispatch/failures_test.go
@@ -194,6 +194,7 @@
 	f.True(f.pending[1].Fresh) // connections as old as the silent one are not trusted
 	f.resultOf(f.pending[1], Result{Latency: time.Millisecond, Load: LoadUnknown})
 	f.Equal(f.count[ActionCancelSend], 1)
+	f.Equal(f.count[ActionCloseConnection], 2) // idle ones as old as the silent one; the fourth was replaced
 	f.resultOf(silent, Result{Kind: ResultTimedOut})
 	f.outcome(silent.Handle, types.OutcomeUnknown, types.CodeTargetFailed)
 }
--- a/dispatch/lease.go
+++ b/dispatch/lease.go
@@ -29,6 +29,7 @@
 	}
 	t.serving = false
 	c.refuseQueued(t)
+	c.closeIdle(t, c.now) // the next dispatcher of the target needs its connections
 }
 
 // refuseQueued empties the target's queues. Requests that wait for a copy or a retry are refused when that ends.
--- a/dispatch/path_test.go
+++ b/dispatch/path_test.go
@@ -136,6 +136,18 @@
 	}
 }
 
+// Guards against keeping the target's connections from its next dispatcher.
+func TestLostLeaseClosesConnections(t *testing.T) {
+	f := newFixture(t)
+	f.request(lookup(freeA))
+	f.request(lookup(freeA))
+	f.result(ResultAnswered)
+	f.step(Message{Kind: MessageStopServing, Target: freeA})
+	f.Equal(f.count[ActionCloseConnection], 1)
+	f.result(ResultAnswered)
+	f.Equal(f.count[ActionCloseConnection], 2)
+}
+
 // Guards against a lookup that is told not-run although an attempt may have run (R6).
 func TestCancelSaysWhatIsKnown(t *testing.T) {
 	f := newFixture(t)
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -14,6 +14,9 @@
 	c.observe(t, i, res)
 	c.conclude(t, i, res)
 	c.pump(t)
+	if !t.serving {
+		c.closeIdle(t, c.now)
+	}
 	if c.drained(t) {
 		c.report(t, ConditionDrained)
 	}
--- a/dispatch/silent.go
+++ b/dispatch/silent.go
@@ -62,6 +62,7 @@
 	if t.silent == 0 {
 		return
 	}
+	c.closeIdle(t, t.silentSince)
 	for n := range t.connections {
 		conn := &t.connections[n]
 		if conn.silent && c.requests.at(conn.request).sentAt <= openedAt {
@@ -70,6 +71,17 @@
 	}
 }
 
+// closeIdle closes the connections without a request in flight that were opened until the given instant.
+func (c *Core) closeIdle(t *target, opened types.Instant) {
+	for n := range t.connections {
+		conn := &t.connections[n]
+		if conn.request == none && conn.open && conn.openedAt <= opened {
+			conn.open = false
+			c.emit(Action{Kind: ActionCloseConnection, Target: t.id, Connection: n})
+		}
+	}
+}
+
 // closeConnection ends the attempt on a silent connection. Its result still follows.
 func (c *Core) closeConnection(r *request, conn *connection) {
 	if conn.closing {
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -220,7 +220,7 @@
 
 func (w *world) control() {
 	id := worldTargets[w.choose(4)]
-	switch w.choose(6) {
+	switch w.choose(7) {
 	case 0:
 		w.step(Message{Kind: MessageStopServing, Target: id})
 	case 1, 2:
@@ -236,9 +236,25 @@
 		w.step(Message{Kind: MessageSlotReleased, Target: id, Slot: row})
 	case 5:
 		w.step(Message{Kind: MessageConfiguration, Configuration: testConfiguration()})
+	case 6:
+		w.malformed()
 	}
 }
 
+// malformed sends a message that names nothing the core knows. It must change nothing.
+func (w *world) malformed() {
+	unknown := types.TargetID{Service: "mapa", Target: "unknown"}
+	kind := MessageKind(w.choose(20))
+	w.handle++
+	if kind == MessageRequest {
+		w.open[w.handle] = nil
+	}
+	w.step(Message{Kind: kind, Target: unknown, Handle: w.handle, Request: Request{Target: unknown, Idempotent: true}})
+	w.step(Message{Kind: MessageSlotOwned, Target: keyedA, Slot: SlotRow{Slot: 1 << 30, Epoch: 99}})
+	w.step(Message{Kind: MessageSlotReleased, Target: keyedA, Slot: SlotRow{Slot: 1 << 30, Epoch: 99}})
+	w.step(Message{Kind: MessageResult, Handle: w.handle + 1, Result: Result{Kind: 99, Connection: -1}})
+}
+
 func (w *world) rare() {
 	switch w.choose(4) {
 	case 0, 1:
