--- a/dispatch/measure/measure_test.go
+++ b/dispatch/measure/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -59,17 +60,10 @@
 // BenchmarkMeasure prints all measures at full size.
 func BenchmarkMeasure(b *testing.B) {
 	for b.Loop() {
-		for _, r := range MeasureStragglers(source, 1) {
-			b.Log(r)
-		}
-		for _, r := range MeasureColdStart(source, 1) {
-			b.Log(r)
-		}
-		for _, r := range MeasureOverload(source, 1) {
-			b.Log(r)
-		}
-		for _, r := range MeasureOrders(source, 1, OrderCount) {
-			b.Log(r)
+		var lines []string
+		for _, r := range All(source, 1) {
+			lines = append(lines, r.String())
 		}
+		b.Log("\n" + strings.Join(lines, "\n"))
 	}
 }
