--- a/dispatch/silent.go
+++ b/dispatch/silent.go
@@ -43,16 +43,26 @@
 	conn.silent = true
 	t.silent++
 	t.silentSince = c.now
+	c.checkResponds(t, r)
 	if r.Idempotent && t.budget.tokens >= 1 {
 		c.closeConnection(r, conn)
 	}
 }
 
+// checkResponds counts a failure of a target that has answered nothing since request r was sent. It may be frozen, and
+// would otherwise swallow one waiting request after another.
+func (c *Core) checkResponds(t *target, r *request) {
+	if t.lastAnswer <= r.sentAt && c.now.Sub(r.sentAt) >= progressMin {
+		t.backoff.fail(c.now, c.random)
+	}
+}
+
 // closeSilent closes the silent connections whose requests were sent before a connection was opened that answers.
 func (c *Core) closeSilent(t *target, openedAt types.Instant) {
 	if t.silent == 0 {
 		return
 	}
+	c.closeIdle(t, t.silentSince)
 	for n := range t.connections {
 		conn := &t.connections[n]
 		if conn.silent && c.requests.at(conn.request).sentAt <= openedAt {
@@ -61,6 +71,17 @@
 	}
 }
 
+// closeIdle closes the connections without a request in flight that were opened until the given instant.
+func (c *Core) closeIdle(t *target, opened types.Instant) {
+	for n := range t.connections {
+		conn := &t.connections[n]
+		if conn.request == none && conn.open && conn.openedAt <= opened {
+			conn.open = false
+			c.emit(Action{Kind: ActionCloseConnection, Target: t.id, Connection: n})
+		}
+	}
+}
+
 // closeConnection ends the attempt on a silent connection. Its result still follows.
 func (c *Core) closeConnection(r *request, conn *connection) {
 	if conn.closing {
