cmd: add sail-load, an open-loop load generator and latency comparison

Latency goals need calls that are made when they are due, whatever the system does, and a baseline in the same run. 'run' reports p50, p99, p99.9, rates and outcomes by class; 'compare' makes each lookup through a gateway and directly to the target that serves its key, with either path first in turn. Latency counts from the due time, call time from the sending. Only done calls are timed, because quick refusals would hide slow answers. Ruled out: timing from the sending alone, which leaves out the calls that a stall holds up; sail-probe, which checks answers but skips calls on a full ring without timing them from when they were due. Before: no generator.

--- /dev/null
+++ b/cmd/internal/load/command.go
@@ -0,0 +1,185 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/types"
+)
+
+// flags holds the flags of both verbs.
+type flags struct {
+	configPath string
+	gateways   string
+	services   string
+	keys       int
+	seed       uint64
+	name       string
+	json       string
+	pace       Pace
+}
+
+func (f *flags) set(s *flag.FlagSet) {
+	s.StringVar(&f.configPath, "config", "", "generated configuration `FILE`")
+	s.StringVar(&f.gateways, "gateways", "", "host:port of the gateways, separated by commas")
+	s.StringVar(&f.services, "services", "", "names of the services, separated by commas; all when empty")
+	s.IntVar(&f.keys, "keys", 1000, "number of keys of each service")
+	s.Uint64Var(&f.seed, "seed", 1, "seed of the choice of class, service and key")
+	s.StringVar(&f.name, "name", fmt.Sprintf("load-%d", os.Getpid()), "start of every request identifier")
+	s.StringVar(&f.json, "json", "-", "write the report as JSON to `FILE`; - for the standard output")
+	s.IntVar(&f.pace.PerSecond, "rate", 1000, "calls per second")
+	s.DurationVar(&f.pace.Duration, "duration", 5*time.Second, "how long to make calls")
+	s.IntVar(&f.pace.Workers, "workers", 256, "calls in progress at once")
+	s.DurationVar(&f.pace.Timeout, "timeout", 5*time.Second, "bound for one call")
+}
+
+func (f *flags) plan() (Plan, error) {
+	data, err := os.ReadFile(f.configPath)
+	if err != nil {
+		return Plan{}, types.WrapFault(types.CodeBadSettings, err, "read configuration")
+	}
+	services, err := decodeServices(data, f.services)
+	if err != nil {
+		return Plan{}, err
+	}
+	if f.gateways == "" {
+		return Plan{}, types.NewFault(types.CodeBadSettings, "-gateways is required")
+	}
+	gateways := strings.Split(f.gateways, ",")
+	return Plan{Services: services, Gateways: gateways, Keys: f.keys, Seed: f.seed, Name: f.name}, nil
+}
+
+// decodeServices returns the services of a configuration whose names are in the list, or all for an empty list.
+func decodeServices(data []byte, names string) ([]config.Service, error) {
+	var c config.Configuration
+	if err := json.Unmarshal(data, &c); err != nil {
+		return nil, types.WrapFault(types.CodeBadConfiguration, err, "decode configuration")
+	}
+	if names == "" {
+		return c.Services, nil
+	}
+	var chosen []config.Service
+	for name := range strings.SplitSeq(names, ",") {
+		i := slices.IndexFunc(c.Services, func(s config.Service) bool { return string(s.Name) == name })
+		if i < 0 {
+			return nil, types.NewFault(types.CodeUnknownService, "no service %q in the configuration", name)
+		}
+		chosen = append(chosen, c.Services[i])
+	}
+	return chosen, nil
+}
+
+// finish prints the report. It fails when one of the rows has no done call.
+func (f *flags) finish(r Report, err error, rows ...string) subcommands.ExitStatus {
+	if err == nil {
+		err = f.print(r)
+	}
+	for _, name := range rows {
+		if err == nil && r.Done(name) == 0 {
+			err = types.NewFault(types.CodeTargetFailed, "no call of %s was done", name)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "sail-load:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (f *flags) print(r Report) error {
+	if err := r.PrintTable(os.Stdout); err != nil {
+		return err
+	}
+	if f.json == "-" {
+		return r.PrintJSON(os.Stdout)
+	}
+	file, err := os.Create(f.json)
+	if err != nil {
+		return types.WrapFault(types.CodeBadSettings, err, "write report")
+	}
+	defer file.Close()
+	return r.PrintJSON(file)
+}
+
+// RunCommand makes calls through gateways.
+type RunCommand struct {
+	flags
+	mix string
+}
+
+// Name implements subcommands.Command.
+func (*RunCommand) Name() string { return "run" }
+
+// Synopsis implements subcommands.Command.
+func (*RunCommand) Synopsis() string { return "make calls at a fixed rate through gateways" }
+
+// Usage implements subcommands.Command.
+func (*RunCommand) Usage() string { return "run -config FILE -gateways LIST [flags]\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *RunCommand) SetFlags(s *flag.FlagSet) {
+	c.set(s)
+	s.StringVar(&c.mix, "mix", "lookup=1", "relative shares of the classes, such as lookup=70,order=25,confirmation=5")
+}
+
+// Execute implements subcommands.Command.
+func (c *RunCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	report, err := c.run(ctx)
+	return c.finish(report, err, "all")
+}
+
+func (c *RunCommand) run(ctx context.Context) (Report, error) {
+	plan, err := c.plan()
+	if err != nil {
+		return Report{}, err
+	}
+	if plan.Mix, err = ParseMix(c.mix); err != nil {
+		return Report{}, err
+	}
+	return Run(ctx, plan, c.pace)
+}
+
+// CompareCommand compares gateways with direct calls to the same targets.
+type CompareCommand struct {
+	flags
+}
+
+// Name implements subcommands.Command.
+func (*CompareCommand) Name() string { return "compare" }
+
+// Synopsis implements subcommands.Command.
+func (*CompareCommand) Synopsis() string {
+	return "alternate between gateways and direct calls to the same targets"
+}
+
+// Usage implements subcommands.Command.
+func (*CompareCommand) Usage() string {
+	return "compare -config FILE -gateways LIST -services NAME [flags]\n" +
+		"The targets of the service must not check grants. The rate counts both paths.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *CompareCommand) SetFlags(s *flag.FlagSet) { c.set(s) }
+
+// Execute implements subcommands.Command.
+func (c *CompareCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	report, err := c.compare(ctx)
+	return c.finish(report, err, PathGateway.String(), PathDirect.String())
+}
+
+func (c *CompareCommand) compare(ctx context.Context) (Report, error) {
+	plan, err := c.plan()
+	if err != nil {
+		return Report{}, err
+	}
+	return Compare(ctx, plan, c.pace)
+}
--- /dev/null
+++ b/cmd/internal/load/report.go
@@ -0,0 +1,149 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sequoiasail.example/types"
+)
+
+// Quantiles of times, in microseconds.
+type Quantiles struct {
+	P50  float64 `json:"p50Us"`
+	P99  float64 `json:"p99Us"`
+	P999 float64 `json:"p999Us"`
+	Max  float64 `json:"maxUs"`
+}
+
+func quantilesOf(h *hdrhistogram.Histogram) Quantiles {
+	return Quantiles{
+		P50:  micros(h.ValueAtPercentile(50)),
+		P99:  micros(h.ValueAtPercentile(99)),
+		P999: micros(h.ValueAtPercentile(99.9)),
+		Max:  micros(h.Max()),
+	}
+}
+
+func micros(ns int64) float64 { return float64(ns) / float64(time.Microsecond) }
+
+func (q Quantiles) minus(o Quantiles) Quantiles {
+	return Quantiles{P50: q.P50 - o.P50, P99: q.P99 - o.P99, P999: q.P999 - o.P999, Max: q.Max - o.Max}
+}
+
+// Row reports one class or path. Times are those of done calls.
+type Row struct {
+	Name     string            `json:"name"`
+	Calls    uint64            `json:"calls"`
+	Outcomes map[string]uint64 `json:"outcomes"`
+	Codes    map[string]uint64 `json:"codes"`
+	// DonePerSecond is the rate of done calls.
+	DonePerSecond float64 `json:"donePerSecond"`
+	// Latency counts from the time at which a call was due.
+	Latency Quantiles `json:"latency"`
+	// CallTime counts from the sending.
+	CallTime Quantiles `json:"callTime"`
+}
+
+func rowOf(name string, g *group, seconds float64) Row {
+	r := Row{Name: name, Outcomes: g.outcomes, Codes: g.codes}
+	for _, n := range g.outcomes {
+		r.Calls += n
+	}
+	if seconds > 0 {
+		r.DonePerSecond = float64(g.outcomes[types.OutcomeDone.String()]) / seconds
+	}
+	r.Latency = quantilesOf(g.latency)
+	r.CallTime = quantilesOf(g.callTime)
+	return r
+}
+
+// Report is what a run prints.
+type Report struct {
+	Seconds float64 `json:"seconds"`
+	// Skipped counts calls that were not made because all workers were busy.
+	Skipped uint64 `json:"skipped"`
+	Rows    []Row  `json:"rows"`
+	// Added is the call time of the gateway path minus that of the direct path. Only compare sets it.
+	Added *Quantiles `json:"added,omitempty"`
+}
+
+func (f *Figures) report() Report {
+	return Report{Seconds: f.end.Sub(f.begin).Seconds(), Skipped: f.Skipped}
+}
+
+// ByClass reports all classes that were called, and all calls together.
+func (f *Figures) ByClass() Report {
+	r := f.report()
+	for c, g := range f.classes {
+		if row := rowOf(types.Class(c).String(), g, r.Seconds); row.Calls > 0 {
+			r.Rows = append(r.Rows, row)
+		}
+	}
+	r.Rows = append(r.Rows, rowOf("all", f.paths[PathGateway], r.Seconds))
+	return r
+}
+
+// ByPath reports the gateway path, the direct path and their difference.
+func (f *Figures) ByPath() Report {
+	r := f.report()
+	for p, g := range f.paths {
+		r.Rows = append(r.Rows, rowOf(Path(p).String(), g, r.Seconds))
+	}
+	added := r.Rows[PathGateway].CallTime.minus(r.Rows[PathDirect].CallTime)
+	r.Added = &added
+	return r
+}
+
+// Done returns the number of done calls in the row called name.
+func (r Report) Done(name string) uint64 {
+	i := slices.IndexFunc(r.Rows, func(row Row) bool { return row.Name == name })
+	if i < 0 {
+		return 0
+	}
+	return r.Rows[i].Outcomes[types.OutcomeDone.String()]
+}
+
+// PrintTable writes the report for people. Times are in microseconds.
+func (r Report) PrintTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "µs\tcalls\tdone/s\tlatency p50\tp99\tp99.9\tcall p50\tp99\tp99.9\t")
+	for _, row := range r.Rows {
+		fmt.Fprintf(t, "%s\t%d\t%.1f\t%s\t%s\t\n", row.Name, row.Calls, row.DonePerSecond, cells(row.Latency), cells(row.CallTime))
+	}
+	if r.Added != nil {
+		fmt.Fprintf(t, "gateway - direct\t\t\t\t\t\t%s\t\n", cells(*r.Added))
+	}
+	if err := t.Flush(); err != nil {
+		return types.WrapFault(types.CodeInternal, err, "print table")
+	}
+	for _, row := range r.Rows {
+		fmt.Fprintf(w, "%s: %s\n", row.Name, counts(row.Outcomes)+counts(row.Codes))
+	}
+	fmt.Fprintf(w, "%.2f s, %d calls skipped\n", r.Seconds, r.Skipped)
+	return nil
+}
+
+func cells(q Quantiles) string { return fmt.Sprintf("%.0f\t%.0f\t%.0f", q.P50, q.P99, q.P999) }
+
+func counts(m map[string]uint64) string {
+	text := ""
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		text += fmt.Sprintf("%s=%d ", name, m[name])
+	}
+	return text
+}
+
+// PrintJSON writes the report as one line.
+func (r Report) PrintJSON(w io.Writer) error {
+	if err := json.NewEncoder(w).Encode(r); err != nil {
+		return types.WrapFault(types.CodeInternal, err, "print report")
+	}
+	return nil
+}
