standin: one page for all targets of a process; document the stand-ins and the interfaces

Before: per-target pages only, no documentation. Ruled out: an HTTP proxy from the control page to the targets, which would need the connection that is down.

--- a/cmd/standin-store/main.go
+++ b/cmd/standin-store/main.go
@@ -13,11 +13,10 @@
 )
 
 func main() {
-	listen := flag.String("listen", "127.0.0.1:7070", "host:port of the store")
-	history := flag.Int("history", store.DefaultHistory, "number of changes kept for watches")
+	options := store.AddFlags(flag.CommandLine)
 	flag.Parse()
 	os.Exit(process.Run(func(ctx context.Context, g *duty.Group) error {
-		address, err := store.Start(ctx, g, store.Options{Listen: *listen, History: *history})
+		address, err := store.Start(ctx, g, *options)
 		if err == nil {
 			fmt.Println("listening on", address)
 		}
--- a/standin/target/adapter_test.go
+++ b/standin/target/adapter_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -32,9 +33,20 @@
 	*is.I
 	t       *testing.T
 	address string
+	control string
 	client  *target.HTTP
 }
 
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
 func start(t *testing.T, change func(*standin.Settings)) *fixture {
 	t.Helper()
 	s := standin.DefaultSettings()
@@ -44,8 +56,9 @@
 		change(&s)
 	}
 	g := duty.NewGroup()
-	started, err := standin.Start(t.Context(), g, []standin.Settings{s})
-	f := &fixture{I: is.New(t), t: t}
+	control := freeAddress(t)
+	started, err := standin.Start(t.Context(), g, []standin.Settings{s}, control)
+	f := &fixture{I: is.New(t), t: t, control: "http://" + control}
 	f.NoErr(err)
 	f.address = started[0].Address
 	f.client = f.connect()
@@ -63,18 +76,25 @@
 }
 
 func (f *fixture) faults(v standin.Faults) {
+	f.t.Helper()
+	f.post("http://"+f.address+standin.PathFaults, v)
+}
+
+func (f *fixture) post(url string, v any) {
 	f.t.Helper()
 	data, err := json.Marshal(v)
 	f.NoErr(err)
-	res, err := http.Post("http://"+f.address+standin.PathFaults, "application/json", bytes.NewReader(data))
+	res, err := http.Post(url, "application/json", bytes.NewReader(data))
 	f.NoErr(err)
 	f.NoErr(res.Body.Close())
 	f.Equal(res.StatusCode, http.StatusOK)
 }
 
-func (f *fixture) get(path string, v any) {
+func (f *fixture) get(path string, v any) { f.t.Helper(); f.read("http://"+f.address+path, v) }
+
+func (f *fixture) read(url string, v any) {
 	f.t.Helper()
-	res, err := http.Get("http://" + f.address + path)
+	res, err := http.Get(url)
 	f.NoErr(err)
 	defer res.Body.Close()
 	f.NoErr(json.NewDecoder(res.Body).Decode(v))
@@ -332,6 +352,25 @@
 	}
 }
 
+// Guards against a crashed target whose journal and faults can't be reached while it is down.
+func TestControlPageOutlivesACrash(t *testing.T) {
+	f := start(t, nil)
+	var list []standin.Started
+	f.read(f.control+standin.PathTargets, &list)
+	f.Equal(list, []standin.Started{{Service: "service", Name: "target", Address: f.address}})
+	own := f.control + standin.PathTargets + "/service/target"
+	f.post(own+standin.PathFaults, standin.Faults{Crash: true, RestartMs: forever.Milliseconds()})
+	f.client.CloseConnection()
+	_, err := f.client.Health(t.Context())
+	f.Equal(types.CodeOf(err), types.CodeTargetFailed)
+	var s standin.Stats
+	f.read(own+standin.PathStats, &s)
+	f.Equal(s.Crashes, uint64(1))
+	var journals []standin.JournalAnswer
+	f.read(f.control+standin.PathJournal, &journals)
+	f.Equal(len(journals), 1)
+}
+
 // Guards against a cancellation that does not reach a running request.
 func TestCancelRunningRequest(t *testing.T) {
 	f := start(t, func(s *standin.Settings) { s.ServiceMs = float64(forever.Milliseconds()) })
--- /dev/null
+++ b/standin/target/arguments.go
@@ -0,0 +1,53 @@
+package target
+
+import (
+	"context"
+	"flag"
+
+	"sequoiasail.example/duty"
+)
+
+// Arguments are the flags of cmd/standin-target.
+type Arguments struct {
+	settings Settings
+	count    int
+	list     string
+	control  string
+}
+
+// AddFlags defines the flags in f and returns where their values go.
+func AddFlags(f *flag.FlagSet) *Arguments {
+	a := &Arguments{settings: DefaultSettings()}
+	s := &a.settings
+	f.StringVar(&s.Listen, "listen-base", "127.0.0.1:7100", "host:port of the first target; the others follow")
+	f.IntVar(&a.count, "count", 1, "number of targets")
+	f.StringVar(&a.list, "targets", "", "JSON `FILE` with an array of settings, instead of -listen-base and -count")
+	f.StringVar(&a.control, "control", "", "host:port of a page for all targets; none when empty")
+	f.StringVar(&s.Service, "service", s.Service, "name of the service")
+	f.StringVar(&s.Name, "name", s.Name, "start of the targets' names")
+	f.IntVar(&s.Slots, "slots", s.Slots, "number of requests that run at once")
+	f.IntVar(&s.Connections, "connections", s.Connections, "number of open connections")
+	f.BoolVar(&s.ChecksGrants, "checks-grants", s.ChecksGrants, "refuse requests without a valid grant")
+	f.BoolVar(&s.Keyed, "keyed", s.Keyed, "refuse requests for slots outside the grant")
+	f.Float64Var(&s.ServiceMs, "service-ms", s.ServiceMs, "mean time that a request runs, in milliseconds")
+	f.Int64Var(&s.WarmMs, "warm-ms", s.WarmMs, "time until a cold target bears full load, in milliseconds")
+	f.StringVar(&s.ColdMode, "cold-mode", s.ColdMode, "fail or slow: requests above what a cold target bears")
+	f.Int64Var(&s.HealthLagMs, "health-lag-ms", s.HealthLagMs, "age of health answers, in milliseconds")
+	f.Int64Var(&s.LoadLagMs, "load-lag-ms", s.LoadLagMs, "age of load reports, in milliseconds")
+	f.BoolVar(&s.JournalReads, "journal-reads", s.JournalReads, "record GET and HEAD requests too")
+	f.IntVar(&s.JournalLimit, "journal-limit", s.JournalLimit, "number of requests that a journal holds")
+	f.Uint64Var(&s.Seed, "seed", s.Seed, "seed of the first target; the others follow")
+	return a
+}
+
+// Start starts the targets that the flags describe.
+func (a *Arguments) Start(ctx context.Context, g *duty.Group) ([]Started, error) {
+	list, err := Series(a.settings, a.count)
+	if a.list != "" {
+		list, err = ReadList(a.list, a.settings)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return Start(ctx, g, list, a.control)
+}
