transport: stop repetitions at the connection, with fewer allocations

net/http repeats idempotent requests on its own when a reused connection breaks. The adapters prevented that with a body on every request, which made net/http start a goroutine to look into each empty body. Now the connection of a repetition is sealed before anything is written, unless nothing was written before. The tests of repetition fail when the seal is taken out. Ruled out: closing the connection after each request, at 1 ms to connect.

--- a/transport/internal/exchange/conn.go
+++ b/transport/internal/exchange/conn.go
@@ -45,21 +45,30 @@
 
 // progress remembers which connection an exchange uses and how many writes it had before.
 type progress struct {
-	conn   *conn
-	before uint64
+	conn    *conn
+	before  uint64
+	written bool
 }
 
+// got is called before the first write. net/http calls it again when it repeats a request by itself on another
+// connection, because a reused one broke. If bytes were written on the first, the other connection is sealed, so that
+// the repetition fails before it is written.
 func (p *progress) got(c net.Conn) {
+	p.stop()
 	p.conn, _ = c.(*conn)
-	if p.conn != nil {
-		p.before = p.conn.writes.Load()
+	if p.conn == nil {
+		return
+	}
+	p.before = p.conn.writes.Load()
+	if p.written {
+		p.conn.seal()
 	}
 }
 
 // stop closes the connection and reports whether any byte of the exchange may have been written.
 func (p *progress) stop() bool {
-	if p.conn == nil {
-		return false
+	if p.conn != nil && p.conn.seal() > p.before {
+		p.written = true
 	}
-	return p.conn.seal() > p.before
+	return p.written
 }
--- a/transport/internal/exchange/exchange.go
+++ b/transport/internal/exchange/exchange.go
@@ -1,7 +1,8 @@
 // Package exchange performs single HTTP exchanges and says how far a failed one came.
 //
 // An exchange is attempted once: net/http repeats some requests on reused connections by itself, which would run a
-// request twice, so every request is made non-replayable. A Client owns its connections.
+// request twice, so the connection of a repetition is closed before anything is written. A request of which nothing was written may be
+// repeated. A Client owns its connections.
 package exchange
 
 import (
@@ -98,15 +99,16 @@
 	return Answer{Status: res.StatusCode, Header: res.Header, Body: body}, nil
 }
 
-// newRequest sets a body, also when it is empty, and no GetBody. net/http then knows no way to send the body again, and
-// such a request is never repeated.
+// newRequest sets no GetBody, so that net/http can't repeat a request that has a body.
 func newRequest(ctx context.Context, r Request) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, r.Method, r.URL, nil)
 	if err != nil {
 		return nil, err
 	}
-	req.Body = io.NopCloser(bytes.NewReader(r.Body))
-	req.ContentLength = int64(len(r.Body))
+	if len(r.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(r.Body))
+		req.ContentLength = int64(len(r.Body))
+	}
 	if r.Header != nil {
 		req.Header = r.Header
 	}
--- a/transport/internal/exchange/exchange_test.go
+++ b/transport/internal/exchange/exchange_test.go
@@ -64,6 +64,30 @@
 	is.True(p.stop())
 }
 
+// Guards against a repetition after bytes were written, and against refusing one when an idle connection was closed.
+func TestRepetitionOnlyWhenNothingWasWritten(t *testing.T) {
+	is := is.New(t)
+	pair := func(written bool) (p progress, second *conn) {
+		first, far1 := net.Pipe()
+		other, far2 := net.Pipe()
+		t.Cleanup(func() { far1.Close(); far2.Close(); other.Close() })
+		c := &conn{Conn: first}
+		p.got(c)
+		if written {
+			c.writes.Add(1)
+		}
+		second = &conn{Conn: other}
+		p.got(second)
+		return p, second
+	}
+	p, second := pair(true)
+	is.True(second.sealed.Load())
+	is.True(p.stop())
+	p, second = pair(false)
+	is.True(!second.sealed.Load())
+	is.True(!p.stop())
+}
+
 // Guards against a connection that is opened for each exchange.
 func TestConnectionIsReused(t *testing.T) {
 	is := is.New(t)
@@ -123,3 +147,23 @@
 	is.True(e.Cancelled)
 	is.True(!e.Written)
 }
+
+// Guards against net/http repeating a request by itself when a reused connection breaks after the request was written.
+func TestBrokenConnectionDoesNotRepeat(t *testing.T) {
+	is := is.New(t)
+	calls := make(chan string, 4)
+	c, url := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		calls <- r.URL.Path
+		if r.URL.Path == "/break" {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	_, err := c.Do(t.Context(), Request{Method: http.MethodGet, URL: url + "/first"})
+	is.NoErr(err)
+	e := failed(t, c, url+"/break")
+	is.True(e.Written)
+	is.Equal(e.Stage, StageAnswer)
+	_, err = c.Do(t.Context(), Request{Method: http.MethodGet, URL: url + "/last"})
+	is.NoErr(err)
+	is.Equal(len(calls), 3)
+}
--- a/transport/target/wire.go
+++ b/transport/target/wire.go
@@ -109,23 +109,34 @@
 
 // encodeHeader returns the headers of r as they are sent at time now.
 func encodeHeader(r Request, now time.Time) http.Header {
-	h := make(http.Header, len(r.Header)+6)
+	h := make(http.Header, len(r.Header)+len(requestHeaders))
 	for name, values := range r.Header {
 		if !hopHeaders[name] && !strings.HasPrefix(name, headerPrefix) {
 			h[name] = values
 		}
 	}
-	h[HeaderRequestID] = []string{string(r.RequestID)}
-	h[HeaderService] = []string{string(r.Service)}
-	h[HeaderKey] = []string{r.Key}
-	h[HeaderSlot] = []string{strconv.FormatUint(uint64(r.Slot), 10)}
-	h[HeaderLeaseEpoch] = []string{strconv.FormatUint(uint64(r.LeaseEpoch), 10)}
-	if !r.Deadline.IsZero() {
-		h[HeaderDeadline] = []string{strconv.FormatInt(r.Deadline.Sub(now).Milliseconds(), 10)}
+	values := [...]string{
+		string(r.RequestID),
+		string(r.Service),
+		r.Key,
+		strconv.FormatUint(uint64(r.Slot), 10),
+		strconv.FormatUint(uint64(r.LeaseEpoch), 10),
+		strconv.FormatInt(r.Deadline.Sub(now).Milliseconds(), 10),
+	}
+	for i, name := range requestHeaders {
+		h[name] = values[i : i+1 : i+1]
+	}
+	if r.Deadline.IsZero() {
+		delete(h, HeaderDeadline)
 	}
 	return h
 }
 
+// requestHeaders is in the order of the values in encodeHeader.
+var requestHeaders = [...]string{
+	HeaderRequestID, HeaderService, HeaderKey, HeaderSlot, HeaderLeaseEpoch, HeaderDeadline,
+}
+
 // decodeFault returns the fault of a control answer. A body without a known code gives a target-failed fault.
 func decodeFault(status int, body []byte) (FaultAnswer, *types.Fault) {
 	var a FaultAnswer
