config: shorten the stored form, ask for the delay between regions

Change: the canonical form has no white space (config.Indented is for people); the decoder lists the fields of each struct type once per document; answers give the delay between regions where there are several; sail-questionnaire -check.

Cause: every process reads the configuration with each version. At design size there are two regions, and a deadline or a takeover across them was checked against the delay within a region.

Ruled out: a compressed form, which nobody can read in the store.

--- a/cmd/internal/operator/apply.go
+++ b/cmd/internal/operator/apply.go
@@ -9,8 +9,8 @@
 	"sequoiasail.example/types"
 )
 
-// MaxRecords is the number of versions that the history keeps. A record of today's users takes 10 KB, so the history
-// takes 1 MB; processes that list the whole store on start read it, so it must stay small.
+// MaxRecords is the number of versions that the history keeps. A record of today's users takes 5 KB, so the history
+// takes 0.5 MB; processes that list the whole store on start read it, so it must stay small.
 const MaxRecords = 100
 
 // Revision is a configuration that an operator wants in force.
--- a/cmd/internal/questionnaire/main.go
+++ b/cmd/internal/questionnaire/main.go
@@ -26,6 +26,7 @@
 
 const usage = `usage: sail-questionnaire [-out FILE]
        sail-questionnaire -batch [-from FILE] [-set PATH=VALUE]... [-out FILE]
+       sail-questionnaire -check [-out FILE]
        sail-questionnaire -schema
 
 Fills in the answers from which sailctl generates the configuration: question by question, or with -batch from a file
@@ -41,9 +42,9 @@
 
 // options is the command line.
 type options struct {
-	out, from              string
-	set                    list
-	batch, schema, version bool
+	out, from                     string
+	set                           list
+	batch, check, schema, version bool
 }
 
 // list collects a flag that may be repeated.
@@ -70,6 +71,7 @@
 	f.StringVar(&o.from, "from", "", "start from the answers in `FILE` (with -batch)")
 	f.Var(&o.set, "set", "set one answer, for example services[0].cutOff=move (`PATH=VALUE`, with -batch)")
 	f.BoolVar(&o.batch, "batch", false, "ask nothing")
+	f.BoolVar(&o.check, "check", false, "check the answers in FILE and exit")
 	f.BoolVar(&o.schema, "schema", false, "print the JSON Schema of the answers for editors")
 	f.BoolVar(&o.version, "version", false, "print the version and exit")
 	f.Usage = func() { fmt.Fprint(stderr, usage); f.PrintDefaults() }
@@ -94,12 +96,28 @@
 	case o.schema:
 		_, _ = stdout.Write(config.Schema())
 		return ExitOK
+	case o.check:
+		return o.verify(stdout, stderr)
 	case o.batch:
 		return o.fill(stdout, stderr)
 	}
 	return o.interview(stdin, stdout, stderr)
 }
 
+// verify checks finished answers.
+func (o options) verify(stdout, stderr io.Writer) int {
+	data, err := startup.ReadFile(o.out)
+	if err == nil {
+		_, err = config.ParseAnswers(data)
+	}
+	if err != nil {
+		startup.Report(stderr, o.out, err)
+		return ExitRefused
+	}
+	fmt.Fprintf(stdout, "%s: answers are complete and fit together\n", o.out)
+	return ExitOK
+}
+
 // interview asks question by question.
 func (o options) interview(stdin io.Reader, stdout, stderr io.Writer) int {
 	file := draftName(o.out)
--- a/cmd/internal/questionnaire/questionnaire_test.go
+++ b/cmd/internal/questionnaire/questionnaire_test.go
@@ -91,6 +91,24 @@
 	}
 }
 
+// Guards against a contradiction that no question of the session can solve: the delay between regions is asked for only
+// when there are several.
+func TestSessionAsksForTheDelayBetweenRegions(t *testing.T) {
+	is := is.New(t)
+	before := read(t, filepath.Join("..", "..", "..", "examples", "joint-venture", "answers.json"))
+	out := filepath.Join(t.TempDir(), "answers.json")
+	is.NoErr(os.WriteFile(out, []byte(strings.Replace(before, `"region": "cz-stred"`, `"region": "cz-jih"`, 1)), 0o600))
+	code, stdout, _ := run(t, strings.Repeat("\n", 1000), "-out", out)
+	is.Equal(code, questionnaire.ExitStopped)
+	asked, _, contradicts := strings.Cut(stdout, "These answers do not fit together:")
+	is.True(contradicts)
+	is.NoErr(os.Remove(out + ".draft"))
+	code, stdout, _ = run(t, strings.Repeat("\n", strings.Count(asked, ": \n"))+"7\n", "-out", out)
+	is.Equal(code, questionnaire.ExitOK)
+	is.True(strings.HasSuffix(stdout, "betweenRegionsMs: \n"+out+" is complete; next: sailctl check "+out+"\n"))
+	is.True(strings.Contains(read(t, out), `"betweenRegionsMs": 7`))
+}
+
 func generated(t *testing.T, answers string) string {
 	t.Helper()
 	a, err := config.ParseAnswers([]byte(answers))
@@ -143,9 +161,18 @@
 		is.Equal(code, questionnaire.ExitRefused)
 		is.True(stderr != "")
 	}
+	good := filepath.Join("..", "..", "..", "examples", "semillas", "answers.json")
+	code, stdout, _ = run(t, "", "-check", "-out", good)
+	is.Equal(code, questionnaire.ExitOK)
+	is.Equal(stdout, good+": answers are complete and fit together\n")
+	bad := filepath.Join(t.TempDir(), "answers.json")
+	is.NoErr(os.WriteFile(bad, []byte(`{"team":"x"}`), 0o600))
+	code, _, stderr := run(t, "", "-check", "-out", bad)
+	is.Equal(code, questionnaire.ExitRefused)
+	is.True(strings.Contains(stderr, "services: needs at least one service"))
 	damaged := filepath.Join(t.TempDir(), "answers.json")
 	is.NoErr(os.WriteFile(damaged+".draft", []byte(`{"answers":{"teem":"x"}}`), 0o600))
-	code, _, stderr := run(t, "x\n", "-out", damaged)
+	code, _, stderr = run(t, "x\n", "-out", damaged)
 	is.Equal(code, questionnaire.ExitRefused)
 	is.True(strings.Contains(stderr, "answers.teem: unknown field"))
 	is.Equal(read(t, damaged+".draft"), `{"answers":{"teem":"x"}}`) // a draft that cannot be read is not overwritten
--- a/cmd/internal/questionnaire/session.go
+++ b/cmd/internal/questionnaire/session.go
@@ -106,6 +106,8 @@
 func (s *session) skips(owner reflect.Value, path string) bool {
 	name := path[strings.LastIndexByte(path, '.')+1:]
 	switch o := owner.Addr().Interface().(type) {
+	case *config.Answers:
+		return name == "betweenRegionsMs" // asked when the data centres turn out to be in several regions
 	case *config.ServiceAnswer:
 		switch name {
 		case "tableSlots", "cutOff":
--- a/cmd/internal/sailctl/answers.go
+++ b/cmd/internal/sailctl/answers.go
@@ -78,7 +78,7 @@
 	var version uint64
 	c := &command{
 		name: "generate", group: groupAnswers, usage: "generate [-version N] ANSWERS",
-		synopsis: "Print the configuration that follows from answers, in its canonical form",
+		synopsis: "Print the configuration that follows from answers; with -json as it is stored",
 	}
 	c.flags = func(f *flag.FlagSet) { f.Uint64Var(&version, "version", 0, "give the configuration this version") }
 	c.run = func(_ context.Context, args []string) int {
@@ -93,7 +93,12 @@
 		if err != nil {
 			return a.fail(args[0], err)
 		}
-		a.printf("%s", config.Canonical(generated.Accept(types.Version(version))))
+		generated = generated.Accept(types.Version(version))
+		if a.json {
+			a.printf("%s\n", config.Canonical(generated))
+			return ExitOK
+		}
+		a.printf("%s", config.Indented(generated))
 		return ExitOK
 	}
 	return c
--- a/config/answers.go
+++ b/config/answers.go
@@ -10,9 +10,12 @@
 	// Team names who answers.
 	Team string `json:"team"`
 	// RecoverWithinMs is how soon a key must be served again after a loss, in milliseconds. Default 3000.
-	RecoverWithinMs int64              `json:"recoverWithinMs"`
-	DataCentres     []DataCentreAnswer `json:"dataCentres,omitempty"`
-	Services        []ServiceAnswer    `json:"services,omitempty"`
+	RecoverWithinMs int64 `json:"recoverWithinMs"`
+	// BetweenRegionsMs is the delay between data centres of different regions, in milliseconds. Required when there are
+	// several regions.
+	BetweenRegionsMs int64              `json:"betweenRegionsMs,omitempty"`
+	DataCentres      []DataCentreAnswer `json:"dataCentres,omitempty"`
+	Services         []ServiceAnswer    `json:"services,omitempty"`
 }
 
 // DataCentreAnswer describes one data centre.
@@ -172,6 +175,46 @@
 	}
 }
 
+// regions returns the number of regions, without faulty names.
+func (a Answers) regions() int {
+	seen := map[types.Region]bool{}
+	for _, d := range a.DataCentres {
+		if validName(string(d.Region)) {
+			seen[d.Region] = true
+		}
+	}
+	return len(seen)
+}
+
+// linkMs returns the longest delay between two data centres. A value out of range counts as 0: a delay in the wrong unit
+// is reported once and not as an impossible deadline of every service.
+func (a Answers) linkMs() int64 {
+	var ms int64
+	for _, d := range a.DataCentres {
+		ms = max(ms, plausible(d.OneWayMs))
+	}
+	if a.regions() > 1 {
+		ms = max(ms, plausible(a.BetweenRegionsMs))
+	}
+	return ms
+}
+
+// callerMs returns the longest delay between callers and a data centre, out of range values as in linkMs.
+func (a Answers) callerMs() int64 {
+	var ms int64
+	for _, d := range a.DataCentres {
+		ms = max(ms, plausible(d.CallerMs))
+	}
+	return ms
+}
+
+func plausible(ms int64) int64 {
+	if ms > maxLinkMs {
+		return 0
+	}
+	return ms
+}
+
 // point sets v to a pointer to d when it is nil.
 func point[T any](v **T, d T) {
 	if *v == nil {
@@ -216,4 +259,4 @@
 }
 
 // EncodeAnswers returns a as indented JSON, in the order of the questionnaire.
-func EncodeAnswers(a Answers) []byte { return mustJSON(a) }
+func EncodeAnswers(a Answers) []byte { return indentedJSON(a) }
--- a/config/generate.go
+++ b/config/generate.go
@@ -126,7 +126,7 @@
 
 func (b *builder) class(at, from, path string, s ServiceAnswer, r RequestAnswer) ClassPolicy {
 	at += "classes." + r.Class + "."
-	timeout := r.LateAfterMs - 2*b.callerMs()
+	timeout := r.LateAfterMs - 2*b.a.callerMs()
 	q := b.queue(from, path, s, r, timeout)
 	b.note(at+"class", path+".class", "as answered")
 	b.note(at+"timeoutMs", path+".lateAfterMs", "less the way from and to the caller (dataCentres[].callerMs)")
@@ -148,7 +148,7 @@
 // queue returns how many requests the smallest target works off within the time that a request may wait, unless the
 // memory for their bodies or the largest queue is the tighter bound.
 func (b *builder) queue(from, path string, s ServiceAnswer, r RequestAnswer, timeout int64) queueBound {
-	wait := timeout - 2*b.linkMs() - connectMs - r.TypicalMs
+	wait := timeout - 2*b.a.linkMs() - connectMs - r.TypicalMs
 	q := queueBound{answer: path + ".lateAfterMs", why: "what the smallest target works off until the answer would be late"}
 	if r.WaitMs != nil {
 		wait = *r.WaitMs
@@ -208,22 +208,6 @@
 
 func round2(v float64) float64 { return math.Round(v*100) / 100 }
 
-func (b *builder) callerMs() int64 {
-	var ms int64
-	for _, d := range b.a.DataCentres {
-		ms = max(ms, d.CallerMs)
-	}
-	return ms
-}
-
-func (b *builder) linkMs() int64 {
-	var ms int64
-	for _, d := range b.a.DataCentres {
-		ms = max(ms, d.OneWayMs)
-	}
-	return ms
-}
-
 func smallestSlots(s ServiceAnswer) int {
 	slots := *s.Targets[0].Slots
 	for _, t := range s.Targets {
--- a/config/generate_test.go
+++ b/config/generate_test.go
@@ -48,7 +48,7 @@
 func TestGeneratedConfiguration(t *testing.T) {
 	for _, user := range users {
 		c := generate(t, example(t, user)).Accept(1)
-		golden(t, filepath.Join("testdata", user+".golden.json"), config.Canonical(c))
+		golden(t, filepath.Join("testdata", user+".golden.json"), config.Indented(c))
 	}
 }
 
--- a/config/ops.go
+++ b/config/ops.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"slices"
 
@@ -77,7 +78,7 @@
 func (r OpsRow) Supersedes(old OpsRow) bool { return r.Version > old.Version }
 
 // Encode returns the stored form of r.
-func (r OpsRow) Encode() []byte { return mustJSON(r) }
+func (r OpsRow) Encode() []byte { return compactJSON(r) }
 
 // Validate reports the faults of a stored row.
 func (r OpsRow) Validate() error {
@@ -118,12 +119,21 @@
 	return r, nil
 }
 
-// mustJSON encodes a value of this package. The types hold nothing that encoding/json refuses: numbers are checked to
+// compactJSON encodes a value of this package. The types hold nothing that encoding/json refuses: numbers are checked to
 // be finite before they get here.
-func mustJSON(v any) []byte {
-	data, err := json.MarshalIndent(v, "", "  ")
+func compactJSON(v any) []byte {
+	data, err := json.Marshal(v)
 	if err != nil {
 		panic(err)
 	}
-	return append(data, '\n')
+	return data
+}
+
+// indentedJSON is compactJSON for people.
+func indentedJSON(v any) []byte {
+	var out bytes.Buffer
+	if err := json.Indent(&out, compactJSON(v), "", "  "); err != nil {
+		panic(err)
+	}
+	return append(out.Bytes(), '\n')
 }
--- a/config/parse.go
+++ b/config/parse.go
@@ -24,9 +24,13 @@
 
 const nameRule = "must be 1 to 63 lower-case letters, digits and inner hyphens"
 
-// Canonical returns the canonical bytes of c: indented JSON with lists ordered by name. Equal configurations have equal
-// bytes on every machine.
-func Canonical(c Configuration) []byte { return mustJSON(normalize(c)) }
+// Canonical returns the canonical bytes of c: JSON without white space, lists ordered by name. Equal configurations have
+// equal bytes on every machine. Every process reads them with each version, so they are kept short; Indented is for
+// people.
+func Canonical(c Configuration) []byte { return compactJSON(normalize(c)) }
+
+// Indented returns the canonical form with line breaks.
+func Indented(c Configuration) []byte { return indentedJSON(normalize(c)) }
 
 // Parse decodes and checks a stored configuration. It returns settings.Problems. A configuration that breaks any rule
 // is refused as a whole, so that a process keeps the one it has.
--- a/config/parse_test.go
+++ b/config/parse_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 
@@ -145,3 +146,65 @@
 		}
 	})
 }
+
+// Guards against panics in what every process and sailctl read from the store's history and keys.
+func FuzzParseRecord(f *testing.F) {
+	c := stored(f, "semillas", 3)
+	f.Add(config.Record{Version: 3, Operator: "jana", WriteID: "w", Configuration: c}.Encode(), "ops/target/bodega/bodega-01")
+	f.Add([]byte(`{"version":1,"writeId":"w","reapplyOf":9,"configuration":{}}`), "ops/dc/a")
+	f.Fuzz(func(t *testing.T, data []byte, key string) {
+		if r, err := config.ParseRecord(data); err == nil {
+			if again, err := config.ParseRecord(r.Encode()); err != nil || again.Version != r.Version {
+				t.Fatal(err)
+			}
+		}
+		if kind, name, err := config.SplitOpsKey(key); err == nil && "ops/"+string(kind)+"/"+name != key {
+			t.Fatalf("%s became %s %s", key, kind, name)
+		}
+	})
+}
+
+// large returns answers of the size of one region at design size: 3 data centres and 2,000 targets.
+func large(b *testing.B) config.Answers {
+	b.Helper()
+	a := example(b, "joint-venture")
+	s := &a.Services[0]
+	a.Services = a.Services[:1]
+	s.Targets = s.Targets[:0]
+	for i := range 2000 {
+		s.Targets = append(s.Targets, config.TargetAnswer{
+			Name: types.Target("t-" + strconv.Itoa(i)), DataCentre: a.DataCentres[i%3].Name, Weight: 1,
+			Address: "10.0." + strconv.Itoa(i/250) + "." + strconv.Itoa(i%250) + ":80",
+		})
+	}
+	*s.TableSlots = 65536
+	return a
+}
+
+func BenchmarkConfiguration(b *testing.B) {
+	for _, size := range []struct {
+		name    string
+		answers config.Answers
+	}{{"today", example(b, "joint-venture")}, {"design", large(b)}} {
+		c := generate(b, size.answers).Accept(1)
+		data := config.Canonical(c)
+		b.Run("generate/"+size.name, func(b *testing.B) {
+			for b.Loop() {
+				generate(b, size.answers)
+			}
+		})
+		b.Run("parse/"+size.name, func(b *testing.B) {
+			b.SetBytes(int64(len(data)))
+			for b.Loop() {
+				if _, err := config.Parse(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run("diff/"+size.name, func(b *testing.B) {
+			for b.Loop() {
+				config.Diff(c, c)
+			}
+		})
+	}
+}
--- a/config/questions.go
+++ b/config/questions.go
@@ -51,6 +51,11 @@
 			Default: number(defaultRecoverMs), Low: 1, High: maxTimingMs,
 			Reason: "Checked against the time that a takeover takes at least, about 1.9 s.",
 		},
+		{
+			Path: "betweenRegionsMs", Text: "How long does a packet take between the regions?", Unit: "ms",
+			DefaultNote: "none with one region", High: maxLinkMs,
+			Reason: "Deadlines and takeovers must leave time for it where there are several regions.",
+		},
 		{
 			Path: "dataCentres[].name", Text: "What is the data centre called?",
 			Reason: "Targets, VMs and operators' commands refer to it.",
--- a/config/schema.go
+++ b/config/schema.go
@@ -30,7 +30,7 @@
 	root := schemaOf(reflect.TypeFor[Answers](), "")
 	root.Schema = "https://json-schema.org/draft/2020-12/schema"
 	root.Title = "Answers to the sequoiasail questionnaire"
-	return mustJSON(root)
+	return indentedJSON(root)
 }
 
 func schemaOf(t reflect.Type, path string) schemaNode {
--- a/config/validate.go
+++ b/config/validate.go
@@ -58,7 +58,6 @@
 		v.Fail("dataCentres", "needs at least one data centre")
 	}
 	names := map[types.DataCentre]bool{}
-	var callerMs int64
 	for i, d := range v.a.DataCentres {
 		path := settings.Index("dataCentres", i)
 		unique(v.Checks, path+".name", d.Name, names)
@@ -69,19 +68,17 @@
 		v.Between(path+".callerMs", d.CallerMs, 0, maxLinkMs, "ms")
 		v.Between(path+".vms", int64(d.VMs), 1, maxVMs, "VMs")
 		v.centres[d.Name] = d
-		v.linkMs = max(v.linkMs, plausible(d.OneWayMs))
-		callerMs = max(callerMs, plausible(d.CallerMs))
 	}
-	v.pathMs = 2*callerMs + 2*v.linkMs + connectMs
+	v.betweenRegions()
+	v.linkMs = v.a.linkMs()
+	v.pathMs = 2*v.a.callerMs() + 2*v.linkMs + connectMs
 }
 
-// plausible returns ms, or 0 when it is out of range: a delay in the wrong unit is reported once and not as an
-// impossible deadline of every service.
-func plausible(ms int64) int64 {
-	if ms > maxLinkMs {
-		return 0
+func (v *validator) betweenRegions() {
+	v.Between("betweenRegionsMs", v.a.BetweenRegionsMs, 0, maxLinkMs, "ms")
+	if n := v.a.regions(); n > 1 && v.a.BetweenRegionsMs == 0 {
+		v.Fail("betweenRegionsMs", "there are %d regions; give the delay between them, deadlines must leave time for it", n)
 	}
-	return ms
 }
 
 // recovery checks the promised recovery against the time that a takeover takes at least.
--- a/config/validate_test.go
+++ b/config/validate_test.go
@@ -26,6 +26,12 @@
 	{"no region", "dataCentres[2].region", "lower-case", func(a object) { delete(in(a, "dataCentres", 2), "region") }},
 	{"link in wrong unit", "dataCentres[0].oneWayMs", "from 0 to 1000 ms", func(a object) { in(a, "dataCentres", 0)["oneWayMs"] = 3000 }},
 	{"callers in wrong unit", "dataCentres[0].callerMs", "from 0 to 1000", func(a object) { in(a, "dataCentres", 0)["callerMs"] = -8 }},
+	{"regions without a delay", "betweenRegionsMs", "there are 2 regions", func(a object) { in(a, "dataCentres", 2)["region"] = "cz-jih" }},
+	{"region delay in wrong unit", "betweenRegionsMs", "from 0 to 1000 ms", func(a object) { a["betweenRegionsMs"] = 100000 }},
+	{"deadline under the delay between regions", "services[0].requests[0].lateAfterMs", "raise it to 2022 or more", func(a object) {
+		in(a, "dataCentres", 2)["region"], a["betweenRegionsMs"], a["recoverWithinMs"] = "cz-jih", 1000, 9000
+		in(a, "services", 0)["cutOff"] = "keep"
+	}},
 	{"negative VMs", "dataCentres[0].vms", "from 1 to 1000", func(a object) { in(a, "dataCentres", 0)["vms"] = -1 }},
 	{"recovery too short", "recoverWithinMs", "raise it to 1912", func(a object) { a["recoverWithinMs"] = 1500 }},
 	{"recovery too long", "recoverWithinMs", "from 1 to 60000", func(a object) { a["recoverWithinMs"] = 600000 }},
@@ -174,7 +180,7 @@
 	document := exampleBytes(t, "joint-venture")
 	// These remove something that other answers refer to, so further faults are true.
 	several := map[string]bool{
-		"no data centre": true, "bad data centre name": true, "duplicate data centre": true, "negative VMs": true,
+		"no data centre": true, "bad data centre name": true, "duplicate data centre": true, "negative VMs": true, "deadline under the delay between regions": true,
 		"no target": true, "move over slow links": true,
 	}
 	for _, c := range badAnswers {
--- a/config/versions.go
+++ b/config/versions.go
@@ -54,7 +54,10 @@
 }
 
 // Encode returns the stored form of r.
-func (r Record) Encode() []byte { return mustJSON(r) }
+func (r Record) Encode() []byte {
+	r.Configuration = normalize(r.Configuration)
+	return compactJSON(r)
+}
 
 // Validate reports the faults of a stored record.
 func (r Record) Validate() error {
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -63,7 +63,7 @@
 	if !ok {
 		return problems, false
 	}
-	d := &decoder{code: code, problems: &problems}
+	d := &decoder{code: code, problems: &problems, known: map[reflect.Type]fields{}}
 	d.value("", root, target.Elem())
 	return problems, true
 }
@@ -71,6 +71,17 @@
 type decoder struct {
 	code     types.Code
 	problems *Problems
+	// known holds the fields of the struct types met so far: listing them takes longer than decoding one element.
+	known map[reflect.Type]fields
+}
+
+func (d *decoder) fields(t reflect.Type) fields {
+	f, ok := d.known[t]
+	if !ok {
+		f = fieldsOf(t)
+		d.known[t] = f
+	}
+	return f
 }
 
 func (d *decoder) fail(path, format string, args ...any) {
@@ -124,7 +135,7 @@
 	if s, ok := v.Addr().Interface().(Defaulter); ok {
 		s.SetDefaults()
 	}
-	fields := fieldsOf(v.Type())
+	fields := d.fields(v.Type())
 	for _, m := range members {
 		index, known := fields.index[m.name]
 		if !known {
