placement: compare with baselines; let hot keys move instead of slots

sail-measure compares imbalance, recovery, churn and the finding of hot keys with modulo, consistent hashing and the planner without hot-key rows.

--- /dev/null
+++ b/cmd/sail-measure/main.go
@@ -0,0 +1,32 @@
+// Command sail-measure compares placement with baselines in a simulated fleet and prints one line for each figure.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+
+	"sequoiasail.example/placement/measure"
+)
+
+const exitUsage = 2
+
+var measures = map[string]func(io.Writer, measure.Source){
+	"imbalance": measure.Imbalance,
+	"recovery":  measure.Recovery,
+	"churn":     measure.Churn,
+	"hot-keys":  measure.HotKeys,
+}
+
+func main() {
+	seed := flag.Uint64("seed", 1, "seed of the random source")
+	flag.Parse()
+	run := measures[flag.Arg(0)]
+	if run == nil || flag.NArg() != 1 {
+		fmt.Fprintln(os.Stderr, "usage: sail-measure [-seed N] imbalance|recovery|churn|hot-keys")
+		os.Exit(exitUsage)
+	}
+	run(os.Stdout, func(n uint64) measure.Random { return rand.NewPCG(*seed, n) })
+}
--- a/placement/failure_test.go
+++ b/placement/failure_test.go
@@ -277,10 +277,10 @@
 	for range 2 {
 		w.ChangeHottest(13)
 		for range 12 { // two minutes of reports
+			s.Reset()
 			for range 40_000 {
 				s.Add(w.Sample(), 1)
 			}
-			s.Decay(0.5)
 		}
 		found := map[types.KeyHash]bool{}
 		for _, k := range s.Top(16, 1, nil) {
@@ -310,3 +310,28 @@
 	b.confirm(list)
 	is.Equal(len(b.Moves(measure.Service, nil)), 0)
 }
+
+// Guards against whole slots that move just before the keys in them get rows and move as well, and against a key that
+// stays with an overloaded owner for MoveHold because its row is new.
+func TestHotKeyMovesSoonAfterItsRow(t *testing.T) {
+	is := is.New(t)
+	b := newBench(16)
+	b.loadAll(even)
+	m := &placement.Load{Service: measure.Service, Target: name(5)}
+	rows := &placement.HotKeys{Service: measure.Service, Revision: 1}
+	for slot := 5; slot < slots; slot += 16 {
+		m.Slots = append(m.Slots, types.Slot(slot))
+		m.Loads = append(m.Loads, 1)
+	}
+	for _, key := range []types.KeyHash{5, 21} { // in slots of target 5
+		m.Keys = append(m.Keys, placement.KeyLoad{Key: key, Load: 60})
+		rows.Rows = append(rows.Rows, placement.HotKey{Key: key, Owner: name(5)})
+	}
+	b.step(placement.Message{Kind: placement.KindLoad, Load: m})
+	for _, a := range b.Tick(b.now, nil) {
+		is.Equal(a.Kind, placement.ActionCreateKey)
+	}
+	b.step(placement.Message{Kind: placement.KindHotKeys, HotKeys: rows})
+	b.now = b.now.Add(placement.PlanInterval)
+	is.Equal(b.Tick(b.now, nil)[0].Kind, placement.ActionMoveKey)
+}
--- a/placement/hotkeys.go
+++ b/placement/hotkeys.go
@@ -86,9 +86,11 @@
 	}
 	i := s.findHot(r.Key)
 	if i < 0 {
-		return hotRow{
-			key: r.Key, owner: owner, pending: NoOwner, load: s.candidateLoad(r.Key), coldSince: never, changed: now,
+		h := hotRow{key: r.Key, owner: owner, pending: NoOwner, load: s.candidateLoad(r.Key), coldSince: never, changed: now}
+		if s.ownerOf(r.Key) == owner && s.slots > 0 {
+			h.changed = s.changed[types.SlotOf(r.Key, s.slots)] // a new row does not change the owner of its key
 		}
+		return h
 	}
 	h := s.hot[i]
 	if h.owner != owner {
@@ -124,12 +126,12 @@
 // noteKey records the reported load of a key.
 func (s *service) noteKey(now types.Instant, k KeyLoad) {
 	if i := s.findHot(k.Key); i >= 0 {
-		s.hot[i].load = smooth(s.hot[i].load, k.Load)
+		s.hot[i].load = s.smooth(s.hot[i].load, k.Load)
 		return
 	}
 	for i := range s.keys {
 		if s.keys[i].key == k.Key {
-			s.keys[i].load = smooth(s.keys[i].load, k.Load)
+			s.keys[i].load = s.smooth(s.keys[i].load, k.Load)
 			s.keys[i].seen = now
 			return
 		}
@@ -187,6 +189,14 @@
 	return out
 }
 
+// rowWait is how long balancing waits for proposed rows. Until they exist, only whole slots could move, and the keys in
+// them would move a second time.
+const rowWait = 2 * time.Second
+
+func (s *service) awaitsRows(now types.Instant) bool {
+	return slices.ContainsFunc(s.keys, func(k candidate) bool { return k.asked != 0 && now.Sub(k.asked) < rowWait })
+}
+
 // dropKeys first moves the row of a key that is no longer hot to the owner of its slot, then removes it.
 func (s *service) dropKeys(now types.Instant, mean float64, out []Action) []Action {
 	for i := range s.hot {
--- a/placement/load.go
+++ b/placement/load.go
@@ -17,11 +17,14 @@
 	baseShare = 0.1
 )
 
-func smooth(old, reported float32) float32 {
-	if old == 0 {
+// smooth returns the new estimate of a load. A change of more than hotShare of an average target's load is no noise and
+// is taken over at once: a former hot key that fades slowly hides the best place for its successor.
+func (s *service) smooth(old, reported float32) float32 {
+	change := reported - old
+	if old == 0 || float64(max(change, -change)) > hotShare*s.mean {
 		return reported
 	}
-	return old + (reported-old)*loadGain
+	return old + change*loadGain
 }
 
 // installLoad applies a dispatcher's report. Slots and hot keys of the target that are not listed have no load.
@@ -38,7 +41,7 @@
 	}
 	for slot, owner := range s.owners {
 		if owner == t && now.Sub(s.changed[slot]) >= reportGrace {
-			s.loads[slot] = smooth(s.loads[slot], reported[slot])
+			s.loads[slot] = s.smooth(s.loads[slot], reported[slot])
 		}
 	}
 	for _, slot := range m.Slots {
@@ -53,7 +56,7 @@
 	for i := range s.hot {
 		h := &s.hot[i]
 		if h.owner == t && !contains(keys, h.key) && now.Sub(h.changed) >= reportGrace {
-			h.load = smooth(h.load, 0)
+			h.load = s.smooth(h.load, 0)
 		}
 	}
 	for _, k := range keys {
--- /dev/null
+++ b/placement/measure/compare.go
@@ -0,0 +1,212 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"sequoiasail.example/placement"
+	"sequoiasail.example/types"
+)
+
+// Sizes of the simulated service.
+const (
+	simulatedKeys     = 1_000_000
+	simulatedExponent = 1.1
+	simulatedSlots    = 1024
+	// simulatedRate is the request rate of the whole service, per second.
+	simulatedRate = 2000
+	hottest       = 13
+)
+
+// Source returns a new random source that depends on the seed and n only.
+type Source func(n uint64) Random
+
+// figure prints one result: the value, the value of the product and their ratio.
+func figure(out io.Writer, measure, variant string, value, product float64, unit string) {
+	fmt.Fprintf(out, "%-34s %-22s %10.3f %-9s %6.2f x product\n", measure, variant, value, unit, value/product)
+}
+
+// Imbalance compares the peak to mean load after ten minutes of requests.
+func Imbalance(out io.Writer, source Source) {
+	for _, n := range []int{16, 20} {
+		w := NewWorkload(simulatedKeys, simulatedExponent, source(uint64(n)))
+		product := settled(w, n, false)
+		name := fmt.Sprintf("imbalance targets=%d", n)
+		figure(out, name, "planner", product, product, "peak/mean")
+		figure(out, name, "no hot-key rows", settled(w, n, true), product, "peak/mean")
+		figure(out, name, "modulo", imbalance(w, modulo(simulatedSlots, targetNames(n)), n), product, "peak/mean")
+		figure(out, name, "consistent hashing", imbalance(w, consistent(simulatedSlots, targetNames(n)), n), product, "peak/mean")
+		figure(out, name, "bound of hottest key", max(1, w.Share(0)*float64(n)), product, "peak/mean")
+	}
+}
+
+func settled(w *Workload, n int, withoutHotKeys bool) float64 {
+	f := NewFleet(simulatedSlots, n)
+	f.WithoutHotKeys = withoutHotKeys
+	f.Run(10*time.Minute, simulatedRate, w)
+	return f.Imbalance(w)
+}
+
+// Recovery compares the peak to mean load while the hottest keys change every three minutes: the mean over 15 minutes,
+// taken every 10 s.
+func Recovery(out io.Writer, source Source) {
+	const n = 16
+	product, moved := recovering(NewWorkload(simulatedKeys, simulatedExponent, source(1)), n, false)
+	const name = "imbalance while hot keys change"
+	figure(out, name, "planner", product, product, "peak/mean")
+	without, movedWithout := recovering(NewWorkload(simulatedKeys, simulatedExponent, source(1)), n, true)
+	figure(out, name, "no hot-key rows", without, product, "peak/mean")
+	figure(out, "keys moved while hot keys change", "planner", moved, moved, "keys")
+	figure(out, "keys moved while hot keys change", "no hot-key rows", movedWithout, moved, "keys")
+	for _, b := range baselines {
+		w := NewWorkload(simulatedKeys, simulatedExponent, source(1))
+		sum := 0.0
+		for range 5 {
+			w.ChangeHottest(hottest)
+			sum += imbalance(w, b.assign(simulatedSlots, targetNames(n)), n)
+		}
+		figure(out, name, b.name, sum/5, product, "peak/mean")
+	}
+}
+
+func recovering(w *Workload, n int, withoutHotKeys bool) (mean, movedKeys float64) {
+	f := NewFleet(simulatedSlots, n)
+	f.WithoutHotKeys = withoutHotKeys
+	f.Run(3*time.Minute, simulatedRate, w)
+	f.Moved, f.MovedKeys = 0, 0
+	sum, samples := 0.0, 0
+	for range 5 {
+		w.ChangeHottest(hottest)
+		for range 18 {
+			f.Run(10*time.Second, simulatedRate, w)
+			sum += f.Imbalance(w)
+			samples++
+		}
+	}
+	return sum / float64(samples), float64(f.MovedKeys) + float64(f.Moved)*simulatedKeys/simulatedSlots
+}
+
+var baselines = []struct {
+	name   string
+	assign assign
+}{{"modulo", modulo}, {"consistent hashing", consistent}}
+
+// Churn compares the share of slots that change their owner when one target leaves, when one joins, and over an hour
+// with 36 restarts.
+func Churn(out io.Writer, source Source) {
+	for _, n := range []int{16, 20} {
+		w := NewWorkload(simulatedKeys, simulatedExponent, source(uint64(n)))
+		leave, join, hour := planned(w, n)
+		names := targetNames(n)
+		for _, c := range []struct {
+			event   string
+			product float64
+			static  func(assign) float64
+		}{
+			{"one leaves", leave, func(a assign) float64 { return staticChange(a, names, names[:n-1]) }},
+			{"one joins", join, func(a assign) float64 { return staticChange(a, names[:n-1], names) }},
+			{"36 restarts in an hour", hour, func(a assign) float64 { return staticHour(a, names) }},
+		} {
+			measure := fmt.Sprintf("churn targets=%d %s", n, c.event)
+			figure(out, measure, "planner", 100*c.product, 100*c.product, "% slots")
+			for _, b := range baselines {
+				figure(out, measure, b.name, 100*c.static(b.assign), 100*c.product, "% slots")
+			}
+		}
+	}
+}
+
+// planned returns the shares of moved slots under the planner.
+func planned(w *Workload, n int) (leave, join, hour float64) {
+	f := NewFleet(simulatedSlots, n)
+	names := targetNames(n)
+	f.Run(3*time.Minute, simulatedRate, w)
+	share := func() float64 { return float64(f.Moved) / simulatedSlots }
+	f.Moved = 0
+	f.SetState(names[n-1], placement.StateDraining)
+	f.Run(30*time.Second, simulatedRate, w)
+	leave = share()
+	f.Remove(names[n-1])
+	f.Run(time.Minute, simulatedRate, w)
+	f.Moved = 0
+	f.Add(names[n-1], placement.StateCold)
+	f.Run(2*time.Minute, simulatedRate, w)
+	join = share()
+	f.Moved = 0
+	for i := range 36 {
+		restart(f, names[i%n], w)
+	}
+	return leave, join, share()
+}
+
+// restart drains a target, stops it and starts it again cold, within 100 s.
+func restart(f *Fleet, name types.Target, w *Workload) {
+	f.SetState(name, placement.StateDraining)
+	f.Run(10*time.Second, simulatedRate, w)
+	f.Remove(name)
+	f.Run(20*time.Second, simulatedRate, w)
+	f.Add(name, placement.StateCold)
+	f.Run(60*time.Second, simulatedRate, w)
+	f.SetState(name, placement.StateIn)
+	f.Run(10*time.Second, simulatedRate, w)
+}
+
+func staticChange(a assign, before, after []types.Target) float64 {
+	n := changed(a(simulatedSlots, before), before, a(simulatedSlots, after), after)
+	return float64(n) / simulatedSlots
+}
+
+func staticHour(a assign, names []types.Target) float64 {
+	sum := 0.0
+	for i := range 36 {
+		var without []types.Target
+		for j, name := range names {
+			if j != i%len(names) {
+				without = append(without, name)
+			}
+		}
+		sum += staticChange(a, names, without) + staticChange(a, without, names)
+	}
+	return sum
+}
+
+// HotKeys measures how long the hottest keys take to get rows of their own after they change, and how many keys the
+// sketches hold in place of a counter for each key.
+func HotKeys(out io.Writer, source Source) {
+	w := NewWorkload(simulatedKeys, simulatedExponent, source(1))
+	f := NewFleet(simulatedSlots, 16)
+	f.Run(3*time.Minute, simulatedRate, w)
+	worst := 0.0
+	for range 5 {
+		w.ChangeHottest(hottest)
+		worst = max(worst, findAll(f, w).Seconds())
+		f.Run(3*time.Minute, simulatedRate, w)
+	}
+	figure(out, "hottest 13 have rows after change", "planner, worst of 5", worst, worst, "s")
+	seen := map[types.KeyHash]bool{}
+	for range simulatedRate * 600 {
+		seen[w.Sample()] = true
+	}
+	sketched := float64(16 * placement.DefaultSketchSize)
+	figure(out, "counters kept, 10 min", "sketches", sketched, sketched, "counters")
+	figure(out, "counters kept, 10 min", "one for each key", float64(len(seen)), sketched, "counters")
+}
+
+// findAll runs the fleet until the hottest keys have rows, for five minutes at most.
+func findAll(f *Fleet, w *Workload) time.Duration {
+	start := f.Elapsed()
+	for f.Elapsed()-start < 5*time.Minute {
+		f.Run(time.Second, simulatedRate, w)
+		found := 0
+		for _, key := range w.Hottest(hottest) {
+			if f.HasRow(key) {
+				found++
+			}
+		}
+		if found == hottest {
+			break
+		}
+	}
+	return f.Elapsed() - start
+}
--- a/placement/measure/fleet.go
+++ b/placement/measure/fleet.go
@@ -16,8 +16,6 @@
 	reportInterval = 10 * time.Second
 	// reportKeys is the number of keys in one report. A key has one owner, so its whole load is in one report.
 	reportKeys = 16
-	// reportDecay is applied to sketches at each report.
-	reportDecay = 0.5
 )
 
 // Fleet runs a planner Core against a simulated service.
@@ -151,8 +149,8 @@
 			}
 		}
 		if s := f.sketches[name]; s != nil {
-			s.Decay(reportDecay)
 			m.Keys = s.Top(reportKeys, 1/seconds, nil)
+			s.Reset()
 		}
 		f.Core.Step(f.now, &placement.Message{Kind: placement.KindLoad, Load: m}, nil)
 	}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -19,13 +19,17 @@
 	if fair == 0 {
 		return out
 	}
+	s.mean = fair * s.meanWeight()
 	moved := false
 	out, moved = s.empty(now, out)
 	if moved {
 		s.urgent = true
 		return out
 	}
-	out = s.planKeys(now, fair*s.meanWeight(), out)
+	out = s.planKeys(now, s.mean, out)
+	if s.awaitsRows(now) {
+		return out
+	}
 	return s.balance(now, fair, out)
 }
 
--- a/placement/service.go
+++ b/placement/service.go
@@ -30,6 +30,7 @@
 	parts     map[types.Slot]types.Revision
 	inMotion  int
 	balancing bool
+	mean      float64 // load of an average target in the last plan
 	urgent    bool
 
 	hot     []hotRow
--- a/placement/sketch.go
+++ b/placement/sketch.go
@@ -12,7 +12,7 @@
 const DefaultSketchSize = 512
 
 // Sketch counts the heaviest keys of a stream with the space-saving algorithm: a key that has no counter takes over the
-// smallest one and its count. Decay makes it follow changes. It is owned by one duty.
+// smallest one and its count. It is owned by one duty.
 type Sketch struct {
 	counters []counter // min-heap by count
 	index    map[types.KeyHash]int32
@@ -54,12 +54,11 @@
 	s.down(0)
 }
 
-// Decay multiplies all counts by factor, which lies between 0 and 1.
-func (s *Sketch) Decay(factor float32) {
-	for i := range s.counters {
-		s.counters[i].count *= factor
-		s.counters[i].excess *= factor
-	}
+// Reset forgets all keys. A dispatcher resets its sketch after each report, so that the loads of a key and of its slot
+// cover the same time.
+func (s *Sketch) Reset() {
+	s.counters = s.counters[:0]
+	clear(s.index)
 }
 
 // Top appends the n heaviest keys to out, heaviest first, with the weight that is certain (the count less its largest
