--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -38,7 +38,13 @@
 	peers    *peerSet
 	links    map[types.VM]*peer.Link
 	copied   *peer.MemoryEntry
-	drain    *drainWatch
+	serve    *serveChange
+	handover *handoverAnswer
+	handed   *peer.HandoverRequest
+	states   *peer.TargetStates
+	planner  *types.VM
+	// taken tells for each target whether operators have taken it out.
+	taken map[types.TargetID]bool
 }
 
 // payload is what the dispatch core knows by a handle.
@@ -62,17 +68,20 @@
 
 // worker owns the dispatch core.
 type worker struct {
-	vm       types.VM
-	requests *ring.Ring[inbound]
-	results  *ring.Ring[sent]
-	controls *ring.Ring[workerControl]
-	log      *telemetry.Log
-	metrics  *telemetry.Metrics
-	page     *telemetry.Page
+	vm         types.VM
+	dataCentre types.DataCentre
+	requests   *ring.Ring[inbound]
+	results    *ring.Ring[sent]
+	controls   *ring.Ring[workerControl]
+	log        *telemetry.Log
+	metrics    *telemetry.Metrics
+	page       *telemetry.Page
 	// report tells the ownership duty what was seen of a target.
 	report func(types.TargetID, dispatch.Condition)
 	// drained tells the ownership duty that a drain has ended, and reports whether it took the message.
 	drained func(ownership.Drained) bool
+	// toPlanner passes a load report to the planner of this process.
+	toPlanner func(*peer.LoadReport)
 
 	core      *dispatch.Core
 	addresses map[types.TargetID]string
@@ -86,31 +95,55 @@
 	actions   []dispatch.Action
 	deferred  []sent
 	failed    []dispatch.Handle
-	drains    map[types.TargetID]drainWatch
+	drains    map[types.TargetID]*drainWatch
+	// given holds what other dispatchers handed over, lastEpoch the last lease epoch served here, and warm the
+	// incarnation in which a target was last known to run at full load.
+	given     map[handoverKey]givenTenure
+	lastEpoch map[types.TargetID]types.Epoch
+	warm      map[types.TargetID]types.Incarnation
+	slots     map[types.Service]uint32
+	// incarnations and conditions are what was seen last of the targets served here.
+	incarnations map[types.TargetID]types.Incarnation
+	conditions   map[types.TargetID]dispatch.Condition
 	// admitted counts the sends to each target.
 	admitted  map[types.TargetID]uint64
 	published types.Instant
 	statuses  []dispatch.TargetStatus
+	meter     *meter
+	planner   types.VM
+	keyed     map[types.Service]bool
+	// drainAt holds when the targets that were taken out get no more work.
+	drainAt map[types.TargetID]types.Instant
 }
 
-func newWorker(vm types.VM, log *telemetry.Log, metrics *telemetry.Metrics) *worker {
+func newWorker(vm types.VM, dataCentre types.DataCentre, log *telemetry.Log, metrics *telemetry.Metrics) *worker {
 	seed := uint64(time.Now().UnixNano())
 	return &worker{
-		vm:        vm,
-		requests:  ring.New[inbound](requestRingCapacity),
-		results:   ring.New[sent](resultRingCapacity),
-		controls:  ring.New[workerControl](controlRingCapacity),
-		log:       log,
-		metrics:   metrics,
-		core:      dispatch.New(&config.Configuration{}, vm, rand.NewPCG(seed, seed)),
-		addresses: make(map[types.TargetID]string),
-		payloads:  make(map[dispatch.Handle]*payload),
-		active:    make(map[requestKey]dispatch.Handle),
-		senders:   make(map[connectionKey]*sender),
-		group:     duty.NewGroup(),
-		drains:    make(map[types.TargetID]drainWatch),
-		admitted:  make(map[types.TargetID]uint64),
-		page:      telemetry.NewPage(telemetry.Status{}),
+		vm:           vm,
+		dataCentre:   dataCentre,
+		requests:     ring.New[inbound](requestRingCapacity),
+		results:      ring.New[sent](resultRingCapacity),
+		controls:     ring.New[workerControl](controlRingCapacity),
+		log:          log,
+		metrics:      metrics,
+		core:         dispatch.New(&config.Configuration{}, vm, rand.NewPCG(seed, seed)),
+		addresses:    make(map[types.TargetID]string),
+		payloads:     make(map[dispatch.Handle]*payload),
+		active:       make(map[requestKey]dispatch.Handle),
+		senders:      make(map[connectionKey]*sender),
+		group:        duty.NewGroup(),
+		drains:       make(map[types.TargetID]*drainWatch),
+		given:        make(map[handoverKey]givenTenure),
+		lastEpoch:    make(map[types.TargetID]types.Epoch),
+		warm:         make(map[types.TargetID]types.Incarnation),
+		slots:        make(map[types.Service]uint32),
+		incarnations: make(map[types.TargetID]types.Incarnation),
+		conditions:   make(map[types.TargetID]dispatch.Condition),
+		admitted:     make(map[types.TargetID]uint64),
+		meter:        newMeter(),
+		keyed:        make(map[types.Service]bool),
+		drainAt:      make(map[types.TargetID]types.Instant),
+		page:         telemetry.NewPage(telemetry.Status{}),
 	}
 }
 
@@ -243,6 +276,9 @@
 func (w *worker) applyResult(ctx context.Context, m sent) {
 	if p, ok := w.payloads[m.handle]; ok {
 		p.endAttempt(m)
+		if p.request != nil {
+			w.noteIncarnation(types.TargetID{Service: p.request.Service, Target: p.request.Target}, m.result.Incarnation)
+		}
 	}
 	w.step(ctx, dispatch.Message{Kind: dispatch.MessageResult, Handle: m.handle, Result: m.result})
 	w.checkDrains()
@@ -285,14 +321,38 @@
 	for _, message := range m.messages {
 		w.step(ctx, message)
 	}
-	if m.drain != nil {
-		w.drains[m.drain.target] = *m.drain
-		w.checkDrains()
+	if m.planner != nil {
+		w.planner = *m.planner
+	}
+	if m.taken != nil {
+		w.applyTaken(ctx, m.taken)
+	}
+	w.applyPeerControl(ctx, m)
+}
+
+// applyPeerControl applies what belongs to leases and to other dispatchers.
+func (w *worker) applyPeerControl(ctx context.Context, m workerControl) {
+	if m.serve != nil {
+		w.applyServe(ctx, m.serve)
+	}
+	if m.handed != nil {
+		for i := range m.handed.Entries {
+			w.storeCopy(ctx, &m.handed.Entries[i])
+		}
+		w.takeHandover(m.handed)
+	}
+	if m.handover != nil {
+		w.handoverAnswered(m.handover)
+	}
+	if m.states != nil {
+		w.learnStates(m.states)
 	}
 }
 
 func (w *worker) configure(c *config.Configuration) {
 	for _, s := range c.Services {
+		w.keyed[s.Name] = s.Keyed
+		w.slots[s.Name] = s.Slots
 		for _, t := range s.Targets {
 			w.addresses[types.TargetID{Service: s.Name, Target: t.Name}] = t.Address
 		}
@@ -302,6 +362,8 @@
 func (w *worker) tick(ctx context.Context) {
 	w.checkDrains()
 	w.publish()
+	w.reportLoads()
+	w.startDrains(ctx)
 	w.actions = w.core.Tick(telemetry.Now(), w.actions[:0])
 	w.perform(ctx)
 }
@@ -357,6 +419,9 @@
 		return
 	}
 	w.admitted[a.Target]++
+	if w.keyed[a.Target.Service] {
+		w.meter.count(a.Target, p.request)
+	}
 	sendCtx, cancel := context.WithCancel(ctx)
 	if p.cancels == nil {
 		p.cancels = make(map[dispatch.Attempt]context.CancelFunc, 1)
@@ -439,6 +504,7 @@
 		Target:  string(a.Target.Target),
 		Reason:  a.Condition.String(),
 	})
+	w.noteCondition(a.Target, a.Condition)
 	w.report(a.Target, a.Condition)
 }
 
