--- a/daemon/dispatcher/meter.go
+++ b/daemon/dispatcher/meter.go
@@ -14,8 +14,6 @@
 	reportInterval = 5 * time.Second
 	// reportedKeys is above the 13 keys that change within minutes at the design size.
 	reportedKeys = 16
-	// sketchDecay halves the weight of earlier intervals, so that a key that cools is replaced.
-	sketchDecay = 0.5
 	// reportTimeout bounds the report, which the next one replaces.
 	reportTimeout = 500 * time.Millisecond
 )
@@ -69,12 +67,11 @@
 	if sketch == nil {
 		return out
 	}
-	// A steady rate adds up to rate*seconds/(1-decay) in a sketch that decays once an interval.
-	for _, k := range sketch.Top(reportedKeys, (1-sketchDecay)/seconds, nil) {
+	for _, k := range sketch.Top(reportedKeys, 1/seconds, nil) {
 		out.Keys = append(out.Keys, k.Key)
 		out.KeyLoads = append(out.KeyLoads, k.Load)
 	}
-	sketch.Decay(sketchDecay)
+	sketch.Reset()
 	return out
 }
 
