daemon/process: start during a store outage with what peers know

Cause: a replaced VM that starts while the store is down had no configuration and refused every request. It now asks the dispatchers named in its settings for the newest state; versions and epochs keep it from installing an older one.

--- a/cmd/internal/probe/command.go
+++ b/cmd/internal/probe/command.go
@@ -117,6 +117,7 @@
 	name     string
 	record   string
 	maxGap   time.Duration
+	keys     int
 }
 
 // Name implements subcommands.Command.
@@ -140,6 +141,7 @@
 	f.IntVar(&c.workers, "workers", 64, "requests in progress at once")
 	f.DurationVar(&c.duration, "duration", 3*time.Second, "how long to send")
 	f.Uint64Var(&c.seed, "seed", 1, "seed of the choice of keys")
+	f.IntVar(&c.keys, "keys", 200, "keys of each service")
 	f.StringVar(&c.name, "name", "probe", "start of every request identifier")
 	f.StringVar(&c.record, "record", "", "write the outcome of every write request to `FILE`")
 	f.DurationVar(&c.maxGap, "max-gap", 0, "longest time without a done answer for a service; 0 for no limit")
@@ -163,6 +165,7 @@
 		PerSecond:     c.rate,
 		Duration:      c.duration,
 		Workers:       c.workers,
+		Keys:          c.keys,
 		Seed:          c.seed,
 		Name:          c.name,
 	}.Run(ctx)
--- a/cmd/internal/probe/load.go
+++ b/cmd/internal/probe/load.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	keysPerService  = 200
 	jobRingCapacity = 1024
 	// writeShare is the share of requests that are not idempotent.
 	writeShare = 0.3
@@ -29,6 +28,8 @@
 	Duration time.Duration
 	// Workers is the number of requests in progress at once.
 	Workers int
+	// Keys is the number of keys of each service.
+	Keys int
 	// Seed makes the choice of services, keys and kinds repeatable.
 	Seed uint64
 	// Name starts every request identifier, so that runs do not share any.
@@ -114,7 +115,7 @@
 	return job{
 		gateway: l.Gateways[random.IntN(len(l.Gateways))],
 		service: service.Name,
-		key:     fmt.Sprintf("%s-%d", service.Name, random.IntN(keysPerService)),
+		key:     fmt.Sprintf("%s-%d", service.Name, random.IntN(l.Keys)),
 		write:   service.WriteClass != "" && random.Float64() < writeShare,
 		id:      fmt.Sprintf("%s-%d", l.Name, n),
 	}
--- a/cmd/internal/probe/summary.go
+++ b/cmd/internal/probe/summary.go
@@ -32,6 +32,9 @@
 	latencies []time.Duration
 	lastDone  time.Time
 	gap       time.Duration
+	// keyDone and keyGaps hold for each key the last done answer and the longest time between two.
+	keyDone map[string]time.Time
+	keyGaps map[string]time.Duration
 }
 
 func newSummary() *Summary { return &Summary{services: make(map[types.Service]*serviceSummary)} }
@@ -51,7 +54,13 @@
 func (s *Summary) add(r report) {
 	service := s.services[r.job.service]
 	if service == nil {
-		service = &serviceSummary{outcomes: map[string]int{}, codes: map[string]int{}, targets: map[string]bool{}}
+		service = &serviceSummary{
+			outcomes: map[string]int{},
+			codes:    map[string]int{},
+			targets:  map[string]bool{},
+			keyDone:  map[string]time.Time{},
+			keyGaps:  map[string]time.Duration{},
+		}
 		s.services[r.job.service] = service
 	}
 	service.add(r)
@@ -83,6 +92,10 @@
 		s.gap = max(s.gap, r.at.Sub(s.lastDone))
 	}
 	s.lastDone = r.at
+	if before, known := s.keyDone[r.job.key]; known {
+		s.keyGaps[r.job.key] = max(s.keyGaps[r.job.key], r.at.Sub(before))
+	}
+	s.keyDone[r.job.key] = r.at
 }
 
 // Skipped returns how many requests were not sent because all callers were busy.
@@ -129,13 +142,14 @@
 // Print writes a table.
 func (s *Summary) Print(w io.Writer) {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "SERVICE\tDONE\tNOT RUN\tUNKNOWN\tWRONG\tTARGETS\tP50\tP99\tLONGEST GAP\tCODES")
+	fmt.Fprintln(table, "SERVICE\tDONE\tNOT RUN\tUNKNOWN\tWRONG\tTARGETS\tP50\tP99\tLONGEST GAP\tKEY GAP P50\tP99\tMAX\tCODES")
 	for _, name := range slices.Sorted(maps.Keys(s.services)) {
 		v := s.services[name]
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\n", name,
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", name,
 			v.outcomes[types.OutcomeDone.String()], v.outcomes[types.OutcomeNotRun.String()],
 			v.outcomes[types.OutcomeUnknown.String()], len(v.wrong), len(v.targets),
-			percentile(v.latencies, 0.50), percentile(v.latencies, 0.99), v.gap.Round(time.Millisecond), codes(v.codes))
+			percentile(v.latencies, 0.50), percentile(v.latencies, 0.99), v.gap.Round(time.Millisecond),
+			v.keyGap(0.50), v.keyGap(0.99), v.keyGap(1), codes(v.codes))
 	}
 	_ = table.Flush()
 	for _, v := range s.services {
@@ -145,6 +159,12 @@
 	}
 }
 
+// keyGap returns the quantile p of the keys' longest times between two done answers. It includes the time between
+// requests for a key, so it is an upper bound of the time in which the key was not served.
+func (s *serviceSummary) keyGap(p float64) time.Duration {
+	return percentile(slices.Collect(maps.Values(s.keyGaps)), p).Round(time.Millisecond)
+}
+
 func codes(counts map[string]int) string {
 	out := ""
 	for _, code := range slices.Sorted(maps.Keys(counts)) {
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -81,11 +81,13 @@
 		Timeout: s.StoreTimeoutMs.Duration(),
 	})
 	server := peer.NewServer(string(s.PeerAddress))
+	mirror := process.NewMirror()
 	services := map[string]any{
 		"Dispatch": &dispatchService{worker: d.worker},
 		"Memory":   &memoryService{worker: d.worker},
 		"Control":  &controlService{worker: d.worker, placer: d.placer},
 		"Vouch":    &vouchService{keeper: d.keeper},
+		"Peer":     &process.PeerService{Mirror: mirror},
 	}
 	for name, service := range services {
 		if err := server.Register(name, service); err != nil {
@@ -101,7 +103,13 @@
 		writeID: func() string { return process.NewWriteID(s.VM, self.Incarnation) },
 	}
 	d.registration = &process.Registration{Store: storeClient, Member: d.member, Log: d.base.Log}
-	watch := &process.Watch{Store: storeClient, Knowledge: process.NewKnowledge(d.base.Log), Deliver: d.deliver}
+	watch := &process.Watch{
+		Store:     storeClient,
+		Knowledge: process.NewKnowledge(d.base.Log),
+		Mirror:    mirror,
+		Peers:     s.Peers,
+		Deliver:   d.deliver,
+	}
 	ops := &process.HTTPServer{Name: "ops", Address: string(s.OpsAddress), Handler: telemetry.OpsHandler(d.base.Metrics, d.readStatus)}
 	d.publishRings()
 
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -61,7 +61,12 @@
 		Timeout: s.StoreTimeoutMs.Duration(),
 	})
 	translator := newTranslator(g)
-	watch := &process.Watch{Store: storeClient, Knowledge: process.NewKnowledge(g.base.Log), Deliver: translator.deliver}
+	watch := &process.Watch{
+		Store:     storeClient,
+		Knowledge: process.NewKnowledge(g.base.Log),
+		Peers:     s.Peers,
+		Deliver:   translator.deliver,
+	}
 	registration := &process.Registration{Store: storeClient, Member: g.member, Log: g.base.Log}
 	ops := &process.HTTPServer{Name: "ops", Address: string(s.OpsAddress), Handler: telemetry.OpsHandler(g.base.Metrics, g.page.Current)}
 	callers := &process.HTTPServer{Name: "callers", Address: string(s.CallerAddress), Handler: (&frontend{gw: g}).handler()}
--- a/daemon/process/settings.go
+++ b/daemon/process/settings.go
@@ -20,6 +20,9 @@
 	StoreAddress settings.Address `json:"storeAddress"`
 	// StoreTimeoutMs bounds a call to the store, in milliseconds. Default 1000.
 	StoreTimeoutMs settings.Millis `json:"storeTimeoutMs"`
+	// Peers lists addresses of dispatchers, which are asked for the newest state when the process starts while the store
+	// is out of reach. Default none: the process then waits for the store.
+	Peers []settings.Address `json:"peers"`
 }
 
 // Provision fills in the defaults.
@@ -31,5 +34,8 @@
 	c.Require("dataCentre", string(s.DataCentre))
 	c.Address("opsAddress", s.OpsAddress)
 	c.Address("storeAddress", s.StoreAddress)
+	for i, address := range s.Peers {
+		c.Address(settings.Index("peers", i), address)
+	}
 	c.Between("storeTimeoutMs", int64(s.StoreTimeoutMs), 10, 60_000, "ms")
 }
--- a/daemon/process/watch.go
+++ b/daemon/process/watch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sequoiasail.example/duty"
+	"sequoiasail.example/settings"
 	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
 )
@@ -31,8 +32,15 @@
 	Store store.Store
 	// Knowledge decodes what the store holds.
 	Knowledge *Knowledge
+	// Mirror keeps what was read for other processes. Optional.
+	Mirror *Mirror
+	// Peers are asked for the newest state as long as the store has not answered since the start.
+	Peers []settings.Address
 	// Deliver hands a change to its owner. It may block.
 	Deliver func(ctx context.Context, c Change) error
+
+	// informed is true once the store or a peer has answered.
+	informed bool
 }
 
 // Duty returns the duty that watches the store.
@@ -57,6 +65,9 @@
 		if err := w.deliver(ctx, Update{Err: err}); err != nil {
 			return nil
 		}
+		if err := w.learnFromPeers(ctx); err != nil {
+			return nil
+		}
 		park(ctx, delay)
 		delay = min(2*delay, watchRetryCeiling)
 	}
@@ -92,7 +103,24 @@
 	}
 }
 
+// learnFromPeers lets a process that starts during an outage of the store work with what others know. Versions and
+// epochs keep it from installing anything older than it has.
+func (w *Watch) learnFromPeers(ctx context.Context) error {
+	if w.informed {
+		return nil
+	}
+	u, ok := askPeers(ctx, w.Peers)
+	if !ok {
+		return nil
+	}
+	return w.deliver(ctx, u)
+}
+
 func (w *Watch) deliver(ctx context.Context, u Update) error {
+	w.informed = w.informed || u.Err == nil
+	if w.Mirror != nil {
+		w.Mirror.apply(u)
+	}
 	return w.Deliver(ctx, w.Knowledge.Apply(u))
 }
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -27,12 +27,13 @@
 fleet_settings() { # VM DATA_CENTRE INDEX
   local gateway=127.0.0.1:$((base + 100 + $3))
   gateways+=("$gateway")
+  local seeds="[\"127.0.0.1:$((base + 300))\", \"127.0.0.1:$((base + 301))\"]"
   cat >"$dir/$1-gateway.json" <<JSON
-{"vm": "$1", "dataCentre": "$2", "storeAddress": "$store",
+{"vm": "$1", "dataCentre": "$2", "storeAddress": "$store", "peers": $seeds,
  "callerAddress": "$gateway", "opsAddress": "127.0.0.1:$((base + 200 + $3))"}
 JSON
   cat >"$dir/$1-dispatcher.json" <<JSON
-{"vm": "$1", "dataCentre": "$2", "storeAddress": "$store",
+{"vm": "$1", "dataCentre": "$2", "storeAddress": "$store", "peers": $seeds,
  "peerAddress": "127.0.0.1:$((base + 300 + $3))", "opsAddress": "127.0.0.1:$((base + 400 + $3))"}
 JSON
 }
--- a/transport/peer/message.go
+++ b/transport/peer/message.go
@@ -9,6 +9,7 @@
 	MethodMemoryPut  = "Memory.Put"
 	MethodHandover   = "Memory.Handover"
 	MethodTargets    = "Control.Targets"
+	MethodLatest     = "Peer.Latest"
 	MethodConfirm    = "Vouch.Confirm"
 	MethodInstall    = "Vouch.Install"
 	MethodQuarantine = "Control.Quarantine"
@@ -213,3 +214,17 @@
 	Incarnation types.Incarnation
 	Warm        bool
 }
+
+// LatestAnswer holds what a process last read from the store. Revision is 0 when it has read nothing.
+type LatestAnswer struct {
+	Revision types.Revision
+	Entries  []LatestEntry
+}
+
+// LatestEntry is one key of the store.
+type LatestEntry struct {
+	Key      string
+	Value    []byte
+	Revision types.Revision
+	WriteID  string
+}
