dispatch: keep unknown entries when a late copy says not-run

Cause: an identifier was refused by its target, sent again and ended as unknown. At a planned handover the next dispatcher got the unknown entry, then the late copy of the first refusal removed it. The memory was taken to cover the identifier, so the resend ran a second time.

Found by extending TestInvariants by planned handovers with late copies: order o24 is sent although it may have run, after 958 checks.

The handover's entries now come in the order of the table.

--- a/dispatch/copies.go
+++ b/dispatch/copies.go
@@ -52,7 +52,10 @@
 	case EntryUnknown:
 		e.state = EntryUnknown
 	case EntryNotRun:
-		c.memory.remove(n)
+		// An unknown entry is of a later send, which this late copy says nothing about.
+		if e.state == EntrySent {
+			c.memory.remove(n)
+		}
 	}
 	c.forget(h)
 }
--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -10,7 +10,7 @@
 
 // RememberedOf appends the entries of service for which match returns true to out, for the dispatcher that takes
 // their target or keys over. Entries of requests in progress are left out: a request that was not sent is refused and
-// one that was sent ends before the handover.
+// one that was sent ends before the handover. The order is that of the table, so that it is the same in each run.
 func (c *Core) RememberedOf(
 	service types.Service, match func(types.Target, types.KeyHash) bool, out []Remembered,
 ) []Remembered {
@@ -18,8 +18,12 @@
 	if !known {
 		return out
 	}
-	for key, n := range c.memory.byID {
-		e := c.memory.entries.at(n)
+	for k := range c.memory.entries.items {
+		e := &c.memory.entries.items[k]
+		key := e.key
+		if n, used := c.memory.byID[key]; !used || n != int32(k) {
+			continue
+		}
 		if key.service != index || e.request != none || !match(e.target, e.keyHash) {
 			continue
 		}
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -64,33 +64,80 @@
 	for _, f := range w.flying {
 		w.mayHaveRun(f)
 	}
+	w.startDispatcher()
+	w.deliverCopies()
+	w.now = w.now.Add(time.Duration(w.choose(2)*600) * time.Millisecond) // a confirmed release, or permit and margin
+	w.serveAll(w.wall())
+}
+
+// handOver drains the dispatcher and gives its memory to the next one. Copies of entries may arrive after that.
+func (w *world) handOver() {
+	since := w.wall()
+	for _, id := range worldTargets {
+		w.step(Message{Kind: MessageStopServing, Target: id})
+	}
+	w.finish()
+	var entries []Remembered
+	for _, id := range worldTargets[:2] {
+		ms, _ := w.core.TargetSince(id)
+		since = min(since, ms)
+		entries = w.core.RememberedOf(id.Service, func(types.Target, types.KeyHash) bool { return true }, entries)
+	}
+	if w.choose(2) > 0 {
+		since = w.wall() // the handover failed
+	}
+	w.startDispatcher()
+	for _, e := range entries {
+		w.deliver(e.Entry)
+	}
+	w.deliverCopies()
+	w.serveAll(since)
+}
+
+func (w *world) startDispatcher() {
 	w.flying, w.copying = nil, nil
 	w.open = map[Handle]*orderModel{}
 	w.core = New(testConfiguration(), "vm-1", rand.NewPCG(1, 2))
-	for _, a := range w.copies {
+}
+
+// deliverCopies delivers any part of the copies so far, from any point on.
+func (w *world) deliverCopies() {
+	first := w.choose(len(w.copies) + 1)
+	for _, a := range w.copies[first:] {
 		if w.choose(4) > 0 {
-			w.handle++
-			w.done[w.handle] = a.Entry.State == EntryAnswered
-			w.known[w.handle] = w.known[a.Handle]
-			w.step(Message{Kind: MessageCopyStored, Handle: w.handle, Entry: a.Entry})
+			w.deliver(a.Entry)
 		}
 	}
-	w.now = w.now.Add(time.Duration(w.choose(2)*600) * time.Millisecond) // a confirmed release, or permit and margin
+}
+
+func (w *world) deliver(e Entry) {
+	w.handle++
+	w.done[w.handle] = e.State == EntryAnswered
+	for _, o := range w.orders {
+		if o.request.ID == e.ID {
+			w.known[w.handle] = o
+		}
+	}
+	w.step(Message{Kind: MessageCopyStored, Handle: w.handle, Entry: e})
+}
+
+// serveAll gives all leases and slots to the present dispatcher, whose memory reaches back to since.
+func (w *world) serveAll(since int64) {
 	w.skewMs = int64(w.choose(clockSkewMs)) - clockSkewMs/2
 	w.epoch++
 	w.slots++
 	for _, id := range worldTargets {
-		w.serve(id)
+		w.serve(id, since)
 	}
 	for slot := range types.Slot(4) {
 		w.owner[slot] = worldTargets[2*(slot%2)]
-		row := SlotRow{Slot: slot, Epoch: w.slots, MemorySinceMs: w.wall()}
+		row := SlotRow{Slot: slot, Epoch: w.slots, MemorySinceMs: since}
 		w.step(Message{Kind: MessageSlotOwned, Target: w.owner[slot], Slot: row})
 	}
 }
 
-func (w *world) serve(id types.TargetID) {
-	lease := Lease{Epoch: w.epoch, ValidUntil: w.now.Add(time.Minute), WallMs: w.wall(), Warm: w.choose(2) > 0}
+func (w *world) serve(id types.TargetID, since int64) {
+	lease := Lease{Epoch: w.epoch, ValidUntil: w.now.Add(time.Minute), WallMs: since, Warm: w.choose(2) > 0}
 	w.step(Message{Kind: MessageServe, Target: id, Lease: lease})
 }
 
@@ -224,7 +271,7 @@
 	case 0:
 		w.step(Message{Kind: MessageStopServing, Target: id})
 	case 1, 2:
-		w.serve(id)
+		w.serve(id, w.wall())
 	case 3:
 		d := Drain{Process: w.choose(2) > 0, Target: id, Off: w.choose(3) > 0}
 		w.step(Message{Kind: MessageDrain, Drain: d})
@@ -259,6 +306,8 @@
 	switch w.choose(4) {
 	case 0, 1:
 		w.takeOver()
+	case 3:
+		w.handOver()
 	case 2:
 		w.advance(time.Duration(w.choose(700)) * time.Second)
 	}
@@ -266,7 +315,8 @@
 
 // finish lets everything end and checks that every accepted request was answered.
 func (w *world) finish() {
-	for len(w.flying) > 0 || !w.core.Idle() {
+	for len(w.flying) > 0 || len(w.copying) > 0 || !w.core.Idle() {
+		w.copyDone()
 		for len(w.flying) > 0 {
 			w.land(0, Result{Attempt: w.flying[0].Attempt, Connection: w.flying[0].Connection, Kind: ResultTimedOut})
 		}
