--- a/dispatch/action.go
+++ b/dispatch/action.go
@@ -37,7 +37,7 @@
 	ActionSlotIdle
 	// ActionReportTarget: Target, Condition, Latency, Depth. Tell the planner and the gateways.
 	ActionReportTarget
-	// ActionDecision: Handle, Attempt, Target, Epoch, Reason, Outcome, ID, Key. One log line.
+	// ActionDecision: Handle, Attempt, Target, Epoch, Reason, Code, Outcome, ID, Key. One log line.
 	ActionDecision
 )
 
--- a/dispatch/memory.go
+++ b/dispatch/memory.go
@@ -137,7 +137,8 @@
 
 func (c *Core) copyEntry(r *request, s EntryState) {
 	c.emit(Action{Kind: ActionStoreCopy, Handle: r.handle, Target: r.Target, Entry: Entry{
-		Service: r.Target.Service, Target: r.Target.Target, Key: r.Key, Caller: r.Caller, ID: r.ID, Fingerprint: r.Fingerprint, Class: r.Class, State: s,
+		Service: r.Target.Service, Target: r.Target.Target, Key: r.Key, Caller: r.Caller, ID: r.ID,
+		Fingerprint: r.Fingerprint, Class: r.Class, State: s,
 	}})
 }
 
@@ -153,7 +154,7 @@
 // answers unknown, so a missing copy costs the answer but not the rule that the request runs at most once.
 func (c *Core) copyDone(i int32, stored bool) {
 	if !stored {
-		c.decide(c.requests.at(i), ReasonCopyFailed, types.OutcomeUnknown)
+		c.decide(c.requests.at(i), failure{reason: ReasonCopyFailed}, types.OutcomeUnknown)
 	}
 	c.enqueue(i, false)
 }
@@ -202,7 +203,7 @@
 	first.runUntil = max(first.runUntil, r.Deadline)
 	c.schedule(e.request)
 	c.schedule(i)
-	c.decide(r, ReasonJoined, types.OutcomeUnknown)
+	c.decide(r, failure{reason: ReasonJoined}, types.OutcomeUnknown)
 }
 
 // leaveResends takes resend i out of its entry's list.
@@ -224,7 +225,7 @@
 	r := c.requests.at(i)
 	c.requestTimers.clear(i)
 	c.reply(r, outcome, f.code, handle)
-	c.decide(r, f.reason, outcome)
+	c.decide(r, f, outcome)
 	c.emit(Action{Kind: ActionForget, Handle: r.handle})
 	delete(c.byHandle, r.handle)
 	c.requests.remove(i)
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -122,7 +122,7 @@
 	r := c.requests.at(i)
 	r.replied = true
 	c.reply(r, types.OutcomeUnknown, f.code, r.handle)
-	c.decide(r, f.reason, types.OutcomeUnknown)
+	c.decide(r, f, types.OutcomeUnknown)
 	c.schedule(i)
 }
 
@@ -132,7 +132,7 @@
 	c.detach(i)
 	if !r.replied {
 		c.reply(r, outcome, f.code, r.handle)
-		c.decide(r, f.reason, outcome)
+		c.decide(r, f, outcome)
 	}
 	if r.entry != none {
 		c.settle(i, outcome, f)
@@ -175,10 +175,10 @@
 }
 
 // decide records a decision for the log.
-func (c *Core) decide(r *request, reason Reason, outcome types.Outcome) {
+func (c *Core) decide(r *request, f failure, outcome types.Outcome) {
 	a := Action{
-		Kind: ActionDecision, Handle: r.handle, Attempt: r.attempt, Target: r.Target, Reason: reason,
-		Outcome: outcome, ID: r.ID, Key: r.Key, Epoch: r.LeaseEpoch,
+		Kind: ActionDecision, Handle: r.handle, Attempt: r.attempt, Target: r.Target, Reason: f.reason,
+		Code: f.code, Outcome: outcome, ID: r.ID, Key: r.Key, Epoch: r.LeaseEpoch,
 	}
 	if r.target != none {
 		a.Epoch = c.targets[r.target].lease.Epoch
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -23,7 +23,7 @@
 	}
 	c.hold(t, i)
 	r.until = c.now.Add(delay)
-	c.decide(r, ReasonRetry, types.OutcomeUnknown)
+	c.decide(r, failure{f.code, ReasonRetry}, types.OutcomeUnknown)
 	c.schedule(i)
 }
 
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -49,8 +49,8 @@
 		for _, a := range f.out {
 			at := f.now.Sub(start).Milliseconds()
 			if a.Kind == ActionDecision {
-				fmt.Fprintf(&log, "%d request=%d id=%s attempt=%d target=%v epoch=%d reason=%v outcome=%v\n",
-					at, a.Handle, a.ID, a.Attempt, a.Target, a.Epoch, a.Reason, a.Outcome)
+				fmt.Fprintf(&log, "%d request=%d id=%s attempt=%d target=%v epoch=%d reason=%v code=%s outcome=%v\n",
+					at, a.Handle, a.ID, a.Attempt, a.Target, a.Epoch, a.Reason, a.Code, a.Outcome)
 				continue
 			}
 			fmt.Fprintf(&actions, "%d %s\n", at, describe(a))
--- a/dispatch/silent.go
+++ b/dispatch/silent.go
@@ -89,5 +89,5 @@
 	}
 	conn.closing = true
 	c.cancelSend(r)
-	c.decide(r, ReasonSilentConnection, types.OutcomeUnknown)
+	c.decide(r, failure{reason: ReasonSilentConnection}, types.OutcomeUnknown)
 }
