dispatch: tell the sender until when it may write

Cause, found by reading the daemon's sender: the core checks the lease when it decides, but the VM may be paused between that and the write. Targets that do not check grants would then run a request without a lease. ActionSend now carries the end of the lease.

--- a/dispatch/action.go
+++ b/dispatch/action.go
@@ -13,8 +13,10 @@
 const (
 	// ActionNone is the zero value and is never emitted.
 	ActionNone ActionKind = iota
-	// ActionSend: Handle, Attempt, Target, Connection, Fresh, Deadline, Epoch. Send the request on this connection. The
-	// process answers with exactly one MessageResult, also when it could not start.
+	// ActionSend: Handle, Attempt, Target, Connection, Fresh, Deadline, Epoch, ValidUntil. Send the request on this
+	// connection. The process answers with exactly one MessageResult, also when it could not start. It writes nothing at
+	// or after ValidUntil and then answers ResultNotWritten: the VM may be paused between the decision and the write, and
+	// not every target checks grants.
 	ActionSend
 	// ActionCancelSend: Handle, Attempt, Target, Connection. Close the connection. The result still follows.
 	ActionCancelSend
@@ -55,6 +57,7 @@
 	Replay     Handle
 	Target     types.TargetID
 	Deadline   types.Instant
+	ValidUntil types.Instant
 	Epoch      types.Epoch
 	Code       types.Code
 	Latency    time.Duration
--- a/dispatch/path_test.go
+++ b/dispatch/path_test.go
@@ -34,6 +34,7 @@
 	f.Equal(len(f.pending), 0)
 	f.serve(keyedA, 8, 50*time.Millisecond, true) // renewed
 	f.Equal(len(f.pending), 1)
+	f.Equal(f.pending[0].ValidUntil, f.now.Add(50*time.Millisecond))
 	f.result(ResultAnswered)
 	f.outcome(late, types.OutcomeDone, "")
 }
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -67,7 +67,7 @@
 	}
 	c.emit(Action{
 		Kind: ActionSend, Handle: r.handle, Attempt: r.attempt, Target: t.id, Connection: n, Fresh: conn.fresh,
-		Deadline: r.runUntil, Epoch: t.lease.Epoch,
+		Deadline: r.runUntil, Epoch: t.lease.Epoch, ValidUntil: t.lease.ValidUntil,
 	})
 	t.noteBusy(c.now)
 	c.schedule(i)
