--- a/cmd/internal/load/caller.go
+++ b/cmd/internal/load/caller.go
@@ -37,20 +37,25 @@
 
 // caller makes calls over a bounded number of connections to each address.
 type caller struct {
-	name      string
-	timeout   time.Duration
-	transport *http.Transport
+	name       string
+	timeout    time.Duration
+	transports [pathCount]*http.Transport
 }
 
-func newCaller(name string, connections int, timeout time.Duration) *caller {
-	return &caller{
-		name:      name,
-		timeout:   timeout,
-		transport: &http.Transport{MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections},
+// newCaller returns a caller that opens up to connections to each address of a path.
+func newCaller(name string, connections [pathCount]int, timeout time.Duration) *caller {
+	c := &caller{name: name, timeout: timeout}
+	for p, n := range connections {
+		c.transports[p] = &http.Transport{MaxConnsPerHost: n, MaxIdleConnsPerHost: n}
 	}
+	return c
 }
 
-func (c *caller) close() { c.transport.CloseIdleConnections() }
+func (c *caller) close() {
+	for _, t := range c.transports {
+		t.CloseIdleConnections()
+	}
+}
 
 func (c *caller) do(ctx context.Context, x call) result {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
@@ -75,7 +80,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	response, err := c.transport.RoundTrip(request)
+	response, err := c.transports[x.path].RoundTrip(request)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/cmd/internal/load/compare.go
+++ b/cmd/internal/load/compare.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"sequoiasail.example/config"
@@ -14,7 +15,7 @@
 	if err != nil {
 		return Report{}, err
 	}
-	c := newCaller(plan.Name, pace.Workers, pace.Timeout)
+	c := newCaller(plan.Name, [pathCount]int{PathGateway: pace.Workers}, pace.Timeout)
 	defer c.close()
 	figures, err := run(ctx, pace, c, planner.call)
 	if err != nil {
@@ -34,7 +35,8 @@
 	if err != nil {
 		return Report{}, err
 	}
-	c := newCaller(plan.Name, pace.Workers, pace.Timeout)
+	connections := [pathCount]int{PathGateway: pace.Workers, PathDirect: directConnections(plan.Services[0])}
+	c := newCaller(plan.Name, connections, pace.Timeout)
 	defer c.close()
 	targets, err := learn(ctx, c, plan)
 	if err != nil {
@@ -47,6 +49,15 @@
 	return figures.ByPath(), nil
 }
 
+// directConnections leaves half of the connections that every target accepts to the dispatchers.
+func directConnections(s config.Service) int {
+	n := math.MaxInt
+	for _, t := range s.Targets {
+		n = min(n, t.Connections/2)
+	}
+	return max(n, 1)
+}
+
 // learn asks the gateways who serves each key, and returns the addresses of the targets by key.
 func learn(ctx context.Context, c *caller, plan Plan) (map[string]string, error) {
 	addresses := addressesOf(plan.Services[0])
