standin/target: count grant violations only where a grant or an earlier epoch exists

It now counts requests outside a grant that was given, and requests whose lease epoch is below that of an earlier one.

--- a/standin/target/message.go
+++ b/standin/target/message.go
@@ -92,6 +92,7 @@
 	Stalled int `json:"stalled"`
 	// OverAdmitted counts requests above what the cold target bore.
 	OverAdmitted uint64 `json:"overAdmitted"`
-	// GrantViolations counts requests that ran without a valid grant because ChecksGrants is off.
+	// GrantViolations counts requests that ran because ChecksGrants is off: their grant was not valid, or their lease
+	// epoch was below that of an earlier request.
 	GrantViolations uint64 `json:"grantViolations"`
 }
--- a/standin/target/state.go
+++ b/standin/target/state.go
@@ -39,6 +39,7 @@
 	coldSince   time.Time
 	warmAt      time.Time
 	grants      grants
+	highestRun  types.Epoch // the highest lease epoch of a request that started
 	keys        map[string]KeyState
 	running     []*run
 	late        []waiting
@@ -67,6 +68,7 @@
 func (s *state) reset(now time.Time) {
 	s.draining = false
 	s.grants = grants{base: now, incarnation: s.incarnation}
+	s.highestRun = 0
 	s.keys = map[string]KeyState{}
 	s.cancelled = map[types.RequestID]bool{}
 	s.becomeCold(now)
