--- /dev/null
+++ b/standin/process/process_test.go
@@ -0,0 +1,44 @@
+package process
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"sequoiasail.example/duty"
+	"sequoiasail.example/types"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Guards against a stop on request that looks like a failure, and against failures that look like a stop.
+func TestExitCodes(t *testing.T) {
+	is := is.New(t)
+	refuse := func(code types.Code) func(context.Context, *duty.Group) error {
+		return func(context.Context, *duty.Group) error { return types.NewFault(code, "refused") }
+	}
+	is.Equal(Run(refuse(types.CodeBadSettings)), ExitBadSettings)
+	is.Equal(Run(refuse(types.CodeInternal)), ExitFailed)
+
+	var stopped bool
+	serve := func(end error) func(context.Context, *duty.Group) error {
+		return func(ctx context.Context, g *duty.Group) error {
+			return g.Launch(ctx, duty.Duty{Name: "d", Run: func(ctx context.Context) error {
+				if end != nil {
+					return end
+				}
+				_ = syscall.Kill(os.Getpid(), syscall.SIGTERM)
+				<-ctx.Done()
+				stopped = true
+				return nil
+			}})
+		}
+	}
+	is.Equal(Run(serve(nil)), ExitOK)
+	is.True(stopped)
+	is.Equal(Run(serve(types.NewFault(types.CodeInternal, "broken"))), ExitFailed)
+}
