--- a/cmd/internal/operator/write.go
+++ b/cmd/internal/operator/write.go
@@ -32,17 +32,17 @@
 	lost := false
 	for {
 		revision, err := o.Store.CAS(ctx, w)
-		switch code := types.CodeOf(err); {
+		code := types.CodeOf(err)
+		switch {
 		case err == nil:
 			return fateApplied, revision, nil
-		case code == types.CodeConflict && !lost:
+		case lost || code == types.CodeAnswerLost:
+			lost = true
+		case code == types.CodeConflict:
 			return fateRefused, 0, nil
-		case code == types.CodeConflict, uncertain(code):
-		case lost && code == types.CodeStoreUnavailable:
 		default:
-			return fateRefused, 0, err
+			return fateRefused, 0, err // the store promises that nothing was written
 		}
-		lost = true
 		f, revision, again, err := o.settle(ctx, w, known)
 		if err != nil || !again {
 			return f, revision, err
@@ -50,11 +50,6 @@
 	}
 }
 
-// uncertain reports whether a write that failed with code may have taken effect.
-func uncertain(code types.Code) bool {
-	return code == types.CodeAnswerLost || code == types.CodeTimeout || code == types.CodeCancelled
-}
-
 // settle reads back a write whose answer was lost. again is true when the key still has the expected revision: the write
 // has not arrived, and sending it once more is safe, since at most one of both can match that revision.
 func (o *Operator) settle(ctx context.Context, w store.Write, known remembered) (f fate, at types.Revision, again bool, err error) {
--- a/cmd/internal/questionnaire/draft.go
+++ b/cmd/internal/questionnaire/draft.go
@@ -43,6 +43,9 @@
 	return replaceFile(name, data)
 }
 
+// filePermissions are those of a file that a team shares; a temporary file starts without.
+const filePermissions = 0o644
+
 // replaceFile writes data next to name and renames it, so that an interruption leaves either the old or the new file.
 func replaceFile(name string, data []byte) error {
 	f, err := os.CreateTemp(filepath.Dir(name), ".sail-questionnaire-*")
@@ -51,6 +54,9 @@
 	}
 	defer os.Remove(f.Name())
 	_, err = f.Write(data)
+	if err == nil {
+		err = f.Chmod(filePermissions)
+	}
 	if closed := f.Close(); err == nil {
 		err = closed
 	}
