--- a/cmd/internal/questionnaire/proposal.go
+++ b/cmd/internal/questionnaire/proposal.go
@@ -53,6 +53,9 @@
 	case "name":
 		return fmt.Sprintf("%s-%02d", a.Services[service].Name, target+1)
 	case "dataCentre":
+		if len(a.DataCentres) == 0 {
+			return ""
+		}
 		return string(a.DataCentres[target%len(a.DataCentres)].Name)
 	}
 	return following(addressBefore(a, service, target))
--- a/cmd/internal/questionnaire/questionnaire_test.go
+++ b/cmd/internal/questionnaire/questionnaire_test.go
@@ -199,3 +199,24 @@
 		}
 	})
 }
+
+// Guards against panics and endless sessions on any draft and any typed lines.
+func FuzzSession(f *testing.F) {
+	f.Add([]byte(`{"answered":["team","dataCentres"],"answers":{"team":"t","dataCentres":[{}]}}`), "praha-a\ncz\n\n\n\n1\ns\n")
+	f.Add([]byte(`{"answered":["services"],"answers":{"services":[{"keyed":true,"targets":[{"address":"[::1]:65535"},{}]}]}}`), "\n\n2\n")
+	f.Add([]byte(`{"answered":["dataCentres","services","services[0].requests","services[0].targets"],"answers":{"services":[{"targets":[{}]}]}}`),
+		"t\n\ns\n\n\n\n\n\n\n\n\n\n\n\n1\n2\n\n\n\n\n\n")
+	f.Add([]byte(`{"answers":{}}`), "services[0].targets[0].name=x\nteam=\nt\n")
+	dir := f.TempDir()
+	f.Fuzz(func(t *testing.T, draft []byte, input string) {
+		out := filepath.Join(dir, "answers.json")
+		if err := os.WriteFile(out+".draft", draft, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		code, _, _ := run(t, input, "-out", out)
+		if code == questionnaire.ExitFailed {
+			t.Fatal("failed on", string(draft))
+		}
+		_ = os.Remove(out)
+	})
+}
