--- a/cmd/internal/operator/apply.go
+++ b/cmd/internal/operator/apply.go
@@ -24,8 +24,8 @@
 	ReapplyOf types.Version
 }
 
-// Accepted says what became of a revision.
-type Accepted struct {
+// ApplyResult says what became of a revision.
+type ApplyResult struct {
 	Version types.Version `json:"version"`
 	WriteID string        `json:"writeId,omitempty"`
 	// Unchanged is true when the content was in force already and nothing was written.
@@ -38,48 +38,48 @@
 
 // Apply puts r in force if the version in force is r.Expect. It returns a conflict fault when it is another, and an
 // answer-lost fault when the store does not tell in time whether it took the write.
-func (o *Operator) Apply(ctx context.Context, r Revision) (Accepted, error) {
+func (o *Operator) Apply(ctx context.Context, r Revision) (ApplyResult, error) {
 	was, err := o.Current(ctx)
 	if err != nil {
-		return Accepted{}, err
+		return ApplyResult{}, err
 	}
 	have := was.Configuration.Version
 	if have != r.Expect {
-		return Accepted{}, o.conflict(ctx, r.Expect, have)
+		return ApplyResult{}, o.conflict(ctx, r.Expect, have)
 	}
 	if have > 0 && config.Diff(was.Configuration, r.Configuration).Empty() {
-		return Accepted{Version: have, Unchanged: true}, nil
+		return ApplyResult{Version: have, Unchanged: true}, nil
 	}
-	if err := o.keepRecord(ctx, was); err != nil {
-		return Accepted{}, err
+	if err := o.ensureRecord(ctx, was); err != nil {
+		return ApplyResult{}, err
 	}
 	next, err := o.nextVersion(ctx, have)
 	if err != nil {
-		return Accepted{}, err
+		return ApplyResult{}, err
 	}
 	return o.replace(ctx, was, r, next)
 }
 
-func (o *Operator) replace(ctx context.Context, was Stored, r Revision, next types.Version) (Accepted, error) {
+func (o *Operator) replace(ctx context.Context, was StoredConfiguration, r Revision, next types.Version) (ApplyResult, error) {
 	record := config.Record{
-		Version: next, Operator: o.Name, Note: r.Note, At: o.stamp(), WriteID: o.NewWriteID(), ReapplyOf: r.ReapplyOf,
+		Version: next, Operator: o.Name, Note: r.Note, At: o.timestamp(), WriteID: o.NewWriteID(), ReapplyOf: r.ReapplyOf,
 		Configuration: r.Configuration.Accept(next),
 	}
 	w := store.Write{
 		Key: config.KeyCurrent, Expected: was.Revision, Value: config.Canonical(record.Configuration), WriteID: record.WriteID,
 	}
-	out := Accepted{Version: next, WriteID: record.WriteID}
+	out := ApplyResult{Version: next, WriteID: record.WriteID}
 	f, _, err := o.put(ctx, w, func(ctx context.Context, newest store.Entry) (bool, error) {
 		out.ReplacedBy = versionOf(newest)
 		return o.recorded(ctx, next, record.WriteID)
 	})
 	if err != nil {
-		return Accepted{}, err
+		return ApplyResult{}, err
 	}
 	switch f {
-	case fateRefused:
-		return Accepted{}, o.conflictNow(ctx, r.Expect)
-	case fateApplied:
+	case resultRefused:
+		return ApplyResult{}, o.conflictNow(ctx, r.Expect)
+	case resultApplied:
 		out.ReplacedBy = 0
 	}
 	out.RecordMissing = o.writeRecord(ctx, record) != nil
@@ -123,7 +123,7 @@
 	}
 	for v := have + 1; ; v++ {
 		_, err := o.Store.Get(ctx, config.HistoryKey(v))
-		if missing(err) {
+		if isNotFound(err) {
 			return v, nil
 		}
 		if err != nil {
@@ -137,5 +137,5 @@
 	if o.Fleet == nil {
 		return nil
 	}
-	return slices.DeleteFunc(o.Fleet.Ask(ctx), func(r Report) bool { return r.Err != nil })
+	return slices.DeleteFunc(o.Fleet.Query(ctx), func(r Report) bool { return r.Err != nil })
 }
--- a/cmd/internal/operator/apply_test.go
+++ b/cmd/internal/operator/apply_test.go
@@ -23,7 +23,7 @@
 	const rounds, operators = 5, 6
 	for round := range types.Version(rounds) {
 		var wg sync.WaitGroup
-		accepted := make([]operator.Accepted, operators)
+		accepted := make([]operator.ApplyResult, operators)
 		errs := make([]error, operators)
 		for i := range operators {
 			r := revision(t, round, int64(1000+100*int(round)+i))
--- a/cmd/internal/operator/await.go
+++ b/cmd/internal/operator/await.go
@@ -18,10 +18,10 @@
 	// Done of Total processes have confirmed.
 	Done  int `json:"done"`
 	Total int `json:"total"`
-	// Waiting names the processes that answer but have not confirmed, each with what it still does.
-	Waiting []string `json:"waiting,omitempty"`
-	// Silent names the processes that do not answer.
-	Silent []string `json:"silent,omitempty"`
+	// Pending names the processes that answer but have not confirmed, each with what it still does.
+	Pending []string `json:"pending,omitempty"`
+	// Unreachable names the processes that do not answer.
+	Unreachable []string `json:"unreachable,omitempty"`
 }
 
 // Complete reports whether every process has confirmed.
@@ -29,15 +29,15 @@
 
 // same reports whether p shows nothing new after q.
 func (p Progress) same(q Progress) bool {
-	return p.Done == q.Done && len(p.Waiting) == len(q.Waiting) && len(p.Silent) == len(q.Silent)
+	return p.Done == q.Done && len(p.Pending) == len(q.Pending) && len(p.Unreachable) == len(q.Unreachable)
 }
 
-// judge returns what the process still lacks, or "" when it has confirmed. before is its last report.
-type judge func(before, now telemetry.Status) string
+// condition returns what the process still lacks, or "" when it has confirmed. before is its last report.
+type condition func(before, now telemetry.Status) string
 
 // await asks the fleet until every process has confirmed or ctx ends, and calls show when there is progress. It returns
 // the last progress, and a deadline-exceeded fault when processes are missing.
-func (o *Operator) await(ctx context.Context, poll time.Duration, j judge, show func(Progress)) (Progress, error) {
+func (o *Operator) await(ctx context.Context, poll time.Duration, j condition, show func(Progress)) (Progress, error) {
 	before := map[string]telemetry.Status{}
 	last, first := Progress{}, true
 	for {
@@ -52,7 +52,7 @@
 		if p.Complete() {
 			return p, nil
 		}
-		if pause(ctx, poll) != nil {
+		if waitFor(ctx, poll) != nil {
 			return p, unconfirmed(p)
 		}
 	}
@@ -60,16 +60,16 @@
 
 func unconfirmed(p Progress) error {
 	return types.NewFault(types.CodeDeadlineExceeded, "%d of %d processes have not confirmed: %d answer, %d are silent",
-		p.Total-p.Done, p.Total, len(p.Waiting), len(p.Silent))
+		p.Total-p.Done, p.Total, len(p.Pending), len(p.Unreachable))
 }
 
-func (o *Operator) round(ctx context.Context, before map[string]telemetry.Status, j judge) Progress {
-	reports := o.Fleet.Ask(ctx)
+func (o *Operator) round(ctx context.Context, before map[string]telemetry.Status, j condition) Progress {
+	reports := o.Fleet.Query(ctx)
 	p := Progress{Total: len(reports)}
 	for _, r := range reports {
 		name := r.Process.Name()
 		if r.Err != nil {
-			p.Silent = append(p.Silent, name)
+			p.Unreachable = append(p.Unreachable, name)
 			continue
 		}
 		lacks := j(before[name], r.Status)
@@ -78,7 +78,7 @@
 			p.Done++
 			continue
 		}
-		p.Waiting = append(p.Waiting, name+": "+lacks)
+		p.Pending = append(p.Pending, name+": "+lacks)
 	}
 	return p
 }
@@ -96,7 +96,7 @@
 // AwaitDecision waits until every process has seen the row of d, and if d takes something out of service, until no
 // process has work in hand for it and none admitted new work between two rounds.
 func (o *Operator) AwaitDecision(
-	ctx context.Context, d Decided, poll time.Duration, show func(Progress),
+	ctx context.Context, d DecisionResult, poll time.Duration, show func(Progress),
 ) (Progress, error) {
 	now, err := o.Current(ctx)
 	if err != nil {
@@ -115,7 +115,7 @@
 }
 
 // affectedBy returns the targets that the decision is about, as "service/target". A VM's row concerns no target as such.
-func affectedBy(c config.Configuration, d Decided) map[string]bool {
+func affectedBy(c config.Configuration, d DecisionResult) map[string]bool {
 	out := map[string]bool{}
 	for _, s := range c.Services {
 		for _, t := range s.Targets {
--- a/cmd/internal/operator/await_test.go
+++ b/cmd/internal/operator/await_test.go
@@ -39,8 +39,8 @@
 	_, err := o.AwaitVersion(t.Context(), 7, poll, func(p operator.Progress) { seen = append(seen, p) })
 	is.NoErr(err)
 	is.Equal(len(seen), 3) // shown when something changed, not every round
-	is.Equal(seen[0].Waiting, []string{"vm-2/dispatcher: follows version 6"})
-	is.Equal(seen[0].Silent, []string{"vm-3/dispatcher"})
+	is.Equal(seen[0].Pending, []string{"vm-2/dispatcher: follows version 6"})
+	is.Equal(seen[0].Unreachable, []string{"vm-3/dispatcher"})
 	is.True(seen[2].Complete())
 }
 
@@ -57,7 +57,7 @@
 	defer cancel()
 	p, err := (&operator.Operator{Fleet: fleet}).AwaitVersion(ctx, 7, poll, func(operator.Progress) {})
 	is.Equal(types.CodeOf(err), types.CodeDeadlineExceeded)
-	is.Equal(p.Silent, []string{"vm-2/dispatcher"})
+	is.Equal(p.Unreachable, []string{"vm-2/dispatcher"})
 }
 
 // Guards against a data centre that counts as out while a process still has work for it or keeps admitting it.
@@ -85,7 +85,7 @@
 		return s
 	}}
 	var seen []string
-	_, err = jana.AwaitDecision(t.Context(), out, poll, func(p operator.Progress) { seen = append(seen, p.Waiting...) })
+	_, err = jana.AwaitDecision(t.Context(), out, poll, func(p operator.Progress) { seen = append(seen, p.Pending...) })
 	f.NoErr(err)
 	f.Equal(jana.Fleet.(*fakeFleet).round, 5)
 	f.Equal(seen, []string{"vm-1/dispatcher: has not seen the decision"})
@@ -104,7 +104,7 @@
 		return s
 	}}
 	var seen []string
-	_, err = jana.AwaitDecision(t.Context(), out, poll, func(p operator.Progress) { seen = append(seen, p.Waiting...) })
+	_, err = jana.AwaitDecision(t.Context(), out, poll, func(p operator.Progress) { seen = append(seen, p.Pending...) })
 	f.NoErr(err)
 	f.Equal(seen, []string{"vm-1/dispatcher: no work in hand; asking again whether it admits any"})
 }
@@ -124,10 +124,10 @@
 	defer cancel()
 	p, err := jana.AwaitDecision(ctx, out, poll, func(operator.Progress) {})
 	f.Equal(types.CodeOf(err), types.CodeDeadlineExceeded)
-	f.True(strings.Contains(p.Waiting[0], "requests admitted since it was last asked: 5"))
+	f.True(strings.Contains(p.Pending[0], "requests admitted since it was last asked: 5"))
 }
 
-// Guards against a process that hangs and delays the picture of all others, and against its late answer being taken
+// Guards against a process that hangs and delays the snapshot of all others, and against its late answer being taken
 // for one to a later question.
 func TestFleetAnswersWithoutTheSilent(t *testing.T) {
 	is := is.New(t)
@@ -155,16 +155,16 @@
 		{VM: "vm-3", Role: "gateway", Address: "127.0.0.1:1"},
 	}, 200*time.Millisecond, time.Now)
 	is.NoErr(err)
-	reports := fleet.Ask(t.Context())
+	reports := fleet.Query(t.Context())
 	is.Equal(reports[0].Status.ConfigVersion, uint64(3))
 	is.Equal(types.CodeOf(reports[1].Err), types.CodePeerUnavailable)
 	is.Equal(types.CodeOf(reports[2].Err), types.CodePeerUnavailable)
-	reports = fleet.Ask(t.Context())
+	reports = fleet.Query(t.Context())
 	is.NoErr(reports[1].Err)
 	is.NoErr(fleet.Stop(t.Context()))
 }
 
-// Guards against a picture that shows nothing while the store is down, or that hides how old it is.
+// Guards against a snapshot that shows nothing while the store is down, or that hides how old it is.
 func TestLookDuringOutage(t *testing.T) {
 	f := startApplied(t)
 	jana := f.person("jana", nil)
@@ -177,17 +177,17 @@
 		}
 		return telemetry.Status{VM: name, ConfigVersion: 1}
 	}}
-	first := jana.Look(t.Context(), nil)
+	first := jana.Snapshot(t.Context(), nil)
 	f.True(first.InForce())
 	f.faults(standin.Faults{Down: true})
-	second := jana.Look(t.Context(), &first)
+	second := jana.Snapshot(t.Context(), &first)
 	f.True(second.Store.Error != "")
 	f.Equal(second.Store.Rows[takeOut.Key].State, config.OpsOut)
 	f.Equal(second.Store.SeenAt, first.Store.SeenAt)
 	f.Equal(second.Processes[0].Status.ConfigVersion, uint64(1))
 	f.True(!second.InForce())
 	answers = false
-	third := jana.Look(t.Context(), &second)
+	third := jana.Snapshot(t.Context(), &second)
 	f.Equal(third.Processes[0].SeenAt, second.Processes[0].SeenAt)
 	f.True(third.Processes[0].Error != "")
 }
@@ -200,7 +200,7 @@
 	defer cancel()
 	var seen []string
 	step := 0
-	err := jana.Follow(ctx, func(n operator.News) {
+	err := jana.Watch(ctx, func(n operator.Notice) {
 		seen = append(seen, n.Key+" "+n.Text)
 		step++
 		switch step {
--- a/cmd/internal/operator/bench_test.go
+++ b/cmd/internal/operator/bench_test.go
@@ -15,8 +15,8 @@
 	"sequoiasail.example/cmd/internal/operator"
 )
 
-// BenchmarkAsk asks a gateway and a dispatcher on each of 430 VMs, the design size, one of them silent.
-func BenchmarkAsk(b *testing.B) {
+// BenchmarkQuery asks a gateway and a dispatcher on each of 430 VMs, the design size, one of them silent.
+func BenchmarkQuery(b *testing.B) {
 	status := telemetry.Status{VM: "vm", Role: "dispatcher", ConfigVersion: 3, Queues: make([]telemetry.QueueStatus, 10)}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(status)
@@ -34,7 +34,7 @@
 		b.Fatal(err)
 	}
 	for b.Loop() {
-		for _, r := range fleet.Ask(b.Context()) {
+		for _, r := range fleet.Query(b.Context()) {
 			if r.Err != nil && r.Process.VM != "vm-7" {
 				b.Fatal(r.Process.Name(), r.Err)
 			}
--- a/cmd/internal/operator/fleet.go
+++ b/cmd/internal/operator/fleet.go
@@ -49,12 +49,12 @@
 	now       func() time.Time
 	duties    *duty.Group
 	questions []*ring.Ring[uint64]
-	answers   *ring.Ring[numbered]
+	answers   *ring.Ring[roundReport]
 	round     uint64
 }
 
-// numbered is a report on process index in a round of questions.
-type numbered struct {
+// roundReport is a report on process index in a round of questions.
+type roundReport struct {
 	round  uint64
 	index  int
 	report Report
@@ -67,7 +67,7 @@
 	}
 	f := &HTTPFleet{
 		processes: processes, timeout: timeout, now: now, client: &http.Client{Transport: &http.Transport{}},
-		duties: duty.NewGroup(), answers: ring.New[numbered](len(processes)),
+		duties: duty.NewGroup(), answers: ring.New[roundReport](len(processes)),
 	}
 	for i, p := range processes {
 		questions := ring.New[uint64](1)
@@ -87,8 +87,8 @@
 	return err
 }
 
-// Ask implements Fleet. It returns after the timeout of one question at the latest, or when ctx ends.
-func (f *HTTPFleet) Ask(ctx context.Context) []Report {
+// Query implements Fleet. It returns after the timeout of one question at the latest, or when ctx ends.
+func (f *HTTPFleet) Query(ctx context.Context) []Report {
 	f.round++
 	reports := make([]Report, len(f.processes))
 	for i, q := range f.questions {
@@ -106,7 +106,7 @@
 }
 
 // next returns the next answer of this round. Answers to earlier rounds are dropped.
-func (f *HTTPFleet) next(ctx context.Context) (numbered, error) {
+func (f *HTTPFleet) next(ctx context.Context) (roundReport, error) {
 	for {
 		n, err := f.answers.Get(ctx)
 		if err != nil || n.round == f.round {
@@ -123,7 +123,7 @@
 			return err
 		}
 		report := f.ask(ctx, f.processes[index])
-		if err := f.answers.Put(ctx, numbered{round: round, index: index, report: report}); err != nil {
+		if err := f.answers.Put(ctx, roundReport{round: round, index: index, report: report}); err != nil {
 			return err
 		}
 	}
--- a/cmd/internal/operator/history.go
+++ b/cmd/internal/operator/history.go
@@ -27,7 +27,7 @@
 	lowest := int64(now.Configuration.Version) - int64(min(count, MaxRecords))
 	for v := int64(now.Configuration.Version); v > max(lowest, 0); v-- {
 		r, err := o.Record(ctx, types.Version(v))
-		if missing(err) {
+		if isNotFound(err) {
 			continue
 		}
 		if err != nil {
@@ -39,20 +39,20 @@
 }
 
 // Reapply puts the content of an earlier version in force as a new version.
-func (o *Operator) Reapply(ctx context.Context, v, expect types.Version, note string) (Accepted, error) {
+func (o *Operator) Reapply(ctx context.Context, v, expect types.Version, note string) (ApplyResult, error) {
 	r, err := o.Record(ctx, v)
-	if missing(err) {
-		return Accepted{}, types.WrapFault(types.CodeNotFound, err, "the history does not hold version %d", v)
+	if isNotFound(err) {
+		return ApplyResult{}, types.WrapFault(types.CodeNotFound, err, "the history does not hold version %d", v)
 	}
 	if err != nil {
-		return Accepted{}, err
+		return ApplyResult{}, err
 	}
 	return o.Apply(ctx, Revision{Configuration: r.Configuration, Expect: expect, Note: note, ReapplyOf: v})
 }
 
-// keepRecord writes the record of the version in force if its writer failed before it could. Otherwise the content and
+// ensureRecord writes the record of the version in force if its writer failed before it could. Otherwise the content and
 // the fate of that write would be lost with the next version.
-func (o *Operator) keepRecord(ctx context.Context, s Stored) error {
+func (o *Operator) ensureRecord(ctx context.Context, s StoredConfiguration) error {
 	if s.Configuration.Version == 0 {
 		return nil
 	}
@@ -64,22 +64,22 @@
 // writeRecord stores r, or completes the record that another operator had to write without knowing who decided.
 func (o *Operator) writeRecord(ctx context.Context, r config.Record) error {
 	e, err := o.Store.Get(ctx, config.HistoryKey(r.Version))
-	if err != nil && !missing(err) {
+	if err != nil && !isNotFound(err) {
 		return err
 	}
-	if err == nil && !completes(r, e) {
+	if err == nil && !completesRecord(r, e) {
 		return nil
 	}
 	w := store.Write{Key: config.HistoryKey(r.Version), Expected: e.Revision, Value: r.Encode(), WriteID: o.NewWriteID()}
 	f, _, err := o.put(ctx, w, func(context.Context, store.Entry) (bool, error) { return true, nil })
-	if err == nil && f == fateRefused && r.Operator != "" {
+	if err == nil && f == resultRefused && r.Operator != "" {
 		return o.writeRecord(ctx, r)
 	}
 	return err
 }
 
-// completes reports whether r names the operator that the stored record of the same write lacks.
-func completes(r config.Record, e store.Entry) bool {
+// completesRecord reports whether r names the operator that the stored record of the same write lacks.
+func completesRecord(r config.Record, e store.Entry) bool {
 	old, err := config.ParseRecord(e.Value)
 	return err == nil && old.WriteID == r.WriteID && old.Operator == "" && r.Operator != ""
 }
@@ -87,7 +87,7 @@
 // recorded reports whether the record of version v belongs to the write writeID.
 func (o *Operator) recorded(ctx context.Context, v types.Version, writeID string) (bool, error) {
 	r, err := o.Record(ctx, v)
-	if missing(err) {
+	if isNotFound(err) {
 		return false, nil
 	}
 	return err == nil && r.WriteID == writeID, err
--- a/cmd/internal/operator/operator.go
+++ b/cmd/internal/operator/operator.go
@@ -21,8 +21,8 @@
 
 // Fleet asks the processes for their status.
 type Fleet interface {
-	// Ask returns one report for each process, in the order of the settings.
-	Ask(ctx context.Context) []Report
+	// Query returns one report for each process, in the order of the settings.
+	Query(ctx context.Context) []Report
 }
 
 // Operator acts for one person. It is owned by one goroutine.
@@ -46,34 +46,34 @@
 	}
 }
 
-// Stored is the configuration in force. The version is 0 when there is none.
-type Stored struct {
+// StoredConfiguration is the configuration in force. The version is 0 when there is none.
+type StoredConfiguration struct {
 	Configuration config.Configuration
 	Revision      types.Revision
 	WriteID       string
 }
 
 // Current reads the configuration in force. A store without one is no fault.
-func (o *Operator) Current(ctx context.Context) (Stored, error) {
+func (o *Operator) Current(ctx context.Context) (StoredConfiguration, error) {
 	e, err := o.Store.Get(ctx, config.KeyCurrent)
-	if missing(err) {
-		return Stored{}, nil
+	if isNotFound(err) {
+		return StoredConfiguration{}, nil
 	}
 	if err != nil {
-		return Stored{}, err
+		return StoredConfiguration{}, err
 	}
 	c, err := config.Parse(e.Value)
 	if err != nil {
-		return Stored{}, types.WrapFault(types.CodeBadConfiguration, err, "the stored configuration is damaged")
+		return StoredConfiguration{}, types.WrapFault(types.CodeBadConfiguration, err, "the stored configuration is damaged")
 	}
-	return Stored{Configuration: c, Revision: e.Revision, WriteID: e.WriteID}, nil
+	return StoredConfiguration{Configuration: c, Revision: e.Revision, WriteID: e.WriteID}, nil
 }
 
-// stamp returns the time for history records.
-func (o *Operator) stamp() string { return o.Now().UTC().Format(time.RFC3339) }
+// timestamp returns the time for history records.
+func (o *Operator) timestamp() string { return o.Now().UTC().Format(time.RFC3339) }
 
-// pause waits for d without using the processor. It returns a CodeDeadlineExceeded fault when ctx ends first.
-func pause(ctx context.Context, d time.Duration) error {
+// waitFor waits for d without using the processor. It returns a CodeDeadlineExceeded fault when ctx ends first.
+func waitFor(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -84,5 +84,5 @@
 	}
 }
 
-// missing reports whether err says that a key does not exist.
-func missing(err error) bool { return types.CodeOf(err) == types.CodeNotFound }
+// isNotFound reports whether err says that a key does not exist.
+func isNotFound(err error) bool { return types.CodeOf(err) == types.CodeNotFound }
--- a/cmd/internal/operator/operator_test.go
+++ b/cmd/internal/operator/operator_test.go
@@ -106,7 +106,7 @@
 	ask   func(round int, name string) telemetry.Status
 }
 
-func (f *fakeFleet) Ask(context.Context) []operator.Report {
+func (f *fakeFleet) Query(context.Context) []operator.Report {
 	f.round++
 	var out []operator.Report
 	for _, name := range f.names {
--- a/cmd/internal/operator/ops.go
+++ b/cmd/internal/operator/ops.go
@@ -20,8 +20,8 @@
 	Force bool
 }
 
-// Decided says what became of a decision.
-type Decided struct {
+// DecisionResult says what became of a decision.
+type DecisionResult struct {
 	Key     string          `json:"key"`
 	Version types.Version   `json:"version"`
 	State   config.OpsState `json:"state"`
@@ -35,19 +35,19 @@
 
 // Decide writes the row of d. It returns a not-found fault for an unknown name, settings.Problems when a service would
 // have no target left, and a conflict fault that names the other operator when a different decision came first.
-func (o *Operator) Decide(ctx context.Context, d Decision) (Decided, error) {
+func (o *Operator) Decide(ctx context.Context, d Decision) (DecisionResult, error) {
 	if err := o.permitted(ctx, d); err != nil {
-		return Decided{}, err
+		return DecisionResult{}, err
 	}
 	row, at, err := o.row(ctx, d.Key)
 	damaged := d.Force && at > 0 && err != nil
 	if err != nil && !damaged {
-		return Decided{}, err
+		return DecisionResult{}, err
 	}
 	if !d.Force && (row.State == d.State || row.Version == 0 && d.State == config.OpsIn) {
-		return Decided{Key: d.Key, Version: row.Version, State: d.State, Revision: at, Unchanged: true}, nil
+		return DecisionResult{Key: d.Key, Version: row.Version, State: d.State, Revision: at, Unchanged: true}, nil
 	}
-	next := row.Next(config.OpsChange{State: d.State, Operator: o.Name, Note: d.Note, At: o.stamp(), WriteID: o.NewWriteID()})
+	next := row.Next(config.OpsChange{State: d.State, Operator: o.Name, Note: d.Note, At: o.timestamp(), WriteID: o.NewWriteID()})
 	if d.Force {
 		next.Version = max(next.Version, o.forcedVersion())
 	}
@@ -77,7 +77,7 @@
 	return config.CheckOps(now.Configuration, rows, d.Key, d.State)
 }
 
-func (o *Operator) writeRow(ctx context.Context, d Decision, next config.OpsRow, at types.Revision) (Decided, error) {
+func (o *Operator) writeRow(ctx context.Context, d Decision, next config.OpsRow, at types.Revision) (DecisionResult, error) {
 	var newest config.OpsRow
 	w := store.Write{Key: d.Key, Expected: at, Value: next.Encode(), WriteID: next.WriteID}
 	f, revision, err := o.put(ctx, w, func(_ context.Context, e store.Entry) (bool, error) {
@@ -87,35 +87,35 @@
 		return held, err
 	})
 	if err != nil {
-		return Decided{}, err
+		return DecisionResult{}, err
 	}
-	out := Decided{Key: d.Key, Version: next.Version, State: d.State, Revision: revision}
+	out := DecisionResult{Key: d.Key, Version: next.Version, State: d.State, Revision: revision}
 	switch f {
-	case fateRefused:
+	case resultRefused:
 		return o.lostRace(ctx, d)
-	case fateReplaced:
+	case resultReplaced:
 		out.ReplacedBy = &newest.OpsChange
 	}
 	return out, nil
 }
 
 // lostRace reports who came first. Both operators wanting the same is no conflict.
-func (o *Operator) lostRace(ctx context.Context, d Decision) (Decided, error) {
+func (o *Operator) lostRace(ctx context.Context, d Decision) (DecisionResult, error) {
 	row, at, err := o.row(ctx, d.Key)
 	if err != nil {
-		return Decided{}, types.WrapFault(types.CodeConflict, err, "another operator changed %s first", d.Key)
+		return DecisionResult{}, types.WrapFault(types.CodeConflict, err, "another operator changed %s first", d.Key)
 	}
 	if row.State == d.State {
-		return Decided{Key: d.Key, Version: row.Version, State: d.State, Revision: at, Unchanged: true}, nil
+		return DecisionResult{Key: d.Key, Version: row.Version, State: d.State, Revision: at, Unchanged: true}, nil
 	}
-	return Decided{}, types.NewFault(types.CodeConflict, "%s set %s to %s at %s first; nothing was changed",
+	return DecisionResult{}, types.NewFault(types.CodeConflict, "%s set %s to %s at %s first; nothing was changed",
 		row.Operator, d.Key, row.State, row.At)
 }
 
 // row reads one row and its store revision. The version is 0 when there is none.
 func (o *Operator) row(ctx context.Context, key string) (config.OpsRow, types.Revision, error) {
 	e, err := o.Store.Get(ctx, key)
-	if missing(err) {
+	if isNotFound(err) {
 		return config.OpsRow{}, 0, nil
 	}
 	if err != nil {
--- a/cmd/internal/operator/ops_test.go
+++ b/cmd/internal/operator/ops_test.go
@@ -51,7 +51,7 @@
 	for round := range 10 {
 		state := []config.OpsState{config.OpsOut, config.OpsDraining}
 		var wg sync.WaitGroup
-		out := make([]operator.Decided, 2)
+		out := make([]operator.DecisionResult, 2)
 		errs := make([]error, 2)
 		for i := range 2 {
 			o := f.person("operator-"+string(rune('a'+i))+string(rune('0'+round)), nil)
--- a/cmd/internal/operator/watch.go
+++ b/cmd/internal/operator/watch.go
@@ -12,15 +12,15 @@
 )
 
 const (
-	// newsCapacity bounds the changes that wait to be shown. A full ring holds the watch back; the store keeps the
+	// noticeCapacity bounds the changes that wait to be shown. A full ring holds the watch back; the store keeps the
 	// history meanwhile.
-	newsCapacity = 256
+	noticeCapacity = 256
 	// retryPause is the time between attempts to reach a store that is down.
 	retryPause = time.Second
 )
 
-// News is one thing that a watch has seen.
-type News struct {
+// Notice is one thing that a watch has seen.
+type Notice struct {
 	At  time.Time `json:"at"`
 	Key string    `json:"key,omitempty"`
 	// Revision is the store revision of the change.
@@ -31,19 +31,19 @@
 	Text string `json:"text"`
 }
 
-// Follow shows every change of configuration and operators' rows until ctx ends. It starts with what is there.
-func (o *Operator) Follow(ctx context.Context, show func(News)) error {
-	news := ring.New[News](newsCapacity)
+// Watch shows every change of configuration and operators' rows until ctx ends. It starts with what is there.
+func (o *Operator) Watch(ctx context.Context, show func(Notice)) error {
+	notices := ring.New[Notice](noticeCapacity)
 	duties := duty.NewGroup()
 	for _, prefix := range []string{config.KeyCurrent, config.PrefixOps} {
-		f := &follower{o: o, prefix: prefix, news: news}
+		f := &watcher{o: o, prefix: prefix, notices: notices}
 		duties.Add(duty.Duty{Name: "watch-" + prefix, Run: f.run})
 	}
 	if err := duties.Start(ctx); err != nil {
 		return err
 	}
 	for {
-		n, err := news.Get(ctx)
+		n, err := notices.Get(ctx)
 		if err != nil {
 			return duties.Stop(context.WithoutCancel(ctx))
 		}
@@ -51,11 +51,11 @@
 	}
 }
 
-// follower is the duty that watches one prefix.
-type follower struct {
-	o      *Operator
-	prefix string
-	news   *ring.Ring[News]
+// watcher is the duty that watches one prefix.
+type watcher struct {
+	o       *Operator
+	prefix  string
+	notices *ring.Ring[Notice]
 	// after is the revision up to which changes were shown. 0 means that the prefix must be listed.
 	after types.Revision
 	// seen holds the revision of each key that was shown, so that listing again repeats nothing.
@@ -63,14 +63,14 @@
 	down bool
 }
 
-func (f *follower) run(ctx context.Context) error {
+func (f *watcher) run(ctx context.Context) error {
 	f.seen = map[string]types.Revision{}
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return nil
-		case missing(err):
+		case isNotFound(err):
 			f.after = 0
 		case err != nil:
 			_ = f.outage(ctx, err) // fails only when ctx ends, which the loop sees
@@ -80,7 +80,7 @@
 }
 
 // step lists the prefix or waits for its next changes.
-func (f *follower) step(ctx context.Context) error {
+func (f *watcher) step(ctx context.Context) error {
 	if f.after == 0 {
 		return f.list(ctx)
 	}
@@ -88,11 +88,11 @@
 	if err != nil {
 		return err
 	}
-	if err := f.back(ctx); err != nil {
+	if err := f.recovered(ctx); err != nil {
 		return err
 	}
 	for _, e := range events {
-		if err := f.tell(ctx, e); err != nil {
+		if err := f.notify(ctx, e); err != nil {
 			return err
 		}
 	}
@@ -100,16 +100,16 @@
 	return nil
 }
 
-func (f *follower) list(ctx context.Context) error {
+func (f *watcher) list(ctx context.Context) error {
 	entries, at, err := f.o.Store.List(ctx, f.prefix)
 	if err != nil {
 		return err
 	}
-	if err := f.back(ctx); err != nil {
+	if err := f.recovered(ctx); err != nil {
 		return err
 	}
 	for _, e := range entries {
-		if err := f.tell(ctx, store.Event{Entry: e}); err != nil {
+		if err := f.notify(ctx, store.Event{Entry: e}); err != nil {
 			return err
 		}
 	}
@@ -117,14 +117,14 @@
 	return nil
 }
 
-func (f *follower) tell(ctx context.Context, e store.Event) error {
+func (f *watcher) notify(ctx context.Context, e store.Event) error {
 	if f.seen[e.Key] >= e.Revision {
 		return nil
 	}
 	f.seen[e.Key] = e.Revision
-	n := News{At: f.o.Now(), Key: e.Key, Revision: e.Revision}
+	n := Notice{At: f.o.Now(), Key: e.Key, Revision: e.Revision}
 	n.Version, n.Text = describe(e)
-	return f.news.Put(ctx, n)
+	return f.notices.Put(ctx, n)
 }
 
 func describe(e store.Event) (types.Version, string) {
@@ -151,22 +151,22 @@
 
 // outage tells once that the store is down, and waits before the next attempt. That one lists: a watch would answer only
 // after the next change, so the end of the outage would be told up to store.MaxWatchWait late.
-func (f *follower) outage(ctx context.Context, cause error) error {
+func (f *watcher) outage(ctx context.Context, cause error) error {
 	f.after = 0
 	if !f.down {
 		f.down = true
-		n := News{At: f.o.Now(), Text: f.prefix + ": the store does not answer: " + cause.Error()}
-		if err := f.news.Put(ctx, n); err != nil {
+		n := Notice{At: f.o.Now(), Text: f.prefix + ": the store does not answer: " + cause.Error()}
+		if err := f.notices.Put(ctx, n); err != nil {
 			return err
 		}
 	}
-	return pause(ctx, retryPause)
+	return waitFor(ctx, retryPause)
 }
 
-func (f *follower) back(ctx context.Context) error {
+func (f *watcher) recovered(ctx context.Context) error {
 	if !f.down {
 		return nil
 	}
 	f.down = false
-	return f.news.Put(ctx, News{At: f.o.Now(), Text: f.prefix + ": the store answers again"})
+	return f.notices.Put(ctx, Notice{At: f.o.Now(), Text: f.prefix + ": the store answers again"})
 }
--- a/cmd/internal/operator/write.go
+++ b/cmd/internal/operator/write.go
@@ -12,36 +12,36 @@
 // milliseconds, so a shorter pause only adds calls to a store that is in trouble.
 const settlePause = 200 * time.Millisecond
 
-// fate is what became of a write.
-type fate uint8
+// writeResult is what became of a write.
+type writeResult uint8
 
 const (
-	// fateApplied means that the write took effect and is the newest one of its key.
-	fateApplied fate = iota
-	// fateReplaced means that the write took effect and another one followed.
-	fateReplaced
-	// fateRefused means that another write came first. This one never took effect.
-	fateRefused
+	// resultApplied means that the write took effect and is the newest one of its key.
+	resultApplied writeResult = iota
+	// resultReplaced means that the write took effect and another one followed.
+	resultReplaced
+	// resultRefused means that another write came first. This one never took effect.
+	resultRefused
 )
 
-// remembered reports whether the history of a key holds the write. newest is the entry that is there instead.
-type remembered func(ctx context.Context, newest store.Entry) (bool, error)
+// recordLookup reports whether the history of a key holds the write. newest is the entry that is there instead.
+type recordLookup func(ctx context.Context, newest store.Entry) (bool, error)
 
 // put performs w and settles a lost answer. It returns an answer-lost fault when ctx ends before the fate is known.
-func (o *Operator) put(ctx context.Context, w store.Write, known remembered) (fate, types.Revision, error) {
+func (o *Operator) put(ctx context.Context, w store.Write, known recordLookup) (writeResult, types.Revision, error) {
 	lost := false
 	for {
 		revision, err := o.Store.CAS(ctx, w)
 		code := types.CodeOf(err)
 		switch {
 		case err == nil:
-			return fateApplied, revision, nil
+			return resultApplied, revision, nil
 		case lost || code == types.CodeAnswerLost:
 			lost = true
 		case code == types.CodeConflict:
-			return fateRefused, 0, nil
+			return resultRefused, 0, nil
 		default:
-			return fateRefused, 0, err // the store promises that nothing was written
+			return resultRefused, 0, err // the store promises that nothing was written
 		}
 		f, revision, again, err := o.settle(ctx, w, known)
 		if err != nil || !again {
@@ -52,28 +52,28 @@
 
 // settle reads back a write whose answer was lost. again is true when the key still has the expected revision: the write
 // has not arrived, and sending it once more is safe, since at most one of both can match that revision.
-func (o *Operator) settle(ctx context.Context, w store.Write, known remembered) (f fate, at types.Revision, again bool, err error) {
+func (o *Operator) settle(ctx context.Context, w store.Write, known recordLookup) (r writeResult, at types.Revision, again bool, err error) {
 	e, err := o.readBack(ctx, w.Key)
 	if err != nil {
-		return fateRefused, 0, false, lostFault(w, err)
+		return resultRefused, 0, false, lostFault(w, err)
 	}
 	if e.WriteID == w.WriteID {
-		return fateApplied, e.Revision, false, nil
+		return resultApplied, e.Revision, false, nil
 	}
 	if e.Revision == w.Expected {
-		if err := pause(ctx, settlePause); err != nil {
-			return fateRefused, 0, false, lostFault(w, err)
+		if err := waitFor(ctx, settlePause); err != nil {
+			return resultRefused, 0, false, lostFault(w, err)
 		}
-		return fateRefused, 0, true, nil
+		return resultRefused, 0, true, nil
 	}
 	held, err := known(ctx, e)
 	if err != nil {
-		return fateRefused, 0, false, lostFault(w, err)
+		return resultRefused, 0, false, lostFault(w, err)
 	}
 	if held {
-		return fateReplaced, e.Revision, false, nil
+		return resultReplaced, e.Revision, false, nil
 	}
-	return fateRefused, 0, false, nil
+	return resultRefused, 0, false, nil
 }
 
 // readBack reads key until the store answers. A missing key has revision 0.
@@ -83,10 +83,10 @@
 		if err == nil {
 			return e, nil
 		}
-		if missing(err) {
+		if isNotFound(err) {
 			return store.Entry{}, nil
 		}
-		if err := pause(ctx, settlePause); err != nil {
+		if err := waitFor(ctx, settlePause); err != nil {
 			return store.Entry{}, err
 		}
 	}
--- a/cmd/internal/questionnaire/main.go
+++ b/cmd/internal/questionnaire/main.go
@@ -99,9 +99,9 @@
 	case o.check:
 		return o.verify(stdout, stderr)
 	case o.batch:
-		return o.fill(stdout, stderr)
+		return o.runBatch(stdout, stderr)
 	}
-	return o.interview(stdin, stdout, stderr)
+	return o.interactive(stdin, stdout, stderr)
 }
 
 // verify checks finished answers.
@@ -118,10 +118,10 @@
 	return ExitOK
 }
 
-// interview asks question by question.
-func (o options) interview(stdin io.Reader, stdout, stderr io.Writer) int {
+// interactive asks question by question.
+func (o options) interactive(stdin io.Reader, stdout, stderr io.Writer) int {
 	file := draftName(o.out)
-	d, err := o.beginning(file)
+	d, err := o.initialDraft(file)
 	if err != nil {
 		startup.Report(stderr, file, err)
 		return ExitRefused
@@ -143,8 +143,8 @@
 	return ExitOK
 }
 
-// beginning returns the draft, or the finished answers when there is no draft: their values are proposed again.
-func (o options) beginning(file string) (draft, error) {
+// initialDraft returns the draft, or the finished answers when there is no draft: their values are suggested again.
+func (o options) initialDraft(file string) (draft, error) {
 	if _, err := os.Stat(file); err == nil {
 		return loadDraft(file)
 	}
@@ -159,9 +159,9 @@
 	return draft{Answers: a}, err
 }
 
-// fill sets answers without questions and writes them if they fit together.
-func (o options) fill(stdout, stderr io.Writer) int {
-	a, err := o.given()
+// runBatch sets answers without questions and writes them if they fit together.
+func (o options) runBatch(stdout, stderr io.Writer) int {
+	a, err := o.batchAnswers()
 	if err != nil {
 		startup.Report(stderr, o.from, err)
 		return ExitRefused
@@ -178,8 +178,8 @@
 	return ExitOK
 }
 
-// given returns the answers of -from with those of -set, or the faults of both together.
-func (o options) given() (config.Answers, error) {
+// batchAnswers returns the answers of -from with those of -set, or the faults of both together.
+func (o options) batchAnswers() (config.Answers, error) {
 	var a config.Answers
 	a.SetDefaults()
 	if o.from != "" {
--- a/cmd/internal/questionnaire/session.go
+++ b/cmd/internal/questionnaire/session.go
@@ -188,29 +188,29 @@
 	if !known {
 		return types.NewFault(types.CodeInternal, "no question for %s", path)
 	}
-	given := s.proposal(v, q, path)
-	s.introduce(q, given)
+	suggested := s.suggestion(v, q, path)
+	s.printQuestion(q, suggested)
 	before := reflect.New(v.Type()).Elem()
 	before.Set(v)
 	for {
-		text, err := s.line(path, given)
+		text, err := s.line(path, suggested)
 		if err != nil {
 			return err
 		}
-		if done, err := s.elsewhere(text); done || err != nil {
+		if done, err := s.assignOther(text); done || err != nil {
 			if err != nil {
 				return err
 			}
 			continue
 		}
 		if strings.TrimSpace(text) == "" {
-			text = given
+			text = suggested
 		}
 		if text == "" && q.DefaultText() != "" {
 			return s.answered(path) // the default is computed when the configuration is generated
 		}
 		if err = assign(v, q, text); err == nil {
-			err = s.fits(path)
+			err = s.contradiction(path)
 		}
 		if err == nil {
 			return s.answered(path)
@@ -220,9 +220,9 @@
 	}
 }
 
-// elsewhere handles "PATH=VALUE", which changes another answer than the one that is asked for. A contradiction is often
+// assignOther handles "PATH=VALUE", which changes another answer than the one that is asked for. A contradiction is often
 // best solved there.
-func (s *session) elsewhere(text string) (done bool, err error) {
+func (s *session) assignOther(text string) (done bool, err error) {
 	path, value, err := assignment(strings.TrimSpace(text))
 	if err != nil {
 		return false, nil
@@ -238,7 +238,7 @@
 	return true, s.answered(path)
 }
 
-func (s *session) introduce(q config.Question, given string) {
+func (s *session) printQuestion(q config.Question, suggested string) {
 	s.printf("\n%s\n", q.Text)
 	s.printf("  %s\n", q.Reason)
 	if len(q.Options) > 0 {
@@ -247,13 +247,13 @@
 	if q.Unit != "" {
 		s.printf("  unit: %s\n", q.Unit)
 	}
-	if given == "" && q.DefaultText() != "" {
+	if suggested == "" && q.DefaultText() != "" {
 		s.printf("  default: %s\n", q.DefaultText())
 	}
 }
 
-// fits reports a contradiction between the answer at path and the ones before.
-func (s *session) fits(path string) error {
+// contradiction reports a contradiction between the answer at path and the ones before.
+func (s *session) contradiction(path string) error {
 	for _, f := range settings.AsProblems(types.CodeBadConfiguration, s.draft.Answers.Validate()) {
 		if f.Path == path {
 			return f
@@ -263,9 +263,9 @@
 }
 
 // line prints the prompt and reads one line.
-func (s *session) line(path, given string) (string, error) {
-	if given != "" {
-		s.printf("%s [%s]: ", path, given)
+func (s *session) line(path, suggested string) (string, error) {
+	if suggested != "" {
+		s.printf("%s [%s]: ", path, suggested)
 	} else {
 		s.printf("%s: ", path)
 	}
--- a/cmd/internal/questionnaire/proposal.go
+++ b/cmd/internal/questionnaire/suggestion.go
@@ -10,20 +10,20 @@
 	"sequoiasail.example/config"
 )
 
-// proposal returns the answer that Enter stands for: the value so far, a value that follows from earlier answers, or the
+// suggestion returns the answer that Enter stands for: the value so far, a value that follows from earlier answers, or the
 // constant default.
-func (s *session) proposal(v reflect.Value, q config.Question, path string) string {
+func (s *session) suggestion(v reflect.Value, q config.Question, path string) string {
 	if !unset(v, q) {
 		return show(v)
 	}
-	if next := s.next(path); next != "" {
+	if next := s.continued(path); next != "" {
 		return next
 	}
 	return q.Default
 }
 
-// unset reports whether v has no value to propose. Where a constant default exists, v has been set to it, so a zero there
-// was given.
+// unset reports whether v has no value to suggest. Where a constant default exists, v has been set to it, so a zero there
+// was typed.
 func unset(v reflect.Value, q config.Question) bool {
 	if v.Kind() == reflect.Pointer || v.Kind() == reflect.String {
 		return v.IsZero()
@@ -31,9 +31,9 @@
 	return v.IsZero() && q.Default == ""
 }
 
-// next proposes names, data centres and addresses that continue those of the element before. Nobody wants to type
+// continued suggests names, data centres and addresses that continue those of the element before. Nobody wants to type
 // twenty targets.
-func (s *session) next(path string) string {
+func (s *session) continued(path string) string {
 	var service, target int
 	a := &s.draft.Answers
 	switch pattern(path) {
--- a/cmd/internal/sailctl/command.go
+++ b/cmd/internal/sailctl/command.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// with opens a session for run and prints its fault.
-func (a *app) with(ctx context.Context, run func(*session) error) int {
+// withSession opens a session for run and prints its fault.
+func (a *app) withSession(ctx context.Context, run func(*session) error) int {
 	s, err := a.open(ctx)
 	if err != nil {
 		return a.fail(a.settingsFile, err)
@@ -69,5 +69,5 @@
 	return ExitOK
 }
 
-// note prints a line that is not part of the result.
-func (a *app) note(format string, args ...any) { fmt.Fprintf(a.env.Stderr, format+"\n", args...) }
+// notef prints a line that is not part of the result.
+func (a *app) notef(format string, args ...any) { fmt.Fprintf(a.env.Stderr, format+"\n", args...) }
--- a/cmd/internal/sailctl/look.go
+++ b/cmd/internal/sailctl/observe.go
@@ -14,11 +14,11 @@
 	"sequoiasail.example/cmd/internal/operator"
 )
 
-const groupLook = "looking"
+const groupObserve = "observing"
 
 func (a *app) statusCommand() *command {
 	c := &command{
-		name: "status", group: groupLook, usage: "status",
+		name: "status", group: groupObserve, usage: "status",
 		synopsis: "Print what store and processes say, also while the store is down, and how old that is",
 	}
 	c.run = func(ctx context.Context, args []string) int {
@@ -26,29 +26,29 @@
 			return a.usage(c)
 		}
 		code := ExitOK
-		opened := a.with(ctx, func(s *session) error {
-			last := loadPicture(s.settings.PictureFile)
-			p := s.Look(ctx, last)
-			if err := savePicture(s.settings.PictureFile, p); err != nil {
-				a.note("%s: cannot keep the picture: %v", s.settings.PictureFile, err)
+		opened := a.withSession(ctx, func(s *session) error {
+			last := loadSnapshot(s.settings.SnapshotFile)
+			p := s.Snapshot(ctx, last)
+			if err := saveSnapshot(s.settings.SnapshotFile, p); err != nil {
+				a.notef("%s: cannot keep the snapshot: %v", s.settings.SnapshotFile, err)
 			}
-			code = pictureCode(p)
-			return a.print(pictureJSON{p, p.InForce()}, func() { a.showPicture(p) })
+			code = snapshotCode(p)
+			return a.print(snapshotJSON{p, p.InForce()}, func() { a.showSnapshot(p) })
 		})
 		return max(opened, code)
 	}
 	return c
 }
 
-// pictureJSON is a picture for scripts.
-type pictureJSON struct {
-	operator.Picture
+// snapshotJSON is a snapshot for scripts.
+type snapshotJSON struct {
+	operator.Snapshot
 	// InForce is true when every process follows the version that the store holds.
 	InForce bool `json:"inForce"`
 }
 
-// pictureCode returns the exit code for scripts: whether the store answers and its version is in force everywhere.
-func pictureCode(p operator.Picture) int {
+// snapshotCode returns the exit code for scripts: whether the store answers and its version is in force everywhere.
+func snapshotCode(p operator.Snapshot) int {
 	switch {
 	case p.Store.Error != "":
 		return ExitStore
@@ -58,13 +58,13 @@
 	return ExitOK
 }
 
-func (a *app) showPicture(p operator.Picture) {
+func (a *app) showSnapshot(p operator.Snapshot) {
 	a.showStore(p)
 	a.printf("\n")
 	a.showProcesses(p)
 }
 
-func (a *app) showStore(p operator.Picture) {
+func (a *app) showStore(p operator.Snapshot) {
 	switch {
 	case p.Store.Error != "" && p.Store.SeenAt == nil:
 		a.printf("store: no answer: %s\n", p.Store.Error)
@@ -96,7 +96,7 @@
 	a.table("ROW STATE OPERATOR AT NOTE", lines)
 }
 
-func (a *app) showProcesses(p operator.Picture) {
+func (a *app) showProcesses(p operator.Snapshot) {
 	rows := [][]string{}
 	for _, v := range p.Processes {
 		rows = append(rows, processRow(p.At, v))
@@ -140,7 +140,7 @@
 func (a *app) watchCommand() *command {
 	var limit time.Duration
 	c := &command{
-		name: "watch", group: groupLook, usage: "watch [-for DURATION]",
+		name: "watch", group: groupObserve, usage: "watch [-for DURATION]",
 		synopsis: "Print every change of configuration and operators' rows as it happens",
 	}
 	c.flags = func(f *flag.FlagSet) {
@@ -155,12 +155,12 @@
 			ctx, cancel = context.WithTimeout(ctx, limit)
 			defer cancel()
 		}
-		return a.with(ctx, func(s *session) error { return s.Follow(ctx, a.showNews) })
+		return a.withSession(ctx, func(s *session) error { return s.Watch(ctx, a.showNotice) })
 	}
 	return c
 }
 
-func (a *app) showNews(n operator.News) {
+func (a *app) showNotice(n operator.Notice) {
 	_ = a.print(n, func() {
 		what := n.Text
 		if n.Key != "" {
--- a/cmd/internal/sailctl/pages_test.go
+++ b/cmd/internal/sailctl/pages_test.go
@@ -35,7 +35,7 @@
 }
 
 func testPage(t *testing.T, file string) {
-	w, stop, err := newWorld(t.TempDir())
+	w, stop, err := newSystem(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -66,7 +66,7 @@
 var directive = regexp.MustCompile(`^<!-- test: (.*) -->$`)
 
 // replay returns the page with the output that its commands have.
-func replay(t *testing.T, w *world, lines []string) string {
+func replay(t *testing.T, w *testSystem, lines []string) string {
 	t.Helper()
 	var out []string
 	inside, skip := false, false
@@ -92,7 +92,7 @@
 	return strings.Join(out, "\n")
 }
 
-func prepare(t *testing.T, w *world, command string) {
+func prepare(t *testing.T, w *testSystem, command string) {
 	t.Helper()
 	args := words(command)
 	var err error
@@ -124,7 +124,7 @@
 }
 
 // console runs one command line and returns its output as on a terminal.
-func console(t *testing.T, w *world, command string) []string {
+func console(t *testing.T, w *testSystem, command string) []string {
 	t.Helper()
 	args := words(command)
 	var out bytes.Buffer
--- a/cmd/internal/sailctl/print.go
+++ b/cmd/internal/sailctl/print.go
@@ -40,12 +40,12 @@
 
 // progress prints how far a change has come.
 func (a *app) progress(p operator.Progress) {
-	a.note("%d of %d processes confirmed", p.Done, p.Total)
-	for _, w := range p.Waiting {
-		a.note("  %s", w)
+	a.notef("%d of %d processes confirmed", p.Done, p.Total)
+	for _, w := range p.Pending {
+		a.notef("  %s", w)
 	}
-	if len(p.Silent) > 0 {
-		a.note("  no answer: %s", strings.Join(p.Silent, ", "))
+	if len(p.Unreachable) > 0 {
+		a.notef("  no answer: %s", strings.Join(p.Unreachable, ", "))
 	}
 }
 
--- a/cmd/internal/sailctl/revise.go
+++ b/cmd/internal/sailctl/revise.go
@@ -41,7 +41,7 @@
 				return code
 			}
 		}
-		return a.with(ctx, func(s *session) error {
+		return a.withSession(ctx, func(s *session) error {
 			before, err := s.version(ctx, from)
 			if err == nil && to != unset {
 				after, err = s.version(ctx, to)
@@ -127,8 +127,8 @@
 		if code != ExitOK {
 			return code
 		}
-		return a.with(ctx, func(s *session) error {
-			return a.accept(ctx, s, w, func(ctx context.Context) (operator.Accepted, error) {
+		return a.withSession(ctx, func(s *session) error {
+			return a.accept(ctx, s, w, func(ctx context.Context) (operator.ApplyResult, error) {
 				return s.Apply(ctx, operator.Revision{Configuration: revision, Expect: types.Version(w.expect), Note: w.note})
 			})
 		})
@@ -151,8 +151,8 @@
 		if err != nil {
 			return a.usage(c)
 		}
-		return a.with(ctx, func(s *session) error {
-			return a.accept(ctx, s, w, func(ctx context.Context) (operator.Accepted, error) {
+		return a.withSession(ctx, func(s *session) error {
+			return a.accept(ctx, s, w, func(ctx context.Context) (operator.ApplyResult, error) {
 				return s.Reapply(ctx, types.Version(earlier), types.Version(w.expect), w.note)
 			})
 		})
@@ -162,7 +162,7 @@
 
 // accept performs write, prints what became of it and waits for the processes if asked.
 func (a *app) accept(
-	ctx context.Context, s *session, w writeFlags, write func(context.Context) (operator.Accepted, error),
+	ctx context.Context, s *session, w writeFlags, write func(context.Context) (operator.ApplyResult, error),
 ) error {
 	bounded, cancel := context.WithTimeout(ctx, defaultWrite)
 	defer cancel()
@@ -182,7 +182,7 @@
 	return err
 }
 
-func (a *app) showAccepted(out operator.Accepted) {
+func (a *app) showAccepted(out operator.ApplyResult) {
 	switch {
 	case out.Unchanged:
 		a.printf("version %d has this content already; nothing was written\n", out.Version)
@@ -192,7 +192,7 @@
 		a.printf("version %d accepted\n", out.Version)
 	}
 	if out.RecordMissing {
-		a.note("the history record of version %d could not be written; the next apply writes it", out.Version)
+		a.notef("the history record of version %d could not be written; the next apply writes it", out.Version)
 	}
 }
 
@@ -207,7 +207,7 @@
 		if len(args) != 0 || count < 1 {
 			return a.usage(c)
 		}
-		return a.with(ctx, func(s *session) error {
+		return a.withSession(ctx, func(s *session) error {
 			records, err := s.History(ctx, count)
 			if err != nil {
 				return err
--- a/cmd/internal/sailctl/script_test.go
+++ b/cmd/internal/sailctl/script_test.go
@@ -43,8 +43,8 @@
 	})
 }
 
-// world is what one script works on.
-type world struct {
+// testSystem is what one script works on.
+type testSystem struct {
 	mu        sync.Mutex
 	dir       string
 	now       time.Time
@@ -58,29 +58,29 @@
 type process struct {
 	vm, role string
 	server   *httptest.Server
-	w        *world
+	w        *testSystem
 	mode     string
 	admitted uint64
 	status   telemetry.Status
 }
 
-type worldKey struct{}
+type systemKey struct{}
 
-func worldOf(ts *testscript.TestScript) *world { return ts.Value(worldKey{}).(*world) }
+func systemOf(ts *testscript.TestScript) *testSystem { return ts.Value(systemKey{}).(*testSystem) }
 
 func setup(env *testscript.Env) error {
-	w, stop, err := newWorld(env.WorkDir)
+	w, stop, err := newSystem(env.WorkDir)
 	if err != nil {
 		return err
 	}
 	env.Defer(stop)
-	env.Values[worldKey{}] = w
+	env.Values[systemKey{}] = w
 	return nil
 }
 
-// newWorld starts a stand-in store and six processes, and copies the examples' answers to dir.
-func newWorld(dir string) (w *world, stop func(), err error) {
-	w = &world{dir: dir, now: time.Date(2026, 12, 4, 11, 0, 0, 0, time.UTC)}
+// newSystem starts a stand-in store and six processes, and copies the examples' answers to dir.
+func newSystem(dir string) (w *testSystem, stop func(), err error) {
+	w = &testSystem{dir: dir, now: time.Date(2026, 12, 4, 11, 0, 0, 0, time.UTC)}
 	g := duty.NewGroup()
 	w.address, err = standin.Start(context.Background(), g, standin.Options{Listen: "127.0.0.1:0"})
 	if err != nil {
@@ -163,9 +163,9 @@
 	}
 }
 
-// run runs one sailctl command line. Names of JSON files are taken in the world's folder, whose name is left out of the
+// run runs one sailctl command line. Names of JSON files are taken in the system's folder, whose name is left out of the
 // output.
-func (w *world) run(args []string, stdout, stderr io.Writer) int {
+func (w *testSystem) run(args []string, stdout, stderr io.Writer) int {
 	args = append([]string(nil), args...)
 	for i, a := range args {
 		if strings.HasSuffix(a, ".json") {
@@ -195,26 +195,28 @@
 	if neg || len(args) < 2 {
 		ts.Fatalf("usage: sailctl CODE ARGS...")
 	}
-	code := worldOf(ts).run(args[1:], ts.Stdout(), ts.Stderr())
+	code := systemOf(ts).run(args[1:], ts.Stdout(), ts.Stderr())
 	if strconv.Itoa(code) != args[0] {
 		ts.Fatalf("exit code %d, want %s", code, args[0])
 	}
 }
 
-func setStore(ts *testscript.TestScript, _ bool, args []string) { ts.Check(worldOf(ts).setStore(args)) }
+func setStore(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(systemOf(ts).setStore(args))
+}
 
-func setProcess(ts *testscript.TestScript, _ bool, args []string) { worldOf(ts).setProcess(args) }
+func setProcess(ts *testscript.TestScript, _ bool, args []string) { systemOf(ts).setProcess(args) }
 
 func moveClock(ts *testscript.TestScript, _ bool, args []string) {
-	ts.Check(worldOf(ts).moveClock(args))
+	ts.Check(systemOf(ts).moveClock(args))
 }
 
 func writeSettings(ts *testscript.TestScript, _ bool, args []string) {
-	ts.Check(worldOf(ts).writeSettings(args))
+	ts.Check(systemOf(ts).writeSettings(args))
 }
 
 // setStore is "store up|down|lose N|put KEY VALUE".
-func (w *world) setStore(args []string) error {
+func (w *testSystem) setStore(args []string) error {
 	f := standin.Faults{Down: args[0] == "down"}
 	switch args[0] {
 	case "lose":
@@ -239,7 +241,7 @@
 }
 
 // setProcess is "process VM up|down|behind|busy".
-func (w *world) setProcess(args []string) {
+func (w *testSystem) setProcess(args []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, p := range w.processes {
@@ -250,7 +252,7 @@
 }
 
 // moveClock is "clock DURATION".
-func (w *world) moveClock(args []string) error {
+func (w *testSystem) moveClock(args []string) error {
 	d, err := time.ParseDuration(args[0])
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -259,14 +261,14 @@
 }
 
 // writeSettings is "settings FILE OPERATOR": it writes a settings file for the stand-ins.
-func (w *world) writeSettings(args []string) error {
+func (w *testSystem) writeSettings(args []string) error {
 	list := []any{}
 	for _, p := range w.processes {
 		list = append(list, map[string]any{"vm": p.vm, "role": p.role, "ops": strings.TrimPrefix(p.server.URL, "http://")})
 	}
 	data, err := json.Marshal(map[string]any{
 		"store": w.address, "operator": args[1], "storeTimeoutMs": 500, "statusTimeoutMs": 500,
-		"pictureFile": filepath.Join(w.dir, "picture"), "processes": list,
+		"snapshotFile": filepath.Join(w.dir, "snapshot"), "processes": list,
 	})
 	if err != nil {
 		return err
--- a/cmd/internal/sailctl/service.go
+++ b/cmd/internal/sailctl/service.go
@@ -74,7 +74,7 @@
 		if _, _, err := config.SplitOpsKey(d.Key); err != nil {
 			return a.fail("", types.WrapFault(types.CodeBadRequest, err, "%q is not the name of a %s", rest[0], what))
 		}
-		return a.with(ctx, func(s *session) error {
+		return a.withSession(ctx, func(s *session) error {
 			if err := s.knowsVM(d); err != nil {
 				return err
 			}
@@ -133,7 +133,7 @@
 	defer cancel()
 	out, err := s.Decide(bounded, d)
 	if types.CodeOf(err) == types.CodeBadConfiguration && !d.Force {
-		a.note("nothing was changed; -force does it all the same:")
+		a.notef("nothing was changed; -force does it all the same:")
 	}
 	if err != nil {
 		return err
@@ -150,7 +150,7 @@
 	return err
 }
 
-func (a *app) showDecided(out operator.Decided) {
+func (a *app) showDecided(out operator.DecisionResult) {
 	switch {
 	case out.Unchanged:
 		a.printf("%s is %s already; nothing was written\n", out.Key, out.State)
--- a/cmd/internal/sailctl/settings.go
+++ b/cmd/internal/sailctl/settings.go
@@ -19,8 +19,8 @@
 	StatusTimeoutMs settings.Millis `json:"statusTimeoutMs"`
 	// Operator is the name that the history shows. Default: the name of the user who runs sailctl.
 	Operator string `json:"operator"`
-	// PictureFile keeps the last seen status, so that status can show it while a part is down. Default: none.
-	PictureFile string `json:"pictureFile"`
+	// SnapshotFile keeps the last seen status, so that status can show it while a part is down. Default: none.
+	SnapshotFile string `json:"snapshotFile"`
 	// Processes lists the gateways and dispatchers.
 	Processes []ProcessSettings `json:"processes"`
 }
--- a/cmd/internal/sailctl/picture.go
+++ b/cmd/internal/sailctl/snapshot.go
@@ -10,8 +10,8 @@
 	"sequoiasail.example/cmd/internal/operator"
 )
 
-// loadPicture reads the last seen picture. A missing or damaged file counts as none: it only fills gaps.
-func loadPicture(file string) *operator.Picture {
+// loadSnapshot reads the last seen snapshot. A missing or damaged file counts as none: it only fills gaps.
+func loadSnapshot(file string) *operator.Snapshot {
 	if file == "" {
 		return nil
 	}
@@ -19,15 +19,15 @@
 	if err != nil {
 		return nil
 	}
-	var p operator.Picture
+	var p operator.Snapshot
 	if json.Unmarshal(data, &p) != nil {
 		return nil
 	}
 	return &p
 }
 
-// savePicture replaces the file in one step, so that a second sailctl never reads half a picture.
-func savePicture(file string, p operator.Picture) error {
+// saveSnapshot replaces the file in one step, so that a second sailctl never reads half a snapshot.
+func saveSnapshot(file string, p operator.Snapshot) error {
 	if file == "" {
 		return nil
 	}
--- a/config/answers.go
+++ b/config/answers.go
@@ -158,20 +158,20 @@
 
 func (s *ServiceAnswer) provision() {
 	if s.Keyed {
-		point(&s.TableSlots, defaultTableSlots)
+		setDefault(&s.TableSlots, defaultTableSlots)
 	}
-	point(&s.ExtraLoadPercent, defaultExtraPercent)
-	point(&s.SpareTargets, len(s.Targets)/defaultSpareDivisor)
-	point(&s.ColdStartMs, defaultColdStartMs)
+	setDefault(&s.ExtraLoadPercent, defaultExtraPercent)
+	setDefault(&s.SpareTargets, len(s.Targets)/defaultSpareDivisor)
+	setDefault(&s.ColdStartMs, defaultColdStartMs)
 	for i := range s.Requests {
 		if r := &s.Requests[i]; !r.MayRunTwice {
-			point(&r.ResendWithinMs, defaultResendMs)
+			setDefault(&r.ResendWithinMs, defaultResendMs)
 		}
 	}
 	for i := range s.Targets {
 		t := &s.Targets[i]
-		point(&t.Slots, s.Target.Slots)
-		point(&t.Connections, s.Target.Connections)
+		setDefault(&t.Slots, s.Target.Slots)
+		setDefault(&t.Connections, s.Target.Connections)
 	}
 }
 
@@ -191,10 +191,10 @@
 func (a Answers) linkMs() int64 {
 	var ms int64
 	for _, d := range a.DataCentres {
-		ms = max(ms, plausible(d.OneWayMs))
+		ms = max(ms, inRangeOrZero(d.OneWayMs))
 	}
 	if a.regions() > 1 {
-		ms = max(ms, plausible(a.BetweenRegionsMs))
+		ms = max(ms, inRangeOrZero(a.BetweenRegionsMs))
 	}
 	return ms
 }
@@ -203,20 +203,20 @@
 func (a Answers) callerMs() int64 {
 	var ms int64
 	for _, d := range a.DataCentres {
-		ms = max(ms, plausible(d.CallerMs))
+		ms = max(ms, inRangeOrZero(d.CallerMs))
 	}
 	return ms
 }
 
-func plausible(ms int64) int64 {
+func inRangeOrZero(ms int64) int64 {
 	if ms > maxLinkMs {
 		return 0
 	}
 	return ms
 }
 
-// point sets v to a pointer to d when it is nil.
-func point[T any](v **T, d T) {
+// setDefault sets v to a pointer to d when it is nil.
+func setDefault[T any](v **T, d T) {
 	if *v == nil {
 		*v = &d
 	}
--- a/config/diff.go
+++ b/config/diff.go
@@ -62,13 +62,13 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b Change) int { return cmp.Compare(a.Path, b.Path) })
-	told := map[string]bool{}
+	shown := map[string]bool{}
 	for i := range out {
 		part, effect := effectOf(out[i])
-		if !told[part] {
+		if !shown[part] {
 			out[i].Effect = effect
 		}
-		told[part] = true
+		shown[part] = true
 	}
 	return out
 }
@@ -81,18 +81,18 @@
 	case p[0] == "ownership":
 		return p[0], "leases get the new timing when they are renewed"
 	case p[0] == "dataCentres":
-		return join(p[0], p[1]), whole(added, removed, "data centre", "routing uses the new value at once")
+		return join(p[0], p[1]), partEffect(added, removed, "data centre", "routing uses the new value at once")
 	case len(p) == 3:
 		return c.Path, serviceEffect(p[2], added, removed)
 	case p[2] == "targets":
 		return strings.Join(p[:4], "."), targetEffect(p[4], added, removed)
 	case p[2] == "classes":
-		return strings.Join(p[:4], "."), whole(added, removed, "class", "holds for requests that arrive from then on")
+		return strings.Join(p[:4], "."), partEffect(added, removed, "class", "holds for requests that arrive from then on")
 	}
 	return strings.Join(p[:3], "."), "holds for requests that arrive from then on"
 }
 
-func whole(added, removed bool, what, changed string) string {
+func partEffect(added, removed bool, what, changed string) string {
 	switch {
 	case added:
 		return what + " added"
@@ -105,7 +105,7 @@
 func serviceEffect(field string, added, removed bool) string {
 	switch {
 	case (added || removed) && field != "slots":
-		return whole(added, removed, "service", "")
+		return partEffect(added, removed, "service", "")
 	case field == "keyed" || field == "slots":
 		return "the slot table is built anew: every key gets a new owner, and the service pauses meanwhile"
 	case field == "scope":
--- a/config/validate.go
+++ b/config/validate.go
@@ -163,10 +163,10 @@
 		connections = v.at("target.connections")
 	}
 	n, conns := *t.Slots, *t.Connections
-	v.once(slots, between(int64(n), 1, maxTargetSlots))
-	v.once(connections, between(int64(conns), 1, maxConnections))
+	v.failOnce(slots, between(int64(n), 1, maxTargetSlots))
+	v.failOnce(connections, between(int64(conns), 1, maxConnections))
 	if n >= 1 && conns >= 1 && conns < n+probeConnections {
-		v.once(connections, fmt.Sprintf("%d connections cannot carry %d requests at once and a health check; raise "+
+		v.failOnce(connections, fmt.Sprintf("%d connections cannot carry %d requests at once and a health check; raise "+
 			"connections to %d or lower slots to %d", conns, n, n+probeConnections, max(conns-probeConnections, 1)))
 	}
 	if !(t.Weight > 0 && t.Weight <= maxWeight) {
@@ -174,8 +174,8 @@
 	}
 }
 
-// once reports why at path, unless why is empty or path has a fault.
-func (v *serviceValidator) once(path, why string) {
+// failOnce reports why at path, unless why is empty or path has a fault.
+func (v *serviceValidator) failOnce(path, why string) {
 	if why == "" {
 		return
 	}
@@ -198,15 +198,15 @@
 func (v *serviceValidator) ownership() {
 	switch v.s.CutOff {
 	case CutOffKeep:
-		v.keep()
+		v.checkKeep()
 	case CutOffMove:
-		v.move()
+		v.checkMove()
 	default:
 		v.Fail(v.at("cutOff"), "must be %s or %s, not %q", CutOffKeep, CutOffMove, v.s.CutOff)
 	}
 }
 
-func (v *serviceValidator) keep() {
+func (v *serviceValidator) checkKeep() {
 	if !v.s.Keyed {
 		return
 	}
@@ -218,7 +218,7 @@
 	}
 }
 
-func (v *serviceValidator) move() {
+func (v *serviceValidator) checkMove() {
 	if !v.s.Keyed {
 		v.Fail(v.at("cutOff"), "move has no meaning for a service without keys; leave it out or set keyed to true")
 		return
