operator: wait when watching an empty store

Cause: revision 0 meant 'not listed yet', so a watch of an empty store listed it again at once: 3,549 calls in 0.3 s, seen by counting the stand-in's calls. A store that keeps answering not-found to a watch now gets a pause as well. After: 2 lists and 2 watches. Conclusion: guarded by TestWatchOfEmptyStoreWaits.

--- a/cmd/internal/operator/await_test.go
+++ b/cmd/internal/operator/await_test.go
@@ -225,3 +225,18 @@
 	f.True(strings.Contains(seen[4], "answers again") && strings.Contains(seen[5], "answers again"))
 	f.Equal(seen[6], "ops/dc/kladno in by jana")
 }
+
+// Guards against a watch that asks an empty store again and again instead of waiting.
+func TestWatchOfEmptyStoreWaits(t *testing.T) {
+	f := start(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	f.NoErr(f.person("jana", nil).Watch(ctx, func(operator.Notice) {}))
+	res, err := http.Get("http://" + f.address + standin.PathCalls)
+	f.NoErr(err)
+	defer res.Body.Close()
+	var calls map[string]int
+	f.NoErr(json.NewDecoder(res.Body).Decode(&calls))
+	f.Equal(calls["list"], 2)
+	f.Equal(calls["watch"], 2)
+}
--- a/cmd/internal/operator/watch.go
+++ b/cmd/internal/operator/watch.go
@@ -56,7 +56,9 @@
 	o       *Operator
 	prefix  string
 	notices *ring.Ring[Notice]
-	// after is the revision up to which changes were shown. 0 means that the prefix must be listed.
+	// listed is false when the prefix must be listed before it can be watched.
+	listed bool
+	// after is the revision up to which changes were shown. An empty store has revision 0.
 	after types.Revision
 	// seen holds the revision of each key that was shown, so that listing again repeats nothing.
 	seen map[string]types.Revision
@@ -70,8 +72,9 @@
 		switch {
 		case ctx.Err() != nil:
 			return nil
-		case isNotFound(err):
-			f.after = 0
+		case isNotFound(err): // the store has forgotten the changes since f.after
+			f.listed = false
+			_ = waitFor(ctx, settlePause)
 		case err != nil:
 			_ = f.outage(ctx, err) // fails only when ctx ends, which the loop sees
 		}
@@ -81,7 +84,7 @@
 
 // step lists the prefix or waits for its next changes.
 func (f *watcher) step(ctx context.Context) error {
-	if f.after == 0 {
+	if !f.listed {
 		return f.list(ctx)
 	}
 	events, after, err := f.o.Store.Watch(ctx, f.prefix, f.after)
@@ -113,7 +116,7 @@
 			return err
 		}
 	}
-	f.after = at
+	f.listed, f.after = true, at
 	return nil
 }
 
@@ -149,10 +152,10 @@
 	return row.Version, text
 }
 
-// outage tells once that the store is down, and waits before the next attempt. That one lists: a watch would answer only
-// after the next change, so the end of the outage would be told up to store.MaxWatchWait late.
+// outage reports once that the store is down, and waits before the next attempt. That one lists: a watch would answer only
+// after the next change, so the end of the outage would be reported up to store.MaxWatchWait late.
 func (f *watcher) outage(ctx context.Context, cause error) error {
-	f.after = 0
+	f.listed = false
 	if !f.down {
 		f.down = true
 		n := Notice{At: f.o.Now(), Text: f.prefix + ": the store does not answer: " + cause.Error()}
