--- a/standin/target/grant.go
+++ b/standin/target/grant.go
@@ -100,12 +100,14 @@
 
 // over reports whether the grant of the highest epoch has ended. A grant that ended never returns.
 func (g *grants) over(now time.Time) bool {
-	if g.highest > 0 && !now.Before(g.end) {
+	if g.highest > 0 && g.expired(now) {
 		g.ended = true
 	}
 	return g.ended
 }
 
+func (g *grants) expired(now time.Time) bool { return !now.Before(g.end) }
+
 // check returns the fault of a request that starts now without a valid grant.
 func (g *grants) check(now time.Time, keyed bool, r request) *types.Fault {
 	if r.leaseEpoch < g.highest {
@@ -120,8 +122,20 @@
 // holds returns a fault unless the grant is valid and contains the request's key.
 func (g *grants) holds(now time.Time, keyed bool, r request) *types.Fault {
 	if g.highest == 0 || g.over(now) {
+		return types.NewFault(types.CodeNotHolder, "grant has ended")
+	}
+	return g.covers(keyed, r)
+}
+
+// mayEnd returns a fault unless a request that runs may still take effect. A release waits for such requests.
+func (g *grants) mayEnd(now time.Time, keyed bool, r request) *types.Fault {
+	if g.expired(now) {
 		return types.NewFault(types.CodeNotHolder, "grant has expired")
 	}
+	return g.covers(keyed, r)
+}
+
+func (g *grants) covers(keyed bool, r request) *types.Fault {
 	if keyed && !g.contains(r) {
 		return types.NewFault(types.CodeNotHolder, "slot %d is not in the grant", r.slot)
 	}
--- a/standin/target/run.go
+++ b/standin/target/run.go
@@ -129,7 +129,7 @@
 	if !s.settings.ChecksGrants {
 		return nil
 	}
-	return s.grants.holds(now, s.settings.Keyed, r)
+	return s.grants.mayEnd(now, s.settings.Keyed, r)
 }
 
 // unfinished answers a request that started and took no effect. It is not a refusal: the request may have been seen.
