--- a/placement/sketch.go
+++ b/placement/sketch.go
@@ -61,6 +61,15 @@
 	clear(s.index)
 }
 
+// Decay multiplies all counts by factor, which lies between 0 and 1. It suits observers that want a smoothed rate; the
+// planner smooths reports itself.
+func (s *Sketch) Decay(factor float32) {
+	for i := range s.counters {
+		s.counters[i].count *= factor
+		s.counters[i].excess *= factor
+	}
+}
+
 // Top appends the n heaviest keys to out, heaviest first, with the weight that is certain (the count less its largest
 // error) multiplied by scale. Keys without certain weight are left out.
 func (s *Sketch) Top(n int, scale float32, out []KeyLoad) []KeyLoad {
