placement: keep neighbouring slots with one owner

A slot document lists runs of slots with one owner, and each change of a document reaches every process. With 430 targets nearly every slot was a run of its own.

Slots of average load now go to the same target as their neighbour up to 1.03 of its fair share; heavy slots are still placed by their own load.

--- a/cmd/sail-measure/main.go
+++ b/cmd/sail-measure/main.go
@@ -18,6 +18,7 @@
 	"recovery":  measure.Recovery,
 	"churn":     measure.Churn,
 	"hot-keys":  measure.HotKeys,
+	"runs":      measure.Runs,
 }
 
 func main() {
@@ -25,7 +26,7 @@
 	flag.Parse()
 	run := measures[flag.Arg(0)]
 	if run == nil || flag.NArg() != 1 {
-		fmt.Fprintln(os.Stderr, "usage: sail-measure [-seed N] imbalance|recovery|churn|hot-keys")
+		fmt.Fprintln(os.Stderr, "usage: sail-measure [-seed N] imbalance|recovery|churn|hot-keys|runs")
 		os.Exit(exitUsage)
 	}
 	run(os.Stdout, func(n uint64) measure.Random { return rand.NewPCG(*seed, n) })
--- a/placement/failure_test.go
+++ b/placement/failure_test.go
@@ -344,3 +344,15 @@
 	b.now = b.now.Add(placement.PlanInterval)
 	is.Equal(b.Tick(b.now, nil)[0].Kind, placement.ActionMoveKey)
 }
+
+// Guards against a stored table with one entry for each slot, of which every process receives a part with each change.
+func TestNeighbouringSlotsStayTogether(t *testing.T) {
+	is := is.New(t)
+	f := measure.NewFleet(8192, 64)
+	f.Second()
+	is.True(f.Runs() <= 2*64)
+	f.SetState("t-9", placement.StateLost)
+	f.Second()
+	is.Equal(f.Owned("t-9"), 0)
+	is.True(f.Runs() <= 3*64) // 128 slots move to at most 63 targets
+}
--- a/placement/measure/compare.go
+++ b/placement/measure/compare.go
@@ -210,3 +210,39 @@
 	}
 	return f.Elapsed() - start
 }
+
+// Runs compares how fragmented the table of a large service is at first and after the 36 restarts of a day: each run of
+// neighbouring slots with the same owner is one entry of the stored documents.
+func Runs(out io.Writer, _ Source) {
+	const slots, n = 16384, 430
+	f := NewFleet(slots, n)
+	idle(f, 5*time.Second)
+	first := float64(f.Runs())
+	name := fmt.Sprintf("runs slots=%d targets=%d", slots, n)
+	figure(out, name, "planner, at first", first, first, "runs")
+	for i := range 36 {
+		t := targetNames(n)[i]
+		f.SetState(t, placement.StateDraining)
+		idle(f, 10*time.Second)
+		f.Remove(t)
+		idle(f, 10*time.Second)
+		f.Add(t, placement.StateCold)
+		idle(f, 80*time.Second)
+	}
+	day := float64(f.Runs())
+	figure(out, name, "planner, after a day", day, first, "runs")
+	owner := consistent(slots, targetNames(n))
+	runs := 1.0
+	for s := 1; s < slots; s++ {
+		if owner[s] != owner[s-1] {
+			runs++
+		}
+	}
+	figure(out, name, "consistent hashing", runs, first, "runs")
+}
+
+func idle(f *Fleet, d time.Duration) {
+	for end := f.Elapsed() + d; f.Elapsed() < end; {
+		f.Second()
+	}
+}
--- a/placement/measure/fleet.go
+++ b/placement/measure/fleet.go
@@ -256,6 +256,17 @@
 	return n
 }
 
+// Runs returns the number of runs of neighbouring slots with the same owner. It sets the size of the stored table.
+func (f *Fleet) Runs() int {
+	n := 1
+	for slot := 1; slot < len(f.owners); slot++ {
+		if f.owners[slot] != f.owners[slot-1] {
+			n++
+		}
+	}
+	return n
+}
+
 // HasRow reports whether a key has a hot-key row.
 func (f *Fleet) HasRow(key types.KeyHash) bool { return f.findHot(key) >= 0 }
 
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -21,7 +21,7 @@
 	}
 	s.mean = fair * s.meanWeight()
 	moved := false
-	out, moved = s.empty(now, out)
+	out, moved = s.empty(now, fair, out)
 	if moved {
 		s.urgent = true
 		return out
@@ -46,16 +46,16 @@
 }
 
 // empty moves slots and hot-key rows whose owner is lost, leaving or missing.
-func (s *service) empty(now types.Instant, out []Action) ([]Action, bool) {
+func (s *service) empty(now types.Instant, fair float64, out []Action) ([]Action, bool) {
 	s.scratch.fillReceivers(s.targets)
 	if len(s.scratch.heap.list) == 0 {
 		return out, false
 	}
 	start := len(out)
 	out = s.emptyKeys(now, out)
-	out = s.emptySlots(now, ReasonLost, MaxLost, out)
-	out = s.emptySlots(now, ReasonFree, MaxLost, out)
-	out = s.emptySlots(now, ReasonDraining, MaxDraining, out)
+	out = s.emptySlots(now, fair, ReasonLost, MaxLost, out)
+	out = s.emptySlots(now, fair, ReasonFree, MaxLost, out)
+	out = s.emptySlots(now, fair, ReasonDraining, MaxDraining, out)
 	return out, len(out) > start
 }
 
@@ -86,9 +86,21 @@
 	return out
 }
 
-// emptySlots moves the slots that must be moved for reason, heaviest first, each to the target that is then loaded
-// least for its capacity.
-func (s *service) emptySlots(now types.Instant, reason Reason, limit int, out []Action) []Action {
+// Rules for the slots of owners that are emptied. Neighbouring slots go to the same target where they can: a table
+// document lists runs of slots with one owner, and every process receives the whole document with each change.
+const (
+	// heavyShare is the share of an average target's load from which a slot is placed by its own load, unless it has no
+	// more than heavyRatio times the load of an average slot.
+	heavyShare = 0.02
+	heavyRatio = 1.5
+	// fillRatio is the relative load up to which a target is given neighbouring slots. It is below stopRatio, so that
+	// filling causes no balancing.
+	fillRatio = 1.03
+)
+
+// emptySlots moves the slots that must be moved for reason: heavy ones first, each to the target that is then loaded
+// least for its capacity, then the others in order.
+func (s *service) emptySlots(now types.Instant, fair float64, reason Reason, limit int, out []Action) []Action {
 	todo := s.scratch.todo[:0]
 	for slot, owner := range s.owners {
 		if s.pending[slot] == NoOwner && s.emptyReason(owner) == reason {
@@ -97,15 +109,22 @@
 	}
 	s.scratch.todo = todo
 	weight := s.scratch.weight
+	heavy := float32(max(heavyShare*s.mean, heavyRatio*s.averageSlot()))
 	slices.SortFunc(todo, func(a, b int32) int {
-		if c := cmp.Compare(weight[b], weight[a]); c != 0 {
+		if c := cmp.Compare(max(weight[b], heavy), max(weight[a], heavy)); c != 0 {
 			return c
 		}
 		return cmp.Compare(a, b)
 	})
 	todo = todo[:max(0, min(len(todo), limit-s.inMotion))]
-	for _, slot := range todo {
-		s.propose(now, int(slot), s.scratch.heap.take(float64(weight[slot])))
+	level := fair * fillRatio
+	if reason == ReasonFree {
+		level = fair // all targets are filled at once, and the last ones must not come short
+	}
+	for i, slot := range todo {
+		load := float64(weight[slot])
+		neighbour := i > 0 && weight[slot] <= heavy && todo[i-1]+1 == slot
+		s.propose(now, int(slot), s.scratch.heap.place(load, level, neighbour))
 	}
 	return s.emit(todo, reason, out)
 }
@@ -150,14 +169,33 @@
 	heap.Init(&b.heap)
 }
 
-// take returns the least loaded target and adds load to it.
+// take returns the least loaded target and adds load to it. The target stays first until the next take.
 func (r *receivers) take(load float64) uint16 {
+	heap.Fix(r, 0)
 	i := r.list[0]
 	r.targets[i].load += load
-	heap.Fix(r, 0)
 	return i
 }
 
+// averageSlot returns the mean weight of the slots.
+func (s *service) averageSlot() float64 {
+	sum := 0.0
+	for _, w := range s.scratch.weight {
+		sum += float64(w)
+	}
+	return sum / float64(len(s.scratch.weight))
+}
+
+// place returns the target that was taken last if more is true and its relative load stays below level, else the least
+// loaded one.
+func (r *receivers) place(load, level float64, more bool) uint16 {
+	if t := &r.targets[r.list[0]]; more && t.load+load <= t.capacity*level {
+		t.load += load
+		return r.list[0]
+	}
+	return r.take(load)
+}
+
 // Len implements heap.Interface.
 func (r *receivers) Len() int { return len(r.list) }
 
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -30,6 +30,7 @@
 compare recovery
 compare churn
 compare hot-keys
+compare runs
 bench routing 'Keyed|TwoChoices'
 bench placement 'Plan|Sketch'
 bench dispatch '.'
