placement: let reports sum up slots that do not stand out; cmd: measure messages

Load.Rest carries the sum of the slots that are not listed.

A report without Rest means what it meant before. Conclusion: the dispatcher's meter should list slots above 1.5 times its average slot and sum up the others.

--- /dev/null
+++ b/cmd/sail-measure/rpc_test.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync/atomic"
+	"testing"
+
+	"sequoiasail.example/daemon/process"
+	"sequoiasail.example/ownership"
+	"sequoiasail.example/transport/peer"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+// countedConn counts the bytes of one connection in both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Wire answers each message with a typical answer.
+type Wire struct{ versions []peer.VouchVersion }
+
+// Confirm answers that nothing newer is known.
+func (w *Wire) Confirm(r *peer.ConfirmRequest, a *peer.ConfirmAnswer) error {
+	*a = peer.ConfirmAnswer{Status: 1, Member: r.Member, Versions: r.Versions}
+	return nil
+}
+
+// Report accepts a load report.
+func (w *Wire) Report(*peer.LoadReport, *peer.Empty) error { return nil }
+
+// Do answers a request with 1 KB.
+func (w *Wire) Do(_ *peer.DoRequest, a *peer.DoAnswer) error {
+	a.Body = make([]byte, 1024)
+	return nil
+}
+
+// Install acknowledges documents.
+func (w *Wire) Install(r *peer.InstallRequest, a *peer.InstallAnswer) error {
+	*a = peer.InstallAnswer{Installed: true, Member: r.Member}
+	return nil
+}
+
+// call measures one net/rpc call over loopback, with the bytes of both directions.
+func call(b *testing.B, method string, args, reply any) {
+	server := rpc.NewServer()
+	if err := server.RegisterName("Wire", &Wire{}); err != nil {
+		b.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go server.Accept(l)
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	var bytes atomic.Int64
+	client := rpc.NewClient(countedConn{conn, &bytes})
+	defer func() { _ = client.Close() }()
+	if err := client.Call(method, args, reply); err != nil { // sends the type descriptions
+		b.Fatal(err)
+	}
+	before := bytes.Load()
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := client.Call(method, args, reply); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(bytes.Load()-before)/float64(b.N), "B/call")
+}
+
+func run(i int) peer.VouchRun {
+	return peer.VouchRun{VM: types.VM(fmt.Sprintf("cl-centro-a-vm%d", i)), Incarnation: 1_764_846_000_000_000_000}
+}
+
+func BenchmarkRPCConfirm(b *testing.B) {
+	for _, services := range []int{1, 3, 9} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			r := &peer.ConfirmRequest{Group: "data-centre/cl-centro-a", Asker: run(1), Member: run(2), AskedAt: 1 << 50}
+			for i := range services {
+				r.Versions = append(r.Versions, peer.VouchVersion{Key: fmt.Sprintf("lease/service-%d", i), Epoch: 12345})
+			}
+			call(b, "Wire.Confirm", r, &peer.ConfirmAnswer{})
+		})
+	}
+}
+
+func BenchmarkRPCReport(b *testing.B) {
+	for _, slots := range []int{10, 38, 153} { // of 4,096, 16,384 and 65,536 slots over 430 targets
+		b.Run(fmt.Sprintf("slots=%d", slots), func(b *testing.B) {
+			t := peer.TargetLoad{Target: types.TargetID{Service: "catalogo", Target: "catalogo-17"}}
+			for i := range slots {
+				t.Slots = append(t.Slots, types.Slot(i*430))
+				t.Loads = append(t.Loads, float32(i)*1.37)
+			}
+			for i := range 16 {
+				t.Keys = append(t.Keys, types.HashKey(fmt.Sprint(i)))
+				t.KeyLoads = append(t.KeyLoads, float32(i)*1.37)
+			}
+			call(b, "Wire.Report", &peer.LoadReport{From: "cl-centro-a-vm1", Targets: []peer.TargetLoad{t}}, &peer.Empty{})
+		})
+	}
+}
+
+func BenchmarkRPCDo(b *testing.B) {
+	r := &peer.DoRequest{Service: "catalogo", KeyHash: 1 << 60, Method: "GET"}
+	call(b, "Wire.Do", r, &peer.DoAnswer{})
+}
+
+// slotDocument returns one part of a slot table with one run for each of n slots.
+func slotDocument(b *testing.B, n int) []byte {
+	d := ownership.Document{Key: ownership.SlotsKey("catalogo", 0), Store: 12345, Slots: &ownership.SlotDocument{}}
+	for i := range n {
+		d.Slots.Runs = append(d.Slots.Runs, ownership.Run{First: types.Slot(i), Count: 1, Ownership: ownership.Ownership{
+			State: ownership.SlotOwned, Owner: types.Target(fmt.Sprintf("catalogo-%d", i%430)), Term: 12345, Epoch: 23456,
+		}})
+	}
+	value, err := process.EncodeDocument(d)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return value
+}
+
+func BenchmarkRPCInstall(b *testing.B) {
+	for _, runs := range []int{30, 256, 1024, 4096} {
+		b.Run(fmt.Sprintf("runs=%d", runs), func(b *testing.B) {
+			d := peer.VouchDocument{Key: "table/catalogo/0", Store: 12345, Value: slotDocument(b, runs)}
+			r := &peer.InstallRequest{Planner: run(1), Member: run(2), Documents: []peer.VouchDocument{d}}
+			call(b, "Wire.Install", r, &peer.InstallAnswer{})
+			b.ReportMetric(float64(len(d.Value)), "B/document")
+		})
+	}
+}
+
+// BenchmarkDocument measures what each process spends on one changed part of the table.
+func BenchmarkDocument(b *testing.B) {
+	for _, runs := range []int{30, 256, 1024, 4096} {
+		b.Run(fmt.Sprintf("runs=%d", runs), func(b *testing.B) {
+			e := store.Event{Entry: store.Entry{Key: "table/catalogo/0", Value: slotDocument(b, runs), Revision: 1}}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok, err := process.DecodeDocument(e); !ok || err != nil {
+					b.Fatal(ok, err)
+				}
+			}
+		})
+	}
+}
--- a/placement/failure_test.go
+++ b/placement/failure_test.go
@@ -356,3 +356,15 @@
 	is.Equal(f.Owned("t-9"), 0)
 	is.True(f.Runs() <= 3*64) // 128 slots move to at most 63 targets
 }
+
+// Guards against slots that lose their load because a report sums up those that do not stand out.
+func TestReportsMaySumUpSlots(t *testing.T) {
+	is := is.New(t)
+	b := newBench(16)
+	b.loadAll(func(slot int) float32 { return 2 })
+	m := &placement.Load{Service: measure.Service, Target: name(5), Slots: []types.Slot{5}, Loads: []float32{2}, Rest: 63 * 2}
+	for range 5 {
+		b.step(placement.Message{Kind: placement.KindLoad, Load: m})
+	}
+	is.Equal(len(b.run(time.Minute)), 0)
+}
--- a/placement/load.go
+++ b/placement/load.go
@@ -27,7 +27,7 @@
 	return old + change*loadGain
 }
 
-// installLoad applies a dispatcher's report. Slots and hot keys of the target that are not listed have no load.
+// installLoad applies a dispatcher's report. Hot keys of the target that are not listed have no load.
 func (s *service) installLoad(now types.Instant, m *Load) {
 	t, ok := s.byName[m.Target]
 	if !ok {
@@ -36,13 +36,19 @@
 	reported := s.scratch.reportOf(int(s.slots))
 	for i, slot := range m.Slots {
 		if int(slot) < len(reported) && i < len(m.Loads) {
-			reported[slot] = max(m.Loads[i], 0)
+			reported[slot] = max(m.Loads[i], 0) + listed
 		}
 	}
+	each := s.restOfEach(t, m.Rest, reported)
 	for slot, owner := range s.owners {
-		if owner == t && now.Sub(s.changed[slot]) >= reportGrace {
-			s.loads[slot] = s.smooth(s.loads[slot], reported[slot])
+		if owner != t || now.Sub(s.changed[slot]) < reportGrace {
+			continue
 		}
+		load := each
+		if reported[slot] > 0 {
+			load = reported[slot] - listed
+		}
+		s.loads[slot] = s.smooth(s.loads[slot], load)
 	}
 	for _, slot := range m.Slots {
 		if int(slot) < len(reported) {
@@ -52,6 +58,23 @@
 	s.installKeyLoads(now, t, m.Keys)
 }
 
+// listed is added to reported loads, so that a listed slot without load differs from one that is not listed.
+const listed = 1
+
+// restOfEach returns the load of each slot of a target that a report does not list.
+func (s *service) restOfEach(t uint16, rest float32, reported []float32) float32 {
+	if rest <= 0 {
+		return 0
+	}
+	n := 0
+	for slot, owner := range s.owners {
+		if owner == t && reported[slot] == 0 {
+			n++
+		}
+	}
+	return rest / float32(max(n, 1))
+}
+
 func (s *service) installKeyLoads(now types.Instant, t uint16, keys []KeyLoad) {
 	for i := range s.hot {
 		h := &s.hot[i]
--- a/placement/measure/compare.go
+++ b/placement/measure/compare.go
@@ -184,6 +184,9 @@
 		f.Run(3*time.Minute, simulatedRate, w)
 	}
 	figure(out, "hottest 13 have rows after change", "planner, worst of 5", worst, worst, "s")
+	per := float64(f.Listed) / float64(f.Reports)
+	figure(out, "slots listed in one report", "those that stand out", per, per, "slots")
+	figure(out, "slots listed in one report", "all of a target", simulatedSlots/16, per, "slots")
 	seen := map[types.KeyHash]bool{}
 	for range simulatedRate * 600 {
 		seen[w.Sample()] = true
--- a/placement/measure/fleet.go
+++ b/placement/measure/fleet.go
@@ -14,6 +14,8 @@
 const (
 	// reportInterval is the time between the reports of a dispatcher.
 	reportInterval = 10 * time.Second
+	// standOut is the load, as a multiple of the target's average slot, from which a report lists a slot.
+	standOut = 1.5
 	// reportKeys is the number of keys in one report. A key has one owner, so its whole load is in one report.
 	reportKeys = 16
 )
@@ -25,6 +27,8 @@
 	WithoutHotKeys bool
 	// Moved counts slots that changed their owner, MovedKeys hot-key rows.
 	Moved, MovedKeys int
+	// Listed counts the slots that reports listed one by one, Reports the reports.
+	Listed, Reports int
 	// Log receives every applied action, if set.
 	Log func(now types.Instant, a placement.Action)
 
@@ -142,12 +146,7 @@
 	seconds := float32(reportInterval / time.Second)
 	for i, name := range f.names {
 		m := &placement.Load{Service: Service, Target: name}
-		for slot, o := range f.owners {
-			if o == uint16(i) && f.counts[slot] > 0 {
-				m.Slots = append(m.Slots, types.Slot(slot))
-				m.Loads = append(m.Loads, f.counts[slot]/seconds)
-			}
-		}
+		f.reportSlots(m, uint16(i))
 		if s := f.sketches[name]; s != nil {
 			m.Keys = s.Top(reportKeys, 1/seconds, nil)
 			s.Reset()
@@ -157,6 +156,31 @@
 	clear(f.counts)
 }
 
+// reportSlots lists the slots of a target that have more than standOut times the load of its average slot.
+func (f *Fleet) reportSlots(m *placement.Load, t uint16) {
+	seconds := float32(reportInterval / time.Second)
+	sum, n := float32(0), float32(0)
+	for slot, o := range f.owners {
+		if o == t {
+			sum += f.counts[slot]
+			n++
+		}
+	}
+	for slot, o := range f.owners {
+		if o != t {
+			continue
+		}
+		if f.counts[slot] <= standOut*sum/n {
+			m.Rest += f.counts[slot] / seconds
+			continue
+		}
+		m.Slots = append(m.Slots, types.Slot(slot))
+		m.Loads = append(m.Loads, f.counts[slot]/seconds)
+	}
+	f.Listed += len(m.Slots)
+	f.Reports++
+}
+
 func (f *Fleet) apply() {
 	if len(f.actions) == 0 {
 		return
--- a/placement/message.go
+++ b/placement/message.go
@@ -110,10 +110,12 @@
 type Load struct {
 	Service types.Service
 	Target  types.Target
-	// Slots and Loads give the load of the target's slots without the keys that have a hot-key row. Slots that are not
-	// listed have no load.
+	// Slots and Loads give the load of the target's slots without the keys that have a hot-key row.
 	Slots []types.Slot
 	Loads []float32
+	// Rest is the load of all slots that are not listed. It is taken to be spread evenly over them, so that a report
+	// needs to list only the slots that stand out.
+	Rest float32
 	// Keys gives the hottest keys of the target, with and without a hot-key row.
 	Keys []KeyLoad
 }
