--- a/cmd/sail-measure/rpc_test.go
+++ b/cmd/sail-measure/rpc_test.go
@@ -33,7 +33,7 @@
 }
 
 // Wire answers each message with a typical answer.
-type Wire struct{ versions []peer.VouchVersion }
+type Wire struct{}
 
 // Confirm answers that nothing newer is known.
 func (w *Wire) Confirm(r *peer.ConfirmRequest, a *peer.ConfirmAnswer) error {
