daemon: stop writes at the end of the lease, refuse writes to read-only services

A VM may be paused between the decision to send and the write; the sender now checks the end of the right to send itself. A service without write class made the gateway refuse the whole configuration; it now takes GET and HEAD.

--- a/daemon/dispatcher/sender.go
+++ b/daemon/dispatcher/sender.go
@@ -26,8 +26,10 @@
 	attempt  dispatch.Attempt
 	fresh    bool
 	deadline types.Instant
-	epoch    types.Epoch
-	request  *peer.DoRequest
+	// validUntil ends the right to send. Nothing is written at or after it.
+	validUntil types.Instant
+	epoch      types.Epoch
+	request    *peer.DoRequest
 }
 
 // sent is what a sender reports.
@@ -93,6 +95,10 @@
 		s.client.CloseConnection()
 	}
 	started := telemetry.Now()
+	if !started.Before(m.validUntil) {
+		// The VM was paused between the decision and the write, and not every target checks grants.
+		return s.notWritten(m)
+	}
 	remaining := m.deadline.Sub(started)
 	response, err := s.client.Do(m.ctx, target.Request{
 		RequestID:  m.request.RequestID,
@@ -124,6 +130,15 @@
 	return out
 }
 
+func (s *sender) notWritten(m send) sent {
+	return sent{handle: m.handle, result: dispatch.Result{
+		Attempt:    m.attempt,
+		Connection: s.connection,
+		Kind:       dispatch.ResultNotWritten,
+		Load:       dispatch.LoadUnknown,
+	}}
+}
+
 // loadOf tells a report of an idle target from a missing report: only a report names the slots.
 func loadOf(l target.Load) int {
 	if l.Slots == 0 {
--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -428,13 +428,14 @@
 	}
 	p.cancels[a.Attempt] = cancel
 	err := w.senderFor(ctx, a).in.TryPut(send{
-		ctx:      sendCtx,
-		handle:   a.Handle,
-		attempt:  a.Attempt,
-		fresh:    a.Fresh,
-		deadline: a.Deadline,
-		epoch:    a.Epoch,
-		request:  p.request,
+		ctx:        sendCtx,
+		handle:     a.Handle,
+		attempt:    a.Attempt,
+		fresh:      a.Fresh,
+		deadline:   a.Deadline,
+		validUntil: a.ValidUntil,
+		epoch:      a.Epoch,
+		request:    p.request,
 	})
 	if err != nil {
 		w.deferred = append(w.deferred, sent{handle: a.Handle, result: dispatch.Result{
--- a/daemon/gateway/frontend.go
+++ b/daemon/gateway/frontend.go
@@ -95,7 +95,10 @@
 	if len(key) > maxKeyBytes {
 		return nil, types.NotRun(types.CodeBadRequest, "the key is longer than %d bytes", maxKeyBytes)
 	}
-	class := service.classOf(r.Method)
+	class, ok := service.classOf(r.Method)
+	if !ok {
+		return nil, types.NotRun(types.CodeBadRequest, "service %s accepts GET and HEAD only", service.name)
+	}
 	timeout, fault := parseTimeout(r.Header.Get(headerTimeout), service.timeout[class])
 	if fault != nil {
 		return nil, fault
--- a/daemon/gateway/view.go
+++ b/daemon/gateway/view.go
@@ -10,7 +10,9 @@
 
 // serviceView is what the front end needs to know of a service.
 type serviceView struct {
-	name         types.Service
+	name types.Service
+	// readOnly services accept GET and HEAD only.
+	readOnly     bool
 	writeClass   types.Class
 	maxBodyBytes int64
 	timeout      [types.ClassCount]time.Duration
@@ -35,11 +37,14 @@
 }
 
 func newServiceView(s config.Service) (serviceView, error) {
-	class, err := types.ParseClass(s.WriteClass)
-	if err != nil {
-		return serviceView{}, err
+	view := serviceView{name: s.Name, readOnly: s.WriteClass == "", maxBodyBytes: s.Limits.MaxBodyBytes}
+	if !view.readOnly {
+		class, err := types.ParseClass(s.WriteClass)
+		if err != nil {
+			return serviceView{}, err
+		}
+		view.writeClass = class
 	}
-	view := serviceView{name: s.Name, writeClass: class, maxBodyBytes: s.Limits.MaxBodyBytes}
 	for _, p := range s.Classes {
 		c, err := types.ParseClass(p.Class)
 		if err != nil {
@@ -58,9 +63,10 @@
 	return s, ok
 }
 
-func (s serviceView) classOf(method string) types.Class {
+// classOf returns the class of a request, or false when the service takes no such requests.
+func (s serviceView) classOf(method string) (types.Class, bool) {
 	if method == http.MethodGet || method == http.MethodHead {
-		return types.ClassLookup
+		return types.ClassLookup, true
 	}
-	return s.writeClass
+	return s.writeClass, !s.readOnly
 }
