daemon: tell the balancer before a gateway stops, decode keys, report operators' drains on the readiness page

Two spellings of a key (a%2Fb and a/b) hashed to two slots. A key with a control character failed at the target's header. Readiness said ready until the listener closed.

--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"sequoiasail.example/config"
 	"sequoiasail.example/daemon/process"
-	"sequoiasail.example/duty"
 	"sequoiasail.example/ownership"
 	"sequoiasail.example/telemetry"
 	"sequoiasail.example/transport/peer"
@@ -33,6 +33,9 @@
 	registration *process.Registration
 	page         *telemetry.Page
 
+	// leaving is set when a planned stop begins.
+	leaving atomic.Bool
+
 	// The fields below belong to the watch duty.
 	roster  *roster
 	status  telemetry.Status
@@ -124,7 +127,7 @@
 	d.base.Group.Add(watch.Duty())
 	d.base.Group.Add(server.Duty())
 	d.base.Group.Add(d.registration.Duty())
-	d.base.Group.Add(d.departure())
+	d.base.Group.Add(process.Departure(departureTimeout, d.depart))
 	return nil
 }
 
@@ -141,26 +144,10 @@
 // Run serves until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error { return d.base.Run(ctx) }
 
-// departure is a duty that does nothing until it is stopped. Its stop waits until other dispatchers hold the leases.
-func (d *Dispatcher) departure() duty.Duty {
-	return duty.Duty{
-		Name:        "departure",
-		StopTimeout: departureTimeout + time.Second,
-		Run: func(ctx context.Context) error {
-			<-ctx.Done()
-			return nil
-		},
-		Stop: func(ctx context.Context) error {
-			d.registration.Leave()
-			d.awaitNoLeases(ctx)
-			return types.NewFault(types.CodeCancelled, "departed")
-		},
-	}
-}
-
-func (d *Dispatcher) awaitNoLeases(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
-	defer cancel()
+// depart asks for the leases to be moved and waits until other dispatchers hold them.
+func (d *Dispatcher) depart(ctx context.Context) {
+	d.leaving.Store(true)
+	d.registration.Leave()
 	tick := time.NewTicker(departureInterval)
 	defer tick.Stop()
 	for len(d.keeper.page.Current().Leases) > 0 {
@@ -272,6 +259,8 @@
 	}
 	if c.Ops != nil {
 		d.status.OpsRevision = uint64(c.Ops.Revision)
+		vm, centre := c.Ops.VMState(d.settings.VM), c.Ops.DataCentreState(d.settings.DataCentre)
+		d.status.Draining = vm != config.OpsIn || centre != config.OpsIn
 	}
 	d.status.StoreRevision = uint64(c.Revision)
 	d.page.Publish(d.status)
@@ -280,6 +269,7 @@
 // readStatus joins the pages of the duties.
 func (d *Dispatcher) readStatus() telemetry.Status {
 	s := d.page.Current()
+	s.Draining = s.Draining || d.leaving.Load()
 	held := d.keeper.page.Current()
 	s.Leases = held.Leases
 	s.Planner = held.Planner
--- a/daemon/gateway/frontend.go
+++ b/daemon/gateway/frontend.go
@@ -6,8 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"time"
+	"unicode"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
@@ -91,9 +94,9 @@
 	if !ok {
 		return nil, types.NotRun(types.CodeUnknownService, "unknown service %q", vars["service"])
 	}
-	key := vars["key"]
-	if len(key) > maxKeyBytes {
-		return nil, types.NotRun(types.CodeBadRequest, "the key is longer than %d bytes", maxKeyBytes)
+	key, fault := decodeKey(vars["key"])
+	if fault != nil {
+		return nil, fault
 	}
 	class, ok := service.classOf(r.Method)
 	if !ok {
@@ -134,6 +137,22 @@
 	return p, nil
 }
 
+// decodeKey undoes percent-encoding, so that all spellings of a key have one owner. Control characters are refused
+// because the key travels to the target in a header.
+func decodeKey(escaped string) (string, *types.Fault) {
+	key, err := url.PathUnescape(escaped)
+	if err != nil {
+		return "", types.NotRun(types.CodeBadRequest, "the key has a broken percent-encoding")
+	}
+	if len(key) > maxKeyBytes {
+		return "", types.NotRun(types.CodeBadRequest, "the key is longer than %d bytes", maxKeyBytes)
+	}
+	if strings.ContainsFunc(key, unicode.IsControl) {
+		return "", types.NotRun(types.CodeBadRequest, "the key contains a control character")
+	}
+	return key, nil
+}
+
 func (f *frontend) identify(r *http.Request, class types.Class) (types.RequestID, int64, *types.Fault) {
 	id := r.Header.Get(headerIdempotencyKey)
 	if len(id) > maxIDBytes {
@@ -190,6 +209,7 @@
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Proxy-Connection": true, "Content-Length": true,
 }
 
+// forwardedHeaders leaves out the hop headers and those that the Connection header names.
 func forwardedHeaders(h http.Header) map[string][]string {
 	out := make(map[string][]string, len(h))
 	for name, values := range h {
@@ -197,6 +217,11 @@
 			out[name] = values
 		}
 	}
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			delete(out, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
 	return out
 }
 
--- a/daemon/gateway/frontend_test.go
+++ b/daemon/gateway/frontend_test.go
@@ -77,6 +77,7 @@
 		{"missing key", "GET", "/v1/objednavky", "", nil, 404, types.CodeMissingKey},
 		{"empty key", "GET", "/v1/objednavky/", "", nil, 404, types.CodeMissingKey},
 		{"long key", "GET", "/v1/objednavky/" + strings.Repeat("k", 1025), "", nil, 400, types.CodeBadRequest},
+		{"control character", "GET", "/v1/objednavky/a%0Ab", "", nil, 400, types.CodeBadRequest},
 		{"method", "DELETE", "/v1/objednavky/k", "", nil, 400, types.CodeBadRequest},
 		{"timeout text", "GET", "/v1/objednavky/k", "", map[string]string{headerTimeout: "soon"}, 400, types.CodeBadDeadline},
 		{"timeout zero", "GET", "/v1/objednavky/k", "", map[string]string{headerTimeout: "0"}, 400, types.CodeBadDeadline},
@@ -129,11 +130,21 @@
 // Guards against headers that belong to one connection reaching the target.
 func TestHopHeadersAreDropped(t *testing.T) {
 	is := is.New(t)
-	out := forwardedHeaders(http.Header{"Connection": {"close"}, "Accept": {"text/plain"}})
+	out := forwardedHeaders(http.Header{"Connection": {"close, x-trace"}, "X-Trace": {"1"}, "Accept": {"text/plain"}})
 	is.Equal(len(out), 1)
 	is.Equal(out["Accept"], []string{"text/plain"})
 }
 
+// Guards against two owners for one key that callers spell in two ways.
+func TestKeySpellingsAreOneKey(t *testing.T) {
+	is := is.New(t)
+	plain, fault := decodeKey("a/b")
+	is.True(fault == nil)
+	escaped, fault := decodeKey("a%2Fb")
+	is.True(fault == nil)
+	is.Equal(plain, escaped)
+}
+
 // Guards against a resend that looks like another request because its identifier headers differ.
 func TestFingerprintIgnoresIdentifier(t *testing.T) {
 	is := is.New(t)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"sync/atomic"
 
+	"sequoiasail.example/config"
 	"sequoiasail.example/daemon/process"
 	"sequoiasail.example/routing"
 	"sequoiasail.example/telemetry"
@@ -24,7 +25,10 @@
 	page     *telemetry.Page
 	view     atomic.Pointer[configView]
 	handles  atomic.Uint64
-	status   telemetry.Status
+	// leaving is set when a planned stop begins.
+	leaving atomic.Bool
+	// status belongs to the watch duty.
+	status telemetry.Status
 }
 
 // New assembles a gateway from checked settings. Nothing runs before Run.
@@ -68,7 +72,7 @@
 		Deliver:   translator.deliver,
 	}
 	registration := &process.Registration{Store: storeClient, Member: g.member, Log: g.base.Log}
-	ops := &process.HTTPServer{Name: "ops", Address: string(s.OpsAddress), Handler: telemetry.OpsHandler(g.base.Metrics, g.page.Current)}
+	ops := &process.HTTPServer{Name: "ops", Address: string(s.OpsAddress), Handler: telemetry.OpsHandler(g.base.Metrics, g.readStatus)}
 	callers := &process.HTTPServer{Name: "callers", Address: string(s.CallerAddress), Handler: (&frontend{gw: g}).handler()}
 	g.base.Metrics.Ring("router-requests", g.router.requests)
 	g.base.Metrics.Ring("router-results", g.router.results)
@@ -80,6 +84,19 @@
 	g.base.Group.Add(watch.Duty())
 	g.base.Group.Add(registration.Duty())
 	g.base.Group.Add(callers.Duty())
+	g.base.Group.Add(process.Departure(s.DrainNoticeMs.Duration(), g.depart))
+}
+
+// depart tells the balancer, which reads the readiness page, before the listener closes.
+func (g *Gateway) depart(ctx context.Context) {
+	g.leaving.Store(true)
+	<-ctx.Done()
+}
+
+func (g *Gateway) readStatus() telemetry.Status {
+	s := g.page.Current()
+	s.Draining = s.Draining || g.leaving.Load()
+	return s
 }
 
 // Run serves until ctx ends.
@@ -102,6 +119,8 @@
 	}
 	if c.Ops != nil {
 		g.status.OpsRevision = uint64(c.Ops.Revision)
+		vm, centre := c.Ops.VMState(g.settings.VM), c.Ops.DataCentreState(g.settings.DataCentre)
+		g.status.Draining = vm != config.OpsIn || centre != config.OpsIn
 	}
 	g.status.StoreRevision = uint64(c.Revision)
 	g.page.Publish(g.status)
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -5,11 +5,22 @@
 	"sequoiasail.example/settings"
 )
 
+const defaultDrainNoticeMs = 1000
+
 // Settings is the settings file of sail-gateway.
 type Settings struct {
 	process.Settings
 	// CallerAddress is where callers connect. Required.
 	CallerAddress settings.Address `json:"callerAddress"`
+	// DrainNoticeMs is how long a planned stop shows "draining" on the readiness page before the listener closes, in
+	// milliseconds. It should exceed the interval of the balancer's checks. Default 1000.
+	DrainNoticeMs settings.Millis `json:"drainNoticeMs"`
+}
+
+// SetDefaults fills in the defaults before the file is read, so that a given 0 stays.
+func (s *Settings) SetDefaults() {
+	s.Settings.SetDefaults()
+	s.DrainNoticeMs = defaultDrainNoticeMs
 }
 
 // Validate reports all faults.
@@ -17,5 +28,6 @@
 	c := settings.NewChecks()
 	s.Check(c)
 	c.Address("callerAddress", s.CallerAddress)
+	c.Between("drainNoticeMs", int64(s.DrainNoticeMs), 0, 60_000, "ms")
 	return c.Err()
 }
--- a/daemon/process/settings.go
+++ b/daemon/process/settings.go
@@ -25,8 +25,8 @@
 	Peers []settings.Address `json:"peers"`
 }
 
-// Provision fills in the defaults.
-func (s *Settings) Provision() { s.StoreTimeoutMs.Default(defaultStoreTimeoutMs) }
+// SetDefaults fills in the defaults before the file is read, so that a given 0 is checked and not replaced.
+func (s *Settings) SetDefaults() { s.StoreTimeoutMs = defaultStoreTimeoutMs }
 
 // Check adds the faults of the common settings to c.
 func (s *Settings) Check(c *settings.Checks) {
