--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -30,7 +30,7 @@
 # The load runs for the whole time in which the data centre leaves and returns.
 leave_and_return() {
   local pid bad=0
-  load moving 2 -duration "$load_seconds" >"$dir/moving.txt" 2>&1 &
+  load moving 2 -keys 20 -duration "$load_seconds" >"$dir/moving.txt" 2>&1 &
   pid=$!
   fleet_ctl dc out -note "demo" -wait 6s "$1" || bad=1
   sleep "$out_seconds"
