--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -65,10 +65,10 @@
 		DataCentre: s.DataCentre,
 	}
 	d.worker = newWorker(s.VM, s.DataCentre, d.base.Log, d.base.Metrics)
-	d.keeper = newKeeper(self, d.base.Log, d.worker)
+	d.keeper = newKeeper(self, d.base.Log, d.base.Metrics, d.worker)
 	d.worker.report = d.keeper.observe
 	d.worker.drained = d.keeper.drained
-	d.placer = newPlacer(d.keeper.in, d.base.Log)
+	d.placer = newPlacer(d.keeper.in, d.base.Log, d.base.Metrics)
 	d.worker.toPlanner = d.placer.takeReport
 	d.links = process.NewLinks(d.publishLinks)
 	return d, d.addDuties(self)
@@ -133,6 +133,7 @@
 
 func (d *Dispatcher) publishRings() {
 	m := d.base.Metrics
+	m.Status(d.readStatus)
 	m.Ring("dispatch-requests", d.worker.requests)
 	m.Ring("dispatch-results", d.worker.results)
 	m.Ring("dispatch-control", d.worker.controls)
--- a/daemon/dispatcher/keeper.go
+++ b/daemon/dispatcher/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -44,6 +45,7 @@
 	ballots *ring.Ring[ballot]
 	writes  *ring.Ring[ownership.Action]
 	log     *telemetry.Log
+	metrics *telemetry.Metrics
 	worker  *worker
 	page    *telemetry.Page
 
@@ -66,13 +68,14 @@
 	actions      []ownership.Action
 }
 
-func newKeeper(self ownership.Self, log *telemetry.Log, w *worker) *keeper {
+func newKeeper(self ownership.Self, log *telemetry.Log, metrics *telemetry.Metrics, w *worker) *keeper {
 	k := &keeper{
 		self:    self,
 		in:      ring.New[keeperInput](keeperRingCapacity),
 		ballots: ring.New[ballot](ballotRingCapacity),
 		writes:  ring.New[ownership.Action](writerRingCapacity),
 		log:     log,
+		metrics: metrics,
 		worker:  w,
 		core:    ownership.New(self, &config.Configuration{}),
 		waiting: make(map[uint64]chan ownership.Action),
@@ -301,6 +304,7 @@
 }
 
 func (k *keeper) decide(d ownership.Decision) {
+	k.metrics.Counter(fmt.Sprintf("sail_ownership_decisions_total{reason=%q}", d.Reason)).Inc()
 	k.log.Decide(telemetry.Decision{
 		Kind:    "ownership",
 		Service: string(d.Service),
--- a/daemon/dispatcher/placer.go
+++ b/daemon/dispatcher/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -34,10 +35,11 @@
 
 // placer owns the placement core. It follows the table all the time and proposes moves only with the planner lease.
 type placer struct {
-	in   *ring.Ring[placerInput]
-	out  *ring.Ring[keeperInput]
-	log  *telemetry.Log
-	core *placement.Core
+	in      *ring.Ring[placerInput]
+	out     *ring.Ring[keeperInput]
+	log     *telemetry.Log
+	metrics *telemetry.Metrics
+	core    *placement.Core
 
 	cfg        *config.Configuration
 	ops        *process.Operations
@@ -48,11 +50,12 @@
 	actions    []placement.Action
 }
 
-func newPlacer(out *ring.Ring[keeperInput], log *telemetry.Log) *placer {
+func newPlacer(out *ring.Ring[keeperInput], log *telemetry.Log, metrics *telemetry.Metrics) *placer {
 	return &placer{
 		in:         ring.New[placerInput](placerRingCapacity),
 		out:        out,
 		log:        log,
+		metrics:    metrics,
 		core:       placement.New(),
 		conditions: make(map[types.TargetID]dispatch.Condition),
 		vacant:     make(map[types.TargetID]bool),
@@ -309,6 +312,7 @@
 }
 
 func (p *placer) decide(a *placement.Action) {
+	p.metrics.Counter(fmt.Sprintf("sail_placement_moves_total{service=%q,reason=%q}", a.Service, a.Reason)).Inc()
 	p.log.Decide(telemetry.Decision{
 		Kind:    "placement",
 		Service: string(a.Service),
--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -499,6 +500,7 @@
 }
 
 func (w *worker) reportTarget(a *dispatch.Action) {
+	w.metrics.Counter(fmt.Sprintf("sail_target_conditions_total{service=%q,condition=%q}", a.Target.Service, a.Condition)).Inc()
 	w.log.Decide(telemetry.Decision{
 		Kind:    "target-condition",
 		Service: string(a.Target.Service),
@@ -544,4 +546,12 @@
 		}
 	}
 	w.page.Publish(telemetry.Status{Queues: queues})
+	w.publishLoad()
+}
+
+// publishLoad sets the counters from which operators see how evenly the load is spread.
+func (w *worker) publishLoad() {
+	for id, n := range w.admitted {
+		w.metrics.Counter(fmt.Sprintf("sail_dispatch_sent_total{service=%q,target=%q}", id.Service, id.Target)).Set(n)
+	}
 }
--- a/daemon/gateway/frontend.go
+++ b/daemon/gateway/frontend.go
@@ -114,8 +114,10 @@
 	if fault != nil {
 		return nil, fault
 	}
+	now := telemetry.Now()
 	p := &pending{
-		deadline: telemetry.Now().Add(timeout),
+		arrived:  now,
+		deadline: now.Add(timeout),
 		pinned:   types.Target(r.Header.Get(headerSession)),
 		done:     make(chan result, 1),
 		request: peer.DoRequest{
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -48,7 +48,7 @@
 		Incarnation: uint64(g.member.Incarnation),
 	}
 	g.page = telemetry.NewPage(g.status)
-	g.stats = &stats{metrics: g.base.Metrics}
+	g.stats = newStats(g.base.Metrics)
 	g.router = newRouter(s.DataCentre, g.base.Log, g.stats)
 	g.links = process.NewLinks(g.publishLinks)
 	g.addDuties()
@@ -74,6 +74,7 @@
 	registration := &process.Registration{Store: storeClient, Member: g.member, Log: g.base.Log}
 	ops := &process.HTTPServer{Name: "ops", Address: string(s.OpsAddress), Handler: telemetry.OpsHandler(g.base.Metrics, g.readStatus)}
 	callers := &process.HTTPServer{Name: "callers", Address: string(s.CallerAddress), Handler: (&frontend{gw: g}).handler()}
+	g.base.Metrics.Status(g.readStatus)
 	g.base.Metrics.Ring("router-requests", g.router.requests)
 	g.base.Metrics.Ring("router-results", g.router.results)
 	g.base.Metrics.Ring("router-control", g.router.controls)
--- a/daemon/gateway/router.go
+++ b/daemon/gateway/router.go
@@ -27,6 +27,7 @@
 // pending is one caller's request inside the router.
 type pending struct {
 	request  peer.DoRequest
+	arrived  types.Instant
 	deadline types.Instant
 	pinned   types.Target
 	// done is the reply slot. It has room for one result, so that the router never waits for a caller.
@@ -379,7 +380,7 @@
 	if p.mayHaveRun && a.Outcome == types.OutcomeNotRun {
 		a.Outcome = types.OutcomeUnknown
 	}
-	r.stats.countOutcome(p.request.Service, a.Outcome)
+	r.stats.countAnswer(p.request.Service, p.request.Class, a.Outcome, telemetry.Now().Sub(p.arrived))
 	p.done <- p.resultFor(a)
 }
 
@@ -399,12 +400,17 @@
 	return result{fault: f}
 }
 
-// withSession names the target that ran the request, so that a caller can read its own writes there.
-func withSession(at attempt, _ *pending) *peer.DoAnswer {
+// withSession names the target that ran the request. A caller that sends the session with its next requests to a
+// service without keys reads its own writes, through whichever gateway.
+func withSession(at attempt, p *pending) *peer.DoAnswer {
 	if at.answer.Header == nil {
 		at.answer.Header = map[string][]string{}
 	}
-	at.answer.Header[headerServedBy] = []string{string(at.target)}
+	name := []string{string(at.target)}
+	at.answer.Header[headerServedBy] = name
+	if !p.request.Class.Idempotent() {
+		at.answer.Header[headerSession] = name
+	}
 	return at.answer
 }
 
--- a/daemon/gateway/stats.go
+++ b/daemon/gateway/stats.go
@@ -2,18 +2,62 @@
 
 import (
 	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 
 	"sequoiasail.example/telemetry"
 	"sequoiasail.example/types"
 )
 
-// stats holds the gateway's own metrics.
+// stats holds the gateway's own metrics. It belongs to the router, except for countRefusal.
 type stats struct {
-	metrics *telemetry.Metrics
+	metrics  *telemetry.Metrics
+	outcomes map[outcomeKey]*metrics.Counter
+	latency  map[latencyKey]*metrics.Histogram
+}
+
+type outcomeKey struct {
+	service types.Service
+	outcome types.Outcome
+}
+
+type latencyKey struct {
+	service types.Service
+	class   types.Class
+}
+
+func newStats(m *telemetry.Metrics) *stats {
+	return &stats{
+		metrics:  m,
+		outcomes: make(map[outcomeKey]*metrics.Counter),
+		latency:  make(map[latencyKey]*metrics.Histogram),
+	}
+}
+
+// countAnswer counts an answer and the time from the request's arrival to it.
+func (s *stats) countAnswer(service types.Service, class types.Class, outcome types.Outcome, took time.Duration) {
+	s.outcome(outcomeKey{service, outcome}).Inc()
+	s.histogram(latencyKey{service, class}).Update(took.Seconds())
+}
+
+// outcome keeps counters at hand, because a lookup by name formats a string for each request.
+func (s *stats) outcome(k outcomeKey) *metrics.Counter {
+	c, known := s.outcomes[k]
+	if !known {
+		c = s.metrics.Counter(fmt.Sprintf("sail_gateway_outcomes_total{service=%q,outcome=%q}", k.service, k.outcome))
+		s.outcomes[k] = c
+	}
+	return c
 }
 
-func (s *stats) countOutcome(service types.Service, outcome types.Outcome) {
-	s.metrics.Counter(fmt.Sprintf("sail_gateway_outcomes_total{service=%q,outcome=%q}", service, outcome)).Inc()
+func (s *stats) histogram(k latencyKey) *metrics.Histogram {
+	h, known := s.latency[k]
+	if !known {
+		h = s.metrics.Histogram(fmt.Sprintf("sail_gateway_request_seconds{service=%q,class=%q}", k.service, k.class))
+		s.latency[k] = h
+	}
+	return h
 }
 
 func (s *stats) countRefusal(code types.Code) {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -39,3 +39,20 @@
 	m.Gauge("sail_ring_refused_total"+label, func() float64 { return float64(q.Refused()) })
 	m.Gauge("sail_ring_replaced_total"+label, func() float64 { return float64(q.Replaced()) })
 }
+
+// Status publishes what the status page shows as gauges.
+func (m *Metrics) Status(read func() Status) {
+	m.Gauge("sail_config_version", func() float64 { return float64(read().ConfigVersion) })
+	m.Gauge("sail_ops_revision", func() float64 { return float64(read().OpsRevision) })
+	m.Gauge("sail_store_revision", func() float64 { return float64(read().StoreRevision) })
+	m.Gauge("sail_ready", func() float64 { return number(read().Ready && !read().Draining) })
+	m.Gauge("sail_planner", func() float64 { return number(read().Planner) })
+	m.Gauge("sail_leases_held", func() float64 { return float64(len(read().Leases)) })
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
