Wake duties by alarms instead of fixed ticks

Cause: the router and dispatch duties ticked every 2 ms and each link every 5 ms, with nothing to do. Ruled out by the profile: the metrics library and the store watch.

--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -21,7 +21,6 @@
 	requestRingCapacity = 4096
 	resultRingCapacity  = 4096
 	controlRingCapacity = 1024
-	workerTick          = 2 * time.Millisecond
 	publishInterval     = 250 * time.Millisecond
 )
 
@@ -157,10 +156,11 @@
 }
 
 func (w *worker) run(ctx context.Context) error {
-	tick := time.NewTicker(workerTick)
-	defer tick.Stop()
+	alarm := telemetry.NewAlarm()
+	defer alarm.Stop()
 	defer w.stop(ctx)
 	for {
+		alarm.Set(w.nextWake())
 		select {
 		case <-w.requests.Ready():
 			w.takeRequests(ctx)
@@ -168,7 +168,8 @@
 			w.takeResults(ctx)
 		case <-w.controls.Ready():
 			w.takeControls(ctx)
-		case <-tick.C:
+		case <-alarm.C():
+			alarm.Fired()
 			w.tick(ctx)
 		case <-w.requests.Done():
 			w.takeRequests(ctx)
@@ -183,15 +184,17 @@
 
 // drain finishes what is in flight after the last request was taken.
 func (w *worker) drain(ctx context.Context) {
-	tick := time.NewTicker(workerTick)
-	defer tick.Stop()
+	alarm := telemetry.NewAlarm()
+	defer alarm.Stop()
 	for w.waiting() {
+		alarm.Set(w.nextWake())
 		select {
 		case <-w.results.Ready():
 			w.takeResults(ctx)
 		case <-w.controls.Ready():
 			w.takeControls(ctx)
-		case <-tick.C:
+		case <-alarm.C():
+			alarm.Fired()
 			w.tick(ctx)
 		case <-ctx.Done():
 			return
@@ -369,6 +372,15 @@
 	w.perform(ctx)
 }
 
+// nextWake returns when the core or one of the worker's own intervals has something to do.
+func (w *worker) nextWake() (types.Instant, bool) {
+	next := w.published.Add(publishInterval)
+	if at, ok := w.core.NextWake(); ok && at.Before(next) {
+		next = at
+	}
+	return next, true
+}
+
 func (w *worker) step(ctx context.Context, m dispatch.Message) {
 	w.actions = w.core.Step(telemetry.Now(), m, w.actions[:0])
 	w.perform(ctx)
--- a/daemon/gateway/router.go
+++ b/daemon/gateway/router.go
@@ -17,7 +17,6 @@
 	requestRingCapacity = 4096
 	resultRingCapacity  = 4096
 	controlRingCapacity = 256
-	routerTick          = 2 * time.Millisecond
 	// resultSlack is added to the time a dispatcher gets, so that its own refusal arrives before the link gives up.
 	resultSlack = 20 * time.Millisecond
 	// cancelTimeout bounds a cancellation, whose loss only costs the target some work.
@@ -113,10 +112,11 @@
 }
 
 func (r *router) run(ctx context.Context) error {
-	tick := time.NewTicker(routerTick)
-	defer tick.Stop()
+	alarm := telemetry.NewAlarm()
+	defer alarm.Stop()
 	defer r.refuseAll()
 	for {
+		alarm.Set(r.core.NextTick())
 		select {
 		case <-r.requests.Ready():
 			r.takeRequests()
@@ -124,7 +124,8 @@
 			r.takeResults()
 		case <-r.controls.Ready():
 			r.takeControls()
-		case <-tick.C:
+		case <-alarm.C():
+			alarm.Fired()
 			r.tick()
 		case <-r.requests.Done():
 			r.takeRequests()
@@ -141,15 +142,17 @@
 
 // drain answers what is in progress after the last request was taken.
 func (r *router) drain(ctx context.Context) {
-	tick := time.NewTicker(routerTick)
-	defer tick.Stop()
+	alarm := telemetry.NewAlarm()
+	defer alarm.Stop()
 	for len(r.pending) > 0 {
+		alarm.Set(r.core.NextTick())
 		select {
 		case <-r.results.Ready():
 			r.takeResults()
 		case <-r.controls.Ready():
 			r.takeControls()
-		case <-tick.C:
+		case <-alarm.C():
+			alarm.Fired()
 			r.tick()
 		case <-ctx.Done():
 			return
--- a/telemetry/ops.go
+++ b/telemetry/ops.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -64,7 +65,7 @@
 // Current returns the newest status.
 func (p *Page) Current() Status { return *p.current.Load() }
 
-// OpsHandler returns the operators' pages: /metrics, /healthz, /readyz and /status. read assembles the status from
+// OpsHandler returns the operators' pages: /metrics, /healthz, /readyz, /status and /debug/pprof/. read assembles the status from
 // the pages of all duties.
 func OpsHandler(m *Metrics, read func() Status) http.Handler {
 	r := mux.NewRouter()
@@ -82,6 +83,9 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(read())
 	}).Methods(http.MethodGet)
+	r.PathPrefix("/debug/pprof/profile").HandlerFunc(pprof.Profile)
+	r.PathPrefix("/debug/pprof/trace").HandlerFunc(pprof.Trace)
+	r.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
 	return r
 }
 
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -95,17 +95,24 @@
 }
 
 func (l *Link) run(ctx context.Context) error {
-	tick := time.NewTicker(expiryInterval)
-	defer tick.Stop()
+	expiry := time.NewTimer(expiryInterval)
+	defer expiry.Stop()
 	defer l.shutdown()
+	watching := true
 	for {
+		if !watching && len(l.calls) > 0 {
+			expiry.Reset(expiryInterval)
+			watching = true
+		}
 		select {
 		case <-l.in.Ready():
 			l.sendWaiting(ctx)
 		case done := <-l.completed:
 			l.complete(done)
 			l.sendWaiting(ctx)
-		case now := <-tick.C:
+		case now := <-expiry.C:
+			// A link without calls sets no timer, so that an idle link costs nothing.
+			watching = false
 			l.expire(now)
 		case <-l.in.Done():
 			l.sendWaiting(ctx)
