ownership: let the survivor of two quorum group members act

Cause: revocations, suspicion and group changes asked for a majority of the group. After one VM of three was lost and removed, the group had two members; when one of them was lost too, nobody could revoke its leases, and its targets stayed unserved while the survivor had read the store all the time (found by killing two dispatchers of one data centre). Ruled out: counting the store's word as a vote, because a holder may have a permit from the group alone. A permit needs a majority, so it is enough that so many know the revocation that the others are no majority: one of two, two of three. Two of three lost at the same moment still wait for a replaced VM or a declaration.

--- a/ownership/acks.go
+++ b/ownership/acks.go
@@ -60,14 +60,14 @@
 	return have, gone
 }
 
-// majorityHas reports whether a majority of list has the document or is gone.
-func (a *acks) majorityHas(list []Peer, g GroupKey, key DocumentKey, epoch types.Epoch) bool {
+// blocked reports whether so many of list have the document or are gone that no majority confirms an older one.
+func (a *acks) blocked(list []Peer, g GroupKey, key DocumentKey, epoch types.Epoch) bool {
 	have, gone := a.count(list, g, key, epoch)
-	return len(list) == 0 || have+gone >= majority(len(list))
+	return len(list) == 0 || have+gone >= blocking(len(list))
 }
 
-// groupHas reports whether a majority of g's members has the document, so that nobody can obtain g's confirmation of
-// an older one. It is false while a member knows a newer member list than this process. Members that are gone, and
+// groupHas reports whether so many of g's members have the document that nobody can obtain g's confirmation of an
+// older one. It is false while a member knows a newer member list than this process. Members that are gone, and
 // those of an empty list, report no newer list; they count only after a store read sent since the document was
 // learned.
 func (a *acks) groupHas(g GroupKey, key DocumentKey, epoch types.Epoch) bool {
@@ -82,7 +82,8 @@
 		}
 	}
 	have, gone := a.count(list.Members, g, key, epoch)
-	return have >= majority(len(list.Members)) || fresh && have+gone >= majority(len(list.Members))
+	needed := blocking(len(list.Members))
+	return have >= needed || fresh && have+gone >= needed
 }
 
 // install sends the document to those of list that are not known to have it, along with g's member list.
--- a/ownership/env.go
+++ b/ownership/env.go
@@ -59,3 +59,7 @@
 
 // majority returns how many of n members are a majority.
 func majority(n int) int { return n/2 + 1 }
+
+// blocking returns how many of n members are needed so that the others are no majority. It is less than a majority when
+// n is even: of two members one is enough, so that the survivor of two can be heard without the other.
+func blocking(n int) int { return n - majority(n) + 1 }
--- a/ownership/failure_test.go
+++ b/ownership/failure_test.go
@@ -81,6 +81,20 @@
 	is.New(t).Equal(after, id) // the target keeps its slots
 }
 
+// A rack takes the VMs of a data centre one after another. A majority of two members cannot be heard once one of them is
+// lost; without the rule that one of two blocks the other, the leases of the second VM stay with it for ever.
+func TestVMsLostOneAfterAnother(t *testing.T) {
+	s := started(t, config.ScopeDataCentre)
+	id, l := s.owner(0)
+	s.stop(l.Holder.VM)
+	s.within(t, 20*time.Second, goal)
+	_, l = s.owner(0)
+	s.stop(l.Holder.VM)
+	s.within(t, 20*time.Second, goal)
+	after, _ := s.owner(0)
+	is.New(t).Equal(after, id) // the target keeps its slots
+}
+
 // A VM that was paused past every bound must not act on its old permit when it returns, and must not be given the
 // leases again while it is paused.
 func TestVMPaused(t *testing.T) {
--- a/ownership/group.go
+++ b/ownership/group.go
@@ -9,8 +9,8 @@
 )
 
 // Group changes the quorum groups' member lists, as the planner. A list changes by one member at a time, so that a
-// majority of the old list and one of the new list have a member in common. The next change waits until a majority of
-// the list before has the present one; nobody can then use a list that is two changes old.
+// majority of the old list and one of the new list have a member in common. The next change waits until so many of the
+// list before have the present one that the others are no majority; nobody can then use a list that is two changes old.
 type Group struct {
 	*env
 	writer *Writer
@@ -34,7 +34,7 @@
 	if doc == nil {
 		doc = &GroupDocument{}
 	}
-	if !g.acks.majorityHas(doc.Previous, k, key, doc.Epoch) {
+	if !g.acks.blocked(doc.Previous, k, key, doc.Epoch) {
 		g.acks.install(doc.Previous, k, key)
 		return
 	}
@@ -68,7 +68,7 @@
 }
 
 // leaver returns a member to remove: one that is gone, otherwise one that leaves or whose registration lapsed. The
-// latter waits until a majority is live, because a whole data centre without registrations is cut off, not lost.
+// latter waits until enough are live to block a majority of the others, because a whole data centre without registrations is cut off, not lost.
 func (g *Group) leaver(k GroupKey, list []Peer) (Peer, bool) {
 	live := 0
 	for _, p := range list {
@@ -79,7 +79,7 @@
 			live++
 		}
 	}
-	if live < majority(len(list)) {
+	if live < blocking(len(list)) {
 		return Peer{}, false
 	}
 	for _, p := range list {
--- a/ownership/mover.go
+++ b/ownership/mover.go
@@ -208,8 +208,8 @@
 	return len(doc.Members)
 }
 
-// dispatcherLost reports whether a dispatcher should lose its leases in a service with the given scope. A majority of
-// its data centre's group must suspect it. When that group can't be heard, the data centre may be cut off: with scope
+// dispatcherLost reports whether a dispatcher should lose its leases in a service with the given scope. So many of its
+// data centre's group must suspect it that the others are no majority and cannot confirm its permit. When that group can't be heard, the data centre may be cut off: with scope
 // all its dispatchers are lost if this process still hears the group of all, with scope data-centre they keep serving.
 func (m *Mover) dispatcherLost(p Peer, dc types.DataCentre, scope config.GroupScope) bool {
 	state := m.members.state(p)
@@ -225,8 +225,8 @@
 		return state == MemberLost
 	}
 	heard, suspecting := m.heardGroup(g, p)
-	if heard >= majority(size) {
-		return suspecting >= majority(size)
+	if heard >= blocking(size) {
+		return suspecting >= blocking(size)
 	}
 	if scope != config.ScopeAll || m.now.Sub(m.gainedAt) < m.timing.suspicion {
 		return false
