transport/store: keep the history of configurations outside what processes watch

At the design size 100 earlier configurations are 20 MB, which each process read at its start, and each change was delivered twice. daemon/dispatcher: targets without a recent load report are given nothing, because their load is unknown and their dispatcher may be lost.

--- a/cmd/internal/sailctl/main.go
+++ b/cmd/internal/sailctl/main.go
@@ -107,7 +107,7 @@
 	*operator.Operator
 	settings Settings
 	fleet    *operator.HTTPFleet
-	store    *store.HTTP
+	store    *store.Layout
 }
 
 // open reads the settings and starts the duties that ask the processes.
@@ -125,9 +125,7 @@
 		return nil, err
 	}
 	s.fleet = fleet
-	s.store = store.NewHTTP(store.Options{
-		Address: string(s.settings.Store), Name: name + "-" + person, Timeout: s.settings.StoreTimeoutMs.Duration(),
-	})
+	s.store = store.Connect(string(s.settings.Store), name+"-"+person, s.settings.StoreTimeoutMs.Duration())
 	s.Operator = &operator.Operator{
 		Store: s.store, Fleet: fleet, Name: person, Now: a.env.Now, NewWriteID: a.env.NewWriteID(person),
 	}
--- a/cmd/internal/sailctl/script_test.go
+++ b/cmd/internal/sailctl/script_test.go
@@ -50,7 +50,7 @@
 	now       time.Time
 	writes    int
 	address   string
-	client    *store.HTTP
+	client    *store.Layout
 	processes []*process
 }
 
@@ -86,7 +86,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	w.client = store.NewHTTP(store.Options{Address: w.address, Name: "processes"})
+	w.client = store.Connect(w.address, "processes", store.DefaultTimeout)
 	for _, centre := range []string{"praha-a", "praha-b", "kladno"} {
 		for _, role := range []string{"gateway", "dispatcher"} {
 			p := &process{vm: centre + "-vm1", role: role, w: w}
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -78,11 +78,7 @@
 // moved before anything else stops, then the peers' listener.
 func (d *Dispatcher) addDuties(self ownership.Self) error {
 	s := d.settings
-	storeClient := store.NewHTTP(store.Options{
-		Address: string(s.StoreAddress),
-		Name:    string(s.VM),
-		Timeout: s.StoreTimeoutMs.Duration(),
-	})
+	storeClient := store.Connect(string(s.StoreAddress), string(s.VM), s.StoreTimeoutMs.Duration())
 	server := peer.NewServer(string(s.PeerAddress))
 	mirror := process.NewMirror()
 	services := map[string]any{
--- a/daemon/dispatcher/placer.go
+++ b/daemon/dispatcher/placer.go
@@ -21,6 +21,8 @@
 const (
 	placerRingCapacity = 256
 	placerTick         = 100 * time.Millisecond
+	// reportExpiry allows one lost report.
+	reportExpiry = 2*reportInterval + time.Second
 )
 
 // placerInput is one element of the planner's ring.
@@ -46,6 +48,10 @@
 	conditions map[types.TargetID]dispatch.Condition
 	vacant     map[types.TargetID]bool
 	hotKeys    map[types.Service]map[uint16][]ownership.HotKey
+	// reportedAt is when a target was last part of a report. A target without a recent report is given nothing: its load
+	// is unknown, and its dispatcher may be lost.
+	reportedAt map[types.TargetID]types.Instant
+	unreported map[types.TargetID]bool
 	moves      []placement.Action
 	actions    []placement.Action
 }
@@ -59,6 +65,8 @@
 		core:       placement.New(),
 		conditions: make(map[types.TargetID]dispatch.Condition),
 		vacant:     make(map[types.TargetID]bool),
+		reportedAt: make(map[types.TargetID]types.Instant),
+		unreported: make(map[types.TargetID]bool),
 		hotKeys:    make(map[types.Service]map[uint16][]ownership.HotKey),
 	}
 }
@@ -169,6 +177,8 @@
 		return placement.StateDraining
 	case p.vacant[id]:
 		return placement.StateLost
+	case p.unreported[id]:
+		return placement.StateStraggler
 	}
 	switch p.conditions[id] {
 	case dispatch.ConditionCold:
@@ -187,6 +197,7 @@
 		condition := dispatch.Condition(t.Condition)
 		changed = changed || p.conditions[t.Target] != condition
 		p.conditions[t.Target] = condition
+		p.reportedAt[t.Target] = telemetry.Now()
 		load := &placement.Load{Service: t.Target.Service, Target: t.Target.Target, Slots: t.Slots, Loads: t.Loads}
 		for i := range t.Keys {
 			load.Keys = append(load.Keys, placement.KeyLoad{Key: t.Keys[i], Load: t.KeyLoads[i]})
@@ -276,6 +287,9 @@
 
 // plan hands the complete lists of wanted moves and hot-key rows to the ownership duty, which replaces its earlier ones.
 func (p *placer) plan(ctx context.Context) error {
+	if p.refreshUnreported() {
+		p.installTargets()
+	}
 	p.actions = p.core.Tick(telemetry.Now(), p.actions[:0])
 	services := make(map[types.Service]bool)
 	for i := range p.actions {
@@ -290,6 +304,28 @@
 	return nil
 }
 
+// refreshUnreported reports whether a target's reports stopped or began.
+func (p *placer) refreshUnreported() bool {
+	if p.cfg == nil {
+		return false
+	}
+	now := telemetry.Now()
+	changed := false
+	for _, s := range p.cfg.Services {
+		if !s.Keyed {
+			continue
+		}
+		for _, t := range s.Targets {
+			id := types.TargetID{Service: s.Name, Target: t.Name}
+			at, known := p.reportedAt[id]
+			unreported := !known || now.Sub(at) > reportExpiry
+			changed = changed || p.unreported[id] != unreported
+			p.unreported[id] = unreported
+		}
+	}
+	return changed
+}
+
 func (p *placer) send(ctx context.Context, service types.Service) error {
 	p.moves = p.core.Moves(service, p.moves[:0])
 	moves := ownership.Moves{Service: service}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -59,11 +59,7 @@
 // request arrives at a router that has stopped.
 func (g *Gateway) addDuties() {
 	s := g.settings
-	storeClient := store.NewHTTP(store.Options{
-		Address: string(s.StoreAddress),
-		Name:    string(s.VM),
-		Timeout: s.StoreTimeoutMs.Duration(),
-	})
+	storeClient := store.Connect(string(s.StoreAddress), string(s.VM), s.StoreTimeoutMs.Duration())
 	translator := newTranslator(g)
 	watch := &process.Watch{
 		Store:     storeClient,
