dispatch/measure: let fake targets give up what was cancelled

The fake target went on with a request whose deadline had passed, which the platform's targets do not. The count was the fake's fault: the core had one request in flight at a limit of one.

--- a/dispatch/measure/orders.go
+++ b/dispatch/measure/orders.go
@@ -109,6 +109,7 @@
 		useCore: v.useCore, byTry: map[dispatch.Handle]*order{}, result: Orders{Variant: v.name, Orders: count},
 	}
 	r.sim = r.build(random)
+	r.sim.stubborn = true // the worst case: what was given up may still run
 	r.sim.onReply = r.replied
 	r.sim.onRun = func(h dispatch.Handle) { r.byTry[h].runs++ }
 	r.start()
--- a/dispatch/measure/sim.go
+++ b/dispatch/measure/sim.go
@@ -65,6 +65,8 @@
 	policy  policy
 	targets map[types.TargetID]*target
 	flying  map[attemptKey]*job
+	// stubborn targets go on with requests whose deadline has passed or whose connection was closed.
+	stubborn bool
 	// onReply is told every reply.
 	onReply func(a dispatch.Action)
 	// onRun is told when a target starts to run a request.
@@ -151,6 +153,9 @@
 	}
 	delete(s.flying, j.key())
 	t := s.targets[j.Target]
+	if kind == dispatch.ResultTimedOut && !s.stubborn {
+		t.abandon(s, j)
+	}
 	r := dispatch.Result{
 		Attempt: j.Attempt, Connection: j.Connection, Kind: kind, Latency: s.now.Sub(j.sentAt), Load: dispatch.LoadUnknown,
 	}
