dispatch: blame and count only what the target may have seen

Cause, found while writing down the bound on false positives: a request whose connection broke was blamed for a death up to 2 s later, although the target had answered in between. And attempts of which nothing was written counted towards the 4 attempts of a request, so a restart of a target could use them up.

Now an answer by the same incarnation clears what broke before it, and only written attempts count, also for the retry delay. Both tests fail without the change.

--- a/dispatch/failures_test.go
+++ b/dispatch/failures_test.go
@@ -122,6 +122,31 @@
 	f.Equal(len(f.core.suspects.byKey), 0)
 }
 
+// Guards against blaming a request for a death that it did not cause: its target answered after it broke.
+func TestBrokenConnectionAloneIsNoDeath(t *testing.T) {
+	f := newFixture(t)
+	f.request(poison(f))
+	f.result(ResultBroken)
+	f.advance(reconnectMax)
+	f.request(lookup(freeA))
+	f.result(ResultAnswered)
+	f.kill(2)
+	f.Equal(len(f.core.suspects.byKey), 0)
+}
+
+// Guards against a restart using up the attempts of a request of which nothing was written.
+func TestUnwrittenAttemptsAreNotCounted(t *testing.T) {
+	f := newFixture(t)
+	f.request(lookup(freeA))
+	for range 2 * maxAttempts {
+		f.result(ResultNotWritten)
+		f.advance(reconnectMax)
+	}
+	f.result(ResultRefused)
+	f.advance(retryMax)
+	f.Equal(len(f.pending), 1)
+}
+
 // Guards against deaths that are spread over the targets of several dispatchers.
 func TestPeersDeathsCount(t *testing.T) {
 	f := newFixture(t)
--- a/dispatch/latency.go
+++ b/dispatch/latency.go
@@ -7,7 +7,7 @@
 
 const (
 	// fastWeight and slowWeight are the weights of the newest answer in the two moving averages. With 1/16 a tenfold
-	// slowdown shows within 5 answers, while single slow answers do not.
+	// slowdown shows after 5 answers, while single slow answers do not.
 	fastWeight = 1.0 / 16
 	slowWeight = 1.0 / 256
 	// jumpFactor is how far the fast average must exceed the slow one to be a jump.
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -7,8 +7,7 @@
 )
 
 const (
-	// suspectLimit bounds the fingerprints kept. A death implicates at most the target's slots (2 or 4), so this covers
-	// the last 256 deaths.
+	// suspectLimit bounds the fingerprints kept. A death implicates at most brokenKept, so this covers 64 deaths at least.
 	suspectLimit = 1024
 	// quarantineAge is how long a fingerprint stays suspected or quarantined.
 	quarantineAge = 10 * time.Minute
@@ -16,7 +15,8 @@
 	quarantineDeaths = 2
 	// deathWindow is the time between a broken request and the proof that its target died.
 	deathWindow = 2 * time.Second
-	// brokenKept is the number of recently broken requests kept for each target.
+	// brokenKept is the number of requests kept for each target that broke since its last answer. It covers the slots (2 or
+	// 4) and the probes within deathWindow (9, by the reconnect backoff).
 	brokenKept = 16
 )
 
@@ -119,6 +119,13 @@
 	t.broken = append(t.broken, brokenRequest{r.Fingerprint, c.now})
 }
 
+// survived notes an answer by the same incarnation to a request sent at sentAt: what broke before did not kill it.
+func (t *target) survived(sentAt types.Instant) {
+	if n := len(t.broken); n > 0 && t.broken[n-1].at <= sentAt {
+		t.broken = t.broken[:0]
+	}
+}
+
 // blame counts the last death of t against a fingerprint, once.
 func (c *Core) blame(t *target, f Fingerprint) {
 	if f == 0 {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -25,10 +25,12 @@
 // request is a request without a final result.
 type request struct {
 	Request
-	handle     Handle
-	target     int32
-	state      state
-	attempt    Attempt
+	handle  Handle
+	target  int32
+	state   state
+	attempt Attempt
+	// written counts the attempts of which the target may have seen something.
+	written    int
 	connection int32
 	// uncertain is true when an earlier attempt may have run.
 	uncertain bool
@@ -201,5 +203,5 @@
 
 // delay returns the time before the next attempt.
 func (r *request) delay(random Random) time.Duration {
-	return jittered(retryBase, retryMax, int(r.attempt), random)
+	return jittered(retryBase, retryMax, r.written, random)
 }
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -42,6 +42,9 @@
 	}
 	r.state = stateWaiting
 	r.until = 0
+	if res.Kind != ResultNotWritten {
+		r.written++
+	}
 	c.slotLanded(t, r)
 }
 
@@ -83,6 +86,7 @@
 	t.responds(c.now)
 	c.noteIncarnation(t, res.Incarnation)
 	t.alive = true
+	t.survived(r.sentAt)
 	c.suspects.exonerate(t.service.index, r.Fingerprint)
 	t.observe(r.Class, res.Latency)
 	byClass := &t.byClass[r.Class]
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -30,7 +30,7 @@
 // mayRetry reports whether another attempt is allowed at all: only when no attempt may have run or the request is
 // idempotent, and while the target may still receive it.
 func (c *Core) mayRetry(t *target, r *request) bool {
-	if r.uncertain && !r.Idempotent || r.Idempotent && r.replied || r.attempt >= maxAttempts {
+	if r.uncertain && !r.Idempotent || r.Idempotent && r.replied || r.written >= maxAttempts {
 		return false
 	}
 	if _, refused := c.notServed(t, r); refused {
