--- a/cmd/internal/questionnaire/main.go
+++ b/cmd/internal/questionnaire/main.go
@@ -26,6 +26,7 @@
 
 const usage = `usage: sail-questionnaire [-out FILE]
        sail-questionnaire -batch [-from FILE] [-set PATH=VALUE]... [-out FILE]
+       sail-questionnaire -check [-out FILE]
        sail-questionnaire -schema
 
 Fills in the answers from which sailctl generates the configuration: question by question, or with -batch from a file
@@ -41,9 +42,9 @@
 
 // options is the command line.
 type options struct {
-	out, from              string
-	set                    list
-	batch, schema, version bool
+	out, from                     string
+	set                           list
+	batch, check, schema, version bool
 }
 
 // list collects a flag that may be repeated.
@@ -70,6 +71,7 @@
 	f.StringVar(&o.from, "from", "", "start from the answers in `FILE` (with -batch)")
 	f.Var(&o.set, "set", "set one answer, for example services[0].cutOff=move (`PATH=VALUE`, with -batch)")
 	f.BoolVar(&o.batch, "batch", false, "ask nothing")
+	f.BoolVar(&o.check, "check", false, "check the answers in FILE and exit")
 	f.BoolVar(&o.schema, "schema", false, "print the JSON Schema of the answers for editors")
 	f.BoolVar(&o.version, "version", false, "print the version and exit")
 	f.Usage = func() { fmt.Fprint(stderr, usage); f.PrintDefaults() }
@@ -94,16 +96,32 @@
 	case o.schema:
 		_, _ = stdout.Write(config.Schema())
 		return ExitOK
+	case o.check:
+		return o.verify(stdout, stderr)
 	case o.batch:
-		return o.fill(stdout, stderr)
+		return o.runBatch(stdout, stderr)
 	}
-	return o.interview(stdin, stdout, stderr)
+	return o.interactive(stdin, stdout, stderr)
 }
 
-// interview asks question by question.
-func (o options) interview(stdin io.Reader, stdout, stderr io.Writer) int {
+// verify checks finished answers.
+func (o options) verify(stdout, stderr io.Writer) int {
+	data, err := startup.ReadFile(o.out)
+	if err == nil {
+		_, err = config.ParseAnswers(data)
+	}
+	if err != nil {
+		startup.Report(stderr, o.out, err)
+		return ExitRefused
+	}
+	fmt.Fprintf(stdout, "%s: answers are complete and fit together\n", o.out)
+	return ExitOK
+}
+
+// interactive asks question by question.
+func (o options) interactive(stdin io.Reader, stdout, stderr io.Writer) int {
 	file := draftName(o.out)
-	d, err := o.beginning(file)
+	d, err := o.initialDraft(file)
 	if err != nil {
 		startup.Report(stderr, file, err)
 		return ExitRefused
@@ -125,8 +143,8 @@
 	return ExitOK
 }
 
-// beginning returns the draft, or the finished answers when there is no draft: their values are proposed again.
-func (o options) beginning(file string) (draft, error) {
+// initialDraft returns the draft, or the finished answers when there is no draft: their values are suggested again.
+func (o options) initialDraft(file string) (draft, error) {
 	if _, err := os.Stat(file); err == nil {
 		return loadDraft(file)
 	}
@@ -141,9 +159,9 @@
 	return draft{Answers: a}, err
 }
 
-// fill sets answers without questions and writes them if they fit together.
-func (o options) fill(stdout, stderr io.Writer) int {
-	a, err := o.given()
+// runBatch sets answers without questions and writes them if they fit together.
+func (o options) runBatch(stdout, stderr io.Writer) int {
+	a, err := o.batchAnswers()
 	if err != nil {
 		startup.Report(stderr, o.from, err)
 		return ExitRefused
@@ -160,8 +178,8 @@
 	return ExitOK
 }
 
-// given returns the answers of -from with those of -set, or the faults of both together.
-func (o options) given() (config.Answers, error) {
+// batchAnswers returns the answers of -from with those of -set, or the faults of both together.
+func (o options) batchAnswers() (config.Answers, error) {
 	var a config.Answers
 	a.SetDefaults()
 	if o.from != "" {
--- a/config/validate.go
+++ b/config/validate.go
@@ -58,7 +58,6 @@
 		v.Fail("dataCentres", "needs at least one data centre")
 	}
 	names := map[types.DataCentre]bool{}
-	var callerMs int64
 	for i, d := range v.a.DataCentres {
 		path := settings.Index("dataCentres", i)
 		unique(v.Checks, path+".name", d.Name, names)
@@ -69,19 +68,17 @@
 		v.Between(path+".callerMs", d.CallerMs, 0, maxLinkMs, "ms")
 		v.Between(path+".vms", int64(d.VMs), 1, maxVMs, "VMs")
 		v.centres[d.Name] = d
-		v.linkMs = max(v.linkMs, plausible(d.OneWayMs))
-		callerMs = max(callerMs, plausible(d.CallerMs))
 	}
-	v.pathMs = 2*callerMs + 2*v.linkMs + connectMs
+	v.betweenRegions()
+	v.linkMs = v.a.linkMs()
+	v.pathMs = 2*v.a.callerMs() + 2*v.linkMs + connectMs
 }
 
-// plausible returns ms, or 0 when it is out of range: a delay in the wrong unit is reported once and not as an
-// impossible deadline of every service.
-func plausible(ms int64) int64 {
-	if ms > maxLinkMs {
-		return 0
+func (v *validator) betweenRegions() {
+	v.Between("betweenRegionsMs", v.a.BetweenRegionsMs, 0, maxLinkMs, "ms")
+	if n := v.a.regions(); n > 1 && v.a.BetweenRegionsMs == 0 {
+		v.Fail("betweenRegionsMs", "there are %d regions; give the delay between them, deadlines must leave time for it", n)
 	}
-	return ms
 }
 
 // recovery checks the promised recovery against the time that a takeover takes at least.
@@ -166,10 +163,10 @@
 		connections = v.at("target.connections")
 	}
 	n, conns := *t.Slots, *t.Connections
-	v.once(slots, between(int64(n), 1, maxTargetSlots))
-	v.once(connections, between(int64(conns), 1, maxConnections))
+	v.failOnce(slots, between(int64(n), 1, maxTargetSlots))
+	v.failOnce(connections, between(int64(conns), 1, maxConnections))
 	if n >= 1 && conns >= 1 && conns < n+probeConnections {
-		v.once(connections, fmt.Sprintf("%d connections cannot carry %d requests at once and a health check; raise "+
+		v.failOnce(connections, fmt.Sprintf("%d connections cannot carry %d requests at once and a health check; raise "+
 			"connections to %d or lower slots to %d", conns, n, n+probeConnections, max(conns-probeConnections, 1)))
 	}
 	if !(t.Weight > 0 && t.Weight <= maxWeight) {
@@ -177,8 +174,8 @@
 	}
 }
 
-// once reports why at path, unless why is empty or path has a fault.
-func (v *serviceValidator) once(path, why string) {
+// failOnce reports why at path, unless why is empty or path has a fault.
+func (v *serviceValidator) failOnce(path, why string) {
 	if why == "" {
 		return
 	}
@@ -201,15 +198,15 @@
 func (v *serviceValidator) ownership() {
 	switch v.s.CutOff {
 	case CutOffKeep:
-		v.keep()
+		v.checkKeep()
 	case CutOffMove:
-		v.move()
+		v.checkMove()
 	default:
 		v.Fail(v.at("cutOff"), "must be %s or %s, not %q", CutOffKeep, CutOffMove, v.s.CutOff)
 	}
 }
 
-func (v *serviceValidator) keep() {
+func (v *serviceValidator) checkKeep() {
 	if !v.s.Keyed {
 		return
 	}
@@ -221,7 +218,7 @@
 	}
 }
 
-func (v *serviceValidator) move() {
+func (v *serviceValidator) checkMove() {
 	if !v.s.Keyed {
 		v.Fail(v.at("cutOff"), "move has no meaning for a service without keys; leave it out or set keyed to true")
 		return
--- a/placement/load.go
+++ b/placement/load.go
@@ -17,14 +17,17 @@
 	baseShare = 0.1
 )
 
-func smooth(old, reported float32) float32 {
-	if old == 0 {
+// smooth returns the new estimate of a load. A change of more than hotShare of an average target's load is no noise and
+// is taken over at once: a former hot key that fades slowly hides the best place for its successor.
+func (s *service) smooth(old, reported float32) float32 {
+	change := reported - old
+	if old == 0 || float64(max(change, -change)) > hotShare*s.mean {
 		return reported
 	}
-	return old + (reported-old)*loadGain
+	return old + change*loadGain
 }
 
-// installLoad applies a dispatcher's report. Slots and hot keys of the target that are not listed have no load.
+// installLoad applies a dispatcher's report. Hot keys of the target that are not listed have no load.
 func (s *service) installLoad(now types.Instant, m *Load) {
 	t, ok := s.byName[m.Target]
 	if !ok {
@@ -33,13 +36,19 @@
 	reported := s.scratch.reportOf(int(s.slots))
 	for i, slot := range m.Slots {
 		if int(slot) < len(reported) && i < len(m.Loads) {
-			reported[slot] = max(m.Loads[i], 0)
+			reported[slot] = max(m.Loads[i], 0) + listed
 		}
 	}
+	each := s.restOfEach(t, m.Rest, reported)
 	for slot, owner := range s.owners {
-		if owner == t && now.Sub(s.changed[slot]) >= reportGrace {
-			s.loads[slot] = smooth(s.loads[slot], reported[slot])
+		if owner != t || now.Sub(s.changed[slot]) < reportGrace {
+			continue
 		}
+		load := each
+		if reported[slot] > 0 {
+			load = reported[slot] - listed
+		}
+		s.loads[slot] = s.smooth(s.loads[slot], load)
 	}
 	for _, slot := range m.Slots {
 		if int(slot) < len(reported) {
@@ -49,11 +58,28 @@
 	s.installKeyLoads(now, t, m.Keys)
 }
 
+// listed is added to reported loads, so that a listed slot without load differs from one that is not listed.
+const listed = 1
+
+// restOfEach returns the load of each slot of a target that a report does not list.
+func (s *service) restOfEach(t uint16, rest float32, reported []float32) float32 {
+	if rest <= 0 {
+		return 0
+	}
+	n := 0
+	for slot, owner := range s.owners {
+		if owner == t && reported[slot] == 0 {
+			n++
+		}
+	}
+	return rest / float32(max(n, 1))
+}
+
 func (s *service) installKeyLoads(now types.Instant, t uint16, keys []KeyLoad) {
 	for i := range s.hot {
 		h := &s.hot[i]
 		if h.owner == t && !contains(keys, h.key) && now.Sub(h.changed) >= reportGrace {
-			h.load = smooth(h.load, 0)
+			h.load = s.smooth(h.load, 0)
 		}
 	}
 	for _, k := range keys {
--- a/placement/service.go
+++ b/placement/service.go
@@ -30,6 +30,7 @@
 	parts     map[types.Slot]types.Revision
 	inMotion  int
 	balancing bool
+	mean      float64 // load of an average target in the last plan
 	urgent    bool
 
 	hot     []hotRow
@@ -266,3 +267,14 @@
 func (t *target) isFresh(now types.Instant) bool {
 	return t.freshSince != never && now.Sub(t.freshSince) < time.Duration(RampTime)
 }
+
+// leaving returns the number of targets that must be emptied.
+func (s *service) leaving() int {
+	n := 0
+	for i := range s.targets {
+		if s.targets[i].state.leaving() {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/scripts/slopes.sh
@@ -0,0 +1,75 @@
+#!/usr/bin/env bash
+# Measures at several sizes what docs/CAPACITY.md extrapolates: message and document costs in benchmarks, and store
+# calls, processor time and memory of idle processes with 3, 6 and 12 VMs. Takes about a minute.
+set -u
+cd "$(dirname "$0")/.."
+. scripts/lib.sh
+. scripts/fleet.sh
+trap 'kill $(jobs -p) 2>/dev/null' EXIT
+
+seconds=8
+ticks=$(getconf CLK_TCK)
+
+show() { # NAME COMMAND...: like step, and shows the output of success too
+  local before=$failed
+  step "$@"
+  [ "$failed" -gt "$before" ] || cat "$step_output"
+}
+
+bench() { go test -run '^$' -bench "$2" -benchmem -benchtime 200ms "./$1" | grep '^Benchmark'; }
+
+processor_ticks() { # PID...: sum of user and system time
+  local pid sum=0 t
+  for pid in "$@"; do
+    t=$(sed 's/.*) //' "/proc/$pid/stat" | awk '{print $12 + $13}')
+    sum=$((sum + t))
+  done
+  echo "$sum"
+}
+
+resident_mb() { # PID...: mean in MB
+  local pid
+  for pid in "$@"; do awk '/VmRSS/ {print $2}' "/proc/$pid/status"; done | awk '{s += $1} END {printf "%.1f", s / NR / 1024}'
+}
+
+calls() { curl -s "http://$store/calls"; }
+
+# rates BEFORE AFTER: the difference of each kind of call for each second
+rates() {
+  paste <(tr -d '{}"\n' <<<"$1" | tr ',' '\n') <(tr -d '{}"\n' <<<"$2" | tr ',' '\n') | tr ':' '\t' |
+    awk -v s="$seconds" '$4 > $2 {printf "%s %.1f/s  ", $1, ($4 - $2) / s}'
+}
+
+fleet_idle() { # VMS_PER_DATA_CENTRE
+  local before after t0 t1 n=$((3 * $1))
+  fleet_init slopes-"$1" $((26000 + 600 * $1)) praha-a praha-b kladno
+  .bin/sailctl generate examples/joint-venture/answers.json >"$dir/configuration.json"
+  fleet_operator_settings "$1"
+  fleet_start_standins
+  fleet_start_vms "$1"
+  fleet_ctl apply -expect 0 -note slopes -wait 15s examples/joint-venture/answers.json >/dev/null || return 1
+  .bin/sail-probe ready -config "$dir/configuration.json" -gateways "$(fleet_gateways)" >/dev/null || return 1
+  sleep 3
+  before=$(calls)
+  t0=$(processor_ticks "${daemons[@]}")
+  sleep "$seconds"
+  after=$(calls)
+  t1=$(processor_ticks "${daemons[@]}")
+  echo "VMs $n: store calls $(rates "$before" "$after")"
+  awk -v n="$n" -v d=$((t1 - t0)) -v hz="$ticks" -v s="$seconds" -v m="$(resident_mb "${daemons[@]}")" \
+    'BEGIN {printf "VMs %d: %.2f%% of a core for each VM (gateway and dispatcher), %s MB for each process\n", n, 100 * d / hz / s / n, m}'
+  fleet_stop
+}
+
+echo "$(nproc) cores, $(go version | cut -d' ' -f3), $(date -u +%F), load $(cut -d' ' -f1 /proc/loadavg)"
+mkdir -p .bin
+step "build" go build -o .bin/ ./cmd/...
+show "routing tables" bench routing 'InstallTable|Memory'
+show "plans" bench placement 'Plan|Report|Memory'
+show "sketch" bench placement Sketch
+show "messages" bench cmd/sail-measure 'RPC'
+show "documents" bench cmd/sail-measure 'Document'
+for n in 1 2 4; do
+  show "idle fleet, $((3 * n)) VMs" fleet_idle "$n"
+done
+finish
--- a/transport/peer/message.go
+++ b/transport/peer/message.go
@@ -9,6 +9,7 @@
 	MethodMemoryPut  = "Memory.Put"
 	MethodHandover   = "Memory.Handover"
 	MethodTargets    = "Control.Targets"
+	MethodLatest     = "Peer.Latest"
 	MethodConfirm    = "Vouch.Confirm"
 	MethodInstall    = "Vouch.Install"
 	MethodQuarantine = "Control.Quarantine"
@@ -185,6 +186,8 @@
 	LeaseEpoch types.Epoch
 	// SinceMs is the wall time, in Unix milliseconds, since which the entries cover the target.
 	SinceMs int64
+	// State tells whether the target runs at full load. Set with LeaseEpoch.
+	State TargetState
 }
 
 // HandoverRow is one slot or hot key that is handed over.
@@ -211,3 +214,17 @@
 	Incarnation types.Incarnation
 	Warm        bool
 }
+
+// LatestAnswer holds what a process last read from the store. Revision is 0 when it has read nothing.
+type LatestAnswer struct {
+	Revision types.Revision
+	Entries  []LatestEntry
+}
+
+// LatestEntry is one key of the store.
+type LatestEntry struct {
+	Key      string
+	Value    []byte
+	Revision types.Revision
+	WriteID  string
+}
