dispatch: give each identifier of a service without keys one home

Cause, found by reading routing and the gateway: writes to services without keys go to one of two random targets. A resend may reach a target of another dispatcher, which has no entry for the identifier, believes its memory covers it, and runs the order a second time (R7).

MessageHomes tells the core the targets among which identifiers are divided, by rendezvous hashing of caller and identifier (dispatch.Home). A write at another target is refused with stale-epoch, also right before the send. When a set changes, identifiers whose home moved are covered only from permit and margin after the change; others are not affected.

Ruled out: asking the identifier's dispatcher before each send (one more round trip between data centres), and routing by key (a set that changes moves keys as well).

Until MessageHomes is sent, nothing is checked, as before. Routing has to choose dispatch.Home for writes. Tests fail without the check, the check of coverage, the time of the move, the lag and the mixing.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -89,7 +89,7 @@
 		return failure{types.CodeShuttingDown, ReasonDraining}, true
 	case !t.serving:
 		return failure{types.CodeNotHolder, ReasonNotHolder}, true
-	case r.LeaseEpoch != t.lease.Epoch || !c.ownsSlot(t, r):
+	case r.LeaseEpoch != t.lease.Epoch || !c.ownsSlot(t, r) || !t.atHome(r):
 		return failure{types.CodeStaleEpoch, ReasonStaleEpoch}, true
 	}
 	return failure{}, false
--- a/dispatch/configure.go
+++ b/dispatch/configure.go
@@ -22,6 +22,7 @@
 	if cfg == nil {
 		return
 	}
+	c.homeLagMs = homeLagMs(cfg.Ownership)
 	for _, t := range c.targets {
 		t.removed = true
 	}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -34,6 +34,7 @@
 	requestTimers timers
 	targetTimers  timers
 	draining      bool
+	homeLagMs     int64
 
 	hotRow slotRow // result of rowOf
 	now    types.Instant
@@ -89,6 +90,8 @@
 		c.slotReleased(m.Target, &m.Slot)
 	case MessageMemoryReset:
 		c.memoryReset(m.Target, m.Lease.WallMs)
+	case MessageHomes:
+		c.homesChanged(m.Target.Service, m.Homes, m.Lease.WallMs)
 	case MessageCopyStored:
 		c.copyStored(m.Handle, &m.Entry)
 	case MessageQuarantined:
--- /dev/null
+++ b/dispatch/homes_test.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"sequoiasail.example/types"
+)
+
+// homes tells a set of homes and returns two identifiers: one that is at home at target a in both sets, and one that
+// moves there from another target when the set shrinks.
+func homes(f *fixture, before, after []types.Target) (stays, moves string) {
+	f.step(Message{Kind: MessageHomes, Target: freeA, Homes: before, Lease: Lease{WallMs: f.wall() - 60_000}})
+	for n := 0; stays == "" || moves == ""; n++ {
+		id := name("o", n)
+		was := Home(before, "crew", types.RequestID(id))
+		switch {
+		case was == "a":
+			stays = id
+		case Home(after, "crew", types.RequestID(id)) == "a":
+			moves = id
+		}
+	}
+	return stays, moves
+}
+
+// Guards against a resend to another target of a service without keys running a second time (R7): that target's
+// dispatcher knows nothing of the first send.
+func TestIdentifierHasOneHome(t *testing.T) {
+	f := newFixture(t)
+	before, after := []types.Target{"a", "b", "c"}, []types.Target{"a", "c"}
+	stays, moves := homes(f, before, after)
+	f.outcome(f.request(f.order(freeA, moves)), types.OutcomeUnknown, types.CodeStaleEpoch)
+	f.request(f.order(freeA, stays))
+	f.Equal(len(f.pending), 1)
+	f.result(ResultAnswered)
+	old := f.order(freeA, moves)
+	f.step(Message{Kind: MessageHomes, Target: freeA, Homes: after, Lease: Lease{WallMs: f.wall()}})
+	f.outcome(f.request(old), types.OutcomeUnknown, types.CodeMemoryLost) // target b may have run it
+	f.now = f.now.Add(1200 * time.Millisecond) // lag, clock tolerance and skew
+	f.outcome(f.request(f.order(freeA, moves)), types.OutcomeUnknown, types.CodeMemoryLost)
+	f.now = f.now.Add(time.Millisecond)
+	f.request(f.order(freeA, moves))
+	f.Equal(len(f.pending), 1)
+}
+
+// Guards against a queued order being sent after its home has moved.
+func TestHomeIsCheckedBeforeSend(t *testing.T) {
+	f := newFixture(t)
+	stays, _ := homes(f, []types.Target{"a", "b", "c"}, []types.Target{"a", "c"})
+	for range testSlots {
+		f.request(lookup(freeA))
+	}
+	h := f.request(f.order(freeA, stays))
+	f.step(Message{Kind: MessageHomes, Target: freeA, Homes: []types.Target{"b"}, Lease: Lease{WallMs: f.wall()}})
+	f.result(ResultAnswered)
+	f.outcome(h, types.OutcomeNotRun, types.CodeStaleEpoch)
+}
+
+// Guards against homes that are divided unevenly, or that all move when one target leaves.
+func TestHomesAreSpread(t *testing.T) {
+	f := newFixture(t)
+	all := []types.Target{"a", "b", "c", "d", "e", "f", "g", "h"}
+	count := map[types.Target]int{}
+	const ids = 8000
+	moved := 0
+	for n := range ids {
+		id := types.RequestID(name("o", n))
+		h := Home(all, "crew", id)
+		count[h]++
+		if h != "h" && Home(all[:7], "crew", id) != h {
+			moved++
+		}
+	}
+	f.Equal(moved, 0)
+	for _, n := range count {
+		f.True(n > ids/8*4/5 && n < ids/8*6/5)
+	}
+}
--- a/dispatch/memory.go
+++ b/dispatch/memory.go
@@ -98,11 +98,13 @@
 
 // covers reports whether the table holds every request with an identifier as old as r's that may have been sent.
 func (c *Core) covers(t *target, r *request) bool {
-	if t == nil || !t.serving {
+	if t == nil || !t.serving || !t.atHome(r) {
 		return false
 	}
 	since := t.memorySinceMs
-	if t.service.keyed {
+	if !t.service.keyed {
+		since = max(since, t.homeSinceMs(r, c.homeLagMs))
+	} else {
 		row := c.rowOf(t.service, r)
 		if row == nil || row.target != t.index {
 			return false
--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -42,6 +42,10 @@
 	// MessageMemoryReset: Target, Lease.WallMs. Requests for the target may have gone to other dispatchers before WallMs,
 	// although its lease did not move. Identifiers minted before are answered unknown.
 	MessageMemoryReset
+	// MessageHomes: Target.Service, Homes, Lease.WallMs. The targets among which the identifiers of a service without keys
+	// are divided, see Home. The set must come from what the renewal permit confirms, so that no dispatcher sends by an
+	// older one for longer than permit and margin. Pinned writes must follow it, too.
+	MessageHomes
 	// MessageCopyDone: Handle, Stored. The second dispatcher stored the entry, or could not be reached.
 	MessageCopyDone
 	// MessageCopyStored: Handle, Entry. Another dispatcher sent a copy of an entry. Handle names the answer's payload.
@@ -68,6 +72,8 @@
 	Quarantine    Quarantine
 	Drain         Drain
 	Configuration *config.Configuration
+	// Homes is read, never written, and must not change afterwards.
+	Homes []types.Target
 }
 
 // Request describes a request without its body.
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -82,6 +82,8 @@
 	hot     map[types.KeyHash]slotRow
 	median  [types.ClassCount]float64
 	answers int
+	// homes are the sets of homes of a service without keys, the present one last.
+	homes   []homeSet
 	scratch []float64
 }
 
