dispatch: compute an identifier's home once per set

Homes is a type that hashes its targets once, and a request keeps the result for the present set. The order benchmark now uses homes.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -24,6 +24,7 @@
 	sends    []Action
 	requests []Request
 	ids      []types.RequestID
+	homes    Homes
 }
 
 func newLoad(class types.Class) *load {
@@ -44,12 +45,26 @@
 			})
 		}
 	}
+	if !class.Idempotent() {
+		l.homes = tellHomes(l, s)
+	}
 	for n := range 1 << 17 {
 		l.ids = append(l.ids, types.RequestID(strconv.Itoa(n)))
 	}
 	return l
 }
 
+// tellHomes makes the targets homes of their identifiers.
+func tellHomes(l *load, s config.Service) Homes {
+	var targets []types.Target
+	for _, t := range s.Targets {
+		targets = append(targets, t.Name)
+	}
+	id := types.TargetID{Service: s.Name}
+	l.core.Step(l.now, Message{Kind: MessageHomes, Target: id, Homes: targets}, nil)
+	return NewHomes(targets)
+}
+
 func (l *load) step(m Message) {
 	l.now += types.Instant(4 * time.Microsecond)
 	l.out = l.core.Step(l.now, m, l.out[:0])
@@ -67,6 +82,9 @@
 	q.Deadline = l.now.Add(time.Second)
 	q.WallMs = startWall + int64(l.now)/int64(time.Millisecond)
 	q.MintedMs = q.WallMs
+	if !q.Idempotent {
+		q.Target.Target = l.homes.Of(q.Caller, q.ID)
+	}
 	l.step(Message{Kind: MessageRequest, Handle: l.handle, Request: q})
 	if !q.Idempotent {
 		l.step(Message{Kind: MessageCopyDone, Handle: l.handle, Stored: true})
--- a/dispatch/homes.go
+++ b/dispatch/homes.go
@@ -15,14 +15,29 @@
 	defaultHomeLagMs = 600
 )
 
-// Home returns which target's dispatcher remembers an identifier of a service without keys. Without a fixed home, a
-// resend could reach a dispatcher that knows nothing of the first send. All processes must agree on it. It returns "" for
-// no targets.
-func Home(targets []types.Target, caller types.Caller, id types.RequestID) types.Target {
+// Homes divides the identifiers of a service without keys among targets: the dispatcher of an identifier's home remembers
+// it. Without a fixed home, a resend could reach a dispatcher that knows nothing of the first send. All processes must
+// agree on it.
+type Homes struct {
+	targets []types.Target
+	hashes  []uint64
+}
+
+// NewHomes returns homes among targets, which must not change afterwards. Their order does not matter.
+func NewHomes(targets []types.Target) Homes {
+	h := Homes{targets: targets}
+	for _, t := range targets {
+		h.hashes = append(h.hashes, uint64(types.HashKey(string(t))))
+	}
+	return h
+}
+
+// Of returns the home of an identifier, or "" when there are no targets.
+func (h Homes) Of(caller types.Caller, id types.RequestID) types.Target {
 	best, bestScore := types.Target(""), uint64(0)
 	identifier := identifierHash(caller, id)
-	for _, t := range targets {
-		score := homeScore(identifier, uint64(types.HashKey(string(t))))
+	for n, t := range h.targets {
+		score := homeScore(identifier, h.hashes[n])
 		if best == "" || score > bestScore || (score == bestScore && t < best) {
 			best, bestScore = t, score
 		}
@@ -42,10 +57,10 @@
 	return z ^ z>>31
 }
 
-// homeSet is the targets among which identifiers were divided since a time.
+// homeSet is the homes since a time.
 type homeSet struct {
+	Homes
 	sinceMs int64
-	targets []types.Target
 }
 
 // homesChanged takes over a set of homes.
@@ -61,7 +76,8 @@
 	if len(s.homes) == homeHistory {
 		s.homes = slices.Delete(s.homes, 0, 1)
 	}
-	s.homes = append(s.homes, homeSet{sinceMs: wallMs, targets: targets})
+	s.homeVersion++
+	s.homes = append(s.homes, homeSet{Homes: NewHomes(targets), sinceMs: wallMs})
 }
 
 // atHome reports whether target t is the home of the request's identifier. Until homes are told, every target is.
@@ -70,7 +86,11 @@
 	if s.keyed || r.Idempotent || len(s.homes) == 0 {
 		return true
 	}
-	return Home(s.homes[len(s.homes)-1].targets, r.Caller, r.ID) == t.id.Target
+	if r.homeVersion != s.homeVersion {
+		r.homeVersion = s.homeVersion
+		r.atHome = s.homes[len(s.homes)-1].Of(r.Caller, r.ID) == t.id.Target
+	}
+	return r.atHome
 }
 
 // homeSinceMs returns the wall time since which t is the home of the request's identifier, and no dispatcher may hold
@@ -81,7 +101,7 @@
 		return 0
 	}
 	k := len(sets) - 1
-	for k > 0 && Home(sets[k-1].targets, r.Caller, r.ID) == t.id.Target {
+	for k > 0 && sets[k-1].Of(r.Caller, r.ID) == t.id.Target {
 		k--
 	}
 	return sets[k].sinceMs + lagMs
--- a/dispatch/homes_test.go
+++ b/dispatch/homes_test.go
@@ -13,11 +13,11 @@
 	f.step(Message{Kind: MessageHomes, Target: freeA, Homes: before, Lease: Lease{WallMs: f.wall() - 60_000}})
 	for n := 0; stays == "" || moves == ""; n++ {
 		id := name("o", n)
-		was := Home(before, "crew", types.RequestID(id))
+		was := NewHomes(before).Of("crew", types.RequestID(id))
 		switch {
 		case was == "a":
 			stays = id
-		case Home(after, "crew", types.RequestID(id)) == "a":
+		case NewHomes(after).Of("crew", types.RequestID(id)) == "a":
 			moves = id
 		}
 	}
@@ -37,7 +37,7 @@
 	old := f.order(freeA, moves)
 	f.step(Message{Kind: MessageHomes, Target: freeA, Homes: after, Lease: Lease{WallMs: f.wall()}})
 	f.outcome(f.request(old), types.OutcomeUnknown, types.CodeMemoryLost) // target b may have run it
-	f.now = f.now.Add(1200 * time.Millisecond) // lag, clock tolerance and skew
+	f.now = f.now.Add(1200 * time.Millisecond)                            // lag, clock tolerance and skew
 	f.outcome(f.request(f.order(freeA, moves)), types.OutcomeUnknown, types.CodeMemoryLost)
 	f.now = f.now.Add(time.Millisecond)
 	f.request(f.order(freeA, moves))
@@ -66,9 +66,9 @@
 	moved := 0
 	for n := range ids {
 		id := types.RequestID(name("o", n))
-		h := Home(all, "crew", id)
+		h := NewHomes(all).Of("crew", id)
 		count[h]++
-		if h != "h" && Home(all[:7], "crew", id) != h {
+		if h != "h" && NewHomes(all[:7]).Of("crew", id) != h {
 			moved++
 		}
 	}
--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -43,7 +43,7 @@
 	// although its lease did not move. Identifiers minted before are answered unknown.
 	MessageMemoryReset
 	// MessageHomes: Target.Service, Homes, Lease.WallMs. The targets among which the identifiers of a service without keys
-	// are divided, see Home. The set must come from what the renewal permit confirms, so that no dispatcher sends by an
+	// are divided, see the type Homes. The set must come from what the renewal permit confirms, so that no dispatcher sends by an
 	// older one for longer than permit and margin. Pinned writes must follow it, too.
 	MessageHomes
 	// MessageCopyDone: Handle, Stored. The second dispatcher stored the entry, or could not be reached.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -43,6 +43,10 @@
 	// sentAt is the time of the last send.
 	sentAt types.Instant
 
+	// atHome is whether the target is the identifier's home by the set homeVersion of the service.
+	atHome      bool
+	homeVersion uint32
+
 	callerQueue int32
 	next, prev  int32 // in the caller's queue, or in the list of resends
 	entry       int32 // in the deduplication table, or none
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -83,8 +83,10 @@
 	median  [types.ClassCount]float64
 	answers int
 	// homes are the sets of homes of a service without keys, the present one last.
-	homes   []homeSet
-	scratch []float64
+	homes []homeSet
+	// homeVersion counts the sets told.
+	homeVersion uint32
+	scratch     []float64
 }
 
 type classPolicy struct {
