--- a/dispatch/homes_test.go
+++ b/dispatch/homes_test.go
@@ -77,3 +77,26 @@
 		f.True(n > ids/8*4/5 && n < ids/8*6/5)
 	}
 }
+
+// Guards against two dispatchers both running an order that was sent to one and resent to the other.
+func TestOnlyOneDispatcherSendsAnOrder(t *testing.T) {
+	freeB := types.TargetID{Service: "objednavky", Target: "b"}
+	one, two := newFixture(t), newFixture(t)
+	two.step(Message{Kind: MessageStopServing, Target: freeA})
+	two.serve(freeB, 7, time.Hour, true)
+	for _, f := range []*fixture{one, two} {
+		l := Lease{WallMs: startWall - 60_000}
+		f.step(Message{Kind: MessageHomes, Target: freeA, Homes: []types.Target{"b", "a"}, Lease: l})
+	}
+	for n := range 200 {
+		one.pending, two.pending = nil, nil
+		one.request(one.order(freeA, name("o", n)))
+		two.request(two.order(freeB, name("o", n)))
+		one.Equal(len(one.pending)+len(two.pending), 1)
+		for _, f := range []*fixture{one, two} {
+			if len(f.pending) > 0 {
+				f.result(ResultAnswered)
+			}
+		}
+	}
+}
