dispatch: tell attempts that were not started from failures to connect

Cause, found by reading: a send that the process gave up before the first byte (cancelled, end of the lease, busy connection duty) had to be reported as not-written. On a fresh connection the core took that for a failure to connect: backoff, a counted death, a report of a suspected dead target.

ResultNotStarted says nothing about the target. The request is sent again after a short delay, so that a process that cannot start any attempt does not loop. The test fails without the delay and with the old effect on the target's health.

--- a/dispatch/action.go
+++ b/dispatch/action.go
@@ -15,7 +15,7 @@
 	ActionNone ActionKind = iota
 	// ActionSend: Handle, Attempt, Target, Connection, Fresh, Deadline, Epoch, ValidUntil. Send the request on this
 	// connection. The process answers with exactly one MessageResult, also when it could not start. It writes nothing at
-	// or after ValidUntil and then answers ResultNotWritten: the VM may be paused between the decision and the write, and
+	// or after ValidUntil and then answers ResultNotStarted: the VM may be paused between the decision and the write, and
 	// not every target checks grants.
 	ActionSend
 	// ActionCancelSend: Handle, Attempt, Target, Connection. Close the connection. The result still follows.
--- a/dispatch/backoff.go
+++ b/dispatch/backoff.go
@@ -39,7 +39,7 @@
 // jittered returns a random delay between half and all of base doubled n-1 times, at most limit.
 func jittered(base, limit time.Duration, n int, random Random) time.Duration {
 	d := limit
-	if shift := n - 1; shift < 20 {
+	if shift := max(n-1, 0); shift < 20 {
 		d = min(base<<shift, limit)
 	}
 	half := d / 2
--- a/dispatch/failures_test.go
+++ b/dispatch/failures_test.go
@@ -14,7 +14,7 @@
 		f.request(f.order(freeA, "o1"))
 		f.result(kind)
 		f.advance(time.Second)
-		safe := kind == ResultRefused || kind == ResultNotWritten
+		safe := kind == ResultRefused || kind == ResultNotWritten || kind == ResultNotStarted
 		f.Equal(len(f.pending) == 1, safe)
 		f = newFixture(t)
 		f.request(lookup(freeA))
@@ -147,6 +147,19 @@
 	f.Equal(len(f.pending), 1)
 }
 
+// Guards against taking a cancelled attempt for a dead target, and against trying again in a loop.
+func TestAttemptThatWasNotStartedIsNoFailure(t *testing.T) {
+	f := newFixture(t)
+	f.request(lookup(freeA))
+	f.result(ResultNotStarted)
+	target := f.core.targets[f.core.targetByID[freeA]]
+	f.True(!target.backoff.failing())
+	f.Equal(target.condition, ConditionHealthy)
+	f.Equal(len(f.pending), 0) // not at once
+	f.advance(retryBase)
+	f.Equal(len(f.pending), 1)
+}
+
 // Guards against deaths that are spread over the targets of several dispatchers.
 func TestPeersDeathsCount(t *testing.T) {
 	f := newFixture(t)
--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -116,6 +116,9 @@
 	ResultTimedOut
 	// ResultCutBody: the answer ended before its announced length.
 	ResultCutBody
+	// ResultNotStarted: the process gave the attempt up before any byte was written, because it was cancelled, the lease
+	// ended or the connection's duty was busy. It says nothing about the target.
+	ResultNotStarted
 	// ResultKindCount is the number of result kinds.
 	ResultKindCount
 )
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -42,7 +42,7 @@
 	}
 	r.state = stateWaiting
 	r.until = 0
-	if res.Kind != ResultNotWritten {
+	if res.Kind != ResultNotWritten && res.Kind != ResultNotStarted {
 		r.written++
 	}
 	c.slotLanded(t, r)
@@ -177,8 +177,9 @@
 		c.retryOrFail(t, i, failure{types.CodeTargetRefused, ReasonRefusedByTarget})
 	case ResultNotWritten:
 		c.sendAgain(t, i)
+	case ResultNotStarted:
+		c.startAgain(t, i)
 	case ResultTimedOut:
-		c.checkResponds(t, r)
 		r.uncertain = true
 		f := failure{types.CodeDeadlineExceeded, ReasonDeadline}
 		if c.now < r.runUntil { // cancelled by the core, for example on a silent connection
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -39,6 +39,19 @@
 	return !c.suspects.quarantined(t.service.index, r.Fingerprint, c.now)
 }
 
+// startAgain sends a request again after a short delay. The delay keeps a process that cannot start any attempt from
+// trying in a loop.
+func (c *Core) startAgain(t *target, i int32) {
+	r := c.requests.at(i)
+	if r.Idempotent && r.replied {
+		c.finish(i, r.outcome(), failure{types.CodeCancelled, ReasonCancelled})
+		return
+	}
+	c.hold(t, i)
+	r.until = c.now.Add(r.delay(c.random))
+	c.schedule(i)
+}
+
 // sendAgain queues a request of which no byte was written. It costs no retry budget: the target saw nothing of it, and
 // the reconnect backoff allows one connection attempt at a time.
 func (c *Core) sendAgain(t *target, i int32) {
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -111,7 +111,7 @@
 	return all
 }
 
-var resultNames = []string{"answered", "refused", "not-written", "broken", "timed-out", "cut-body"}
+var resultNames = []string{"answered", "refused", "not-written", "broken", "timed-out", "cut-body", "not-started"}
 
 // parseMessage returns the message of one line. All sessions use the target objednavky/a.
 func parseMessage(f *fixture, kind string, a arguments) Message {
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -227,7 +227,7 @@
 func (w *world) land(n int, r Result) {
 	f := w.flying[n]
 	w.flying = slices.Delete(w.flying, n, n+1)
-	if r.Kind != ResultRefused && r.Kind != ResultNotWritten {
+	if r.Kind != ResultRefused && r.Kind != ResultNotWritten && r.Kind != ResultNotStarted {
 		w.mayHaveRun(f)
 	}
 	if r.Kind == ResultAnswered {
