--- a/dispatch/measure/policies.go
+++ b/dispatch/measure/policies.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// serve takes over the leases of all targets, and all slots of a keyed service.
+// serve takes over the leases of all targets.
 func (p *corePolicy) serve(epoch types.Epoch, warm bool) {
 	for _, id := range p.sim.ids() {
 		p.step(dispatch.Message{Kind: dispatch.MessageServe, Target: id, Lease: dispatch.Lease{
@@ -95,11 +95,9 @@
 	})
 }
 
-// fifoPolicy is a baseline: first in, first out, without bounds, retries or memory. With shared it has one queue and
-// one limit for all targets, otherwise one queue and one limit for each.
+// fifoPolicy is a baseline: first in, first out, without bounds, retries or memory.
 type fifoPolicy struct {
 	sim    *sim
-	shared bool
 	queues map[types.TargetID]*fifoQueue
 	states map[dispatch.Handle]*fifoRequest
 }
@@ -116,8 +114,9 @@
 	queue  *fifoQueue
 }
 
+// newFIFOPolicy returns a policy with one queue and one limit for all targets if shared, otherwise for each.
 func newFIFOPolicy(s *sim, shared bool) *fifoPolicy {
-	p := &fifoPolicy{sim: s, shared: shared, queues: map[types.TargetID]*fifoQueue{}, states: map[dispatch.Handle]*fifoRequest{}}
+	p := &fifoPolicy{sim: s, queues: map[types.TargetID]*fifoQueue{}, states: map[dispatch.Handle]*fifoRequest{}}
 	one := &fifoQueue{}
 	for id, t := range s.targets {
 		q := one
