--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -82,7 +82,11 @@
 	hot     map[types.KeyHash]slotRow
 	median  [types.ClassCount]float64
 	answers int
-	scratch []float64
+	// homes are the sets of homes of a service without keys, the present one last.
+	homes []homeSet
+	// homeVersion counts the sets told.
+	homeVersion uint32
+	scratch     []float64
 }
 
 type classPolicy struct {
