--- a/ownership/holder.go
+++ b/ownership/holder.go
@@ -533,10 +533,11 @@
 	return expired && h.silentNow(x) && holds(&h.table, h.service(x.id.Service), x.id.Target, x.lease.Term)
 }
 
-// editSlots writes the next owner of the slots and hot keys that the held targets have released.
+// editSlots writes the next owner of the slots and hot keys that the held targets have released. It needs the permit: the
+// lease may have gone to another dispatcher, which has granted the slot again in the meantime.
 func (h *Holder) editSlots(e *slotEdit) {
 	for _, x := range h.held {
-		if x.id.Service != e.key.Service || !x.releasing || !h.confirmed(x) {
+		if x.id.Service != e.key.Service || !x.releasing || !h.confirmed(x) || !h.permit.held(x.group) {
 			continue
 		}
 		n := 0
--- a/ownership/voucher.go
+++ b/ownership/voucher.go
@@ -1,9 +1,9 @@
 package ownership
 
 import (
+	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"sequoiasail.example/types"
@@ -174,4 +174,6 @@
 	slices.SortFunc(v.silent, compareTargets)
 }
 
-func compareTargets(a, b types.TargetID) int { return strings.Compare(a.String(), b.String()) }
+func compareTargets(a, b types.TargetID) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Target, b.Target))
+}
