ownership: test each mechanism by a failure that needs it

Each test was run against the module with its mechanism removed. Seen failing:

- takeover of silent targets off: TestTargetCrash, TestTargetAndVMLost
- time to live from the renewal's arrival and expired grants renewed (in the fake target): TestTargetFreezeAndReturn, TestConformance
- target incarnation ignored: TestTargetRestart
- suspicion off: TestVMLost, TestVMPaused; only active leases watched: TestVMPaused
- group permit off: TestVMCutFromStore, TestDataCentreCutOffKeepsKeys, TestStoreDownForAnHour, TestStoreSlowBySeconds
- silent group not suspected: TestDataCentreCutOffMovesKeys; declaration ignored: TestDataCentreDeclaredLost
- no read back: TestLostCASAnswers
- new planner does not start: TestLeaseLapsesWhileHolderPaused
- CAS expectation ignored (in the fake store): TestTwoPlanners
- groups do not follow: TestAllVMsReplaced, TestAllVMsLostAtOnce; gone members do not count: TestAllVMsLostAtOnce
- report of silent targets off: TestTargetLostAndVMCutFromStore
- former incarnation not taken as gone: TestVMRestartsDuringStoreOutage
- wait after a revocation 0: TestFalseSuspicion; vacated before the grant's end: TestTargetAnswersLost
- drain ignored: TestMoveWaitsForDrain
- term not compared: TestConformance
- unconfirmed grant, permit of a release, asker's incarnation, age of a store answer, first token: holder_test.go

Three tests are new because the first run missed the removal of the wait, of the grant's end and of the drain; the conformance test alone (150 runs) does not find these.

--- a/ownership/failure_test.go
+++ b/ownership/failure_test.go
@@ -271,6 +271,45 @@
 	s.within(t, 10*time.Second, goal)
 }
 
+// A dispatcher that its group wrongly suspects may still hold a permit from the store. Without the wait after the
+// revocation two dispatchers would send to one target.
+func TestFalseSuspicion(t *testing.T) {
+	s := started(t, config.ScopeDataCentre)
+	_, l := s.owner(0)
+	p := s.proc(l.Holder.VM)
+	p.mute = true
+	s.run(560 * time.Millisecond)
+	s.cutStore[l.Holder.VM] = true
+	s.within(t, 5*time.Second, goal)
+	is.New(t).Equal(s.reasons(ReasonDispatcherLost), 1)
+}
+
+// A target whose answers are lost may have accepted the last renewal and runs on until its grant ends. Its slots must not
+// be given away before, also when the suspicion time is shorter than that.
+func TestTargetAnswersLost(t *testing.T) {
+	cfg := testConfig(config.ScopeDataCentre, 64, 6, "a", "b", "c")
+	cfg.Ownership.SuspicionMs = 300
+	s := newSim(t, 1, cfg, 3)
+	s.run(4 * time.Second)
+	id, _ := s.owner(0)
+	s.targets[id].mute = true
+	s.within(t, 5*time.Second, goal)
+}
+
+// A slot moves only when no request for it is in flight, however long that takes.
+func TestMoveWaitsForDrain(t *testing.T) {
+	s := started(t, config.ScopeDataCentre)
+	from, _ := s.owner(0)
+	to, _ := s.owner(63)
+	s.drainDelay = 800 * time.Millisecond
+	move := Moves{Service: "mapa", Moves: []Move{{First: 0, Count: 4, From: from.Target, To: to.Target}}}
+	s.step(s.planner(), Message{Kind: KindMoves, Moves: move})
+	s.run(700 * time.Millisecond)
+	is.New(t).Equal(s.reasons(ReasonReleased), 0)
+	s.run(time.Second)
+	is.New(t).Equal(s.reasons(ReasonReleased), 1)
+}
+
 // A planned move releases before the next owner is granted; the wish of placement is carried out once.
 func TestPlannedMove(t *testing.T) {
 	s := started(t, config.ScopeDataCentre)
--- a/ownership/holder_test.go
+++ b/ownership/holder_test.go
@@ -131,6 +131,25 @@
 	}
 }
 
+// A grant whose answer was lost may have been accepted: a release must wait until a later grant is confirmed.
+func TestReleaseNeedsLastGrantConfirmed(t *testing.T) {
+	s := newSolo(t)
+	s.read(s.now, leasesDocument(1, Peer{"vm", 1}), slotsDocument(1, SlotFree))
+	s.answer(CallStaleToken, 5)
+	s.answer(CallAccepted, 6)
+	s.step(Message{Kind: KindDrained, Drained: Drained{Target: types.TargetID{Service: "mapa", Target: "t00"}, Number: 1}})
+	s.step(Message{Kind: KindInstall, Install: Install{Documents: []Document{slotsDocument(2, SlotOwned)}}})
+	_, granted := s.find(ActGrant)
+	s.is.True(granted) // its answer never comes
+	s.now = s.now.Add(200 * time.Millisecond)
+	s.step(Message{Kind: KindInstall, Install: Install{Documents: []Document{slotsDocument(3, SlotReleasing)}}})
+	_, released := s.find(ActWrite)
+	s.is.True(!released)
+	s.answer(CallAccepted, 7)
+	_, released = s.find(ActWrite)
+	s.is.True(released)
+}
+
 // The steady state runs on every renewal of every lease; garbage there would show in the tail latency of requests.
 func TestRenewalDoesNotAllocate(t *testing.T) {
 	s := newSolo(t)
--- a/ownership/sim_test.go
+++ b/ownership/sim_test.go
@@ -30,6 +30,7 @@
 	// faults
 	storeDown  bool
 	storeDelay time.Duration
+	drainDelay time.Duration
 	loseCAS    float64
 	loseCall   float64
 	slowCall   float64 // share of messages that take up to 3 s
@@ -44,6 +45,7 @@
 }
 
 type proc struct {
+	mute bool // its questions and answers are lost
 	rate float64
 	Member
 	core    *Core
@@ -56,6 +58,7 @@
 }
 
 type fakeTarget struct {
+	mute    bool // calls reach it, but its answers are lost
 	rate    float64
 	id      types.TargetID
 	inc     types.Incarnation
@@ -350,7 +353,7 @@
 }
 
 func (s *sim) drain(p *proc, v Serve) {
-	s.after(s.latency(), func() {
+	s.after(s.latency()+s.drainDelay, func() {
 		s.step(p, Message{Kind: KindDrained, Drained: Drained{Target: v.Target, Number: v.Number}})
 	})
 }
@@ -372,7 +375,7 @@
 // send delivers a message to the VM of a process, whichever incarnation runs there.
 func (s *sim) send(from *proc, to Peer, m Message) {
 	o := s.proc(to.VM)
-	if o == nil || s.cut[[2]types.DataCentre{from.DataCentre, o.DataCentre}] || s.rng.Float64() < s.loseCall {
+	if o == nil || from.mute || o.mute || s.cut[[2]types.DataCentre{from.DataCentre, o.DataCentre}] || s.rng.Float64() < s.loseCall {
 		return
 	}
 	s.after(s.latency(), func() {
@@ -474,7 +477,7 @@
 	}
 	r := t.handle(t.clock(s.now), c)
 	s.checkOwners(t)
-	if s.rng.Float64() >= s.loseCall {
+	if !t.mute && s.rng.Float64() >= s.loseCall {
 		s.after(s.latency(), func() { s.step(p, Message{Kind: KindCallResult, Call: r}) })
 	}
 }
