Decisions on routing and placement; measure ownership, memory and both roles' processor time

slopes.sh gains the ownership core's tick, change of a part and memory, the memory of the routing and planner cores, and separate processor times of gateway and dispatcher, because CAPACITY.md gives figures for each role.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -91,3 +92,52 @@
 		s.Add(keys[i%len(keys)], 1)
 	}
 }
+
+// BenchmarkReport measures one report on one target.
+func BenchmarkReport(b *testing.B) {
+	sizes(b, func(b *testing.B, slots uint32, targets int) {
+		c, t, now := planner(slots, targets)
+		m := placement.Message{Kind: placement.KindLoad, Load: &placement.Load{
+			Service: "catalogo", Target: t.Rows[0].Name, Rest: 100,
+		}}
+		for b.Loop() {
+			c.Step(now, &m, nil)
+		}
+	})
+}
+
+// BenchmarkMemory reports the heap of a planner after its first plan, and of a sketch in use.
+func BenchmarkMemory(b *testing.B) {
+	sizes(b, func(b *testing.B, slots uint32, targets int) {
+		var bytes uint64
+		for b.Loop() {
+			bytes = heapOf(func() any {
+				c, _, now := planner(slots, targets)
+				c.Tick(now, nil)
+				return c
+			})
+		}
+		b.ReportMetric(float64(bytes), "B/core")
+	})
+	for _, n := range []int{128, 512, 2048} {
+		b.Run(fmt.Sprintf("sketch=%d", n), func(b *testing.B) {
+			var bytes uint64
+			for b.Loop() {
+				bytes = heapOf(func() any { return placement.NewSketch(n) })
+			}
+			b.ReportMetric(float64(bytes), "B/sketch")
+		})
+	}
+}
+
+// heapOf returns the heap that the value of build keeps in use.
+func heapOf(build func() any) uint64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	v := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(v)
+	return after.HeapAlloc - before.HeapAlloc
+}
--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -62,3 +63,32 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports the heap that the tables of a keyed and a free service take, without room for requests.
+func BenchmarkMemory(b *testing.B) {
+	for _, slots := range []uint32{4096, 16384, 65536} {
+		for _, targets := range []int{20, 100, 430} {
+			b.Run(fmt.Sprintf("slots=%d/targets=%d", slots, targets), func(b *testing.B) {
+				z := size{slots: slots, targets: targets, vms: targets}
+				var bytes uint64
+				for b.Loop() {
+					empty := heapOf(func() any { return routing.New(routing.Options{}) })
+					bytes = heapOf(func() any { return ready(z) }) - empty
+				}
+				b.ReportMetric(float64(bytes), "B/core")
+			})
+		}
+	}
+}
+
+// heapOf returns the heap that the value of build keeps in use.
+func heapOf(build func() any) uint64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	v := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(v)
+	return after.HeapAlloc - before.HeapAlloc
+}
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -41,10 +41,11 @@
 }
 
 fleet_idle() { # VMS_PER_DATA_CENTRE
-  local before after t0 t1 n=$((3 * $1))
-  fleet_init slopes-"$1" $((28000 + 600 * $1)) praha-a praha-b kladno
+  local before after g0 g1 d0 d1 i n=$((3 * $1))
+  local dispatchers=() callers=()
+  fleet_init slopes-"$1" $((15000 + 600 * $1)) praha-a praha-b kladno
   # Other ports than the demo's, so that both can run on one machine.
-  sed 's/127.0.0.1:21/127.0.0.1:27/' examples/joint-venture/answers.json >"$dir/answers.json"
+  sed 's/127.0.0.1:21/127.0.0.1:14/' examples/joint-venture/answers.json >"$dir/answers.json"
   .bin/sailctl generate "$dir/answers.json" >"$dir/configuration.json"
   fleet_operator_settings "$1"
   fleet_start_standins
@@ -52,14 +53,22 @@
   fleet_ctl apply -expect 0 -note slopes -wait 30s "$dir/answers.json" >/dev/null || return 1
   .bin/sail-probe ready -config "$dir/configuration.json" -gateways "$(fleet_gateways)" >/dev/null || return 1
   sleep 16 # a lease moves for balance once its dispatcher has been live for 10 s
+  for ((i = 0; i < ${#daemons[@]}; i += 2)); do # fleet_start_vms starts each VM's dispatcher, then its gateway
+    dispatchers+=("${daemons[i]}")
+    callers+=("${daemons[i + 1]}")
+  done
   before=$(calls)
-  t0=$(processor_ticks "${daemons[@]}")
+  d0=$(processor_ticks "${dispatchers[@]}")
+  g0=$(processor_ticks "${callers[@]}")
   sleep "$seconds"
   after=$(calls)
-  t1=$(processor_ticks "${daemons[@]}")
+  d1=$(processor_ticks "${dispatchers[@]}")
+  g1=$(processor_ticks "${callers[@]}")
   echo "VMs $n: store calls $(rates "$before" "$after")"
-  awk -v n="$n" -v d=$((t1 - t0)) -v hz="$ticks" -v s="$seconds" -v m="$(resident_mb "${daemons[@]}")" \
-    'BEGIN {printf "VMs %d: %.2f%% of a core for each VM (gateway and dispatcher), %s MB for each process\n", n, 100 * d / hz / s / n, m}'
+  awk -v n="$n" -v d=$((d1 - d0)) -v g=$((g1 - g0)) -v hz="$ticks" -v s="$seconds" \
+    -v dm="$(resident_mb "${dispatchers[@]}")" -v gm="$(resident_mb "${callers[@]}")" 'BEGIN {
+    printf "VMs %d: dispatcher %.2f%% of a core, %s MB; gateway %.2f%% of a core, %s MB\n",
+      n, 100 * d / hz / s / n, dm, 100 * g / hz / s / n, gm}'
   fleet_stop
 }
 
@@ -71,6 +80,7 @@
 show "sketch" bench placement Sketch
 show "messages" bench cmd/sail-measure 'RPC'
 show "documents" bench cmd/sail-measure 'Document'
+show "ownership" bench cmd/sail-measure 'Ownership'
 for n in 1 2 4; do
   show "idle fleet, $((3 * n)) VMs" fleet_idle "$n"
 done
