--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"sequoiasail.example/config"
 	"sequoiasail.example/daemon/process"
-	"sequoiasail.example/duty"
 	"sequoiasail.example/ownership"
 	"sequoiasail.example/telemetry"
 	"sequoiasail.example/transport/peer"
@@ -33,6 +33,9 @@
 	registration *process.Registration
 	page         *telemetry.Page
 
+	// leaving is set when a planned stop begins.
+	leaving atomic.Bool
+
 	// The fields below belong to the watch duty.
 	roster  *roster
 	status  telemetry.Status
@@ -62,10 +65,10 @@
 		DataCentre: s.DataCentre,
 	}
 	d.worker = newWorker(s.VM, s.DataCentre, d.base.Log, d.base.Metrics)
-	d.keeper = newKeeper(self, d.base.Log, d.worker)
+	d.keeper = newKeeper(self, d.base.Log, d.base.Metrics, d.worker)
 	d.worker.report = d.keeper.observe
 	d.worker.drained = d.keeper.drained
-	d.placer = newPlacer(d.keeper.in, d.base.Log)
+	d.placer = newPlacer(d.keeper.in, d.base.Log, d.base.Metrics)
 	d.worker.toPlanner = d.placer.takeReport
 	d.links = process.NewLinks(d.publishLinks)
 	return d, d.addDuties(self)
@@ -81,11 +84,13 @@
 		Timeout: s.StoreTimeoutMs.Duration(),
 	})
 	server := peer.NewServer(string(s.PeerAddress))
+	mirror := process.NewMirror()
 	services := map[string]any{
 		"Dispatch": &dispatchService{worker: d.worker},
 		"Memory":   &memoryService{worker: d.worker},
 		"Control":  &controlService{worker: d.worker, placer: d.placer},
 		"Vouch":    &vouchService{keeper: d.keeper},
+		"Peer":     &process.PeerService{Mirror: mirror},
 	}
 	for name, service := range services {
 		if err := server.Register(name, service); err != nil {
@@ -101,7 +106,13 @@
 		writeID: func() string { return process.NewWriteID(s.VM, self.Incarnation) },
 	}
 	d.registration = &process.Registration{Store: storeClient, Member: d.member, Log: d.base.Log}
-	watch := &process.Watch{Store: storeClient, Knowledge: process.NewKnowledge(d.base.Log), Deliver: d.deliver}
+	watch := &process.Watch{
+		Store:     storeClient,
+		Knowledge: process.NewKnowledge(d.base.Log),
+		Mirror:    mirror,
+		Peers:     s.Peers,
+		Deliver:   d.deliver,
+	}
 	ops := &process.HTTPServer{Name: "ops", Address: string(s.OpsAddress), Handler: telemetry.OpsHandler(d.base.Metrics, d.readStatus)}
 	d.publishRings()
 
@@ -116,12 +127,13 @@
 	d.base.Group.Add(watch.Duty())
 	d.base.Group.Add(server.Duty())
 	d.base.Group.Add(d.registration.Duty())
-	d.base.Group.Add(d.departure())
+	d.base.Group.Add(process.Departure(departureTimeout, d.depart))
 	return nil
 }
 
 func (d *Dispatcher) publishRings() {
 	m := d.base.Metrics
+	m.Status(d.readStatus)
 	m.Ring("dispatch-requests", d.worker.requests)
 	m.Ring("dispatch-results", d.worker.results)
 	m.Ring("dispatch-control", d.worker.controls)
@@ -133,26 +145,10 @@
 // Run serves until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error { return d.base.Run(ctx) }
 
-// departure is a duty that does nothing until it is stopped. Its stop waits until other dispatchers hold the leases.
-func (d *Dispatcher) departure() duty.Duty {
-	return duty.Duty{
-		Name:        "departure",
-		StopTimeout: departureTimeout + time.Second,
-		Run: func(ctx context.Context) error {
-			<-ctx.Done()
-			return nil
-		},
-		Stop: func(ctx context.Context) error {
-			d.registration.Leave()
-			d.awaitNoLeases(ctx)
-			return types.NewFault(types.CodeCancelled, "departed")
-		},
-	}
-}
-
-func (d *Dispatcher) awaitNoLeases(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
-	defer cancel()
+// depart asks for the leases to be moved and waits until other dispatchers hold them.
+func (d *Dispatcher) depart(ctx context.Context) {
+	d.leaving.Store(true)
+	d.registration.Leave()
 	tick := time.NewTicker(departureInterval)
 	defer tick.Stop()
 	for len(d.keeper.page.Current().Leases) > 0 {
@@ -264,6 +260,8 @@
 	}
 	if c.Ops != nil {
 		d.status.OpsRevision = uint64(c.Ops.Revision)
+		vm, centre := c.Ops.VMState(d.settings.VM), c.Ops.DataCentreState(d.settings.DataCentre)
+		d.status.Draining = vm != config.OpsIn || centre != config.OpsIn
 	}
 	d.status.StoreRevision = uint64(c.Revision)
 	d.page.Publish(d.status)
@@ -272,6 +270,7 @@
 // readStatus joins the pages of the duties.
 func (d *Dispatcher) readStatus() telemetry.Status {
 	s := d.page.Current()
+	s.Draining = s.Draining || d.leaving.Load()
 	held := d.keeper.page.Current()
 	s.Leases = held.Leases
 	s.Planner = held.Planner
