--- a/cmd/sail-measure/rpc_test.go
+++ b/cmd/sail-measure/rpc_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"runtime"
 	"sync/atomic"
 	"testing"
 
@@ -166,3 +167,50 @@
 		})
 	}
 }
+
+// BenchmarkRPCConnections reports the memory of one idle connection after one call, both ends together.
+func BenchmarkRPCConnections(b *testing.B) {
+	for _, n := range []int{50, 200, 430} {
+		b.Run(fmt.Sprintf("connections=%d", n), func(b *testing.B) {
+			var bytes uint64
+			for b.Loop() {
+				bytes = connectionMemory(b, n)
+			}
+			b.ReportMetric(float64(bytes)/float64(n), "B/connection")
+		})
+	}
+}
+
+func connectionMemory(b *testing.B, n int) uint64 {
+	server := rpc.NewServer()
+	if err := server.RegisterName("Wire", &Wire{}); err != nil {
+		b.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go server.Accept(l)
+	before := inUse()
+	for range n {
+		client, err := rpc.Dial("tcp", l.Addr().String())
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer func() { _ = client.Close() }()
+		request := &peer.DoRequest{Service: "catalogo", KeyHash: 1, Method: "GET"}
+		if err := client.Call("Wire.Do", request, &peer.DoAnswer{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return inUse() - before
+}
+
+// inUse returns the heap and the goroutine stacks in use.
+func inUse() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
