placement: list slots by owner for reports

A report scanned all slots of the service: 154 us at 65,536 slots, and 86 reports a second at 430 daemons cost the planner 1.3% of a core. A list of slots by owner is built once after owners change.

Before: 154 us for each report at 65,536 slots and 430 targets. After: 1.65 us, for 0.27 MB more memory. Conclusion: the planner's share on top of a dispatcher falls from 2.0-2.7% to 0.6-1.4% of a core.

--- a/placement/load.go
+++ b/placement/load.go
@@ -42,9 +42,10 @@
 			reported[slot] = max(m.Loads[i], 0) + listed
 		}
 	}
-	each := s.restOfEach(t, m.Rest, reported)
-	for slot, owner := range s.owners {
-		if owner != t || now.Sub(s.changed[slot]) < reportGrace {
+	owned := s.slotsOf(t)
+	each := restOfEach(owned, m.Rest, reported)
+	for _, slot := range owned {
+		if now.Sub(s.changed[slot]) < reportGrace {
 			continue
 		}
 		load := each
@@ -65,19 +66,60 @@
 const listed = 1
 
 // restOfEach returns the load of each slot of a target that a report does not list.
-func (s *service) restOfEach(t uint16, rest float32, reported []float32) float32 {
+func restOfEach(owned []int32, rest float32, reported []float32) float32 {
 	if rest <= 0 {
 		return 0
 	}
 	n := 0
-	for slot, owner := range s.owners {
-		if owner == t && reported[slot] == 0 {
+	for _, slot := range owned {
+		if reported[slot] == 0 {
 			n++
 		}
 	}
 	return rest / float32(max(n, 1))
 }
 
+// index lists the slots by owner. Reports arrive far more often than owners change, so it is built when it is needed
+// after a change.
+type index struct {
+	valid bool
+	first []int32 // per target: start of its slots in slots
+	slots []int32
+}
+
+// slotsOf returns the slots that a target owns, in order.
+func (s *service) slotsOf(t uint16) []int32 {
+	x := &s.index
+	if !x.valid || len(x.first) != len(s.targets)+1 {
+		x.build(s.owners, len(s.targets))
+	}
+	return x.slots[x.first[t]:x.first[t+1]]
+}
+
+func (x *index) build(owners []uint16, targets int) {
+	x.valid = true
+	x.first = resized(x.first, targets+1)
+	x.slots = resized(x.slots, len(owners))
+	clear(x.first)
+	for _, o := range owners {
+		if o != NoOwner {
+			x.first[o]++
+		}
+	}
+	end := int32(0)
+	for i, n := range x.first {
+		end += n
+		x.first[i] = end
+	}
+	// Filling from the back turns each end into the start.
+	for slot := len(owners) - 1; slot >= 0; slot-- {
+		if o := owners[slot]; o != NoOwner {
+			x.first[o]--
+			x.slots[x.first[o]] = int32(slot)
+		}
+	}
+}
+
 func (s *service) installKeyLoads(now types.Instant, t uint16, keys []KeyLoad) {
 	for i := range s.hot {
 		h := &s.hot[i]
--- a/placement/service.go
+++ b/placement/service.go
@@ -37,6 +37,7 @@
 	hotAt   types.Revision
 	keys    []candidate
 	scratch scratch
+	index   index
 }
 
 // target is the planner's view of one target.
@@ -142,6 +143,7 @@
 
 func (s *service) resize(n int) {
 	s.slots = uint32(n)
+	s.index.valid = false
 	for len(s.owners) < n {
 		s.owners = append(s.owners, NoOwner)
 		s.pending = append(s.pending, NoOwner)
@@ -185,6 +187,7 @@
 		return
 	}
 	s.owners[slot] = owner
+	s.index.valid = false
 	s.changed[slot] = changed
 	if owner == s.pending[slot] {
 		s.settle(slot)
