Give non-idempotent identifiers of services without keys a home target

Cause: a resend of an order through another gateway was routed by two random choices and could reach a dispatcher that knew nothing of the first send, so that it ran twice. Ruled out: a shared memory in the store, which takes a few hundred writes a second. The homes come from the lease document, which permits confirm; the routing core sends such requests to the identifier's home, and a dispatcher refuses what is not at home. Targets that operators take out leave the list.

--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -214,9 +214,15 @@
 	}
 	d.links.Set(d.roster.peers(d.settings.VM))
 	set := &peerSet{members: d.roster.rows(), centres: d.centres}
-	if err := d.worker.controls.Put(ctx, workerControl{peers: set, taken: d.drains(c.Ops)}); err != nil {
+	if err := d.worker.controls.Put(ctx, workerControl{peers: set, taken: d.drains(d.roster.ops)}); err != nil {
 		return err
 	}
+	if c.Ops != nil || c.Config != nil {
+		out := ownership.Message{Kind: ownership.KindTargetsOut, Out: d.takenOut(d.roster.ops)}
+		if err := d.keeper.in.Put(ctx, keeperInput{message: out}); err != nil {
+			return err
+		}
+	}
 	message := ownership.Message{Kind: ownership.KindMembers, Members: d.roster.members()}
 	return d.keeper.in.Put(ctx, keeperInput{message: message})
 }
@@ -241,6 +247,17 @@
 	return out
 }
 
+// takenOut lists the targets that operators have taken out.
+func (d *Dispatcher) takenOut(ops *process.Operations) []types.TargetID {
+	var out []types.TargetID
+	for id, taken := range d.drains(ops) {
+		if taken {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // publishLinks runs on the links duty.
 func (d *Dispatcher) publishLinks(links map[types.VM]*peer.Link) {
 	ctx := context.Background()
--- a/daemon/dispatcher/keeper.go
+++ b/daemon/dispatcher/keeper.go
@@ -57,6 +57,8 @@
 	served  map[types.TargetID]ownership.Serve
 	// slots holds the size of each service's slot table.
 	slots map[types.Service]uint32
+	// homesEpoch is the epoch of each lease document whose homes were passed on.
+	homesEpoch map[types.Service]types.Epoch
 	// known is reused by documents.
 	known []ownership.Document
 	// incarnations holds what each target said last.
@@ -82,6 +84,7 @@
 		served:  make(map[types.TargetID]ownership.Serve),
 	}
 	k.slots = make(map[types.Service]uint32)
+	k.homesEpoch = make(map[types.Service]types.Epoch)
 	k.incarnations = make(map[types.TargetID]types.Incarnation)
 	k.leases = newLeaseSet(k.in)
 	k.page = telemetry.NewPage(telemetry.Status{})
@@ -191,9 +194,43 @@
 
 func (k *keeper) step(ctx context.Context, m ownership.Message) {
 	k.actions = k.core.Step(telemetry.Now(), m, k.actions[:0])
+	if learns(m.Kind) {
+		k.tellHomes(ctx)
+	}
 	k.perform(ctx)
 }
 
+// learns reports whether a message can bring a newer document.
+func learns(kind ownership.MessageKind) bool {
+	switch kind {
+	case ownership.KindStoreRead, ownership.KindVouchReply, ownership.KindInstall, ownership.KindWriteResult, ownership.KindReadBack:
+		return true
+	default:
+		return false
+	}
+}
+
+// tellHomes passes the homes of identifiers on when a lease document changed. It comes before the actions of the same
+// step, so that the dispatch duty never sends by an older list than the permit confirms.
+func (k *keeper) tellHomes(ctx context.Context) {
+	for _, d := range k.documents() {
+		if d.Leases == nil || k.homesEpoch[d.Key.Service] == d.Leases.Epoch {
+			continue
+		}
+		k.homesEpoch[d.Key.Service] = d.Leases.Epoch
+		if k.slots[d.Key.Service] > 0 {
+			continue
+		}
+		message := dispatch.Message{
+			Kind:   dispatch.MessageHomes,
+			Target: types.TargetID{Service: d.Key.Service},
+			Homes:  d.Leases.Homes(),
+			Lease:  dispatch.Lease{WallMs: wallMs()},
+		}
+		_ = k.worker.controls.Put(ctx, workerControl{messages: []dispatch.Message{message}})
+	}
+}
+
 func (k *keeper) perform(ctx context.Context) {
 	for i := range k.actions {
 		k.act(ctx, k.actions[i])
--- a/daemon/dispatcher/sender.go
+++ b/daemon/dispatcher/sender.go
@@ -97,7 +97,7 @@
 	started := telemetry.Now()
 	if !started.Before(m.validUntil) {
 		// The VM was paused between the decision and the write, and not every target checks grants.
-		return s.notWritten(m)
+		return s.notStarted(m)
 	}
 	remaining := m.deadline.Sub(started)
 	response, err := s.client.Do(m.ctx, target.Request{
@@ -130,11 +130,11 @@
 	return out
 }
 
-func (s *sender) notWritten(m send) sent {
+func (s *sender) notStarted(m send) sent {
 	return sent{handle: m.handle, result: dispatch.Result{
 		Attempt:    m.attempt,
 		Connection: s.connection,
-		Kind:       dispatch.ResultNotWritten,
+		Kind:       dispatch.ResultNotStarted,
 		Load:       dispatch.LoadUnknown,
 	}}
 }
@@ -163,7 +163,7 @@
 		return dispatch.ResultCutBody
 	case target.KindTimeout, target.KindCancelled:
 		if !f.BytesWritten {
-			return dispatch.ResultNotWritten
+			return dispatch.ResultNotStarted
 		}
 		return dispatch.ResultTimedOut
 	default:
--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -454,7 +454,7 @@
 		w.deferred = append(w.deferred, sent{handle: a.Handle, result: dispatch.Result{
 			Attempt:    a.Attempt,
 			Connection: a.Connection,
-			Kind:       dispatch.ResultNotWritten,
+			Kind:       dispatch.ResultNotStarted,
 			Load:       dispatch.LoadUnknown,
 		}})
 	}
--- a/daemon/gateway/router.go
+++ b/daemon/gateway/router.go
@@ -189,6 +189,7 @@
 		Key:        p.request.KeyHash,
 		Class:      p.request.Class,
 		Caller:     p.request.Caller,
+		ID:         p.request.RequestID,
 		Idempotent: p.request.Idempotent,
 		Deadline:   p.deadline,
 		Pinned:     p.pinned,
--- a/daemon/gateway/state.go
+++ b/daemon/gateway/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"sequoiasail.example/config"
 	"sequoiasail.example/daemon/process"
@@ -217,6 +218,7 @@
 
 func leasesMessage(d ownership.Document) routing.Message {
 	out := &routing.Leases{Service: d.Key.Service, Revision: types.Revision(d.Leases.Epoch)}
+	homes := d.Leases.Homes()
 	for _, l := range d.Leases.Leases {
 		out.Rows = append(out.Rows, routing.Lease{
 			Target:      l.Target,
@@ -224,6 +226,7 @@
 			Incarnation: l.Holder.Incarnation,
 			Epoch:       l.Epoch,
 			Active:      l.State == ownership.LeaseActive,
+			Home:        slices.Contains(homes, l.Target),
 		})
 	}
 	return routing.Message{Kind: routing.KindLeases, Leases: out}
--- a/dispatch/homes.go
+++ b/dispatch/homes.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math/bits"
 	"slices"
 
 	"sequoiasail.example/config"
@@ -15,47 +14,11 @@
 	defaultHomeLagMs = 600
 )
 
-// Homes divides the identifiers of a service without keys among targets: the dispatcher of an identifier's home remembers
-// it. Without a fixed home, a resend could reach a dispatcher that knows nothing of the first send. All processes must
-// agree on it.
-type Homes struct {
-	targets []types.Target
-	hashes  []uint64
-}
+// Homes divides the identifiers of a service without keys among targets.
+type Homes = types.Homes
 
 // NewHomes returns homes among targets, which must not change afterwards. Their order does not matter.
-func NewHomes(targets []types.Target) Homes {
-	h := Homes{targets: targets}
-	for _, t := range targets {
-		h.hashes = append(h.hashes, uint64(types.HashKey(string(t))))
-	}
-	return h
-}
-
-// Of returns the home of an identifier, or "" when there are no targets.
-func (h Homes) Of(caller types.Caller, id types.RequestID) types.Target {
-	best, bestScore := types.Target(""), uint64(0)
-	identifier := identifierHash(caller, id)
-	for n, t := range h.targets {
-		score := homeScore(identifier, h.hashes[n])
-		if best == "" || score > bestScore || (score == bestScore && t < best) {
-			best, bestScore = t, score
-		}
-	}
-	return best
-}
-
-func identifierHash(caller types.Caller, id types.RequestID) uint64 {
-	return bits.RotateLeft64(uint64(types.HashKey(string(caller))), 1) ^ uint64(types.HashKey(string(id)))
-}
-
-// homeScore mixes two hashes with the finalizer of splitmix64, so that each identifier orders the targets differently.
-func homeScore(identifier, target uint64) uint64 {
-	z := identifier ^ target
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return z ^ z>>31
-}
+func NewHomes(targets []types.Target) Homes { return types.NewHomes(targets) }
 
 // homeSet is the homes since a time.
 type homeSet struct {
@@ -70,7 +33,7 @@
 		return
 	}
 	s := c.services[i]
-	if n := len(s.homes); n > 0 && slices.Equal(s.homes[n-1].targets, targets) {
+	if n := len(s.homes); n > 0 && slices.Equal(s.homes[n-1].Targets(), targets) {
 		return
 	}
 	if len(s.homes) == homeHistory {
--- a/ownership/core.go
+++ b/ownership/core.go
@@ -142,6 +142,8 @@
 		c.mover.setMoves(m.Moves)
 	case KindHotKeys:
 		c.mover.setHotKeys(m.HotKeys)
+	case KindTargetsOut:
+		c.mover.setOut(m.Out)
 	case KindConfiguration:
 		c.configure(m.Configuration)
 		c.permit.reset()
--- a/ownership/document.go
+++ b/ownership/document.go
@@ -263,6 +263,8 @@
 	Term types.Epoch `json:"term"`
 	// Former is the epoch of the row under which the lease was active last before this row was written.
 	Former types.Epoch `json:"former,omitempty"`
+	// Out is true while operators have taken the target out of service. Changing it changes neither Epoch nor Term.
+	Out bool `json:"out,omitempty"`
 	// Holder is the dispatcher, the last one when the lease is revoked.
 	Holder Peer `json:"holder"`
 	// Next is the dispatcher that follows a planned revocation, empty otherwise.
@@ -298,3 +300,16 @@
 	// Previous is the list before the last change. The next change needs a majority of it to hold this document.
 	Previous []Peer `json:"previous,omitempty"`
 }
+
+// Homes returns the targets among which the identifiers of non-idempotent requests are divided in a service without
+// keys: those in service whose term goes on. It is part of this document because permits confirm the document, so that
+// two dispatchers use different lists only for as long as a permit lasts.
+func (d *LeaseDocument) Homes() []types.Target {
+	var out []types.Target
+	for _, l := range d.Leases {
+		if !l.Out && (l.State == LeaseActive || l.State == LeaseRevoked && !l.Ending) {
+			out = append(out, l.Target)
+		}
+	}
+	return out
+}
--- a/ownership/message.go
+++ b/ownership/message.go
@@ -46,6 +46,8 @@
 	KindHotKeys
 	// KindConfiguration is a new configuration. Sets Configuration.
 	KindConfiguration
+	// KindTargetsOut is the complete list of targets that operators have taken out of service. Sets Out.
+	KindTargetsOut
 	// KindDataCentreLost is the operators' declaration that no process of a data centre runs. Sets DataCentre.
 	KindDataCentreLost
 	// KindDataCentreBack withdraws the declaration. Sets DataCentre.
@@ -67,6 +69,7 @@
 	Target        types.TargetID
 	Members       []Member
 	Moves         Moves
+	Out           []types.TargetID
 	HotKeys       HotKeys
 	Configuration *config.Configuration
 	DataCentre    types.DataCentre
--- a/ownership/mover.go
+++ b/ownership/mover.go
@@ -24,6 +24,8 @@
 	waits   map[types.TargetID]wait
 	moves   map[types.Service][]Move
 	hotKeys map[types.Service][]types.KeyHash
+	// out holds the targets that operators have taken out of service.
+	out map[types.TargetID]bool
 	// gainedAt is when the planner lease was gained.
 	gainedAt types.Instant
 	// tableAt is the table change that terms is computed from.
@@ -259,3 +261,10 @@
 	}
 	return best, ok
 }
+
+func (m *Mover) setOut(list []types.TargetID) {
+	m.out = make(map[types.TargetID]bool, len(list))
+	for _, id := range list {
+		m.out[id] = true
+	}
+}
--- a/ownership/mover_leases.go
+++ b/ownership/mover_leases.go
@@ -21,6 +21,21 @@
 		}
 	}
 	m.rebalance(s, e)
+	m.markOut(s, e)
+}
+
+// markOut writes which targets are out of service. The rows keep their epochs, because nobody's rights change.
+func (m *Mover) markOut(s *config.Service, e *leaseEdit) {
+	rows := e.base.Leases
+	if e.next != nil {
+		rows = e.next.Leases
+	}
+	for i, l := range rows {
+		out := m.out[types.TargetID{Service: s.Name, Target: l.Target}]
+		if l.Out != out {
+			e.document().Leases[i].Out = out
+		}
+	}
 }
 
 // editScope follows the configured scope. It reports whether it changed the document.
--- a/routing/action.go
+++ b/routing/action.go
@@ -85,6 +85,8 @@
 	ReasonTwoChoices
 	// ReasonPinned forwards to the target that the request names.
 	ReasonPinned
+	// ReasonHome forwards to the home of the request's identifier.
+	ReasonHome
 	// ReasonHedge forwards a second attempt because the first is slow.
 	ReasonHedge
 	// ReasonWaitOwner holds the request until its key has an owner.
@@ -118,7 +120,7 @@
 )
 
 var reasonNames = [...]string{
-	ReasonSlot: "slot", ReasonHotKey: "hot-key", ReasonTwoChoices: "two-choices", ReasonPinned: "pinned",
+	ReasonSlot: "slot", ReasonHotKey: "hot-key", ReasonTwoChoices: "two-choices", ReasonPinned: "pinned", ReasonHome: "home",
 	ReasonHedge: "hedge", ReasonWaitOwner: "wait-owner", ReasonWaitRoute: "wait-route",
 	ReasonWaitNewer: "wait-newer", ReasonBackoff: "backoff", ReasonAnswered: "answered", ReasonBudget: "retry-budget",
 	ReasonAttempts: "attempts", ReasonDeadline: "deadline", ReasonNoRoute: "no-route",
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -20,6 +20,8 @@
 	switch {
 	case s.keyed:
 		return c.resolveKey(now, f)
+	case !f.request.Idempotent && len(s.homes.Targets()) > 0:
+		return c.resolveHome(now, f)
 	case f.request.Pinned != "":
 		return c.resolvePinned(now, f)
 	}
@@ -38,6 +40,19 @@
 	return c.via(now, s, int32(owner), p)
 }
 
+// resolveHome routes to the home of the request's identifier. The dispatcher of the home remembers the identifier, so
+// that a resend through another gateway does not run it again.
+func (c *Core) resolveHome(now types.Instant, f *flight) plan {
+	s := f.service
+	p := plan{route: noRoute, reason: ReasonHome}
+	i, ok := s.byName[s.homes.Of(f.request.Caller, f.request.ID)]
+	if !ok {
+		p.code = types.CodeNoRoute
+		return p
+	}
+	return c.via(now, s, i, p)
+}
+
 // resolvePinned routes to the one target that the request names.
 func (c *Core) resolvePinned(now types.Instant, f *flight) plan {
 	s := f.service
--- a/routing/message.go
+++ b/routing/message.go
@@ -60,6 +60,8 @@
 	Key     types.KeyHash
 	Class   types.Class
 	Caller  types.Caller
+	// ID is the caller's identifier of a request that is not idempotent.
+	ID types.RequestID
 	// Idempotent is true when the request may run more than once.
 	Idempotent bool
 	// Deadline is when the caller stops waiting.
@@ -125,6 +127,8 @@
 	Epoch       types.Epoch
 	// Active is false once the lease is revoked.
 	Active bool
+	// Home is true when identifiers of non-idempotent requests may have their home at the target.
+	Home bool
 }
 
 // Members is the list of live dispatchers.
--- a/routing/service.go
+++ b/routing/service.go
@@ -20,8 +20,10 @@
 	epochs []types.Epoch
 	hot    map[types.KeyHash]hotRow
 
-	partRevisions  map[types.Slot]types.Revision
-	hotRevision    types.Revision
+	partRevisions map[types.Slot]types.Revision
+	hotRevision   types.Revision
+	// homes divides the identifiers of non-idempotent requests of a service without keys.
+	homes          types.Homes
 	leasesRevision types.Revision
 
 	targets []target
@@ -223,13 +225,18 @@
 	for i := range s.targets {
 		s.targets[i].leaseActive = false
 	}
+	var homes []types.Target
 	for _, r := range l.Rows {
+		if r.Home {
+			homes = append(homes, r.Target)
+		}
 		t := &s.targets[s.intern(r.Target)]
 		t.leaseVM = r.VM
 		t.leaseIncarnation = r.Incarnation
 		t.leaseEpoch = r.Epoch
 		t.leaseActive = r.Active
 	}
+	s.homes = types.NewHomes(homes)
 	return true
 }
 
