--- a/daemon/dispatcher/meter.go
+++ b/daemon/dispatcher/meter.go
@@ -10,8 +10,11 @@
 )
 
 const (
-	// reportInterval is how often loads are reported. Ten reports a minute let hot keys be found within minutes.
-	reportInterval = 5 * time.Second
+	// reportInterval is how often loads are reported. Six reports a minute let hot keys be found within minutes, and keep
+	// what the planner of 430 daemons receives under 29 KB/s.
+	reportInterval = 10 * time.Second
+	// outstanding is how many times the mean a slot's load must be to be listed by itself in a report.
+	outstanding = 1.5
 	// reportedKeys is above the 13 keys that change within minutes at the design size.
 	reportedKeys = 16
 	// reportTimeout bounds the report, which the next one replaces.
@@ -58,7 +61,12 @@
 func (m *meter) loads(id types.TargetID, elapsed time.Duration) peer.TargetLoad {
 	out := peer.TargetLoad{Target: id}
 	seconds := float32(elapsed.Seconds())
+	mean := meanLoad(m.slots[id])
 	for slot, n := range m.slots[id] {
+		if n <= outstanding*mean {
+			out.Rest += n / seconds
+			continue
+		}
 		out.Slots = append(out.Slots, slot)
 		out.Loads = append(out.Loads, n/seconds)
 	}
@@ -75,6 +83,17 @@
 	return out
 }
 
+func meanLoad(slots map[types.Slot]float32) float32 {
+	if len(slots) == 0 {
+		return 0
+	}
+	var sum float32
+	for _, n := range slots {
+		sum += n
+	}
+	return sum / float32(len(slots))
+}
+
 // reportLoads tells the planner the loads and conditions of the targets that are served here.
 func (w *worker) reportLoads() {
 	now := telemetry.Now()
--- a/daemon/dispatcher/placer.go
+++ b/daemon/dispatcher/placer.go
@@ -198,7 +198,7 @@
 		changed = changed || p.conditions[t.Target] != condition
 		p.conditions[t.Target] = condition
 		p.reportedAt[t.Target] = telemetry.Now()
-		load := &placement.Load{Service: t.Target.Service, Target: t.Target.Target, Slots: t.Slots, Loads: t.Loads}
+		load := &placement.Load{Service: t.Target.Service, Target: t.Target.Target, Slots: t.Slots, Loads: t.Loads, Rest: t.Rest}
 		for i := range t.Keys {
 			load.Keys = append(load.Keys, placement.KeyLoad{Key: t.Keys[i], Load: t.KeyLoads[i]})
 		}
--- a/transport/peer/message.go
+++ b/transport/peer/message.go
@@ -170,6 +170,8 @@
 	// Slots and Loads give the load of slots without the keys that have rows of their own.
 	Slots []types.Slot
 	Loads []float32
+	// Rest is the load of all slots that are not listed.
+	Rest float32
 	// Keys and KeyLoads give the hottest keys.
 	Keys     []types.KeyHash
 	KeyLoads []float32
