--- a/ownership/holder.go
+++ b/ownership/holder.go
@@ -130,6 +130,7 @@
 	x.lease = row
 	if !h.mine(row) || row.State != LeaseActive || h.service(x.id.Service) == nil {
 		h.stop(x)
+		x.nextCall = h.now
 		if previous.State == LeaseActive {
 			h.decide(Decision{Reason: ReasonLeaseEnded, Service: x.id.Service, Target: x.id.Target, Epoch: previous.Epoch})
 		}
