--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -66,6 +66,7 @@
 	lastAnswer    time.Time
 	redialAt      time.Time
 	redialBackoff time.Duration
+	dialErr       error
 }
 
 // NewLink returns a link named name, which appears in the duty's name.
@@ -130,7 +131,7 @@
 func (l *Link) send(ctx context.Context, c *Call) {
 	now := time.Now()
 	if !l.connect(ctx, now) {
-		c.finish(types.NotRun(types.CodePeerUnavailable, "no connection to %s", l.name))
+		c.finish(types.NotRun(types.CodePeerUnavailable, "no connection to %s: %v", l.name, l.dialErr))
 		return
 	}
 	c.sentAt = now
@@ -156,6 +157,7 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := l.dial(ctx)
+	l.dialErr = err
 	if err != nil {
 		l.redialBackoff = min(max(2*l.redialBackoff, minRedialInterval), maxRedialInterval)
 		l.redialAt = now.Add(l.redialBackoff)
--- a/transport/peer/link_test.go
+++ b/transport/peer/link_test.go
@@ -11,6 +11,8 @@
 	"go.uber.org/goleak"
 
 	"sequoiasail.example/duty"
+	"sequoiasail.example/transport/identity"
+	"sequoiasail.example/transport/identity/identitytest"
 	"sequoiasail.example/transport/peer"
 	"sequoiasail.example/types"
 )
@@ -38,7 +40,7 @@
 	return server.Address()
 }
 
-func start(t *testing.T, d duty.Duty) {
+func start(t testing.TB, d duty.Duty) {
 	t.Helper()
 	g := duty.NewGroup()
 	g.Add(d)
@@ -155,21 +157,16 @@
 
 // BenchmarkCall measures one call over loopback; -benchmem shows the allocations of both sides.
 func BenchmarkCall(b *testing.B) {
-	server := peer.NewServer("127.0.0.1:0")
-	if err := server.Register("Dispatch", &echo{}); err != nil {
-		b.Fatal(err)
-	}
-	g := duty.NewGroup()
-	g.Add(server.Duty())
-	if err := g.Start(context.Background()); err != nil {
-		b.Fatal(err)
-	}
-	l := peer.NewLink("b", peer.TCP(server.Address()))
-	g.Add(l.Duty())
-	if err := g.Start(context.Background()); err != nil {
-		b.Fatal(err)
-	}
-	defer func() { _ = g.Stop(context.Background()) }()
+	a := identitytest.NewAuthority(b)
+	b.Run("plain", func(b *testing.B) { benchmarkCall(b, nil, nil) })
+	b.Run("tls", func(b *testing.B) {
+		benchmarkCall(b, newSource(b, a, "b", time.Now()), newSource(b, a, "a", time.Now()))
+	})
+}
+
+func benchmarkCall(b *testing.B, server, client *identity.Source) {
+	l := peer.NewLink("b", client.Dial(peer.TCP(startSecure(b, server, &echo{})), "b"))
+	start(b, l.Duty())
 	done := make(chan *peer.Call, 1)
 	b.ReportAllocs()
 	for b.Loop() {
@@ -180,3 +177,17 @@
 		<-done
 	}
 }
+
+// BenchmarkDial measures a connection with its handshakes on both sides, which is what a reconnect costs.
+func BenchmarkDial(b *testing.B) {
+	a := identitytest.NewAuthority(b)
+	address := startSecure(b, newSource(b, a, "b", time.Now()), &echo{})
+	dial := newSource(b, a, "a", time.Now()).Dial(peer.TCP(address), "b")
+	for b.Loop() {
+		c, err := dial(b.Context())
+		if err != nil {
+			b.Fatal(err)
+		}
+		_ = c.Close()
+	}
+}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -18,14 +18,20 @@
 type Server struct {
 	address  string
 	rpc      *rpc.Server
+	secure   func(net.Listener) net.Listener
 	listener *trackingListener
 }
 
 // NewServer returns a server for address, which is host:port.
 func NewServer(address string) *Server {
-	return &Server{address: address, rpc: rpc.NewServer()}
+	return &Server{address: address, rpc: rpc.NewServer(), secure: plain}
 }
 
+func plain(l net.Listener) net.Listener { return l }
+
+// Secure sets what wraps the listener. Without it connections are plain TCP.
+func (s *Server) Secure(wrap func(net.Listener) net.Listener) { s.secure = wrap }
+
 // Register exposes the methods of service under name.
 func (s *Server) Register(name string, service any) error {
 	if err := s.rpc.RegisterName(name, service); err != nil {
@@ -53,7 +59,7 @@
 	if err != nil {
 		return types.WrapFault(types.CodeBadSettings, err, "listen on %s", s.address)
 	}
-	s.listener = &trackingListener{Listener: l}
+	s.listener = &trackingListener{Listener: s.secure(l)}
 	return nil
 }
 
