transport/identity, transport/peer: bound handshakes, spread redials

Cause: a restarted dispatcher of a 430-daemon fleet gets 859 links at once. With one core all handshakes shared it evenly, and most ended after their client's 300 ms. Redials made it worse: the backoff ran from the start of the dial, so after a timeout the next call dialled at once.

A process computes at most 64 handshakes at once; others wait up to 200 ms and are refused. A place is taken when the client's first message has arrived, so silent clients take none. Redial backoff runs from the end of the dial and is jittered. The usage of a process certificate is read from the verified leaf instead of verifying its chain a second time.

--- a/transport/identity/config.go
+++ b/transport/identity/config.go
@@ -4,13 +4,14 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"slices"
 
 	"sequoiasail.example/types"
 )
 
-// ClientConfig returns the configuration for one connection to vm. An empty vm stands for any process, which is all
+// clientConfig returns the configuration for one connection to vm. An empty vm stands for any process, which is all
 // that a bare address in the settings says.
-func (s *Source) ClientConfig(ctx context.Context, vm types.VM) *tls.Config {
+func (s *Source) clientConfig(ctx context.Context, vm types.VM) *tls.Config {
 	m := s.latest(ctx)
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
@@ -27,17 +28,7 @@
 	}
 }
 
-// ServerConfig returns a configuration that looks at the files on each handshake. With processesOnly, certificates of
-// operators are refused.
-func (s *Source) ServerConfig(processesOnly bool) *tls.Config {
-	return &tls.Config{
-		MinVersion: tls.VersionTLS13,
-		GetConfigForClient: func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
-			return s.serverConfig(s.latest(hello.Context()), processesOnly), nil
-		},
-	}
-}
-
+// serverConfig returns the configuration for one handshake. With processesOnly, certificates of operators are refused.
 func (s *Source) serverConfig(m *material, processesOnly bool) *tls.Config {
 	c := &tls.Config{
 		MinVersion:             tls.VersionTLS13,
@@ -48,9 +39,16 @@
 		Time:                   s.options.Now,
 	}
 	if processesOnly {
-		c.VerifyConnection = func(state tls.ConnectionState) error {
-			return m.verify(state.PeerCertificates, x509.ExtKeyUsageServerAuth, "", s.options.Now())
-		}
+		c.VerifyConnection = verifyProcess
 	}
 	return c
 }
+
+// verifyProcess checks what crypto/tls leaves out. The chain is verified before it is called.
+func verifyProcess(state tls.ConnectionState) error {
+	leaf := state.PeerCertificates[0]
+	if slices.Contains(leaf.ExtKeyUsage, x509.ExtKeyUsageServerAuth) {
+		return nil
+	}
+	return types.NewFault(types.CodePeerUnavailable, "certificate of %q is not that of a process", leaf.DNSNames)
+}
--- a/transport/identity/conn.go
+++ b/transport/identity/conn.go
@@ -11,8 +11,17 @@
 	"sequoiasail.example/types"
 )
 
-// handshakeTimeout bounds a handshake on both sides. A link allows less.
-const handshakeTimeout = 2 * time.Second
+const (
+	// handshakeTimeout bounds a handshake on both sides. A link allows 300 ms, which bounds the two values below.
+	handshakeTimeout = time.Second
+	// maxHandshakes bounds the handshakes that a process computes at once as the side that listens. Each takes about
+	// 1 ms of a core. Without a bound, a fleet of 430 daemons that reconnects at once shares the processor so evenly that
+	// every handshake ends after its client has given up, and no link comes back.
+	maxHandshakes = 64
+	// maxHandshakeWait bounds how long a connection waits for its turn. After that its client has no time left for the
+	// handshake itself.
+	maxHandshakeWait = 200 * time.Millisecond
+)
 
 // acceptedByte is sent by a peer listener after it has verified the client. In TLS 1.3 the client's handshake ends
 // before the server has looked at the client's certificate, so without this byte a refused client would already have
@@ -45,7 +54,7 @@
 	if s == nil {
 		return l
 	}
-	return &listener{Listener: l, source: s, config: s.ServerConfig(true), greet: sendAccepted}
+	return &listener{Listener: l, source: s, processesOnly: true, greet: sendAccepted}
 }
 
 // PageListener secures the connections of l for HTTP/1.1. Processes and operators are accepted.
@@ -53,7 +62,7 @@
 	if s == nil {
 		return l
 	}
-	return &listener{Listener: l, source: s, config: s.ServerConfig(false), greet: func(net.Conn) error { return nil }}
+	return &listener{Listener: l, source: s, greet: func(net.Conn) error { return nil }}
 }
 
 // connect opens a connection and runs the handshake. after is the last step of it.
@@ -64,7 +73,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	c := conn{Conn: tls.Client(raw, s.ClientConfig(ctx, vm)), raw: raw}
+	c := conn{Conn: tls.Client(raw, s.clientConfig(ctx, vm)), raw: raw}
 	if err := c.handshake(ctx, after); err != nil {
 		_ = raw.Close()
 		return nil, s.fail(SideConnect, raw, err)
@@ -108,9 +117,9 @@
 // listener accepts connections without waiting for their handshakes, so that a slow client delays nobody else.
 type listener struct {
 	net.Listener
-	source *Source
-	config *tls.Config
-	greet  func(net.Conn) error
+	source        *Source
+	processesOnly bool
+	greet         func(net.Conn) error
 }
 
 func (l *listener) Accept() (net.Conn, error) {
@@ -118,14 +127,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &serverConn{conn: conn{Conn: tls.Server(raw, l.config), raw: raw}, listener: l}, nil
+	c := &serverConn{listener: l}
+	c.conn = conn{Conn: tls.Server(raw, &tls.Config{MinVersion: tls.VersionTLS13, GetConfigForClient: c.admit}), raw: raw}
+	return c, nil
 }
 
 // serverConn runs the handshake in the first Read, on the goroutine that serves the connection.
 type serverConn struct {
 	conn
 	listener *listener
-	// accepted belongs to the goroutine that reads.
+	// The fields below belong to the goroutine that reads.
+	admitted bool
 	accepted bool
 }
 
@@ -138,9 +150,23 @@
 	return c.conn.Read(b)
 }
 
+// admit is called when the client has sent its first message, so that silent clients take no place of others. It waits
+// for a place among the handshakes in progress and returns the configuration of the newest files.
+func (c *serverConn) admit(hello *tls.ClientHelloInfo) (*tls.Config, error) {
+	ctx, cancel := context.WithTimeout(hello.Context(), maxHandshakeWait)
+	defer cancel()
+	s := c.listener.source
+	if err := s.handshakes.Put(ctx, struct{}{}); err != nil {
+		return nil, types.WrapFault(types.CodeOverloaded, err, "%d handshakes in progress", maxHandshakes)
+	}
+	c.admitted = true
+	return s.serverConfig(s.latest(ctx), c.listener.processesOnly), nil
+}
+
 func (c *serverConn) accept() error {
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
+	defer c.leave()
 	if err := c.handshake(ctx, c.listener.greet); err != nil {
 		return c.listener.source.fail(SideAccept, c.raw, err)
 	}
@@ -148,6 +174,13 @@
 	return nil
 }
 
+// leave gives the place among the handshakes to the next.
+func (c *serverConn) leave() {
+	if c.admitted {
+		_, _ = c.listener.source.handshakes.TryGet()
+	}
+}
+
 // fail reports a failed handshake. A client that closes without an alert, as a balancer's TCP check does, is not
 // reported.
 func (s *Source) fail(side Side, raw net.Conn, err error) error {
--- a/transport/identity/identity_test.go
+++ b/transport/identity/identity_test.go
@@ -29,20 +29,20 @@
 	dir            string
 	ahead          atomic.Int64
 	loads, refused atomic.Int64
-	failed         atomic.Int64
+	failures       chan identity.HandshakeFailure
 }
 
-func (p *party) Loaded(identity.Certificate)               { p.loads.Add(1) }
-func (p *party) LoadFailed(error)                          { p.refused.Add(1) }
-func (p *party) HandshakeFailed(identity.HandshakeFailure) { p.failed.Add(1) }
-func (p *party) now() time.Time                            { return time.Now().Add(time.Duration(p.ahead.Load())) }
+func (p *party) Loaded(identity.Certificate)                 { p.loads.Add(1) }
+func (p *party) LoadFailed(error)                            { p.refused.Add(1) }
+func (p *party) HandshakeFailed(f identity.HandshakeFailure) { p.failures <- f }
+func (p *party) now() time.Time                              { return time.Now().Add(time.Duration(p.ahead.Load())) }
 
 func tomorrow() time.Time { return time.Now().Add(24 * time.Hour) }
 
 // newParty starts the duty of a process named vm that a issued a certificate for.
 func newParty(t *testing.T, a *identitytest.Authority, vm types.VM) *party {
 	t.Helper()
-	p := &party{dir: t.TempDir()}
+	p := &party{dir: t.TempDir(), failures: make(chan identity.HandshakeFailure, 16)}
 	files := a.Write(t, p.dir, string(vm), identitytest.Process, tomorrow())
 	p.Source = identity.New(identity.Options{Settings: files, VM: vm, Observer: p, Now: p.now})
 	start(t, p.Duty())
@@ -131,7 +131,7 @@
 	address := server.listen(t)
 	_, err := client.serial(t, address, "vm-1")
 	is.Equal(types.CodeOf(err), types.CodePeerUnavailable)
-	is.Equal(server.failed.Load(), int64(1))
+	is.Equal((<-server.failures).Side, identity.SideAccept)
 	identitytest.Put(t, server.dir, "ca.pem", append(a.PEM, next.PEM...))
 	server.ahead.Add(int64(time.Second))
 	_, err = client.serial(t, address, "vm-1")
@@ -188,6 +188,28 @@
 	identitytest.Put(t, dir, name, data)
 }
 
+// Guards against a fleet that reconnects at once and of which no handshake ends in time, and against places that are
+// never given back.
+func TestHandshakesAreBounded(t *testing.T) {
+	is := is.New(t)
+	a := identitytest.NewAuthority(t)
+	server, client := newParty(t, a, "vm-1"), newParty(t, a, "vm-2")
+	address := server.listen(t)
+	places := server.Handshakes()
+	for range places.Cap() {
+		is.NoErr(places.TryPut(struct{}{}))
+	}
+	_, err := client.serial(t, address, "vm-1")
+	is.Equal(types.CodeOf(err), types.CodePeerUnavailable)
+	is.Equal(places.Depth(), places.Cap())
+	is.True(strings.Contains((<-server.failures).Err.Error(), "64 handshakes in progress"))
+	_, _ = places.TryGet()
+	for range 2 {
+		_, err = client.serial(t, address, "vm-1")
+		is.NoErr(err)
+	}
+}
+
 // Guards against a duty that waits for a silent peer when it closes a connection whose buffers are full.
 func TestCloseDoesNotWaitForSilentPeer(t *testing.T) {
 	is := is.New(t)
--- a/transport/identity/source.go
+++ b/transport/identity/source.go
@@ -75,6 +75,8 @@
 	options Options
 	checks  *ring.Ring[check]
 	current atomic.Pointer[material]
+	// handshakes holds one element for each handshake that is computed as the side that listens.
+	handshakes *ring.Ring[struct{}]
 
 	// The fields below belong to the duty.
 	checkedAt time.Time
@@ -95,11 +97,18 @@
 	if o.Observer == nil {
 		o.Observer = ignore{}
 	}
-	return &Source{options: o, checks: ring.New[check](checksCapacity)}
+	return &Source{
+		options:    o,
+		checks:     ring.New[check](checksCapacity),
+		handshakes: ring.New[struct{}](maxHandshakes),
+	}
 }
 
-// Ring returns the ring of waiting handshakes for metrics.
-func (s *Source) Ring() *ring.Ring[check] { return s.checks }
+// Checks returns the ring of handshakes that wait for the files, for metrics.
+func (s *Source) Checks() *ring.Ring[check] { return s.checks }
+
+// Handshakes returns the ring of handshakes in progress, for metrics.
+func (s *Source) Handshakes() *ring.Ring[struct{}] { return s.handshakes }
 
 // Duty returns the duty that owns the files. Its Provision returns a CodeBadSettings fault when they do not fit.
 func (s *Source) Duty() duty.Duty {
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/rpc"
 	"sync/atomic"
@@ -160,7 +161,7 @@
 	l.dialErr = err
 	if err != nil {
 		l.redialBackoff = min(max(2*l.redialBackoff, minRedialInterval), maxRedialInterval)
-		l.redialAt = now.Add(l.redialBackoff)
+		l.redialAt = time.Now().Add(jitter(l.redialBackoff))
 		return false
 	}
 	l.redialBackoff = 0
@@ -170,6 +171,9 @@
 	return true
 }
 
+// jitter returns a time from half of d to d, so that the links to a peer that was lost do not all dial it at once.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
+
 func (l *Link) complete(done *rpc.Call) {
 	c, known := l.calls[done]
 	if !known {
