transport/peer: keep the reason of a failed dial out of callers' answers

Cause: the gateway returns the message of a link's fault to the caller. Since the link says why a dial failed, that message held addresses and names from certificates. The reason is the fault's cause now, which is logged but not sent. TestRefusedPeerIsNotRun failed on the message first.

--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -132,7 +132,7 @@
 func (l *Link) send(ctx context.Context, c *Call) {
 	now := time.Now()
 	if !l.connect(ctx, now) {
-		c.finish(types.NotRun(types.CodePeerUnavailable, "no connection to %s: %v", l.name, l.dialErr))
+		c.finish(l.notConnected())
 		return
 	}
 	c.sentAt = now
@@ -148,6 +148,13 @@
 	l.calls[sent] = c
 }
 
+// notConnected keeps the reason as cause only: the message goes to callers, the reason may hold addresses.
+func (l *Link) notConnected() *types.Fault {
+	f := types.WrapFault(types.CodePeerUnavailable, l.dialErr, "no connection to %s", l.name)
+	f.Outcome = types.OutcomeNotRun
+	return f
+}
+
 func (l *Link) connect(ctx context.Context, now time.Time) bool {
 	if l.client != nil {
 		return true
--- a/transport/peer/tls_test.go
+++ b/transport/peer/tls_test.go
@@ -65,7 +65,7 @@
 }
 
 // Guards against calls that reach a process which must not get them, and against "unknown" for a call that was refused
-// before it was sent.
+// before it was sent. Callers must not read names and addresses from certificates in the message.
 func TestRefusedPeerIsNotRun(t *testing.T) {
 	a, other := identitytest.NewAuthority(t), identitytest.NewAuthority(t)
 	now := time.Now()
@@ -91,6 +91,8 @@
 			failed, _ := call(t, l, time.Minute)
 			is.Equal(failed.Err.Code, types.CodePeerUnavailable)
 			is.Equal(failed.Err.Outcome, types.OutcomeNotRun)
+			is.Equal(failed.Err.Message, "no connection to b")
+			is.True(failed.Err.Unwrap() != nil)
 			is.Equal(service.ran.Load(), int64(0))
 		})
 	}
