daemon: TLS on links, questions to peers and operators' pages

Cause: transport/identity was not used by any process.

Settings of gateways and dispatchers take an optional object tls with certFile, keyFile and caFile, checked by -check. process.Base builds the identity, adds its duty, logs whether TLS is on and publishes metrics. The questions to peers at a start during a store outage accept any process of the authority, since the settings give addresses only.

Ruled out: a line for each failed handshake. A client that redials would push decisions out of the log ring; there is one a second at most, and the metric counts all.

Before: every link plain. After: unchanged without tls; with tls TestPeersAreAskedOverTLS refuses another authority and a plain client.

--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -67,7 +67,7 @@
 	d.worker.drained = d.keeper.drained
 	d.placer = newPlacer(d.keeper.in, d.base.Log)
 	d.worker.toPlanner = d.placer.takeReport
-	d.links = process.NewLinks(d.publishLinks)
+	d.links = process.NewLinks(d.base.Identity, d.publishLinks)
 	return d, d.addDuties(self)
 }
 
@@ -81,6 +81,7 @@
 		Timeout: s.StoreTimeoutMs.Duration(),
 	})
 	server := peer.NewServer(string(s.PeerAddress))
+	server.Secure(d.base.Identity.PeerListener)
 	mirror := process.NewMirror()
 	services := map[string]any{
 		"Dispatch": &dispatchService{worker: d.worker},
@@ -108,9 +109,10 @@
 		Knowledge: process.NewKnowledge(d.base.Log),
 		Mirror:    mirror,
 		Peers:     s.Peers,
+		Identity:  d.base.Identity,
 		Deliver:   d.deliver,
 	}
-	ops := &process.HTTPServer{Name: "ops", Address: string(s.OpsAddress), Handler: telemetry.OpsHandler(d.base.Metrics, d.readStatus)}
+	ops := d.base.OpsServer(string(s.OpsAddress), d.readStatus)
 	d.publishRings()
 
 	d.base.Group.Add(ops.Duty())
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -46,7 +46,7 @@
 	g.page = telemetry.NewPage(g.status)
 	g.stats = &stats{metrics: g.base.Metrics}
 	g.router = newRouter(s.DataCentre, g.base.Log, g.stats)
-	g.links = process.NewLinks(g.publishLinks)
+	g.links = process.NewLinks(g.base.Identity, g.publishLinks)
 	g.addDuties()
 	return g
 }
@@ -65,10 +65,11 @@
 		Store:     storeClient,
 		Knowledge: process.NewKnowledge(g.base.Log),
 		Peers:     s.Peers,
+		Identity:  g.base.Identity,
 		Deliver:   translator.deliver,
 	}
 	registration := &process.Registration{Store: storeClient, Member: g.member, Log: g.base.Log}
-	ops := &process.HTTPServer{Name: "ops", Address: string(s.OpsAddress), Handler: telemetry.OpsHandler(g.base.Metrics, g.page.Current)}
+	ops := g.base.OpsServer(string(s.OpsAddress), g.page.Current)
 	callers := &process.HTTPServer{Name: "callers", Address: string(s.CallerAddress), Handler: (&frontend{gw: g}).handler()}
 	g.base.Metrics.Ring("router-requests", g.router.requests)
 	g.base.Metrics.Ring("router-results", g.router.results)
--- a/daemon/process/http.go
+++ b/daemon/process/http.go
@@ -23,6 +23,8 @@
 	Name    string
 	Address string
 	Handler http.Handler
+	// Secure wraps the listener. Optional: without it connections are plain TCP.
+	Secure func(net.Listener) net.Listener
 
 	listener net.Listener
 	server   *http.Server
@@ -44,6 +46,9 @@
 	if err != nil {
 		return types.WrapFault(types.CodeBadSettings, err, "listen on %s", s.Address)
 	}
+	if s.Secure != nil {
+		l = s.Secure(l)
+	}
 	s.listener = l
 	s.server = &http.Server{
 		Handler:           s.Handler,
--- a/daemon/process/links.go
+++ b/daemon/process/links.go
@@ -6,6 +6,7 @@
 
 	"sequoiasail.example/duty"
 	"sequoiasail.example/ring"
+	"sequoiasail.example/transport/identity"
 	"sequoiasail.example/transport/peer"
 	"sequoiasail.example/types"
 )
@@ -25,20 +26,23 @@
 	// Publish receives the whole set after each change. The map must not be changed. It may block.
 	Publish func(links map[types.VM]*peer.Link)
 
+	identity *identity.Source
+
 	in     *ring.Ring[[]Peer]
 	group  *duty.Group
 	peers  map[types.VM]Peer
 	active map[types.VM]*peer.Link
 }
 
-// NewLinks returns an empty set.
-func NewLinks(publish func(map[types.VM]*peer.Link)) *Links {
+// NewLinks returns an empty set. Links are secured with id, which is nil for plain TCP.
+func NewLinks(id *identity.Source, publish func(map[types.VM]*peer.Link)) *Links {
 	return &Links{
-		Publish: publish,
-		in:      ring.New[[]Peer](linksRingCapacity),
-		group:   duty.NewGroup(),
-		peers:   make(map[types.VM]Peer),
-		active:  make(map[types.VM]*peer.Link),
+		Publish:  publish,
+		identity: id,
+		in:       ring.New[[]Peer](linksRingCapacity),
+		group:    duty.NewGroup(),
+		peers:    make(map[types.VM]Peer),
+		active:   make(map[types.VM]*peer.Link),
 	}
 }
 
@@ -92,7 +96,7 @@
 		if _, running := l.peers[vm]; running {
 			continue
 		}
-		link := peer.NewLink(string(vm), peer.TCP(p.Address))
+		link := peer.NewLink(string(vm), l.identity.Dial(peer.TCP(p.Address), vm))
 		if err := l.group.Launch(ctx, link.Duty()); err != nil {
 			continue
 		}
--- a/daemon/process/process.go
+++ b/daemon/process/process.go
@@ -9,13 +9,16 @@
 
 	"sequoiasail.example/duty"
 	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/identity"
 )
 
-// Base is what every process has: its log, metrics and group of duties.
+// Base is what every process has: its log, metrics, group of duties and identity.
 type Base struct {
 	Log     *telemetry.Log
 	Metrics *telemetry.Metrics
 	Group   *duty.Group
+	// Identity is nil when the settings have no TLS.
+	Identity *identity.Source
 }
 
 // NewBase returns the base of a process with the given role. Lines of the standard logger, which net/http and net/rpc
@@ -28,6 +31,7 @@
 	b.Group.Add(l.Duty())
 	b.Metrics.Gauge("sail_log_dropped_total", func() float64 { return float64(l.Dropped()) })
 	b.Metrics.Gauge("sail_log_depth", func() float64 { return float64(l.Depth()) })
+	b.addIdentity(s)
 	return b
 }
 
--- a/daemon/process/seed.go
+++ b/daemon/process/seed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sequoiasail.example/settings"
+	"sequoiasail.example/transport/identity"
 	"sequoiasail.example/transport/peer"
 	"sequoiasail.example/transport/store"
 )
@@ -14,11 +15,11 @@
 const seedTimeout = 500 * time.Millisecond
 
 // askPeers returns the newest state that any of the peers knows, for a start during an outage of the store. ok is false
-// when no peer knows any.
-func askPeers(ctx context.Context, peers []settings.Address) (u Update, ok bool) {
+// when no peer knows any. The settings do not name the peers' VMs, so id accepts any process.
+func askPeers(ctx context.Context, id *identity.Source, peers []settings.Address) (u Update, ok bool) {
 	var newest peer.LatestAnswer
 	for _, address := range peers {
-		answer, err := askPeer(ctx, string(address))
+		answer, err := askPeer(ctx, id.Dial(peer.TCP(string(address)), ""))
 		if err == nil && answer.Revision > newest.Revision {
 			newest = answer
 		}
@@ -32,10 +33,10 @@
 	return u, newest.Revision > 0
 }
 
-func askPeer(ctx context.Context, address string) (peer.LatestAnswer, error) {
+func askPeer(ctx context.Context, dial peer.Dial) (peer.LatestAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
 	defer cancel()
-	conn, err := peer.TCP(address)(ctx)
+	conn, err := dial(ctx)
 	if err != nil {
 		return peer.LatestAnswer{}, err
 	}
--- a/daemon/process/settings.go
+++ b/daemon/process/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"sequoiasail.example/settings"
+	"sequoiasail.example/transport/identity"
 	"sequoiasail.example/types"
 )
 
@@ -23,6 +24,8 @@
 	// Peers lists addresses of dispatchers, which are asked for the newest state when the process starts while the store
 	// is out of reach. Default none: the process then waits for the store.
 	Peers []settings.Address `json:"peers"`
+	// TLS secures links, questions to peers and the operators' pages. Default none: they are plain.
+	TLS *identity.Settings `json:"tls"`
 }
 
 // Provision fills in the defaults.
@@ -38,4 +41,5 @@
 		c.Address(settings.Index("peers", i), address)
 	}
 	c.Between("storeTimeoutMs", int64(s.StoreTimeoutMs), 10, 60_000, "ms")
+	s.TLS.Check(c, s.VM)
 }
--- /dev/null
+++ b/daemon/process/tls_test.go
@@ -0,0 +1,101 @@
+package process
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/matryer/is"
+
+	"sequoiasail.example/duty"
+	"sequoiasail.example/settings"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/identity"
+	"sequoiasail.example/transport/identity/identitytest"
+	"sequoiasail.example/transport/peer"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+// startIdentity starts the identity of a process named vm.
+func startIdentity(t *testing.T, a *identitytest.Authority, vm string) *identity.Source {
+	t.Helper()
+	id := identity.New(identity.Options{
+		Settings: a.Write(t, t.TempDir(), vm, identitytest.Process, time.Now().Add(time.Hour)),
+	})
+	g := duty.NewGroup()
+	g.Add(id.Duty())
+	if err := g.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = g.Stop(context.Background()) })
+	return id
+}
+
+// Guards against a start during an outage of the store that takes the state from a process nobody vouches for, or
+// that does not work over TLS.
+func TestPeersAreAskedOverTLS(t *testing.T) {
+	is := is.New(t)
+	a := identitytest.NewAuthority(t)
+	mirror := NewMirror()
+	mirror.apply(Update{Snapshot: true, Events: []store.Event{configEvent(3, 7)}, Revision: 7})
+	server := peer.NewServer("127.0.0.1:0")
+	server.Secure(startIdentity(t, a, "vm-1").PeerListener)
+	is.NoErr(server.Register("Peer", &PeerService{Mirror: mirror}))
+	group := duty.NewGroup()
+	group.Add(server.Duty())
+	is.NoErr(group.Start(t.Context()))
+	defer func() { _ = group.Stop(context.Background()) }()
+	peers := []settings.Address{settings.Address(server.Address())}
+	u, ok := askPeers(t.Context(), startIdentity(t, a, "vm-2"), peers)
+	is.True(ok)
+	is.Equal(len(u.Events), 1)
+	_, ok = askPeers(t.Context(), startIdentity(t, identitytest.NewAuthority(t), "vm-2"), peers)
+	is.True(!ok)
+	_, ok = askPeers(t.Context(), nil, peers)
+	is.True(!ok)
+}
+
+// Guards against a process that does not say whether its links are secured.
+func TestTLSIsLogged(t *testing.T) {
+	files := identitytest.NewAuthority(t).Write(t, t.TempDir(), "vm-1", identitytest.Process, time.Now().Add(time.Hour))
+	cases := map[string]struct {
+		tls   *identity.Settings
+		lines []string
+	}{
+		"off": {nil, []string{"tls is off: links and operators' pages are plain"}},
+		"on":  {&files, []string{"tls is on: links and operators' pages require certificates", "certificate loaded"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var out strings.Builder
+			b := &Base{Log: telemetry.NewLog(&out, log.Fields{}), Metrics: telemetry.NewMetrics(), Group: duty.NewGroup()}
+			b.Group.Add(b.Log.Duty())
+			b.addIdentity(Settings{VM: "vm-1", TLS: c.tls})
+			is.NoErr(b.Group.Start(t.Context()))
+			is.NoErr(b.Group.Stop(t.Context()))
+			is.Equal(strings.Count(out.String(), "\n"), len(c.lines))
+			for _, line := range c.lines {
+				is.True(strings.Contains(out.String(), line))
+			}
+		})
+	}
+}
+
+// Guards against a log whose decisions are dropped because a client fails one handshake after the other.
+func TestFailedHandshakesAreCountedAndLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	l := quietLog()
+	o := &tlsObserver{log: l, metrics: telemetry.NewMetrics()}
+	failure := identity.HandshakeFailure{
+		Side: identity.SideAccept, Remote: "127.0.0.1:1", Err: types.NewFault(types.CodePeerUnavailable, "refused"),
+	}
+	for range 3 {
+		o.HandshakeFailed(failure)
+	}
+	is.Equal(l.Depth(), 1)
+	is.Equal(o.metrics.Counter(`sail_tls_handshakes_failed_total{side="accept"}`).Get(), uint64(3))
+}
--- a/daemon/process/watch.go
+++ b/daemon/process/watch.go
@@ -6,6 +6,7 @@
 
 	"sequoiasail.example/duty"
 	"sequoiasail.example/settings"
+	"sequoiasail.example/transport/identity"
 	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
 )
@@ -36,6 +37,8 @@
 	Mirror *Mirror
 	// Peers are asked for the newest state as long as the store has not answered since the start.
 	Peers []settings.Address
+	// Identity secures the connections to peers. Nil for plain TCP.
+	Identity *identity.Source
 	// Deliver hands a change to its owner. It may block.
 	Deliver func(ctx context.Context, c Change) error
 
@@ -109,7 +112,7 @@
 	if w.informed {
 		return nil
 	}
-	u, ok := askPeers(ctx, w.Peers)
+	u, ok := askPeers(ctx, w.Identity, w.Peers)
 	if !ok {
 		return nil
 	}
