--- a/cmd/internal/operator/await_test.go
+++ b/cmd/internal/operator/await_test.go
@@ -153,7 +153,7 @@
 		{VM: "vm-1", Role: "gateway", Address: address(quick)},
 		{VM: "vm-2", Role: "gateway", Address: address(slow)},
 		{VM: "vm-3", Role: "gateway", Address: "127.0.0.1:1"},
-	}, time.Second, time.Now)
+	}, operator.FleetOptions{Timeout: time.Second, Now: time.Now})
 	is.NoErr(err)
 	reports := fleet.Query(t.Context())
 	is.Equal(reports[0].Status.ConfigVersion, uint64(3))
--- a/cmd/internal/operator/bench_test.go
+++ b/cmd/internal/operator/bench_test.go
@@ -29,7 +29,7 @@
 		})
 	}
 	processes[7].Address = "127.0.0.1:1"
-	fleet, err := operator.StartFleet(b.Context(), processes, 2*time.Second, time.Now)
+	fleet, err := operator.StartFleet(b.Context(), processes, operator.FleetOptions{Timeout: 2 * time.Second, Now: time.Now})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/cmd/internal/operator/fleet.go
+++ b/cmd/internal/operator/fleet.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"sequoiasail.example/duty"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/identity"
 	"sequoiasail.example/types"
 )
 
@@ -44,7 +46,8 @@
 // ring. A process that does not answer therefore delays nobody else.
 type HTTPFleet struct {
 	processes []Process
-	client    *http.Client
+	identity  *identity.Source
+	clients   []*http.Client
 	timeout   time.Duration
 	now       func() time.Time
 	duties    *duty.Group
@@ -60,18 +63,31 @@
 	report Report
 }
 
-// StartFleet starts one duty per process. A timeout of 0 means DefaultStatusTimeout.
-func StartFleet(ctx context.Context, processes []Process, timeout time.Duration, now func() time.Time) (*HTTPFleet, error) {
-	if timeout == 0 {
-		timeout = DefaultStatusTimeout
+// FleetOptions configures an HTTPFleet.
+type FleetOptions struct {
+	// Timeout bounds one question to one process. Default DefaultStatusTimeout.
+	Timeout time.Duration
+	Now     func() time.Time
+	// Identity secures the questions. The fleet runs its duty. Nil for plain HTTP.
+	Identity *identity.Source
+}
+
+// StartFleet starts one duty per process.
+func StartFleet(ctx context.Context, processes []Process, o FleetOptions) (*HTTPFleet, error) {
+	if o.Timeout == 0 {
+		o.Timeout = DefaultStatusTimeout
 	}
 	f := &HTTPFleet{
-		processes: processes, timeout: timeout, now: now, client: &http.Client{Transport: &http.Transport{}},
+		processes: processes, identity: o.Identity, timeout: o.Timeout, now: o.Now,
 		duties: duty.NewGroup(), answers: ring.New[roundReport](len(processes)),
 	}
+	if f.identity != nil {
+		f.duties.Add(f.identity.Duty())
+	}
 	for i, p := range processes {
 		questions := ring.New[uint64](1)
 		f.questions = append(f.questions, questions)
+		f.clients = append(f.clients, f.newClient(p))
 		f.duties.Add(duty.Duty{
 			Name: "status-" + p.Name(),
 			Run:  func(ctx context.Context) error { return f.serve(ctx, i, questions) },
@@ -80,10 +96,24 @@
 	return f, f.duties.Start(ctx)
 }
 
+// newClient returns the client for p. Each process has its own, because its certificate must carry the name of its VM.
+// The scheme stays http: the connection that the dialer returns is secured already.
+func (f *HTTPFleet) newClient(p Process) *http.Client {
+	var tcp net.Dialer
+	dial := f.identity.DialPage(func(ctx context.Context) (net.Conn, error) {
+		return tcp.DialContext(ctx, "tcp", p.Address)
+	}, p.VM)
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) { return dial(ctx) },
+	}}
+}
+
 // Stop ends the duties and closes the connections.
 func (f *HTTPFleet) Stop(ctx context.Context) error {
 	err := f.duties.Stop(ctx)
-	f.client.CloseIdleConnections()
+	for _, c := range f.clients {
+		c.CloseIdleConnections()
+	}
 	return err
 }
 
@@ -122,28 +152,29 @@
 		if err != nil {
 			return err
 		}
-		report := f.ask(ctx, f.processes[index])
+		report := f.ask(ctx, index)
 		if err := f.answers.Put(ctx, roundReport{round: round, index: index, report: report}); err != nil {
 			return err
 		}
 	}
 }
 
-func (f *HTTPFleet) ask(ctx context.Context, p Process) Report {
+func (f *HTTPFleet) ask(ctx context.Context, index int) Report {
+	p := f.processes[index]
 	ctx, cancel := context.WithTimeout(ctx, f.timeout)
 	defer cancel()
-	status, err := f.status(ctx, "http://"+p.Address+"/status")
-	return Report{Process: p, Status: status, At: f.now(), Err: err}
+	s, err := status(ctx, f.clients[index], "http://"+p.Address+"/status")
+	return Report{Process: p, Status: s, At: f.now(), Err: err}
 }
 
 // status decodes leniently: during a rolling upgrade newer processes may report more than this sailctl knows.
-func (f *HTTPFleet) status(ctx context.Context, url string) (telemetry.Status, error) {
+func status(ctx context.Context, client *http.Client, url string) (telemetry.Status, error) {
 	var s telemetry.Status
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return s, types.WrapFault(types.CodeBadSettings, err, "cannot ask")
 	}
-	response, err := f.client.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return s, types.WrapFault(types.CodePeerUnavailable, err, "does not answer")
 	}
--- a/cmd/internal/sailctl/main.go
+++ b/cmd/internal/sailctl/main.go
@@ -120,7 +120,9 @@
 	if person == "" {
 		person = currentUser()
 	}
-	fleet, err := operator.StartFleet(ctx, s.settings.processes(), s.settings.StatusTimeoutMs.Duration(), a.env.Now)
+	fleet, err := operator.StartFleet(ctx, s.settings.processes(), operator.FleetOptions{
+		Timeout: s.settings.StatusTimeoutMs.Duration(), Now: a.env.Now, Identity: s.settings.identity(),
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/internal/sailctl/settings.go
+++ b/cmd/internal/sailctl/settings.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"sequoiasail.example/settings"
+	"sequoiasail.example/transport/identity"
 	"sequoiasail.example/types"
 
 	"sequoiasail.example/cmd/internal/operator"
@@ -23,6 +24,8 @@
 	SnapshotFile string `json:"snapshotFile"`
 	// Processes lists the gateways and dispatchers.
 	Processes []ProcessSettings `json:"processes"`
+	// TLS secures the questions to processes. Default none: they are plain.
+	TLS *identity.Settings `json:"tls"`
 }
 
 // ProcessSettings is one process.
@@ -68,9 +71,19 @@
 		}
 		seen[name] = i
 	}
+	s.TLS.Check(c, "")
 	return c.Err()
 }
 
+// identity returns nil when the settings have no TLS. The wall clock decides about certificates, not the clock that
+// sailctl shows.
+func (s *Settings) identity() *identity.Source {
+	if s.TLS == nil {
+		return nil
+	}
+	return identity.New(identity.Options{Settings: *s.TLS})
+}
+
 func (s *Settings) processes() []operator.Process {
 	out := make([]operator.Process, 0, len(s.Processes))
 	for _, p := range s.Processes {
