--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"sync/atomic"
 
+	"sequoiasail.example/config"
 	"sequoiasail.example/daemon/process"
 	"sequoiasail.example/routing"
 	"sequoiasail.example/telemetry"
@@ -24,7 +25,10 @@
 	page     *telemetry.Page
 	view     atomic.Pointer[configView]
 	handles  atomic.Uint64
-	status   telemetry.Status
+	// leaving is set when a planned stop begins.
+	leaving atomic.Bool
+	// status belongs to the watch duty.
+	status telemetry.Status
 }
 
 // New assembles a gateway from checked settings. Nothing runs before Run.
@@ -44,7 +48,7 @@
 		Incarnation: uint64(g.member.Incarnation),
 	}
 	g.page = telemetry.NewPage(g.status)
-	g.stats = &stats{metrics: g.base.Metrics}
+	g.stats = newStats(g.base.Metrics)
 	g.router = newRouter(s.DataCentre, g.base.Log, g.stats)
 	g.links = process.NewLinks(g.base.Identity, g.publishLinks)
 	g.addDuties()
@@ -69,8 +73,9 @@
 		Deliver:   translator.deliver,
 	}
 	registration := &process.Registration{Store: storeClient, Member: g.member, Log: g.base.Log}
-	ops := g.base.OpsServer(string(s.OpsAddress), g.page.Current)
+	ops := g.base.OpsServer(string(s.OpsAddress), g.readStatus)
 	callers := &process.HTTPServer{Name: "callers", Address: string(s.CallerAddress), Handler: (&frontend{gw: g}).handler()}
+	g.base.Metrics.Status(g.readStatus)
 	g.base.Metrics.Ring("router-requests", g.router.requests)
 	g.base.Metrics.Ring("router-results", g.router.results)
 	g.base.Metrics.Ring("router-control", g.router.controls)
@@ -81,6 +86,19 @@
 	g.base.Group.Add(watch.Duty())
 	g.base.Group.Add(registration.Duty())
 	g.base.Group.Add(callers.Duty())
+	g.base.Group.Add(process.Departure(s.DrainNoticeMs.Duration(), g.depart))
+}
+
+// depart tells the balancer, which reads the readiness page, before the listener closes.
+func (g *Gateway) depart(ctx context.Context) {
+	g.leaving.Store(true)
+	<-ctx.Done()
+}
+
+func (g *Gateway) readStatus() telemetry.Status {
+	s := g.page.Current()
+	s.Draining = s.Draining || g.leaving.Load()
+	return s
 }
 
 // Run serves until ctx ends.
@@ -103,6 +121,8 @@
 	}
 	if c.Ops != nil {
 		g.status.OpsRevision = uint64(c.Ops.Revision)
+		vm, centre := c.Ops.VMState(g.settings.VM), c.Ops.DataCentreState(g.settings.DataCentre)
+		g.status.Draining = vm != config.OpsIn || centre != config.OpsIn
 	}
 	g.status.StoreRevision = uint64(c.Revision)
 	g.page.Publish(g.status)
--- a/daemon/gateway/router.go
+++ b/daemon/gateway/router.go
@@ -17,7 +17,6 @@
 	requestRingCapacity = 4096
 	resultRingCapacity  = 4096
 	controlRingCapacity = 256
-	routerTick          = 2 * time.Millisecond
 	// resultSlack is added to the time a dispatcher gets, so that its own refusal arrives before the link gives up.
 	resultSlack = 20 * time.Millisecond
 	// cancelTimeout bounds a cancellation, whose loss only costs the target some work.
@@ -27,6 +26,7 @@
 // pending is one caller's request inside the router.
 type pending struct {
 	request  peer.DoRequest
+	arrived  types.Instant
 	deadline types.Instant
 	pinned   types.Target
 	// done is the reply slot. It has room for one result, so that the router never waits for a caller.
@@ -112,10 +112,11 @@
 }
 
 func (r *router) run(ctx context.Context) error {
-	tick := time.NewTicker(routerTick)
-	defer tick.Stop()
+	alarm := telemetry.NewAlarm()
+	defer alarm.Stop()
 	defer r.refuseAll()
 	for {
+		alarm.Set(r.core.NextTick())
 		select {
 		case <-r.requests.Ready():
 			r.takeRequests()
@@ -123,7 +124,8 @@
 			r.takeResults()
 		case <-r.controls.Ready():
 			r.takeControls()
-		case <-tick.C:
+		case <-alarm.C():
+			alarm.Fired()
 			r.tick()
 		case <-r.requests.Done():
 			r.takeRequests()
@@ -140,15 +142,17 @@
 
 // drain answers what is in progress after the last request was taken.
 func (r *router) drain(ctx context.Context) {
-	tick := time.NewTicker(routerTick)
-	defer tick.Stop()
+	alarm := telemetry.NewAlarm()
+	defer alarm.Stop()
 	for len(r.pending) > 0 {
+		alarm.Set(r.core.NextTick())
 		select {
 		case <-r.results.Ready():
 			r.takeResults()
 		case <-r.controls.Ready():
 			r.takeControls()
-		case <-tick.C:
+		case <-alarm.C():
+			alarm.Fired()
 			r.tick()
 		case <-ctx.Done():
 			return
@@ -379,7 +383,7 @@
 	if p.mayHaveRun && a.Outcome == types.OutcomeNotRun {
 		a.Outcome = types.OutcomeUnknown
 	}
-	r.stats.countOutcome(p.request.Service, a.Outcome)
+	r.stats.countAnswer(p.request.Service, p.request.Class, a.Outcome, telemetry.Now().Sub(p.arrived))
 	p.done <- p.resultFor(a)
 }
 
@@ -399,12 +403,17 @@
 	return result{fault: f}
 }
 
-// withSession names the target that ran the request, so that a caller can read its own writes there.
-func withSession(at attempt, _ *pending) *peer.DoAnswer {
+// withSession names the target that ran the request. A caller that sends the session with its next requests to a
+// service without keys reads its own writes, through whichever gateway.
+func withSession(at attempt, p *pending) *peer.DoAnswer {
 	if at.answer.Header == nil {
 		at.answer.Header = map[string][]string{}
 	}
-	at.answer.Header[headerServedBy] = []string{string(at.target)}
+	name := []string{string(at.target)}
+	at.answer.Header[headerServedBy] = name
+	if !p.request.Class.Idempotent() {
+		at.answer.Header[headerSession] = name
+	}
 	return at.answer
 }
 
