transport/peer: count a call's time from when it is sent

Cause: the time of a call ran from before the dial. When the connection took longer than the call's timeout, the call expired at the next tick, unanswered, and the connection was closed as silent; the next call dialled again.

--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -137,13 +137,12 @@
 }
 
 func (l *Link) send(ctx context.Context, c *Call) {
-	now := time.Now()
-	if !l.connect(ctx, now) {
+	if !l.connect(ctx) {
 		c.finish(l.notConnected())
 		return
 	}
-	c.sentAt = now
-	c.expiresAt = now.Add(c.Timeout)
+	c.sentAt = time.Now()
+	c.expiresAt = c.sentAt.Add(c.Timeout)
 	before := l.conn.written.Load()
 	sent := l.client.Go(c.Method, c.Args, c.Reply, l.completed)
 	if l.conn.written.Load() == before {
@@ -162,11 +161,11 @@
 	return f
 }
 
-func (l *Link) connect(ctx context.Context, now time.Time) bool {
+func (l *Link) connect(ctx context.Context) bool {
 	if l.client != nil {
 		return true
 	}
-	if now.Before(l.redialAt) {
+	if time.Now().Before(l.redialAt) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -181,7 +180,7 @@
 	l.redialBackoff = 0
 	l.conn = &countingConn{Conn: conn}
 	l.client = rpc.NewClient(l.conn)
-	l.lastAnswer = now
+	l.lastAnswer = time.Now()
 	return true
 }
 
--- a/transport/peer/link_test.go
+++ b/transport/peer/link_test.go
@@ -135,6 +135,22 @@
 func (discard) Write(b []byte) (int, error)      { return len(b), nil }
 func (discard) SetWriteDeadline(time.Time) error { return nil }
 
+// Guards against a connection that took longer than its first call may: the call expired as soon as it was sent, and the
+// connection was replaced as silent, again and again.
+func TestSlowDialDoesNotExpireTheCall(t *testing.T) {
+	is := is.New(t)
+	service := &echo{block: make(chan struct{})}
+	address := startServer(t, service)
+	l := peer.NewLink("b", func(ctx context.Context) (net.Conn, error) {
+		time.Sleep(250 * time.Millisecond)
+		time.AfterFunc(30*time.Millisecond, func() { close(service.block) })
+		return peer.TCP(address)(ctx)
+	})
+	start(t, l.Duty())
+	c, _ := call(t, l, 200*time.Millisecond)
+	is.True(c.Err == nil)
+}
+
 // Guards against callers that wait for a link that has stopped.
 func TestStopEndsCallsInProgress(t *testing.T) {
 	is := is.New(t)
