--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/rpc"
 	"sync/atomic"
@@ -66,6 +67,7 @@
 	lastAnswer    time.Time
 	redialAt      time.Time
 	redialBackoff time.Duration
+	dialErr       error
 }
 
 // NewLink returns a link named name, which appears in the duty's name.
@@ -135,13 +137,12 @@
 }
 
 func (l *Link) send(ctx context.Context, c *Call) {
-	now := time.Now()
-	if !l.connect(ctx, now) {
-		c.finish(types.NotRun(types.CodePeerUnavailable, "no connection to %s", l.name))
+	if !l.connect(ctx) {
+		c.finish(l.notConnected())
 		return
 	}
-	c.sentAt = now
-	c.expiresAt = now.Add(c.Timeout)
+	c.sentAt = time.Now()
+	c.expiresAt = c.sentAt.Add(c.Timeout)
 	before := l.conn.written.Load()
 	sent := l.client.Go(c.Method, c.Args, c.Reply, l.completed)
 	if l.conn.written.Load() == before {
@@ -153,28 +154,39 @@
 	l.calls[sent] = c
 }
 
-func (l *Link) connect(ctx context.Context, now time.Time) bool {
+// notConnected keeps the reason as cause only: the message goes to callers, the reason may hold addresses.
+func (l *Link) notConnected() *types.Fault {
+	f := types.WrapFault(types.CodePeerUnavailable, l.dialErr, "no connection to %s", l.name)
+	f.Outcome = types.OutcomeNotRun
+	return f
+}
+
+func (l *Link) connect(ctx context.Context) bool {
 	if l.client != nil {
 		return true
 	}
-	if now.Before(l.redialAt) {
+	if time.Now().Before(l.redialAt) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := l.dial(ctx)
+	l.dialErr = err
 	if err != nil {
 		l.redialBackoff = min(max(2*l.redialBackoff, minRedialInterval), maxRedialInterval)
-		l.redialAt = now.Add(l.redialBackoff)
+		l.redialAt = time.Now().Add(jitter(l.redialBackoff))
 		return false
 	}
 	l.redialBackoff = 0
 	l.conn = &countingConn{Conn: conn}
 	l.client = rpc.NewClient(l.conn)
-	l.lastAnswer = now
+	l.lastAnswer = time.Now()
 	return true
 }
 
+// jitter returns a time from half of d to d, so that the links to a peer that was lost do not all dial it at once.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
+
 func (l *Link) complete(done *rpc.Call) {
 	c, known := l.calls[done]
 	if !known {
--- a/transport/peer/link_test.go
+++ b/transport/peer/link_test.go
@@ -11,6 +11,8 @@
 	"go.uber.org/goleak"
 
 	"sequoiasail.example/duty"
+	"sequoiasail.example/transport/identity"
+	"sequoiasail.example/transport/identity/identitytest"
 	"sequoiasail.example/transport/peer"
 	"sequoiasail.example/types"
 )
@@ -38,7 +40,7 @@
 	return server.Address()
 }
 
-func start(t *testing.T, d duty.Duty) {
+func start(t testing.TB, d duty.Duty) {
 	t.Helper()
 	g := duty.NewGroup()
 	g.Add(d)
@@ -133,6 +135,22 @@
 func (discard) Write(b []byte) (int, error)      { return len(b), nil }
 func (discard) SetWriteDeadline(time.Time) error { return nil }
 
+// Guards against a connection that took longer than its first call may: the call expired as soon as it was sent, and the
+// connection was replaced as silent, again and again.
+func TestSlowDialDoesNotExpireTheCall(t *testing.T) {
+	is := is.New(t)
+	service := &echo{block: make(chan struct{})}
+	address := startServer(t, service)
+	l := peer.NewLink("b", func(ctx context.Context) (net.Conn, error) {
+		time.Sleep(250 * time.Millisecond)
+		time.AfterFunc(30*time.Millisecond, func() { close(service.block) })
+		return peer.TCP(address)(ctx)
+	})
+	start(t, l.Duty())
+	c, _ := call(t, l, 200*time.Millisecond)
+	is.True(c.Err == nil)
+}
+
 // Guards against callers that wait for a link that has stopped.
 func TestStopEndsCallsInProgress(t *testing.T) {
 	is := is.New(t)
@@ -155,21 +173,16 @@
 
 // BenchmarkCall measures one call over loopback; -benchmem shows the allocations of both sides.
 func BenchmarkCall(b *testing.B) {
-	server := peer.NewServer("127.0.0.1:0")
-	if err := server.Register("Dispatch", &echo{}); err != nil {
-		b.Fatal(err)
-	}
-	g := duty.NewGroup()
-	g.Add(server.Duty())
-	if err := g.Start(context.Background()); err != nil {
-		b.Fatal(err)
-	}
-	l := peer.NewLink("b", peer.TCP(server.Address()))
-	g.Add(l.Duty())
-	if err := g.Start(context.Background()); err != nil {
-		b.Fatal(err)
-	}
-	defer func() { _ = g.Stop(context.Background()) }()
+	a := identitytest.NewAuthority(b)
+	b.Run("plain", func(b *testing.B) { benchmarkCall(b, nil, nil) })
+	b.Run("tls", func(b *testing.B) {
+		benchmarkCall(b, newSource(b, a, "b", time.Now()), newSource(b, a, "a", time.Now()))
+	})
+}
+
+func benchmarkCall(b *testing.B, server, client *identity.Source) {
+	l := peer.NewLink("b", client.Dial(peer.TCP(startSecure(b, server, &echo{})), "b"))
+	start(b, l.Duty())
 	done := make(chan *peer.Call, 1)
 	b.ReportAllocs()
 	for b.Loop() {
@@ -180,3 +193,17 @@
 		<-done
 	}
 }
+
+// BenchmarkDial measures a connection with its handshakes on both sides, which is what a reconnect costs.
+func BenchmarkDial(b *testing.B) {
+	a := identitytest.NewAuthority(b)
+	address := startSecure(b, newSource(b, a, "b", time.Now()), &echo{})
+	dial := newSource(b, a, "a", time.Now()).Dial(peer.TCP(address), "b")
+	for b.Loop() {
+		c, err := dial(b.Context())
+		if err != nil {
+			b.Fatal(err)
+		}
+		_ = c.Close()
+	}
+}
