ownership: accept less than a majority of acknowledgements only where it is safe

Cause: main lets a revocation count once the members without it are no majority (one of two members). model/group.pml with that rule (FEWER_THAN_MAJORITY) fails after 9 states: while the list before the last change can still be used, or when the planner's list is one change old, the acknowledging member need not be in a majority of the list that a dispatcher asks, and the old lease is confirmed after the wait began.

Before: have+gone >= n - majority + 1 with a fresh read, or have alone without one. After: a majority, or that smaller number with a store read sent since the revocation and with the list before the last change blocked as well. The survivor of two members can still be taken over after the list has settled.

--- a/model/group.pml
+++ b/model/group.pml
@@ -138,8 +138,12 @@
 		if
 #ifdef ONE_ACKNOWLEDGEMENT
 		:: n >= 1 -> acknowledged = true
+#else
+#ifdef FEWER_THAN_MAJORITY
+		:: n >= list[planner_list].size - MAJORITY(planner_list) + 1 -> acknowledged = true
 #else
 		:: n >= MAJORITY(planner_list) -> acknowledged = true
+#endif
 #endif
 		:: else
 		fi;
--- a/ownership/acks.go
+++ b/ownership/acks.go
@@ -82,8 +82,17 @@
 		}
 	}
 	have, gone := a.count(list.Members, g, key, epoch)
-	needed := blocking(len(list.Members))
-	return have >= needed || fresh && have+gone >= needed
+	if have >= majority(len(list.Members)) {
+		return true
+	}
+	return fresh && have+gone >= blocking(len(list.Members)) && a.formerBlocked(list, g, key, epoch)
+}
+
+// formerBlocked reports whether the list before the last change can no longer confirm an older document: so many of it
+// have the present list, or the document itself. Fewer than a majority of the present list need not have a member in
+// common with a majority of the one before.
+func (a *acks) formerBlocked(list *GroupDocument, g GroupKey, key DocumentKey, epoch types.Epoch) bool {
+	return a.blocked(list.Previous, g, GroupDocumentKey(g), list.Epoch) || a.blocked(list.Previous, g, key, epoch)
 }
 
 // install sends the document to those of list that are not known to have it, along with g's member list.
