daemon: pass listeners, log output and an abrupt end to processes

The HTTP and peer servers end when the context of their duty ends, as duty.Duty demands; before, only their Stop ended them. The dispatch duty answers requests that are left in its ring when it ends without a drain; before, their net/rpc goroutines waited for ever. Cause: tests that run a fleet in one process need ports chosen by the kernel and a process that is lost without notice. Ruled out: listening on port 0 in the settings, because the registration names the address before anything listens; child processes, because the race detector and the leak check see one process only. Conclusion: no change for the binaries, which pass no options.

--- a/cmd/sail-dispatcher/main.go
+++ b/cmd/sail-dispatcher/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"sequoiasail.example/daemon/dispatcher"
+	"sequoiasail.example/daemon/process"
 	"sequoiasail.example/settings/startup"
 )
 
@@ -15,7 +16,7 @@
 		Name:     "sail-dispatcher",
 		Settings: s,
 		Run: func(ctx context.Context) error {
-			d, err := dispatcher.New(s)
+			d, err := dispatcher.New(s, process.Options{})
 			if err != nil {
 				return err
 			}
--- a/cmd/sail-gateway/main.go
+++ b/cmd/sail-gateway/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"sequoiasail.example/daemon/gateway"
+	"sequoiasail.example/daemon/process"
 	"sequoiasail.example/settings/startup"
 )
 
@@ -14,6 +15,6 @@
 	os.Exit(startup.Main(startup.Program{
 		Name:     "sail-gateway",
 		Settings: s,
-		Run:      func(ctx context.Context) error { return gateway.New(s).Run(ctx) },
+		Run:      func(ctx context.Context) error { return gateway.New(s, process.Options{}).Run(ctx) },
 	}))
 }
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -40,8 +40,8 @@
 }
 
 // New assembles a dispatcher from checked settings. Nothing runs before Run.
-func New(s *Settings) (*Dispatcher, error) {
-	d := &Dispatcher{settings: s, base: process.NewBase(s.Settings, process.RoleDispatcher), roster: newRoster()}
+func New(s *Settings, o process.Options) (*Dispatcher, error) {
+	d := &Dispatcher{settings: s, base: process.NewBase(s.Settings, process.RoleDispatcher, o), roster: newRoster()}
 	d.member = process.Member{
 		VM:          s.VM,
 		Role:        process.RoleDispatcher,
@@ -81,6 +81,7 @@
 		Timeout: s.StoreTimeoutMs.Duration(),
 	})
 	server := peer.NewServer(string(s.PeerAddress))
+	server.Listen = d.base.Listen
 	mirror := process.NewMirror()
 	services := map[string]any{
 		"Dispatch": &dispatchService{worker: d.worker},
@@ -110,7 +111,12 @@
 		Peers:     s.Peers,
 		Deliver:   d.deliver,
 	}
-	ops := &process.HTTPServer{Name: "ops", Address: string(s.OpsAddress), Handler: telemetry.OpsHandler(d.base.Metrics, d.readStatus)}
+	ops := &process.HTTPServer{
+		Name:    "ops",
+		Address: string(s.OpsAddress),
+		Handler: telemetry.OpsHandler(d.base.Metrics, d.readStatus),
+		Listen:  d.base.Listen,
+	}
 	d.publishRings()
 
 	d.base.Group.Add(ops.Duty())
--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -201,7 +201,14 @@
 // waiting reports whether a caller waits for an answer.
 func (w *worker) waiting() bool { return len(w.active) > 0 || w.core.InFlight() > 0 }
 
+// stop answers everyone who still waits. Requests that were not taken from the ring were not run.
 func (w *worker) stop(ctx context.Context) {
+	w.requests.Close()
+	for m, ok := w.requests.TryGet(); ok; m, ok = w.requests.TryGet() {
+		if m.reply != nil {
+			m.reply <- refusal(types.CodeShuttingDown)
+		}
+	}
 	for _, p := range w.payloads {
 		if p.reply != nil {
 			p.reply <- peer.DoAnswer{Failure: peer.Failure{
--- a/daemon/gateway/frontend_test.go
+++ b/daemon/gateway/frontend_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"sequoiasail.example/config"
+	"sequoiasail.example/daemon/process"
 	"sequoiasail.example/duty"
 	"sequoiasail.example/types"
 )
@@ -35,7 +36,7 @@
 	t.Helper()
 	s := &Settings{}
 	s.VM, s.DataCentre = "praha-a-vm1", "praha-a"
-	g := New(s)
+	g := New(s, process.Options{LogOutput: io.Discard})
 	view, err := newConfigView(testConfiguration())
 	if err != nil {
 		t.Fatal(err)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -28,8 +28,8 @@
 }
 
 // New assembles a gateway from checked settings. Nothing runs before Run.
-func New(s *Settings) *Gateway {
-	g := &Gateway{settings: s, base: process.NewBase(s.Settings, process.RoleGateway)}
+func New(s *Settings, o process.Options) *Gateway {
+	g := &Gateway{settings: s, base: process.NewBase(s.Settings, process.RoleGateway, o)}
 	g.member = process.Member{
 		VM:          s.VM,
 		Role:        process.RoleGateway,
@@ -68,8 +68,18 @@
 		Deliver:   translator.deliver,
 	}
 	registration := &process.Registration{Store: storeClient, Member: g.member, Log: g.base.Log}
-	ops := &process.HTTPServer{Name: "ops", Address: string(s.OpsAddress), Handler: telemetry.OpsHandler(g.base.Metrics, g.page.Current)}
-	callers := &process.HTTPServer{Name: "callers", Address: string(s.CallerAddress), Handler: (&frontend{gw: g}).handler()}
+	ops := &process.HTTPServer{
+		Name:    "ops",
+		Address: string(s.OpsAddress),
+		Handler: telemetry.OpsHandler(g.base.Metrics, g.page.Current),
+		Listen:  g.base.Listen,
+	}
+	callers := &process.HTTPServer{
+		Name:    "callers",
+		Address: string(s.CallerAddress),
+		Handler: (&frontend{gw: g}).handler(),
+		Listen:  g.base.Listen,
+	}
 	g.base.Metrics.Ring("router-requests", g.router.requests)
 	g.base.Metrics.Ring("router-results", g.router.results)
 	g.base.Metrics.Ring("router-control", g.router.controls)
--- a/daemon/process/http.go
+++ b/daemon/process/http.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sequoiasail.example/duty"
+	"sequoiasail.example/transport/peer"
 	"sequoiasail.example/types"
 )
 
@@ -23,6 +24,8 @@
 	Name    string
 	Address string
 	Handler http.Handler
+	// Listen opens the listener.
+	Listen peer.Listen
 
 	listener net.Listener
 	server   *http.Server
@@ -39,8 +42,7 @@
 }
 
 func (s *HTTPServer) provision(ctx context.Context) error {
-	var config net.ListenConfig
-	l, err := config.Listen(ctx, "tcp", s.Address)
+	l, err := s.Listen(ctx, s.Address)
 	if err != nil {
 		return types.WrapFault(types.CodeBadSettings, err, "listen on %s", s.Address)
 	}
@@ -55,7 +57,10 @@
 	return nil
 }
 
-func (s *HTTPServer) run(context.Context) error {
+// run closes all connections at once when ctx ends.
+func (s *HTTPServer) run(ctx context.Context) error {
+	detach := context.AfterFunc(ctx, func() { _ = s.server.Close() })
+	defer detach()
 	err := s.server.Serve(s.listener)
 	if err == http.ErrServerClosed {
 		return nil
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -110,6 +110,25 @@
 	return first
 }
 
+// Abort cancels the contexts of all duties at once, without their Stop, and waits for them together. It returns a
+// CodeTimeout fault that names the first duty that did not end within DefaultStopTimeout.
+func (g *Group) Abort(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, DefaultStopTimeout)
+	defer cancel()
+	for _, r := range g.active {
+		r.cancel()
+	}
+	for _, r := range g.active {
+		select {
+		case <-r.done:
+		case <-ctx.Done():
+			return types.NewFault(types.CodeTimeout, "duty %s did not end within %s", r.duty.Name, DefaultStopTimeout)
+		}
+	}
+	g.active = nil
+	return nil
+}
+
 // Failed delivers the first duty that ended with an error or a panic.
 func (g *Group) Failed() <-chan Failure { return g.failed }
 
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -37,6 +37,20 @@
 	is.Equal(stopped, []string{"c", "b", "a"})
 }
 
+// Guards against an abort that waits for the planned stop of a duty, or that leaves a duty running.
+func TestAbortEndsDutiesWithoutTheirStop(t *testing.T) {
+	is := is.New(t)
+	g := duty.NewGroup()
+	stops := 0
+	for _, name := range []string{"a", "b"} {
+		g.Add(duty.Duty{Name: name, Run: wait, Stop: func(context.Context) error { stops++; return nil }})
+	}
+	is.NoErr(g.Start(context.Background()))
+	is.NoErr(g.Abort(context.Background()))
+	is.Equal(stops, 0)
+	is.Equal(len(g.Names()), 0)
+}
+
 // Guards against a panic that kills the process without naming the duty.
 func TestPanicIsReportedWithName(t *testing.T) {
 	is := is.New(t)
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -14,8 +14,20 @@
 // lingerTime lets net/rpc write the last answers before connections are closed.
 const lingerTime = 100 * time.Millisecond
 
+// Listen opens a listener for address, which is host:port.
+type Listen func(ctx context.Context, address string) (net.Listener, error)
+
+// ListenTCP opens a TCP listener.
+func ListenTCP(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	return config.Listen(ctx, "tcp", address)
+}
+
 // Server accepts connections from peers.
 type Server struct {
+	// Listen opens the listener. Default ListenTCP.
+	Listen Listen
+
 	address  string
 	rpc      *rpc.Server
 	listener *trackingListener
@@ -23,7 +35,7 @@
 
 // NewServer returns a server for address, which is host:port.
 func NewServer(address string) *Server {
-	return &Server{address: address, rpc: rpc.NewServer()}
+	return &Server{Listen: ListenTCP, address: address, rpc: rpc.NewServer()}
 }
 
 // Register exposes the methods of service under name.
@@ -48,8 +60,7 @@
 }
 
 func (s *Server) provision(ctx context.Context) error {
-	var config net.ListenConfig
-	l, err := config.Listen(ctx, "tcp", s.address)
+	l, err := s.Listen(ctx, s.address)
 	if err != nil {
 		return types.WrapFault(types.CodeBadSettings, err, "listen on %s", s.address)
 	}
@@ -57,7 +68,13 @@
 	return nil
 }
 
-func (s *Server) run(context.Context) error {
+// run ends without lingering when ctx ends.
+func (s *Server) run(ctx context.Context) error {
+	detach := context.AfterFunc(ctx, func() {
+		_ = s.listener.Close()
+		s.listener.closeConnections()
+	})
+	defer detach()
 	s.rpc.Accept(s.listener)
 	return nil
 }
