--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -20,7 +21,6 @@
 	requestRingCapacity = 4096
 	resultRingCapacity  = 4096
 	controlRingCapacity = 1024
-	workerTick          = 2 * time.Millisecond
 	publishInterval     = 250 * time.Millisecond
 )
 
@@ -156,10 +156,11 @@
 }
 
 func (w *worker) run(ctx context.Context) error {
-	tick := time.NewTicker(workerTick)
-	defer tick.Stop()
+	alarm := telemetry.NewAlarm()
+	defer alarm.Stop()
 	defer w.stop(ctx)
 	for {
+		alarm.Set(w.nextWake())
 		select {
 		case <-w.requests.Ready():
 			w.takeRequests(ctx)
@@ -167,7 +168,8 @@
 			w.takeResults(ctx)
 		case <-w.controls.Ready():
 			w.takeControls(ctx)
-		case <-tick.C:
+		case <-alarm.C():
+			alarm.Fired()
 			w.tick(ctx)
 		case <-w.requests.Done():
 			w.takeRequests(ctx)
@@ -182,15 +184,17 @@
 
 // drain finishes what is in flight after the last request was taken.
 func (w *worker) drain(ctx context.Context) {
-	tick := time.NewTicker(workerTick)
-	defer tick.Stop()
+	alarm := telemetry.NewAlarm()
+	defer alarm.Stop()
 	for w.waiting() {
+		alarm.Set(w.nextWake())
 		select {
 		case <-w.results.Ready():
 			w.takeResults(ctx)
 		case <-w.controls.Ready():
 			w.takeControls(ctx)
-		case <-tick.C:
+		case <-alarm.C():
+			alarm.Fired()
 			w.tick(ctx)
 		case <-ctx.Done():
 			return
@@ -375,6 +379,15 @@
 	w.perform(ctx)
 }
 
+// nextWake returns when the core or one of the worker's own intervals has something to do.
+func (w *worker) nextWake() (types.Instant, bool) {
+	next := w.published.Add(publishInterval)
+	if at, ok := w.core.NextWake(); ok && at.Before(next) {
+		next = at
+	}
+	return next, true
+}
+
 func (w *worker) step(ctx context.Context, m dispatch.Message) {
 	w.actions = w.core.Step(telemetry.Now(), m, w.actions[:0])
 	w.perform(ctx)
@@ -435,13 +448,14 @@
 	}
 	p.cancels[a.Attempt] = cancel
 	err := w.senderFor(ctx, a).in.TryPut(send{
-		ctx:      sendCtx,
-		handle:   a.Handle,
-		attempt:  a.Attempt,
-		fresh:    a.Fresh,
-		deadline: a.Deadline,
-		epoch:    a.Epoch,
-		request:  p.request,
+		ctx:        sendCtx,
+		handle:     a.Handle,
+		attempt:    a.Attempt,
+		fresh:      a.Fresh,
+		deadline:   a.Deadline,
+		validUntil: a.ValidUntil,
+		epoch:      a.Epoch,
+		request:    p.request,
 	})
 	if err != nil {
 		w.deferred = append(w.deferred, sent{handle: a.Handle, result: dispatch.Result{
@@ -505,6 +519,7 @@
 }
 
 func (w *worker) reportTarget(a *dispatch.Action) {
+	w.metrics.Counter(fmt.Sprintf("sail_target_conditions_total{service=%q,condition=%q}", a.Target.Service, a.Condition)).Inc()
 	w.log.Decide(telemetry.Decision{
 		Kind:    "target-condition",
 		Service: string(a.Target.Service),
@@ -550,4 +565,12 @@
 		}
 	}
 	w.page.Publish(telemetry.Status{Queues: queues})
+	w.publishLoad()
+}
+
+// publishLoad sets the counters from which operators see how evenly the load is spread.
+func (w *worker) publishLoad() {
+	for id, n := range w.admitted {
+		w.metrics.Counter(fmt.Sprintf("sail_dispatch_sent_total{service=%q,target=%q}", id.Service, id.Target)).Set(n)
+	}
 }
