--- /dev/null
+++ b/daemon/dispatcher/hotkey_test.go
@@ -0,0 +1,121 @@
+package dispatcher
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/ownership"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/peer"
+	"sequoiasail.example/types"
+)
+
+const (
+	hotKey  = types.KeyHash(77)
+	hotSlot = types.Slot(2)
+)
+
+// neighbour is a second target of the keyed service at the same dispatcher.
+var neighbour = types.TargetID{Service: keyedTarget.Service, Target: "mapa-2"}
+
+// newKeyedWorker is a worker that holds the leases of both keyed targets.
+func newKeyedWorker(t *testing.T) *testWorker {
+	w := newTestWorker(t, &fakeTarget{})
+	c := testConfiguration()
+	c.Services[0].Targets = append(c.Services[0].Targets, config.Target{
+		Name: neighbour.Target, DataCentre: testCentre, Address: "127.0.0.1:1", Slots: 4, Connections: 8, Weight: 1,
+	})
+	w.applyControl(context.Background(), workerControl{config: c})
+	return w
+}
+
+func (w *testWorker) serve(id types.TargetID, change serveChange) {
+	template := keyedServe(1, 0)
+	change.target, change.epoch, change.areasChanged = id, 1, true
+	change.areas, change.validUntil = template.areas, template.validUntil
+	w.applyServe(context.Background(), &change)
+}
+
+// answerOf sends a lookup for the hot key and returns the code of its refusal, empty when it was sent to the target.
+func (w *testWorker) answerOf(id types.TargetID, hot bool, epoch types.Epoch) types.Code {
+	request := lookup("r")
+	request.Service, request.Target, request.KeyHash = id.Service, id.Target, hotKey
+	request.HotKey, request.Slot, request.SlotEpoch = hot, hotSlot, epoch
+	reply := make(chan peer.DoAnswer, 1)
+	w.accept(context.Background(), inbound{request: request, reply: reply})
+	select {
+	case a := <-reply:
+		return a.Failure.Code
+	default:
+		return ""
+	}
+}
+
+func hotRow(epoch types.Epoch) ownedRow {
+	return ownedRow{slotRow: slotRow{key: hotKey, hot: true}, epoch: epoch}
+}
+
+// Guards against a hot key that is refused for ever because its slot left another target of the same dispatcher.
+func TestHotKeyStaysWhenItsSlotLeavesTheNeighbour(t *testing.T) {
+	is := is.New(t)
+	w := newKeyedWorker(t)
+	defer func() { _ = w.group.Stop(context.Background()) }()
+	slot := ownedRow{slotRow: slotRow{slot: hotSlot}, epoch: 4}
+	w.serve(keyedTarget, serveChange{number: 1, owned: []ownedRow{slot}, excepted: []types.KeyHash{hotKey}})
+	w.serve(neighbour, serveChange{number: 1, owned: []ownedRow{hotRow(5)}})
+	is.Equal(w.answerOf(keyedTarget, false, 4), types.CodeStaleEpoch)
+	w.serve(keyedTarget, serveChange{number: 2, released: []ownedRow{slot}, unexcepted: []types.KeyHash{hotKey}})
+	is.Equal(w.answerOf(neighbour, true, 5), types.Code(""))
+}
+
+// Guards against a key that is refused for ever after its hot-key row was removed, in whatever order the targets learn.
+func TestRemovedHotKeyRowGivesTheKeyBackToItsSlot(t *testing.T) {
+	for _, ownerFirst := range []bool{true, false} {
+		is := is.New(t)
+		w := newKeyedWorker(t)
+		slot := ownedRow{slotRow: slotRow{slot: hotSlot}, epoch: 4}
+		w.serve(keyedTarget, serveChange{number: 1, owned: []ownedRow{slot}, excepted: []types.KeyHash{hotKey}})
+		w.serve(neighbour, serveChange{number: 1, owned: []ownedRow{hotRow(5)}})
+		gone := hotRow(5)
+		gone.removed = true
+		ofOwner := func() { w.serve(neighbour, serveChange{number: 2, released: []ownedRow{gone}}) }
+		if ownerFirst {
+			ofOwner()
+		}
+		w.serve(keyedTarget, serveChange{number: 2, unexcepted: []types.KeyHash{hotKey}})
+		if !ownerFirst {
+			ofOwner()
+		}
+		is.Equal(w.answerOf(keyedTarget, false, 4), types.Code(""))
+		is.NoErr(w.group.Stop(context.Background()))
+	}
+}
+
+// Guards against a slot owner that goes on serving a key after the key got a row of its own, and against a release that
+// does not tell whether the row is gone or has moved.
+func TestKeeperTellsHotKeyExceptions(t *testing.T) {
+	is := is.New(t)
+	k, w := newTestKeeper(t)
+	plain := &ownership.Areas{Slots: []ownership.SlotRange{{First: hotSlot, Count: 1, Epoch: 4}}}
+	excepted := &ownership.Areas{Slots: plain.Slots, Except: []types.KeyHash{hotKey}}
+	owned := &ownership.Areas{Slots: plain.Slots, Keys: []ownership.KeyArea{{Key: hotKey, Epoch: 5}}}
+	step := func(number uint64, areas *ownership.Areas) *serveChange {
+		k.serve(context.Background(), ownership.Serve{
+			Target: keyedTarget, Epoch: 1, Number: number, Areas: areas, ValidUntil: telemetry.Now(),
+		})
+		m, ok := w.controls.TryGet()
+		is.True(ok)
+		return m.serve
+	}
+	is.Equal(len(step(1, plain).owned), 1)
+	is.Equal(step(2, excepted).excepted, []types.KeyHash{hotKey})
+	c := step(3, owned)
+	is.Equal(c.unexcepted, []types.KeyHash{hotKey})
+	is.Equal(c.owned[0].slotEpoch, types.Epoch(0)) // a key outside the slot's hash range knows no slot epoch
+	c = step(4, plain)
+	is.Equal(len(c.released), 1)
+	is.True(c.released[0].removed) // the table holds no row
+}
--- a/daemon/dispatcher/serve.go
+++ b/daemon/dispatcher/serve.go
@@ -26,6 +26,8 @@
 	slotEpoch types.Epoch
 	// next is the VM of the dispatcher that takes a released row over, empty when it is not known.
 	next types.VM
+	// removed is true for a released hot key whose row is gone from the table.
+	removed bool
 }
 
 // serveChange tells the dispatch duty what it may send to one target.
@@ -90,7 +92,9 @@
 	for row, epoch := range old {
 		if _, kept := current[row]; !kept {
 			released := ownedRow{slotRow: row, epoch: epoch}
-			released.next = k.successor(c.target, rows(row))
+			stored := rows(row)
+			released.next = k.successor(c.target, stored)
+			released.removed = row.hot && stored == ownership.Ownership{}
 			c.released = append(c.released, released)
 		}
 	}
--- a/daemon/dispatcher/tenure.go
+++ b/daemon/dispatcher/tenure.go
@@ -61,7 +61,9 @@
 
 func (w *worker) applyReleased(ctx context.Context, c *serveChange) {
 	for _, row := range c.released {
-		w.step(ctx, slotMessage(dispatch.MessageSlotReleased, c.target, row, 0))
+		message := slotMessage(dispatch.MessageSlotReleased, c.target, row, 0)
+		message.Slot.Removed = row.removed
+		w.step(ctx, message)
 	}
 	// A hot key that is known but not owned goes before its slot, so that requests for it are refused.
 	for _, key := range c.excepted {
@@ -154,8 +156,8 @@
 		if w.busyOutside(d) {
 			continue
 		}
+		w.startHandovers(d)
 		if len(d.handovers) > 0 {
-			w.startHandovers(d)
 			continue
 		}
 		if w.drained(ownership.Drained{Target: target, Number: d.number}) {
--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -83,6 +83,9 @@
 	// toPlanner passes a load report to the planner of this process.
 	toPlanner func(*peer.LoadReport)
 
+	// connect returns a client with a connection of its own.
+	connect func(address string) target.Client
+
 	core      *dispatch.Core
 	addresses map[types.TargetID]string
 	peers     *peerSet
@@ -126,6 +129,7 @@
 		controls:     ring.New[workerControl](controlRingCapacity),
 		log:          log,
 		metrics:      metrics,
+		connect:      connectHTTP,
 		core:         dispatch.New(&config.Configuration{}, vm, rand.NewPCG(seed, seed)),
 		addresses:    make(map[types.TargetID]string),
 		payloads:     make(map[dispatch.Handle]*payload),
@@ -147,6 +151,11 @@
 	}
 }
 
+// connectHTTP returns a client that connects on its first call.
+func connectHTTP(address string) target.Client {
+	return target.NewHTTP(target.Options{Address: address})
+}
+
 func (w *worker) duty() duty.Duty {
 	return duty.Duty{
 		Name: "dispatch",
@@ -473,7 +482,7 @@
 	if s, ok := w.senders[key]; ok {
 		return s
 	}
-	client := target.NewHTTP(target.Options{Address: w.addresses[a.Target]})
+	client := w.connect(w.addresses[a.Target])
 	s := newSender(a.Target, a.Connection, client, w.results)
 	_ = w.group.Launch(context.WithoutCancel(ctx), s.duty())
 	w.senders[key] = s
--- a/daemon/gateway/state.go
+++ b/daemon/gateway/state.go
@@ -53,11 +53,13 @@
 	if c.Members != nil || len(c.Documents) > 0 {
 		out.messages = append(out.messages, t.members(c.Revision))
 	}
-	t.gw.publish(c)
-	if len(out.messages) == 0 {
-		return nil
+	if len(out.messages) > 0 {
+		if err := t.gw.router.controls.Put(ctx, out); err != nil {
+			return err
+		}
 	}
-	return t.gw.router.controls.Put(ctx, out)
+	t.gw.publish(c) // operators wait for this page, so it must not run ahead of the router
+	return nil
 }
 
 func (t *translator) configure(c *config.Configuration, out *control) {
--- a/dispatch/lease.go
+++ b/dispatch/lease.go
@@ -112,7 +112,10 @@
 	svc := t.service
 	switch {
 	case s.Hot && s.Removed:
-		delete(svc.hot, s.Key)
+		// A target that no longer owns the key's slot knows nothing of the row, which another target may own here.
+		if row := svc.hot[s.Key]; !row.owned || row.target == t.index {
+			delete(svc.hot, s.Key)
+		}
 	case s.Hot:
 		if row, known := svc.hot[s.Key]; known && row.target == t.index && row.epoch <= s.Epoch {
 			row.owned = false
