--- a/daemon/dispatcher/fixture_test.go
+++ b/daemon/dispatcher/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -102,7 +103,7 @@
 func lookup(id types.RequestID) *peer.DoRequest {
 	return &peer.DoRequest{
 		RequestID: id, Caller: "caller", Service: unkeyedTarget.Service, Target: unkeyedTarget.Target, Key: "key",
-		LeaseEpoch: 1, Class: types.ClassLookup, Idempotent: true, RemainingNs: int64(time.Minute), Method: "GET", Path: "/",
+		LeaseEpoch: 1, Class: types.ClassLookup, Idempotent: true, RemainingNs: int64(2 * time.Second), Method: "GET", Path: "/",
 	}
 }
 
@@ -111,7 +112,7 @@
 	target.Client
 	do     func(ctx context.Context, r target.Request) (target.Response, error)
 	grant  func(target.GrantRequest) (target.GrantAnswer, error)
-	closed int
+	closed atomic.Int64
 }
 
 func (f *fakeTarget) Do(ctx context.Context, r target.Request) (target.Response, error) {
@@ -125,7 +126,7 @@
 	return f.grant(g)
 }
 
-func (f *fakeTarget) CloseConnection() { f.closed++ }
+func (f *fakeTarget) CloseConnection() { f.closed.Add(1) }
 
 func failure(kind target.Kind, written bool) *target.Failure {
 	return &target.Failure{Kind: kind, BytesWritten: written, Fault: types.NewFault(types.CodeTargetFailed, "test")}
--- /dev/null
+++ b/daemon/dispatcher/lease_test.go
@@ -0,0 +1,79 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiasail.example/ownership"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/target"
+	"sequoiasail.example/types"
+)
+
+func testCall() ownership.TargetCall {
+	return ownership.TargetCall{
+		Target: keyedTarget, Kind: ownership.CallGrant, Number: 4, Epoch: 9, Token: 3, Incarnation: 2, TTLMs: 700,
+		Areas: &ownership.Areas{
+			Slots:  []ownership.SlotRange{{First: 1, Count: 2, Epoch: 5}},
+			Except: []types.KeyHash{77}, Keys: []ownership.KeyArea{{Key: 78, Epoch: 6}},
+		},
+		Deadline: telemetry.Now().Add(time.Minute),
+	}
+}
+
+// Guards against a refusal of a target that is taken for another one: an ended grant must not be renewed, and only a
+// call without an answer leaves in doubt whether it took effect.
+func TestGrantRefusalsAreToldApart(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		err    error
+		want   ownership.CallStatus
+		closed int64
+	}{
+		{"accepted", nil, ownership.CallAccepted, 0},
+		{"stale token", types.NewFault(types.CodeStaleToken, "test"), ownership.CallStaleToken, 0},
+		{"stale epoch", types.NewFault(types.CodeStaleEpoch, "test"), ownership.CallStaleEpoch, 0},
+		{"ended grant", types.NewFault(types.CodeNotHolder, "test"), ownership.CallExpired, 0},
+		{"timeout", types.NewFault(types.CodeTimeout, "test"), ownership.CallFailed, 1},
+		{"broken", types.NewFault(types.CodeTargetFailed, "test"), ownership.CallFailed, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			client := &fakeTarget{grant: func(target.GrantRequest) (target.GrantAnswer, error) {
+				return target.GrantAnswer{Token: 8, Incarnation: 2}, c.err
+			}}
+			result := (&leaseCaller{client: client}).make(t.Context(), testCall())
+			is.Equal(result.Status, c.want)
+			is.Equal(result.Number, uint64(4))
+			is.Equal(result.Token, ownership.Token(8))
+			is.Equal(client.closed.Load(), c.closed) // a silent connection is not used again
+		})
+	}
+}
+
+// Guards against a grant that leaves out an exception, a hot key or the token that dates it.
+func TestGrantCarriesAreasAndAuthority(t *testing.T) {
+	is := is.New(t)
+	var got target.GrantRequest
+	client := &fakeTarget{grant: func(g target.GrantRequest) (target.GrantAnswer, error) {
+		got = g
+		return target.GrantAnswer{}, nil
+	}}
+	(&leaseCaller{client: client}).make(t.Context(), testCall())
+	is.Equal(got.Authority, target.Authority{LeaseEpoch: 9, Token: 3, Incarnation: 2})
+	is.Equal(got.TTL, 700*time.Millisecond)
+	is.Equal(got.Slots, []target.SlotRun{{Start: 1, Count: 2, Epoch: 5}})
+	is.Equal(got.Except, []types.KeyHash{77})
+	is.Equal(got.HotKeys, []target.HotKey{{Hash: 78, Epoch: 6}})
+}
+
+// Guards against a grant that is sent after the core has given up its call.
+func TestLateCallIsNotSent(t *testing.T) {
+	is := is.New(t)
+	call := testCall()
+	call.Deadline = telemetry.Now()
+	result := (&leaseCaller{client: &fakeTarget{}}).make(t.Context(), call) // a grant would panic
+	is.Equal(result.Status, ownership.CallFailed)
+}
--- /dev/null
+++ b/daemon/dispatcher/sender_test.go
@@ -0,0 +1,103 @@
+package dispatcher
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiasail.example/dispatch"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/target"
+	"sequoiasail.example/types"
+)
+
+func testSend() send {
+	return send{
+		ctx: context.Background(), handle: 3, attempt: 2, epoch: 1, request: lookup("r"),
+		deadline: telemetry.Now().Add(time.Minute), validUntil: telemetry.Now().Add(time.Minute),
+	}
+}
+
+// Guards against a failure that counts as not run although bytes were written: a second run of an order would follow.
+func TestFailuresKeepWhatMayHaveRun(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		err     error
+		want    dispatch.ResultKind
+		notSent bool
+	}{
+		{"not written", failure(target.KindNotWritten, false), dispatch.ResultNotWritten, true},
+		{"refused", failure(target.KindRefused, true), dispatch.ResultRefused, true},
+		{"broken", failure(target.KindWritten, true), dispatch.ResultBroken, false},
+		{"cut answer", failure(target.KindBodyCut, true), dispatch.ResultCutBody, false},
+		{"bad answer", failure(target.KindBadAnswer, true), dispatch.ResultCutBody, false},
+		{"timeout before a byte", failure(target.KindTimeout, false), dispatch.ResultNotWritten, true},
+		{"timeout after bytes", failure(target.KindTimeout, true), dispatch.ResultTimedOut, false},
+		{"cancelled before a byte", failure(target.KindCancelled, false), dispatch.ResultNotWritten, true},
+		{"cancelled after bytes", failure(target.KindCancelled, true), dispatch.ResultTimedOut, false},
+		{"another error", types.NewFault(types.CodeInternal, "test"), dispatch.ResultBroken, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSender(unkeyedTarget, 1, &fakeTarget{do: func(context.Context, target.Request) (target.Response, error) {
+				return target.Response{}, c.err
+			}}, nil)
+			out := s.do(testSend())
+			is.Equal(out.result.Kind, c.want)
+			is.Equal(out.result.Attempt, dispatch.Attempt(2))
+			is.Equal(out.result.Connection, 1)
+			is.True(out.answer == nil)
+			notSent := out.result.Kind == dispatch.ResultNotWritten || out.result.Kind == dispatch.ResultRefused
+			is.Equal(notSent, c.notSent)
+		})
+	}
+}
+
+// Guards against a send after the right to send has ended, for example because the VM was paused before the write.
+func TestNothingIsWrittenAfterTheLeaseEnded(t *testing.T) {
+	is := is.New(t)
+	s := newSender(unkeyedTarget, 1, &fakeTarget{do: func(context.Context, target.Request) (target.Response, error) {
+		t.Error("the request was written")
+		return target.Response{}, nil
+	}}, nil)
+	m := testSend()
+	m.validUntil = telemetry.Now()
+	is.Equal(s.do(m).result.Kind, dispatch.ResultNotWritten)
+}
+
+// Guards against an idle target whose report counts as missing, and the other way round.
+func TestAnswerCarriesTheReport(t *testing.T) {
+	is := is.New(t)
+	response := target.Response{Status: 201, Body: []byte("b"), Incarnation: 7, Load: target.Load{Slots: 4}}
+	s := newSender(unkeyedTarget, 1, &fakeTarget{do: func(context.Context, target.Request) (target.Response, error) {
+		return response, nil
+	}}, nil)
+	out := s.do(testSend())
+	is.Equal(out.result.Kind, dispatch.ResultAnswered)
+	is.Equal(out.result.Load, 0)
+	is.Equal(out.result.Incarnation, types.Incarnation(7))
+	is.Equal(out.answer.status, 201)
+	is.Equal(string(out.answer.body), "b")
+	response.Load = target.Load{}
+	is.Equal(s.do(testSend()).result.Load, dispatch.LoadUnknown)
+}
+
+// Guards against a connection that the core gave up and that is used again.
+func TestFreshSendsAndCloseRequestsCloseTheConnection(t *testing.T) {
+	is := is.New(t)
+	client := &fakeTarget{}
+	s := newSender(unkeyedTarget, 1, client, ring.New[sent](4))
+	m := testSend()
+	s.do(m)
+	is.Equal(client.closed.Load(), int64(0))
+	m.fresh = true
+	s.do(m)
+	is.Equal(client.closed.Load(), int64(1))
+	is.NoErr(s.in.TryPut(send{})) // a close request
+	s.in.Close()
+	is.NoErr(s.run(context.Background()))
+	is.Equal(client.closed.Load(), int64(3)) // the request's and the one at the end
+}
