--- a/daemon/dispatcher/serve.go
+++ b/daemon/dispatcher/serve.go
@@ -200,8 +200,10 @@
 			added = append(added, key)
 		}
 	}
+	owned := epochsOf(after)
 	for _, key := range old {
-		if !slices.Contains(current, key) {
+		_, own := owned[slotRow{key: key, hot: true}] // a key of the target's own is excepted from its slots too
+		if !own && !slices.Contains(current, key) {
 			removed = append(removed, key)
 		}
 	}
