fleettest: a small fleet in the test process and what happens when its parts fail

Change: daemon/fleettest starts real gateways and dispatchers with the stand-in store and targets on loopback, on ports chosen by the kernel, and checks the targets' journals: orders run at most once, refusals are true, lease epochs never go back, no two targets run one key at the same time. Ruled out: the condition 'drained' of the status page as a sign that a target gets no work; a target that is taken over while it is warm and out of service is shown as healthy.

--- /dev/null
+++ b/daemon/fleettest/caller_test.go
@@ -0,0 +1,125 @@
+package fleettest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	standintarget "sequoiasail.example/standin/target"
+	"sequoiasail.example/types"
+)
+
+// requestTimeout is above the configured one, so that the gateway's answer decides.
+const requestTimeout = 2 * lateAfterMs * time.Millisecond
+
+type caller struct{ client *http.Client }
+
+func newCaller() *caller {
+	const connections = 16
+	transport := &http.Transport{MaxIdleConnsPerHost: connections}
+	return &caller{client: &http.Client{Timeout: requestTimeout, Transport: transport}}
+}
+
+func (c *caller) close() { c.client.CloseIdleConnections() }
+
+// job is one request of a caller.
+type job struct {
+	service types.Service
+	key     string
+	// id is empty for a lookup.
+	id string
+	// minted is when the caller created the request.
+	minted time.Time
+}
+
+// reply is what a caller got. A request without an answer has the outcome unknown.
+type reply struct {
+	job      job
+	outcome  string
+	code     string
+	replayed bool
+	body     []byte
+	state    standintarget.KeyState
+}
+
+func (r reply) done() bool { return r.outcome == types.OutcomeDone.String() }
+
+func (r reply) notRun() bool { return r.outcome == types.OutcomeNotRun.String() }
+
+// call sends j to the gateway of v.
+func (c *caller) call(ctx context.Context, v *vm, j job) reply {
+	r := reply{job: j, outcome: types.OutcomeUnknown.String()}
+	response, err := c.client.Do(c.request(ctx, v, j))
+	if err != nil {
+		r.code = "no-answer"
+		return r
+	}
+	defer response.Body.Close()
+	if r.body, err = io.ReadAll(response.Body); err != nil {
+		r.code = "cut-answer"
+		return r
+	}
+	r.outcome = response.Header.Get("Sail-Outcome")
+	r.replayed = response.Header.Get("Sail-Replayed") != ""
+	if r.done() {
+		_ = json.Unmarshal(r.body, &r.state)
+		return r
+	}
+	var failure struct{ Code string }
+	_ = json.Unmarshal(r.body, &failure)
+	r.code = failure.Code
+	return r
+}
+
+func (c *caller) request(ctx context.Context, v *vm, j job) *http.Request {
+	method, body := http.MethodGet, []byte(nil)
+	if j.id != "" {
+		method, body = http.MethodPost, []byte(`{"note":"`+j.key+`"}`)
+	}
+	url := "http://" + v.callers + "/v1/" + string(j.service) + "/" + j.key
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	request.Header.Set("Sail-Caller", "fleettest")
+	if j.id != "" {
+		request.Header.Set("Idempotency-Key", j.id)
+		request.Header.Set("Request-Time", j.minted.Format(time.RFC3339Nano))
+	}
+	return request
+}
+
+func (c *caller) readJSON(ctx context.Context, url string, v any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	return c.exchange(request, v)
+}
+
+func (c *caller) postJSON(ctx context.Context, url string, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return c.exchange(request, &struct{}{})
+}
+
+func (c *caller) exchange(request *http.Request, v any) error {
+	response, err := c.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return types.NewFault(types.CodeInternal, "%s answers %s", request.URL, response.Status)
+	}
+	return json.NewDecoder(response.Body).Decode(v)
+}
--- /dev/null
+++ b/daemon/fleettest/setup_test.go
@@ -0,0 +1,92 @@
+package fleettest
+
+import (
+	"fmt"
+
+	"sequoiasail.example/config"
+	standintarget "sequoiasail.example/standin/target"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+const (
+	keyedTargets   = 4
+	unkeyedTargets = 2
+	targetSlots    = 4
+	targetWarmMs   = 50
+	coldStartMs    = 100
+	// lateAfterMs lets requests outlast a takeover, which takes 3 s at most by the design.
+	lateAfterMs = 6000
+	tableSlots  = 64
+)
+
+// targetSettings lists the targets in the order of their names. They are spread over the data centres in turn.
+func targetSettings() []standintarget.Settings {
+	var out []standintarget.Settings
+	add := func(service types.Service, count int, isKeyed bool) {
+		for n := range count {
+			s := standintarget.DefaultSettings()
+			s.Service, s.Name = string(service), fmt.Sprintf("%s-%d", service, n+1)
+			s.Slots, s.WarmMs, s.Keyed = targetSlots, targetWarmMs, isKeyed
+			s.JournalReads = true
+			s.Seed = uint64(len(out)) + 1
+			out = append(out, s)
+		}
+	}
+	add(keyed, keyedTargets, true)
+	add(unkeyed, unkeyedTargets, false)
+	return out
+}
+
+func (f *fleet) answers() config.Answers {
+	a := config.Answers{Team: "fleettest"}
+	a.SetDefaults()
+	for _, name := range []types.DataCentre{centreA, centreB} {
+		d := config.DataCentreAnswer{Name: name, Region: "test"}
+		d.SetDefaults()
+		a.DataCentres = append(a.DataCentres, d)
+	}
+	a.Services = []config.ServiceAnswer{f.service(keyed, true, keyedTargets), f.service(unkeyed, false, unkeyedTargets)}
+	return a
+}
+
+func (f *fleet) service(name types.Service, isKeyed bool, targets int) config.ServiceAnswer {
+	s := config.ServiceAnswer{Name: name}
+	s.SetDefaults()
+	s.Keyed, s.ChecksGrants = isKeyed, true
+	cold := int64(coldStartMs)
+	s.ColdStartMs = &cold
+	if slots := uint32(tableSlots); isKeyed {
+		s.TableSlots, s.CutOff = &slots, config.CutOffMove
+	}
+	s.Target = config.TargetDefaults{Slots: targetSlots, Connections: 110}
+	for n := range targets {
+		t := config.TargetAnswer{}
+		t.SetDefaults()
+		t.Name = types.Target(fmt.Sprintf("%s-%d", name, n+1))
+		t.DataCentre = []types.DataCentre{centreA, centreB}[n%2]
+		t.Address = f.targets[types.TargetID{Service: name, Target: t.Name}]
+		s.Targets = append(s.Targets, t)
+	}
+	for _, class := range []string{"lookup", "order"} {
+		r := config.RequestAnswer{Class: class}
+		r.SetDefaults()
+		r.LateAfterMs, r.MayRunTwice = lateAfterMs, class == "lookup"
+		s.Requests = append(s.Requests, r)
+	}
+	return s
+}
+
+// applyConfiguration stores the first configuration.
+func (f *fleet) applyConfiguration(version types.Version) {
+	f.t.Helper()
+	c, err := config.Generate(f.answers())
+	f.NoErr(err)
+	f.configuration = c.Accept(version)
+	_, err = f.operator.CAS(f.ctx, store.Write{
+		Key:     config.KeyCurrent,
+		Value:   config.Canonical(f.configuration),
+		WriteID: "fleettest-configuration",
+	})
+	f.NoErr(err)
+}
