--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -70,7 +70,7 @@
 	d.worker.drained = d.keeper.drained
 	d.placer = newPlacer(d.keeper.in, d.base.Log, d.base.Metrics)
 	d.worker.toPlanner = d.placer.takeReport
-	d.links = process.NewLinks(d.publishLinks)
+	d.links = process.NewLinks(d.base.Identity, d.publishLinks)
 	return d, d.addDuties(self)
 }
 
@@ -78,13 +78,10 @@
 // moved before anything else stops, then the peers' listener.
 func (d *Dispatcher) addDuties(self ownership.Self) error {
 	s := d.settings
-	storeClient := store.NewHTTP(store.Options{
-		Address: string(s.StoreAddress),
-		Name:    string(s.VM),
-		Timeout: s.StoreTimeoutMs.Duration(),
-	})
+	storeClient := store.Connect(string(s.StoreAddress), string(s.VM), s.StoreTimeoutMs.Duration())
 	server := peer.NewServer(string(s.PeerAddress))
 	server.Listen = d.base.Listen
+	server.Secure(d.base.Identity.PeerListener)
 	mirror := process.NewMirror()
 	services := map[string]any{
 		"Dispatch": &dispatchService{worker: d.worker},
@@ -112,14 +109,10 @@
 		Knowledge: process.NewKnowledge(d.base.Log),
 		Mirror:    mirror,
 		Peers:     s.Peers,
+		Identity:  d.base.Identity,
 		Deliver:   d.deliver,
 	}
-	ops := &process.HTTPServer{
-		Name:    "ops",
-		Address: string(s.OpsAddress),
-		Handler: telemetry.OpsHandler(d.base.Metrics, d.readStatus),
-		Listen:  d.base.Listen,
-	}
+	ops := d.base.OpsServer(string(s.OpsAddress), d.readStatus)
 	d.publishRings()
 
 	d.base.Group.Add(ops.Duty())
@@ -224,9 +217,15 @@
 	}
 	d.links.Set(d.roster.peers(d.settings.VM))
 	set := &peerSet{members: d.roster.rows(), centres: d.centres}
-	if err := d.worker.controls.Put(ctx, workerControl{peers: set, taken: d.drains(c.Ops)}); err != nil {
+	if err := d.worker.controls.Put(ctx, workerControl{peers: set, taken: d.drains(d.roster.ops)}); err != nil {
 		return err
 	}
+	if c.Ops != nil || c.Config != nil {
+		out := ownership.Message{Kind: ownership.KindTargetsOut, Out: d.takenOut(d.roster.ops)}
+		if err := d.keeper.in.Put(ctx, keeperInput{message: out}); err != nil {
+			return err
+		}
+	}
 	message := ownership.Message{Kind: ownership.KindMembers, Members: d.roster.members()}
 	return d.keeper.in.Put(ctx, keeperInput{message: message})
 }
@@ -251,6 +250,17 @@
 	return out
 }
 
+// takenOut lists the targets that operators have taken out.
+func (d *Dispatcher) takenOut(ops *process.Operations) []types.TargetID {
+	var out []types.TargetID
+	for id, taken := range d.drains(ops) {
+		if taken {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // publishLinks runs on the links duty.
 func (d *Dispatcher) publishLinks(links map[types.VM]*peer.Link) {
 	ctx := context.Background()
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -50,7 +50,7 @@
 	g.page = telemetry.NewPage(g.status)
 	g.stats = newStats(g.base.Metrics)
 	g.router = newRouter(s.DataCentre, g.base.Log, g.stats)
-	g.links = process.NewLinks(g.publishLinks)
+	g.links = process.NewLinks(g.base.Identity, g.publishLinks)
 	g.addDuties()
 	return g
 }
@@ -59,25 +59,17 @@
 // request arrives at a router that has stopped.
 func (g *Gateway) addDuties() {
 	s := g.settings
-	storeClient := store.NewHTTP(store.Options{
-		Address: string(s.StoreAddress),
-		Name:    string(s.VM),
-		Timeout: s.StoreTimeoutMs.Duration(),
-	})
+	storeClient := store.Connect(string(s.StoreAddress), string(s.VM), s.StoreTimeoutMs.Duration())
 	translator := newTranslator(g)
 	watch := &process.Watch{
 		Store:     storeClient,
 		Knowledge: process.NewKnowledge(g.base.Log),
 		Peers:     s.Peers,
+		Identity:  g.base.Identity,
 		Deliver:   translator.deliver,
 	}
 	registration := &process.Registration{Store: storeClient, Member: g.member, Log: g.base.Log}
-	ops := &process.HTTPServer{
-		Name:    "ops",
-		Address: string(s.OpsAddress),
-		Handler: telemetry.OpsHandler(g.base.Metrics, g.readStatus),
-		Listen:  g.base.Listen,
-	}
+	ops := g.base.OpsServer(string(s.OpsAddress), g.readStatus)
 	callers := &process.HTTPServer{
 		Name:    "callers",
 		Address: string(s.CallerAddress),
--- a/daemon/process/process.go
+++ b/daemon/process/process.go
@@ -11,6 +11,7 @@
 
 	"sequoiasail.example/duty"
 	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/identity"
 	"sequoiasail.example/transport/peer"
 	"sequoiasail.example/types"
 )
@@ -37,12 +38,14 @@
 	return o
 }
 
-// Base is what every process has: its log, metrics, group of duties and way to listen.
+// Base is what every process has: its log, metrics, group of duties, identity and way to listen.
 type Base struct {
 	Listen  peer.Listen
 	Log     *telemetry.Log
 	Metrics *telemetry.Metrics
 	Group   *duty.Group
+	// Identity is nil when the settings have no TLS.
+	Identity *identity.Source
 }
 
 // NewBase returns the base of a process with the given role. Lines of the standard logger, which net/http and net/rpc
@@ -56,6 +59,7 @@
 	b.Group.Add(l.Duty())
 	b.Metrics.Gauge("sail_log_dropped_total", func() float64 { return float64(l.Dropped()) })
 	b.Metrics.Gauge("sail_log_depth", func() float64 { return float64(l.Depth()) })
+	b.addIdentity(s)
 	return b
 }
 
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -25,10 +25,12 @@
 // request is a request without a final result.
 type request struct {
 	Request
-	handle     Handle
-	target     int32
-	state      state
-	attempt    Attempt
+	handle  Handle
+	target  int32
+	state   state
+	attempt Attempt
+	// written counts the attempts of which the target may have seen something.
+	written    int
 	connection int32
 	// uncertain is true when an earlier attempt may have run.
 	uncertain bool
@@ -41,6 +43,10 @@
 	// sentAt is the time of the last send.
 	sentAt types.Instant
 
+	// atHome is whether the target is the identifier's home by the set homeVersion of the service.
+	atHome      bool
+	homeVersion uint32
+
 	callerQueue int32
 	next, prev  int32 // in the caller's queue, or in the list of resends
 	entry       int32 // in the deduplication table, or none
@@ -201,5 +207,5 @@
 
 // delay returns the time before the next attempt.
 func (r *request) delay(random Random) time.Duration {
-	return jittered(retryBase, retryMax, int(r.attempt), random)
+	return jittered(retryBase, retryMax, r.written, random)
 }
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -42,6 +42,9 @@
 	}
 	r.state = stateWaiting
 	r.until = 0
+	if res.Kind != ResultNotWritten && res.Kind != ResultNotStarted {
+		r.written++
+	}
 	c.slotLanded(t, r)
 }
 
@@ -83,6 +86,7 @@
 	t.responds(c.now)
 	c.noteIncarnation(t, res.Incarnation)
 	t.alive = true
+	t.survived(r.sentAt)
 	c.suspects.exonerate(t.service.index, r.Fingerprint)
 	t.observe(r.Class, res.Latency)
 	byClass := &t.byClass[r.Class]
@@ -173,8 +177,9 @@
 		c.retryOrFail(t, i, failure{types.CodeTargetRefused, ReasonRefusedByTarget})
 	case ResultNotWritten:
 		c.sendAgain(t, i)
+	case ResultNotStarted:
+		c.startAgain(t, i)
 	case ResultTimedOut:
-		c.checkResponds(t, r)
 		r.uncertain = true
 		f := failure{types.CodeDeadlineExceeded, ReasonDeadline}
 		if c.now < r.runUntil { // cancelled by the core, for example on a silent connection
--- a/ownership/holder.go
+++ b/ownership/holder.go
@@ -130,6 +130,7 @@
 	x.lease = row
 	if !h.mine(row) || row.State != LeaseActive || h.service(x.id.Service) == nil {
 		h.stop(x)
+		x.nextCall = h.now
 		if previous.State == LeaseActive {
 			h.decide(Decision{Reason: ReasonLeaseEnded, Service: x.id.Service, Target: x.id.Target, Epoch: previous.Epoch})
 		}
@@ -533,10 +534,11 @@
 	return expired && h.silentNow(x) && holds(&h.table, h.service(x.id.Service), x.id.Target, x.lease.Term)
 }
 
-// editSlots writes the next owner of the slots and hot keys that the held targets have released.
+// editSlots writes the next owner of the slots and hot keys that the held targets have released. It needs the permit: the
+// lease may have gone to another dispatcher, which has granted the slot again in the meantime.
 func (h *Holder) editSlots(e *slotEdit) {
 	for _, x := range h.held {
-		if x.id.Service != e.key.Service || !x.releasing || !h.confirmed(x) {
+		if x.id.Service != e.key.Service || !x.releasing || !h.confirmed(x) || !h.permit.held(x.group) {
 			continue
 		}
 		n := 0
