--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -43,8 +43,8 @@
 }
 
 // New assembles a dispatcher from checked settings. Nothing runs before Run.
-func New(s *Settings) (*Dispatcher, error) {
-	d := &Dispatcher{settings: s, base: process.NewBase(s.Settings, process.RoleDispatcher), roster: newRoster()}
+func New(s *Settings, o process.Options) (*Dispatcher, error) {
+	d := &Dispatcher{settings: s, base: process.NewBase(s.Settings, process.RoleDispatcher, o), roster: newRoster()}
 	d.member = process.Member{
 		VM:          s.VM,
 		Role:        process.RoleDispatcher,
@@ -80,6 +80,7 @@
 	s := d.settings
 	storeClient := store.Connect(string(s.StoreAddress), string(s.VM), s.StoreTimeoutMs.Duration())
 	server := peer.NewServer(string(s.PeerAddress))
+	server.Listen = d.base.Listen
 	server.Secure(d.base.Identity.PeerListener)
 	mirror := process.NewMirror()
 	services := map[string]any{
--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -83,6 +83,9 @@
 	// toPlanner passes a load report to the planner of this process.
 	toPlanner func(*peer.LoadReport)
 
+	// connect returns a client with a connection of its own.
+	connect func(address string) target.Client
+
 	core      *dispatch.Core
 	addresses map[types.TargetID]string
 	peers     *peerSet
@@ -126,6 +129,7 @@
 		controls:     ring.New[workerControl](controlRingCapacity),
 		log:          log,
 		metrics:      metrics,
+		connect:      connectHTTP,
 		core:         dispatch.New(&config.Configuration{}, vm, rand.NewPCG(seed, seed)),
 		addresses:    make(map[types.TargetID]string),
 		payloads:     make(map[dispatch.Handle]*payload),
@@ -147,6 +151,11 @@
 	}
 }
 
+// connectHTTP returns a client that connects on its first call.
+func connectHTTP(address string) target.Client {
+	return target.NewHTTP(target.Options{Address: address})
+}
+
 func (w *worker) duty() duty.Duty {
 	return duty.Duty{
 		Name: "dispatch",
@@ -205,7 +214,14 @@
 // waiting reports whether a caller waits for an answer.
 func (w *worker) waiting() bool { return len(w.active) > 0 || w.core.InFlight() > 0 }
 
+// stop answers everyone who still waits. Requests that were not taken from the ring were not run.
 func (w *worker) stop(ctx context.Context) {
+	w.requests.Close()
+	for m, ok := w.requests.TryGet(); ok; m, ok = w.requests.TryGet() {
+		if m.reply != nil {
+			m.reply <- refusal(types.CodeShuttingDown)
+		}
+	}
 	for _, p := range w.payloads {
 		if p.reply != nil {
 			p.reply <- peer.DoAnswer{Failure: peer.Failure{
@@ -466,7 +482,7 @@
 	if s, ok := w.senders[key]; ok {
 		return s
 	}
-	client := target.NewHTTP(target.Options{Address: w.addresses[a.Target]})
+	client := w.connect(w.addresses[a.Target])
 	s := newSender(a.Target, a.Connection, client, w.results)
 	_ = w.group.Launch(context.WithoutCancel(ctx), s.duty())
 	w.senders[key] = s
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -32,8 +32,8 @@
 }
 
 // New assembles a gateway from checked settings. Nothing runs before Run.
-func New(s *Settings) *Gateway {
-	g := &Gateway{settings: s, base: process.NewBase(s.Settings, process.RoleGateway)}
+func New(s *Settings, o process.Options) *Gateway {
+	g := &Gateway{settings: s, base: process.NewBase(s.Settings, process.RoleGateway, o)}
 	g.member = process.Member{
 		VM:          s.VM,
 		Role:        process.RoleGateway,
@@ -70,7 +70,12 @@
 	}
 	registration := &process.Registration{Store: storeClient, Member: g.member, Log: g.base.Log}
 	ops := g.base.OpsServer(string(s.OpsAddress), g.readStatus)
-	callers := &process.HTTPServer{Name: "callers", Address: string(s.CallerAddress), Handler: (&frontend{gw: g}).handler()}
+	callers := &process.HTTPServer{
+		Name:    "callers",
+		Address: string(s.CallerAddress),
+		Handler: (&frontend{gw: g}).handler(),
+		Listen:  g.base.Listen,
+	}
 	g.base.Metrics.Status(g.readStatus)
 	g.base.Metrics.Ring("router-requests", g.router.requests)
 	g.base.Metrics.Ring("router-results", g.router.results)
--- a/daemon/process/tls.go
+++ b/daemon/process/tls.go
@@ -21,6 +21,7 @@
 		Name:    "ops",
 		Address: address,
 		Handler: telemetry.OpsHandler(b.Metrics, read),
+		Listen:  b.Listen,
 		Secure:  b.Identity.PageListener,
 	}
 }
