--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"time"
@@ -15,6 +16,9 @@
 // LogCapacity is the number of lines that may wait for the log output.
 const LogCapacity = 8192
 
+// outputBuffer joins lines into one write, because a system call for each line costs more than the line.
+const outputBuffer = 64 << 10
+
 // lossReportInterval is how often dropped lines are reported.
 const lossReportInterval = time.Second
 
@@ -50,15 +54,18 @@
 // Log is the bounded log of one process.
 type Log struct {
 	ring   *ring.Ring[line]
+	output *bufio.Writer
 	logger *log.Logger
 	base   log.Fields
 }
 
 // NewLog returns a log that writes JSON lines to w. The fields of base appear in every line.
 func NewLog(w io.Writer, base log.Fields) *Log {
+	output := bufio.NewWriterSize(w, outputBuffer)
 	return &Log{
 		ring:   ring.New[line](LogCapacity),
-		logger: &log.Logger{Handler: json.New(w), Level: log.InfoLevel},
+		output: output,
+		logger: &log.Logger{Handler: json.New(output), Level: log.InfoLevel},
 		base:   base,
 	}
 }
@@ -115,6 +122,8 @@
 	for {
 		entry, ok := l.ring.TryGet()
 		if !ok {
+			// A failing output cannot be logged.
+			_ = l.output.Flush()
 			return
 		}
 		l.write(entry)
@@ -128,6 +137,7 @@
 	}
 	fields := log.Fields{"dropped": dropped - reported, "droppedTotal": dropped}
 	l.write(line{at: time.Now(), event: &Event{Level: log.WarnLevel, Message: "log lines dropped", Fields: fields}})
+	_ = l.output.Flush()
 	return dropped
 }
 
