daemon/dispatcher: do not pass a target's fencing refusal on as an answer

Ruled out: a crossed answer, the body was the target's own refusal. The request now counts as one that may have run: it is retried if it is idempotent, and unknown otherwise. TestFencedAnswerIsNotPassedOn fails without the check. scripts/faults.sh is the measurement that found it.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test model measure lint tidy fmt
+.PHONY: build demo test model measure faults lint tidy fmt
 
 build:
 	@mkdir -p .bin
@@ -16,6 +16,9 @@
 measure:
 	@bash scripts/measure.sh
 
+faults: build
+	@bash scripts/faults.sh
+
 lint:
 	@bash scripts/tools.sh
 	@bash scripts/lint.sh
--- a/cmd/internal/probe/command.go
+++ b/cmd/internal/probe/command.go
@@ -118,6 +118,7 @@
 	record   string
 	maxGap   time.Duration
 	keys     int
+	maxKey   time.Duration
 }
 
 // Name implements subcommands.Command.
@@ -130,8 +131,8 @@
 
 // Usage implements subcommands.Command.
 func (*LoadCommand) Usage() string {
-	return "load -config FILE -gateways LIST [-rate N] [-duration D] [-seed N] [-record FILE] [-max-gap D]\n" +
-		"Exit status 1 when an answer is wrong, a request got no answer, or a gap is longer than -max-gap.\n"
+	return "load -config FILE -gateways LIST [-rate N] [-duration D] [-seed N] [-record FILE] [-max-gap D] [-max-key-gap D]\n" +
+		"Exit status 1 when nothing was served, an answer is wrong, or a gap is longer than allowed.\n"
 }
 
 // SetFlags implements subcommands.Command.
@@ -141,6 +142,7 @@
 	f.IntVar(&c.workers, "workers", 64, "requests in progress at once")
 	f.DurationVar(&c.duration, "duration", 3*time.Second, "how long to send")
 	f.Uint64Var(&c.seed, "seed", 1, "seed of the choice of keys")
+	f.DurationVar(&c.maxKey, "max-key-gap", 0, "longest time without a done answer for a key; 0 for no limit")
 	f.IntVar(&c.keys, "keys", 200, "keys of each service")
 	f.StringVar(&c.name, "name", "probe", "start of every request identifier")
 	f.StringVar(&c.record, "record", "", "write the outcome of every write request to `FILE`")
@@ -205,6 +207,7 @@
 	complain(s.Total(types.OutcomeDone) == 0, "no request was served")
 	complain(s.Wrong() > 0, "%d answers do not belong to their requests", s.Wrong())
 	complain(c.maxGap > 0 && s.LongestGap() > c.maxGap, "longest gap %s is over %s", s.LongestGap(), c.maxGap)
+	complain(c.maxKey > 0 && s.LongestKeyGap() > c.maxKey, "longest gap of a key %s is over %s", s.LongestKeyGap(), c.maxKey)
 	return status
 }
 
--- a/cmd/internal/probe/summary.go
+++ b/cmd/internal/probe/summary.go
@@ -139,6 +139,17 @@
 	return gap
 }
 
+// LongestKeyGap returns the longest time between two done answers for one key.
+func (s *Summary) LongestKeyGap() time.Duration {
+	var gap time.Duration
+	for _, service := range s.services {
+		for _, g := range service.keyGaps {
+			gap = max(gap, g)
+		}
+	}
+	return gap
+}
+
 // Print writes a table.
 func (s *Summary) Print(w io.Writer) {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
--- a/cmd/sail-probe/main.go
+++ b/cmd/sail-probe/main.go
@@ -18,6 +18,7 @@
 	subcommands.Register(&probe.LoadCommand{}, "")
 	subcommands.Register(&probe.AuditCommand{}, "")
 	subcommands.Register(&probe.TargetsCommand{}, "")
+	subcommands.Register(&probe.FaultCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/daemon/dispatcher/sender.go
+++ b/daemon/dispatcher/sender.go
@@ -122,6 +122,11 @@
 		out.result.Kind = kindOf(err, &out.result)
 		return out
 	}
+	if fenced(response) {
+		// The grant ended while the request ran: the target gives no answer of its own, and may have run it.
+		out.result.Kind = dispatch.ResultCutBody
+		return out
+	}
 	out.result.Kind = dispatch.ResultAnswered
 	out.result.Status = response.Status
 	out.result.Incarnation = response.Incarnation
@@ -139,6 +144,16 @@
 	}}
 }
 
+// fenced reports whether the target refused to answer because the grant ended while the request ran.
+func fenced(r target.Response) bool {
+	switch types.Code(r.Header.Get(target.HeaderCode)) {
+	case types.CodeNotHolder, types.CodeStaleEpoch:
+		return true
+	default:
+		return false
+	}
+}
+
 // loadOf tells a report of an idle target from a missing report: only a report names the slots.
 func loadOf(l target.Load) int {
 	if l.Slots == 0 {
--- a/daemon/dispatcher/sender_test.go
+++ b/daemon/dispatcher/sender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -57,6 +58,18 @@
 	}
 }
 
+// Guards against a target's fencing refusal that reaches the caller as the answer to its request.
+func TestFencedAnswerIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	s := newSender(unkeyedTarget, 1, &fakeTarget{do: func(context.Context, target.Request) (target.Response, error) {
+		header := http.Header{target.HeaderCode: {string(types.CodeNotHolder)}}
+		return target.Response{Status: http.StatusConflict, Header: header}, nil
+	}}, nil)
+	out := s.do(testSend())
+	is.Equal(out.result.Kind, dispatch.ResultCutBody)
+	is.True(out.answer == nil)
+}
+
 // Guards against a send after the right to send has ended, for example because the VM was paused before the write.
 func TestNothingIsWrittenAfterTheLeaseEnded(t *testing.T) {
 	is := is.New(t)
