ownership: replace a sole quorum group member that leaves

Cause: a list grew only up to its size, and a leaver was removed only while enough others were live; the only member of a group that stops by plan stayed in the list alone, nobody heard the other VM, and the planner revoked its leases. Ruled out: removing it at once, nobody could confirm the change then. The list now grows by the number of leaving members first.

--- a/ownership/group.go
+++ b/ownership/group.go
@@ -52,7 +52,7 @@
 	if peer, ok = g.leaver(k, list); ok {
 		return without(list, peer), peer, true
 	}
-	if len(list) >= g.size(k) {
+	if len(list) >= g.size(k)+g.leaving(list) {
 		return nil, Peer{}, false
 	}
 	if peer, ok = g.joiner(k, list); !ok {
@@ -63,6 +63,18 @@
 	return next, peer, true
 }
 
+// leaving returns how many members are about to leave. A list grows by their number first: a sole member that leaves
+// could otherwise not be replaced while it can still confirm the change.
+func (g *Group) leaving(list []Peer) int {
+	n := 0
+	for _, p := range list {
+		if g.members.state(p) == MemberLeaving {
+			n++
+		}
+	}
+	return n
+}
+
 func without(list []Peer, p Peer) []Peer {
 	return slices.DeleteFunc(slices.Clone(list), func(x Peer) bool { return x == p })
 }
