--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -34,6 +34,7 @@
 bench routing 'Keyed|TwoChoices'
 bench placement 'Plan|Sketch'
 bench dispatch '.'
+bench dispatch/measure 'Measure'
 bench ring '.'
 bench transport/peer 'Call'
 finish
