Split long files, drain rings in one place, expand slot owners once

The expansion of slot runs to owners stood in the gateway and in the planner. Behaviour stays as it is.

--- /dev/null
+++ b/daemon/dispatcher/control.go
@@ -0,0 +1,68 @@
+package dispatcher
+
+import (
+	"context"
+
+	"sequoiasail.example/config"
+	"sequoiasail.example/dispatch"
+	"sequoiasail.example/types"
+)
+
+func (w *worker) takeControls(ctx context.Context) {
+	w.controls.Drain(func(m workerControl) { w.applyControl(ctx, m) })
+}
+
+func (w *worker) applyControl(ctx context.Context, m workerControl) {
+	if m.config != nil {
+		w.configure(m.config)
+		w.step(ctx, dispatch.Message{Kind: dispatch.MessageConfiguration, Configuration: m.config})
+	}
+	if m.peers != nil {
+		w.peers = m.peers
+	}
+	if m.links != nil {
+		w.links = m.links
+	}
+	if m.copied != nil {
+		w.storeCopy(ctx, m.copied)
+	}
+	for _, message := range m.messages {
+		w.step(ctx, message)
+	}
+	if m.planner != nil {
+		w.planner = *m.planner
+	}
+	if m.taken != nil {
+		w.applyTaken(ctx, m.taken)
+	}
+	w.applyPeerControl(ctx, m)
+}
+
+// applyPeerControl applies what belongs to leases and to other dispatchers.
+func (w *worker) applyPeerControl(ctx context.Context, m workerControl) {
+	if m.serve != nil {
+		w.applyServe(ctx, m.serve)
+	}
+	if m.handed != nil {
+		for i := range m.handed.Entries {
+			w.storeCopy(ctx, &m.handed.Entries[i])
+		}
+		w.takeHandover(m.handed)
+	}
+	if m.handover != nil {
+		w.handoverAnswered(m.handover)
+	}
+	if m.states != nil {
+		w.learnStates(m.states)
+	}
+}
+
+func (w *worker) configure(c *config.Configuration) {
+	for _, s := range c.Services {
+		w.keyed[s.Name] = s.Keyed
+		w.slots[s.Name] = s.Slots
+		for _, t := range s.Targets {
+			w.addresses[types.TargetID{Service: s.Name, Target: t.Name}] = t.Address
+		}
+	}
+}
--- a/daemon/dispatcher/keeper.go
+++ b/daemon/dispatcher/keeper.go
@@ -120,13 +120,7 @@
 }
 
 func (k *keeper) takeInputs(ctx context.Context) {
-	for {
-		m, ok := k.in.TryGet()
-		if !ok {
-			return
-		}
-		k.apply(ctx, m)
-	}
+	k.in.Drain(func(m keeperInput) { k.apply(ctx, m) })
 }
 
 func (k *keeper) apply(ctx context.Context, m keeperInput) {
@@ -172,11 +166,7 @@
 }
 
 func (k *keeper) takeBallots(ctx context.Context) {
-	for {
-		b, ok := k.ballots.TryGet()
-		if !ok {
-			return
-		}
+	k.ballots.Drain(func(b ballot) {
 		k.tickets++
 		k.waiting[k.tickets] = b.reply
 		b.message.Vouch.Ticket = k.tickets
@@ -184,7 +174,7 @@
 		k.step(ctx, b.message)
 		// The core answers within the step or not at all.
 		delete(k.waiting, k.tickets)
-	}
+	})
 }
 
 func (k *keeper) tick(ctx context.Context) {
--- /dev/null
+++ b/daemon/dispatcher/perform.go
@@ -0,0 +1,168 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+
+	"sequoiasail.example/dispatch"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/peer"
+	"sequoiasail.example/transport/target"
+	"sequoiasail.example/types"
+)
+
+// perform carries out the actions of the last step. What is known at once is applied afterwards.
+func (w *worker) perform(ctx context.Context) {
+	for i := range w.actions {
+		w.act(ctx, &w.actions[i])
+	}
+	for len(w.deferred) > 0 {
+		next := w.deferred[0]
+		w.deferred = w.deferred[1:]
+		w.applyResult(ctx, next)
+	}
+	for len(w.failed) > 0 {
+		handle := w.failed[0]
+		w.failed = w.failed[1:]
+		w.step(ctx, dispatch.Message{Kind: dispatch.MessageCopyDone, Handle: handle})
+	}
+}
+
+func (w *worker) act(ctx context.Context, a *dispatch.Action) {
+	switch a.Kind {
+	case dispatch.ActionSend:
+		w.send(ctx, a)
+	case dispatch.ActionCancelSend:
+		w.cancelSend(a)
+	case dispatch.ActionReply:
+		w.reply(a)
+	case dispatch.ActionStoreCopy:
+		w.copyEntry(a)
+	case dispatch.ActionForget:
+		delete(w.payloads, a.Handle)
+	case dispatch.ActionAnnounceQuarantine:
+		w.announce(a)
+	case dispatch.ActionCloseConnection:
+		w.closeConnection(a)
+	case dispatch.ActionReportTarget:
+		w.reportTarget(a)
+	case dispatch.ActionDecision:
+		w.decide(a)
+	}
+}
+
+func (w *worker) send(ctx context.Context, a *dispatch.Action) {
+	p, ok := w.payloads[a.Handle]
+	if !ok || p.request == nil {
+		return
+	}
+	w.admitted[a.Target]++
+	if w.keyed[a.Target.Service] {
+		w.meter.count(a.Target, p.request)
+	}
+	sendCtx, cancel := context.WithCancel(ctx)
+	if p.cancels == nil {
+		p.cancels = make(map[dispatch.Attempt]context.CancelFunc, 1)
+	}
+	p.cancels[a.Attempt] = cancel
+	err := w.senderFor(ctx, a).in.TryPut(send{
+		ctx:        sendCtx,
+		handle:     a.Handle,
+		attempt:    a.Attempt,
+		fresh:      a.Fresh,
+		deadline:   a.Deadline,
+		validUntil: a.ValidUntil,
+		epoch:      a.Epoch,
+		request:    p.request,
+	})
+	if err != nil {
+		w.deferred = append(w.deferred, sent{handle: a.Handle, result: dispatch.Result{
+			Attempt:    a.Attempt,
+			Connection: a.Connection,
+			Kind:       dispatch.ResultNotStarted,
+			Load:       dispatch.LoadUnknown,
+		}})
+	}
+}
+
+// senderFor returns the duty of a connection and starts it on first use.
+func (w *worker) senderFor(ctx context.Context, a *dispatch.Action) *sender {
+	key := connectionKey{target: a.Target, connection: a.Connection}
+	if s, ok := w.senders[key]; ok {
+		return s
+	}
+	client := w.connect(w.addresses[a.Target])
+	s := newSender(a.Target, a.Connection, client, w.results)
+	_ = w.group.Launch(context.WithoutCancel(ctx), s.duty())
+	w.senders[key] = s
+	return s
+}
+
+// connectHTTP returns a client that connects on its first call.
+func connectHTTP(address string) target.Client {
+	return target.NewHTTP(target.Options{Address: address})
+}
+
+func (w *worker) cancelSend(a *dispatch.Action) {
+	p, ok := w.payloads[a.Handle]
+	if !ok {
+		return
+	}
+	if cancel, ok := p.cancels[a.Attempt]; ok {
+		cancel()
+	}
+}
+
+func (w *worker) closeConnection(a *dispatch.Action) {
+	if s, ok := w.senders[connectionKey{target: a.Target, connection: a.Connection}]; ok {
+		_ = s.in.TryPut(send{})
+	}
+}
+
+func (w *worker) reply(a *dispatch.Action) {
+	p, ok := w.payloads[a.Handle]
+	if !ok || p.reply == nil {
+		return
+	}
+	out := peer.DoAnswer{Outcome: a.Outcome}
+	kept := w.payloads[a.Replay]
+	if a.Outcome == types.OutcomeDone && kept != nil && kept.answer != nil {
+		out.Status = kept.answer.status
+		out.Header = kept.answer.header
+		out.Body = kept.answer.body
+		out.Replayed = a.Replay != a.Handle
+	} else {
+		out.Failure = peer.Failure{Code: a.Code, Message: explain(a.Code)}
+	}
+	p.reply <- out
+	p.reply = nil
+	if w.active[keyOf(p.request)] == a.Handle {
+		delete(w.active, keyOf(p.request))
+	}
+}
+
+func (w *worker) reportTarget(a *dispatch.Action) {
+	w.metrics.Counter(fmt.Sprintf("sail_target_conditions_total{service=%q,condition=%q}", a.Target.Service, a.Condition)).Inc()
+	w.log.Decide(telemetry.Decision{
+		Kind:    "target-condition",
+		Service: string(a.Target.Service),
+		Target:  string(a.Target.Target),
+		Reason:  a.Condition.String(),
+	})
+	w.noteCondition(a.Target, a.Condition)
+	w.report(a.Target, a.Condition)
+}
+
+func (w *worker) decide(a *dispatch.Action) {
+	w.log.Decide(telemetry.Decision{
+		Kind:      "dispatch",
+		RequestID: string(a.ID),
+		Service:   string(a.Target.Service),
+		Target:    string(a.Target.Target),
+		KeyHash:   uint64(a.Key),
+		Epoch:     uint64(a.Epoch),
+		Reason:    a.Reason.String(),
+		Outcome:   a.Outcome.String(),
+		Code:      string(a.Code),
+	})
+}
--- a/daemon/dispatcher/placer.go
+++ b/daemon/dispatcher/placer.go
@@ -85,7 +85,7 @@
 	for {
 		select {
 		case <-p.in.Ready():
-			p.takeInputs()
+			p.in.Drain(p.apply)
 		case <-tick.C:
 			if err := p.plan(ctx); err != nil {
 				return nil
@@ -98,16 +98,6 @@
 	}
 }
 
-func (p *placer) takeInputs() {
-	for {
-		m, ok := p.in.TryGet()
-		if !ok {
-			return
-		}
-		p.apply(m)
-	}
-}
-
 func (p *placer) apply(m placerInput) {
 	if m.lead != nil {
 		p.step(placement.Message{Kind: placement.KindLead, Lead: *m.lead})
@@ -240,35 +230,17 @@
 }
 
 func (p *placer) installOwners(d ownership.Document) {
-	owners := &placement.Owners{
+	list := process.ListOwners(d.Slots, func(s ownership.SlotState) bool { return s != ownership.SlotFree })
+	p.step(placement.Message{Kind: placement.KindOwners, Owners: &placement.Owners{
 		Service:   d.Key.Service,
 		Revision:  types.Revision(d.Slots.Epoch),
 		FirstSlot: types.Slot(uint32(d.Key.Part) * ownership.SlotsPerDocument),
-	}
-	indexes := make(map[types.Target]uint16)
-	for _, run := range d.Slots.Runs {
-		index := placement.NoOwner
-		if run.State != ownership.SlotFree {
-			index = ownerIndex(owners, indexes, run.Owner)
-		}
-		for range run.Count {
-			owners.Owners = append(owners.Owners, index)
-		}
-	}
-	p.step(placement.Message{Kind: placement.KindOwners, Owners: owners})
+		Targets:   list.Targets,
+		Owners:    list.Owners,
+	}})
 	p.installHotKeys(d)
 }
 
-func ownerIndex(o *placement.Owners, indexes map[types.Target]uint16, target types.Target) uint16 {
-	index, known := indexes[target]
-	if !known {
-		index = uint16(len(o.Targets))
-		indexes[target] = index
-		o.Targets = append(o.Targets, target)
-	}
-	return index
-}
-
 func (p *placer) installHotKeys(d ownership.Document) {
 	parts := p.hotKeys[d.Key.Service]
 	if parts == nil {
--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -151,11 +150,6 @@
 	}
 }
 
-// connectHTTP returns a client that connects on its first call.
-func connectHTTP(address string) target.Client {
-	return target.NewHTTP(target.Options{Address: address})
-}
-
 func (w *worker) duty() duty.Duty {
 	return duty.Duty{
 		Name: "dispatch",
@@ -234,17 +228,13 @@
 }
 
 func (w *worker) takeRequests(ctx context.Context) {
-	for {
-		m, ok := w.requests.TryGet()
-		if !ok {
-			return
-		}
+	w.requests.Drain(func(m inbound) {
 		if m.cancel != nil {
 			w.cancel(ctx, m.cancel)
-			continue
+			return
 		}
 		w.accept(ctx, m)
-	}
+	})
 }
 
 func (w *worker) accept(ctx context.Context, m inbound) {
@@ -284,13 +274,7 @@
 }
 
 func (w *worker) takeResults(ctx context.Context) {
-	for {
-		m, ok := w.results.TryGet()
-		if !ok {
-			return
-		}
-		w.applyResult(ctx, m)
-	}
+	w.results.Drain(func(m sent) { w.applyResult(ctx, m) })
 }
 
 func (w *worker) applyResult(ctx context.Context, m sent) {
@@ -314,71 +298,6 @@
 	}
 }
 
-func (w *worker) takeControls(ctx context.Context) {
-	for {
-		m, ok := w.controls.TryGet()
-		if !ok {
-			return
-		}
-		w.applyControl(ctx, m)
-	}
-}
-
-func (w *worker) applyControl(ctx context.Context, m workerControl) {
-	if m.config != nil {
-		w.configure(m.config)
-		w.step(ctx, dispatch.Message{Kind: dispatch.MessageConfiguration, Configuration: m.config})
-	}
-	if m.peers != nil {
-		w.peers = m.peers
-	}
-	if m.links != nil {
-		w.links = m.links
-	}
-	if m.copied != nil {
-		w.storeCopy(ctx, m.copied)
-	}
-	for _, message := range m.messages {
-		w.step(ctx, message)
-	}
-	if m.planner != nil {
-		w.planner = *m.planner
-	}
-	if m.taken != nil {
-		w.applyTaken(ctx, m.taken)
-	}
-	w.applyPeerControl(ctx, m)
-}
-
-// applyPeerControl applies what belongs to leases and to other dispatchers.
-func (w *worker) applyPeerControl(ctx context.Context, m workerControl) {
-	if m.serve != nil {
-		w.applyServe(ctx, m.serve)
-	}
-	if m.handed != nil {
-		for i := range m.handed.Entries {
-			w.storeCopy(ctx, &m.handed.Entries[i])
-		}
-		w.takeHandover(m.handed)
-	}
-	if m.handover != nil {
-		w.handoverAnswered(m.handover)
-	}
-	if m.states != nil {
-		w.learnStates(m.states)
-	}
-}
-
-func (w *worker) configure(c *config.Configuration) {
-	for _, s := range c.Services {
-		w.keyed[s.Name] = s.Keyed
-		w.slots[s.Name] = s.Slots
-		for _, t := range s.Targets {
-			w.addresses[types.TargetID{Service: s.Name, Target: t.Name}] = t.Address
-		}
-	}
-}
-
 func (w *worker) tick(ctx context.Context) {
 	w.checkDrains()
 	w.publish()
@@ -401,185 +320,3 @@
 	w.actions = w.core.Step(telemetry.Now(), m, w.actions[:0])
 	w.perform(ctx)
 }
-
-// perform carries out the actions of the last step. What is known at once is applied afterwards.
-func (w *worker) perform(ctx context.Context) {
-	for i := range w.actions {
-		w.act(ctx, &w.actions[i])
-	}
-	for len(w.deferred) > 0 {
-		next := w.deferred[0]
-		w.deferred = w.deferred[1:]
-		w.applyResult(ctx, next)
-	}
-	for len(w.failed) > 0 {
-		handle := w.failed[0]
-		w.failed = w.failed[1:]
-		w.step(ctx, dispatch.Message{Kind: dispatch.MessageCopyDone, Handle: handle})
-	}
-}
-
-func (w *worker) act(ctx context.Context, a *dispatch.Action) {
-	switch a.Kind {
-	case dispatch.ActionSend:
-		w.send(ctx, a)
-	case dispatch.ActionCancelSend:
-		w.cancelSend(a)
-	case dispatch.ActionReply:
-		w.reply(a)
-	case dispatch.ActionStoreCopy:
-		w.copyEntry(a)
-	case dispatch.ActionForget:
-		delete(w.payloads, a.Handle)
-	case dispatch.ActionAnnounceQuarantine:
-		w.announce(a)
-	case dispatch.ActionCloseConnection:
-		w.closeConnection(a)
-	case dispatch.ActionReportTarget:
-		w.reportTarget(a)
-	case dispatch.ActionDecision:
-		w.decide(a)
-	}
-}
-
-func (w *worker) send(ctx context.Context, a *dispatch.Action) {
-	p, ok := w.payloads[a.Handle]
-	if !ok || p.request == nil {
-		return
-	}
-	w.admitted[a.Target]++
-	if w.keyed[a.Target.Service] {
-		w.meter.count(a.Target, p.request)
-	}
-	sendCtx, cancel := context.WithCancel(ctx)
-	if p.cancels == nil {
-		p.cancels = make(map[dispatch.Attempt]context.CancelFunc, 1)
-	}
-	p.cancels[a.Attempt] = cancel
-	err := w.senderFor(ctx, a).in.TryPut(send{
-		ctx:        sendCtx,
-		handle:     a.Handle,
-		attempt:    a.Attempt,
-		fresh:      a.Fresh,
-		deadline:   a.Deadline,
-		validUntil: a.ValidUntil,
-		epoch:      a.Epoch,
-		request:    p.request,
-	})
-	if err != nil {
-		w.deferred = append(w.deferred, sent{handle: a.Handle, result: dispatch.Result{
-			Attempt:    a.Attempt,
-			Connection: a.Connection,
-			Kind:       dispatch.ResultNotStarted,
-			Load:       dispatch.LoadUnknown,
-		}})
-	}
-}
-
-// senderFor returns the duty of a connection and starts it on first use.
-func (w *worker) senderFor(ctx context.Context, a *dispatch.Action) *sender {
-	key := connectionKey{target: a.Target, connection: a.Connection}
-	if s, ok := w.senders[key]; ok {
-		return s
-	}
-	client := w.connect(w.addresses[a.Target])
-	s := newSender(a.Target, a.Connection, client, w.results)
-	_ = w.group.Launch(context.WithoutCancel(ctx), s.duty())
-	w.senders[key] = s
-	return s
-}
-
-func (w *worker) cancelSend(a *dispatch.Action) {
-	p, ok := w.payloads[a.Handle]
-	if !ok {
-		return
-	}
-	if cancel, ok := p.cancels[a.Attempt]; ok {
-		cancel()
-	}
-}
-
-func (w *worker) closeConnection(a *dispatch.Action) {
-	if s, ok := w.senders[connectionKey{target: a.Target, connection: a.Connection}]; ok {
-		_ = s.in.TryPut(send{})
-	}
-}
-
-func (w *worker) reply(a *dispatch.Action) {
-	p, ok := w.payloads[a.Handle]
-	if !ok || p.reply == nil {
-		return
-	}
-	out := peer.DoAnswer{Outcome: a.Outcome}
-	kept := w.payloads[a.Replay]
-	if a.Outcome == types.OutcomeDone && kept != nil && kept.answer != nil {
-		out.Status = kept.answer.status
-		out.Header = kept.answer.header
-		out.Body = kept.answer.body
-		out.Replayed = a.Replay != a.Handle
-	} else {
-		out.Failure = peer.Failure{Code: a.Code, Message: explain(a.Code)}
-	}
-	p.reply <- out
-	p.reply = nil
-	if w.active[keyOf(p.request)] == a.Handle {
-		delete(w.active, keyOf(p.request))
-	}
-}
-
-func (w *worker) reportTarget(a *dispatch.Action) {
-	w.metrics.Counter(fmt.Sprintf("sail_target_conditions_total{service=%q,condition=%q}", a.Target.Service, a.Condition)).Inc()
-	w.log.Decide(telemetry.Decision{
-		Kind:    "target-condition",
-		Service: string(a.Target.Service),
-		Target:  string(a.Target.Target),
-		Reason:  a.Condition.String(),
-	})
-	w.noteCondition(a.Target, a.Condition)
-	w.report(a.Target, a.Condition)
-}
-
-func (w *worker) decide(a *dispatch.Action) {
-	w.log.Decide(telemetry.Decision{
-		Kind:      "dispatch",
-		RequestID: string(a.ID),
-		Service:   string(a.Target.Service),
-		Target:    string(a.Target.Target),
-		KeyHash:   uint64(a.Key),
-		Epoch:     uint64(a.Epoch),
-		Reason:    a.Reason.String(),
-		Outcome:   a.Outcome.String(),
-		Code:      string(a.Code),
-	})
-}
-
-// publish shows the queues on the status page.
-func (w *worker) publish() {
-	now := telemetry.Now()
-	if now.Sub(w.published) < publishInterval {
-		return
-	}
-	w.published = now
-	w.statuses = w.core.Targets(now, w.statuses[:0])
-	queues := make([]telemetry.QueueStatus, len(w.statuses))
-	for i, s := range w.statuses {
-		queues[i] = telemetry.QueueStatus{
-			Service:   string(s.ID.Service),
-			Target:    string(s.ID.Target),
-			Waiting:   s.Waiting,
-			InFlight:  s.InFlight,
-			Limit:     s.Limit,
-			Admitted:  w.admitted[s.ID],
-			Condition: s.Condition.String(),
-		}
-	}
-	w.page.Publish(telemetry.Status{Queues: queues})
-	w.publishLoad()
-}
-
-// publishLoad sets the counters from which operators see how evenly the load is spread.
-func (w *worker) publishLoad() {
-	for id, n := range w.admitted {
-		w.metrics.Counter(fmt.Sprintf("sail_dispatch_sent_total{service=%q,target=%q}", id.Service, id.Target)).Set(n)
-	}
-}
--- a/daemon/gateway/router.go
+++ b/daemon/gateway/router.go
@@ -119,16 +119,16 @@
 		alarm.Set(r.core.NextTick())
 		select {
 		case <-r.requests.Ready():
-			r.takeRequests()
+			r.requests.Drain(r.applyRequest)
 		case <-r.results.Ready():
-			r.takeResults()
+			r.results.Drain(r.applyResult)
 		case <-r.controls.Ready():
-			r.takeControls()
+			r.controls.Drain(r.applyControl)
 		case <-alarm.C():
 			alarm.Fired()
 			r.tick()
 		case <-r.requests.Done():
-			r.takeRequests()
+			r.requests.Drain(r.applyRequest)
 			if len(r.pending) == 0 {
 				return nil
 			}
@@ -148,9 +148,9 @@
 		alarm.Set(r.core.NextTick())
 		select {
 		case <-r.results.Ready():
-			r.takeResults()
+			r.results.Drain(r.applyResult)
 		case <-r.controls.Ready():
-			r.takeControls()
+			r.controls.Drain(r.applyControl)
 		case <-alarm.C():
 			alarm.Fired()
 			r.tick()
@@ -167,19 +167,13 @@
 	}
 }
 
-func (r *router) takeRequests() {
-	for {
-		m, ok := r.requests.TryGet()
-		if !ok {
-			return
-		}
-		if m.pending == nil {
-			r.step(routing.Message{Kind: routing.KindCancel, Handle: m.handle})
-			continue
-		}
-		r.pending[m.handle] = m.pending
-		r.step(requestMessage(m.handle, m.pending))
+func (r *router) applyRequest(m request) {
+	if m.pending == nil {
+		r.step(routing.Message{Kind: routing.KindCancel, Handle: m.handle})
+		return
 	}
+	r.pending[m.handle] = m.pending
+	r.step(requestMessage(m.handle, m.pending))
 }
 
 func requestMessage(handle uint64, p *pending) routing.Message {
@@ -196,16 +190,6 @@
 	}}
 }
 
-func (r *router) takeResults() {
-	for {
-		m, ok := r.results.TryGet()
-		if !ok {
-			return
-		}
-		r.applyResult(m)
-	}
-}
-
 func (r *router) applyResult(m attemptResult) {
 	if p, ok := r.pending[m.handle]; ok {
 		for i := range p.attempts {
@@ -255,18 +239,12 @@
 	}
 }
 
-func (r *router) takeControls() {
-	for {
-		m, ok := r.controls.TryGet()
-		if !ok {
-			return
-		}
-		if m.links != nil {
-			r.links = m.links
-		}
-		for _, message := range m.messages {
-			r.step(message)
-		}
+func (r *router) applyControl(m control) {
+	if m.links != nil {
+		r.links = m.links
+	}
+	for _, message := range m.messages {
+		r.step(message)
 	}
 }
 
--- a/daemon/gateway/state.go
+++ b/daemon/gateway/state.go
@@ -154,34 +154,17 @@
 	}
 }
 
+// tableMessage leaves slots that are being released without owner, because their old owner takes no new work for them.
 func tableMessage(d ownership.Document) routing.Message {
-	t := &routing.Table{
+	list := process.ListOwners(d.Slots, func(s ownership.SlotState) bool { return s == ownership.SlotOwned })
+	return routing.Message{Kind: routing.KindTable, Table: &routing.Table{
 		Service:   d.Key.Service,
 		Revision:  types.Revision(d.Slots.Epoch),
 		FirstSlot: types.Slot(uint32(d.Key.Part) * ownership.SlotsPerDocument),
-	}
-	indexes := make(map[types.Target]uint16)
-	for _, run := range d.Slots.Runs {
-		owner := routing.NoOwner
-		if run.State == ownership.SlotOwned {
-			owner = indexOf(t, indexes, run.Owner)
-		}
-		for range run.Count {
-			t.Owners = append(t.Owners, owner)
-			t.Epochs = append(t.Epochs, run.Epoch)
-		}
-	}
-	return routing.Message{Kind: routing.KindTable, Table: t}
-}
-
-func indexOf(t *routing.Table, indexes map[types.Target]uint16, target types.Target) uint16 {
-	index, known := indexes[target]
-	if !known {
-		index = uint16(len(t.Targets))
-		indexes[target] = index
-		t.Targets = append(t.Targets, target)
-	}
-	return index
+		Targets:   list.Targets,
+		Owners:    list.Owners,
+		Epochs:    list.Epochs,
+	}}
 }
 
 func (t *translator) hotKeyMessage(d ownership.Document) routing.Message {
--- a/daemon/process/documents.go
+++ b/daemon/process/documents.go
@@ -53,3 +53,40 @@
 	}
 	return data, nil
 }
+
+// noOwner is what the routing and the placement core call a slot without owner.
+const noOwner uint16 = 0xFFFF
+
+// OwnerList gives the owner of each slot of a document as an index into Targets.
+type OwnerList struct {
+	Targets []types.Target
+	Owners  []uint16
+	Epochs  []types.Epoch
+}
+
+// ListOwners expands the runs of a slot document. Slots in a state for which owned returns false have no owner.
+func ListOwners(d *ownership.SlotDocument, owned func(ownership.SlotState) bool) OwnerList {
+	var out OwnerList
+	indexes := make(map[types.Target]uint16)
+	for _, run := range d.Runs {
+		owner := noOwner
+		if owned(run.State) {
+			owner = out.index(indexes, run.Owner)
+		}
+		for range run.Count {
+			out.Owners = append(out.Owners, owner)
+			out.Epochs = append(out.Epochs, run.Epoch)
+		}
+	}
+	return out
+}
+
+func (l *OwnerList) index(indexes map[types.Target]uint16, target types.Target) uint16 {
+	index, known := indexes[target]
+	if !known {
+		index = uint16(len(l.Targets))
+		indexes[target] = index
+		l.Targets = append(l.Targets, target)
+	}
+	return index
+}
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -114,8 +114,19 @@
 	return v, ok
 }
 
+// Drain removes elements without waiting and passes each to apply, until the ring is empty.
+func (r *Ring[T]) Drain(apply func(T)) {
+	for {
+		v, ok := r.TryGet()
+		if !ok {
+			return
+		}
+		apply(v)
+	}
+}
+
 // Ready returns a channel that receives a value when the ring may hold an element. It lets one consumer wait on
-// several rings and timers; after a receive the consumer calls TryGet until it reports false.
+// several rings and timers; after a receive the consumer calls Drain, or TryGet until it reports false.
 func (r *Ring[T]) Ready() <-chan struct{} { return r.notEmpty }
 
 // Done returns a channel that is closed by Close.
--- a/ring/ring_test.go
+++ b/ring/ring_test.go
@@ -93,6 +93,19 @@
 	is.True(errors.Is(err, ring.ErrClosed))
 }
 
+// Guards against elements that a consumer leaves behind after one wake-up.
+func TestDrainEmptiesTheRing(t *testing.T) {
+	is := is.New(t)
+	r := ring.New[int](4)
+	for i := range 3 {
+		is.NoErr(r.TryPut(i))
+	}
+	var got []int
+	r.Drain(func(v int) { got = append(got, v) })
+	is.Equal(got, []int{0, 1, 2})
+	is.Equal(r.Depth(), 0)
+}
+
 // Guards against a waiter that outlives its context.
 func TestContextEndsWaiting(t *testing.T) {
 	is := is.New(t)
