--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -26,7 +26,7 @@
 	base         *process.Base
 	member       process.Member
 	worker       *worker
-	keeper       *keeper
+	manager      *leaseManager
 	planner      *plannerLease
 	placer       *placer
 	links        *process.Links
@@ -65,10 +65,10 @@
 		DataCentre: s.DataCentre,
 	}
 	d.worker = newWorker(s.VM, s.DataCentre, d.base.Log, d.base.Metrics)
-	d.keeper = newKeeper(self, d.base.Log, d.base.Metrics, d.worker)
-	d.worker.report = d.keeper.observe
-	d.worker.drained = d.keeper.drained
-	d.placer = newPlacer(d.keeper.in, d.base.Log, d.base.Metrics)
+	d.manager = newLeaseManager(self, d.base.Log, d.base.Metrics, d.worker)
+	d.worker.report = d.manager.observe
+	d.worker.drained = d.manager.drained
+	d.placer = newPlacer(d.manager.in, d.base.Log, d.base.Metrics)
 	d.worker.toPlanner = d.placer.takeReport
 	d.links = process.NewLinks(d.base.Identity, d.publishLinks)
 	return d, d.addDuties(self)
@@ -87,7 +87,7 @@
 		"Dispatch": &dispatchService{worker: d.worker},
 		"Memory":   &memoryService{worker: d.worker},
 		"Control":  &controlService{worker: d.worker, placer: d.placer},
-		"Vouch":    &vouchService{keeper: d.keeper},
+		"Vouch":    &vouchService{manager: d.manager},
 		"Peer":     &process.PeerService{Mirror: mirror},
 	}
 	for name, service := range services {
@@ -98,7 +98,7 @@
 	d.planner = &plannerLease{
 		store:   storeClient,
 		self:    self,
-		out:     d.keeper.in,
+		out:     d.manager.in,
 		placer:  d.placer,
 		log:     d.base.Log,
 		writeID: func() string { return process.NewWriteID(s.VM, self.Incarnation) },
@@ -117,10 +117,10 @@
 
 	d.base.Group.Add(ops.Duty())
 	d.base.Group.Add(d.links.Duty())
-	d.base.Group.Add((&writer{store: storeClient, in: d.keeper.writes, out: d.keeper.in}).duty())
+	d.base.Group.Add((&writer{store: storeClient, in: d.manager.writes, out: d.manager.in}).duty())
 	d.base.Group.Add(d.worker.duty())
-	d.base.Group.Add(d.keeper.duty())
-	d.base.Group.Add((&freshReader{store: storeClient, out: d.keeper.in}).duty())
+	d.base.Group.Add(d.manager.duty())
+	d.base.Group.Add((&freshReader{store: storeClient, out: d.manager.in}).duty())
 	d.base.Group.Add(d.placer.duty())
 	d.base.Group.Add(d.planner.duty())
 	d.base.Group.Add(watch.Duty())
@@ -136,9 +136,9 @@
 	m.Ring("dispatch-requests", d.worker.requests)
 	m.Ring("dispatch-results", d.worker.results)
 	m.Ring("dispatch-control", d.worker.controls)
-	m.Ring("ownership", d.keeper.in)
-	m.Ring("ownership-ballots", d.keeper.ballots)
-	m.Ring("store-writer", d.keeper.writes)
+	m.Ring("ownership", d.manager.in)
+	m.Ring("ownership-ballots", d.manager.ballots)
+	m.Ring("store-writer", d.manager.writes)
 }
 
 // Run serves until ctx ends.
@@ -150,7 +150,7 @@
 	d.registration.Leave()
 	tick := time.NewTicker(departureInterval)
 	defer tick.Stop()
-	for len(d.keeper.page.Current().Leases) > 0 {
+	for len(d.manager.page.Current().Leases) > 0 {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -164,7 +164,7 @@
 func (d *Dispatcher) deliver(ctx context.Context, c process.Change) error {
 	if c.Err != nil {
 		d.base.Log.Warn("store cannot be read", map[string]any{"error": c.Err.Error()})
-		return d.keeper.in.Put(ctx, keeperInput{message: ownership.Message{Kind: ownership.KindStoreFailed}})
+		return d.manager.in.Put(ctx, leaseInput{message: ownership.Message{Kind: ownership.KindStoreFailed}})
 	}
 	if c.Planner != nil {
 		_ = d.planner.vacant.Replace(*c.Planner == "")
@@ -184,7 +184,7 @@
 		return err
 	}
 	d.publish(c)
-	return d.keeper.in.Put(ctx, keeperInput{
+	return d.manager.in.Put(ctx, leaseInput{
 		revision: c.Revision,
 		message: ownership.Message{
 			Kind: ownership.KindStoreRead,
@@ -207,7 +207,7 @@
 		return err
 	}
 	message := ownership.Message{Kind: ownership.KindConfiguration, Configuration: c}
-	return d.keeper.in.Put(ctx, keeperInput{message: message})
+	return d.manager.in.Put(ctx, leaseInput{message: message})
 }
 
 func (d *Dispatcher) deliverMembers(ctx context.Context, c process.Change) error {
@@ -222,12 +222,12 @@
 	}
 	if c.Ops != nil || c.Config != nil {
 		out := ownership.Message{Kind: ownership.KindTargetsOut, Out: d.takenOut(d.roster.ops)}
-		if err := d.keeper.in.Put(ctx, keeperInput{message: out}); err != nil {
+		if err := d.manager.in.Put(ctx, leaseInput{message: out}); err != nil {
 			return err
 		}
 	}
 	message := ownership.Message{Kind: ownership.KindMembers, Members: d.roster.members()}
-	return d.keeper.in.Put(ctx, keeperInput{message: message})
+	return d.manager.in.Put(ctx, leaseInput{message: message})
 }
 
 // deliverPlanner passes on what the placement core follows.
@@ -265,7 +265,7 @@
 func (d *Dispatcher) publishLinks(links map[types.VM]*peer.Link) {
 	ctx := context.Background()
 	_ = d.worker.controls.Put(ctx, workerControl{links: links})
-	_ = d.keeper.in.Put(ctx, keeperInput{links: links})
+	_ = d.manager.in.Put(ctx, leaseInput{links: links})
 }
 
 // publish runs on the watch duty.
@@ -287,7 +287,7 @@
 func (d *Dispatcher) readStatus() telemetry.Status {
 	s := d.page.Current()
 	s.Draining = s.Draining || d.leaving.Load()
-	held := d.keeper.page.Current()
+	held := d.manager.page.Current()
 	s.Leases = held.Leases
 	s.Planner = held.Planner
 	s.Queues = d.worker.page.Current().Queues
--- a/daemon/dispatcher/hotkey_test.go
+++ b/daemon/dispatcher/hotkey_test.go
@@ -96,9 +96,9 @@
 
 // Guards against a slot owner that goes on serving a key after the key got a row of its own, and against a release that
 // does not tell whether the row is gone or has moved.
-func TestKeeperTellsHotKeyExceptions(t *testing.T) {
+func TestLeaseManagerTellsHotKeyExceptions(t *testing.T) {
 	is := is.New(t)
-	k, w := newTestKeeper(t)
+	k, w := newTestLeaseManager(t)
 	plain := &ownership.Areas{Slots: []ownership.SlotRange{{First: hotSlot, Count: 1, Epoch: 4}}}
 	excepted := &ownership.Areas{Slots: plain.Slots, Except: []types.KeyHash{hotKey}}
 	owned := &ownership.Areas{Slots: plain.Slots, Keys: []ownership.KeyArea{{Key: hotKey, Epoch: 5}}}
--- a/daemon/dispatcher/lease.go
+++ b/daemon/dispatcher/lease.go
@@ -18,13 +18,13 @@
 
 // leaseSet keeps one lease duty for each target. It is owned by the ownership duty.
 type leaseSet struct {
-	out       *ring.Ring[keeperInput]
+	out       *ring.Ring[leaseInput]
 	addresses map[types.TargetID]string
 	callers   map[types.TargetID]*leaseCaller
 	group     *duty.Group
 }
 
-func newLeaseSet(out *ring.Ring[keeperInput]) *leaseSet {
+func newLeaseSet(out *ring.Ring[leaseInput]) *leaseSet {
 	return &leaseSet{
 		out:       out,
 		addresses: make(map[types.TargetID]string),
@@ -66,7 +66,7 @@
 	name   string
 	client target.Client
 	in     *ring.Ring[ownership.TargetCall]
-	out    *ring.Ring[keeperInput]
+	out    *ring.Ring[leaseInput]
 }
 
 func (l *leaseCaller) duty() duty.Duty {
@@ -86,7 +86,7 @@
 		}
 		result := l.make(ctx, c)
 		message := ownership.Message{Kind: ownership.KindCallResult, Call: result}
-		if err := l.out.Put(ctx, keeperInput{message: message}); err != nil {
+		if err := l.out.Put(ctx, leaseInput{message: message}); err != nil {
 			return nil
 		}
 	}
--- a/daemon/dispatcher/keeper.go
+++ b/daemon/dispatcher/lease_manager.go
@@ -18,12 +18,12 @@
 )
 
 const (
-	keeperRingCapacity = 1024
-	ballotRingCapacity = 1024
+	leaseManagerRingCapacity = 1024
+	ballotRingCapacity       = 1024
 )
 
-// keeperInput is one element of the ownership duty's ring.
-type keeperInput struct {
+// leaseInput is one element of the ownership duty's ring.
+type leaseInput struct {
 	message ownership.Message
 	// links replaces the links to other dispatchers when it is not nil.
 	links map[types.VM]*peer.Link
@@ -38,10 +38,10 @@
 	revision types.Revision
 }
 
-// keeper owns the ownership core.
-type keeper struct {
+// leaseManager owns the ownership core.
+type leaseManager struct {
 	self    ownership.Self
-	in      *ring.Ring[keeperInput]
+	in      *ring.Ring[leaseInput]
 	ballots *ring.Ring[ballot]
 	writes  *ring.Ring[ownership.Action]
 	log     *telemetry.Log
@@ -70,10 +70,10 @@
 	actions      []ownership.Action
 }
 
-func newKeeper(self ownership.Self, log *telemetry.Log, metrics *telemetry.Metrics, w *worker) *keeper {
-	k := &keeper{
+func newLeaseManager(self ownership.Self, log *telemetry.Log, metrics *telemetry.Metrics, w *worker) *leaseManager {
+	k := &leaseManager{
 		self:    self,
-		in:      ring.New[keeperInput](keeperRingCapacity),
+		in:      ring.New[leaseInput](leaseManagerRingCapacity),
 		ballots: ring.New[ballot](ballotRingCapacity),
 		writes:  ring.New[ownership.Action](writerRingCapacity),
 		log:     log,
@@ -91,7 +91,7 @@
 	return k
 }
 
-func (k *keeper) duty() duty.Duty {
+func (k *leaseManager) duty() duty.Duty {
 	return duty.Duty{
 		Name: "ownership",
 		Run:  k.run,
@@ -99,7 +99,7 @@
 	}
 }
 
-func (k *keeper) run(ctx context.Context) error {
+func (k *leaseManager) run(ctx context.Context) error {
 	tick := time.NewTicker(ownership.TickInterval)
 	defer tick.Stop()
 	defer k.leases.stop(ctx)
@@ -119,11 +119,11 @@
 	}
 }
 
-func (k *keeper) takeInputs(ctx context.Context) {
-	k.in.Drain(func(m keeperInput) { k.apply(ctx, m) })
+func (k *leaseManager) takeInputs(ctx context.Context) {
+	k.in.Drain(func(m leaseInput) { k.apply(ctx, m) })
 }
 
-func (k *keeper) apply(ctx context.Context, m keeperInput) {
+func (k *leaseManager) apply(ctx context.Context, m leaseInput) {
 	if m.links != nil {
 		k.links = m.links
 	}
@@ -147,7 +147,7 @@
 	k.confirmReads(ctx)
 }
 
-func (k *keeper) notePlanner(kind ownership.MessageKind) {
+func (k *leaseManager) notePlanner(kind ownership.MessageKind) {
 	if kind != ownership.KindPlannerGained && kind != ownership.KindPlannerLost {
 		return
 	}
@@ -157,7 +157,7 @@
 
 // confirmReads reports a read of the store once the watch has delivered everything that the read covers. A read of the
 // revision alone costs the store little, and together with the watch it is a linearizable read of all documents.
-func (k *keeper) confirmReads(ctx context.Context) {
+func (k *leaseManager) confirmReads(ctx context.Context) {
 	for len(k.pending) > 0 && k.pending[0].revision <= k.revision {
 		sentAt := k.pending[0].sentAt
 		k.pending = k.pending[1:]
@@ -165,7 +165,7 @@
 	}
 }
 
-func (k *keeper) takeBallots(ctx context.Context) {
+func (k *leaseManager) takeBallots(ctx context.Context) {
 	k.ballots.Drain(func(b ballot) {
 		k.tickets++
 		k.waiting[k.tickets] = b.reply
@@ -177,12 +177,12 @@
 	})
 }
 
-func (k *keeper) tick(ctx context.Context) {
+func (k *leaseManager) tick(ctx context.Context) {
 	k.actions = k.core.Tick(telemetry.Now(), k.actions[:0])
 	k.perform(ctx)
 }
 
-func (k *keeper) step(ctx context.Context, m ownership.Message) {
+func (k *leaseManager) step(ctx context.Context, m ownership.Message) {
 	k.actions = k.core.Step(telemetry.Now(), m, k.actions[:0])
 	if learns(m.Kind) {
 		k.tellHomes(ctx)
@@ -202,7 +202,7 @@
 
 // tellHomes passes the homes of identifiers on when a lease document changed. It comes before the actions of the same
 // step, so that the dispatch duty never sends by an older list than the permit confirms.
-func (k *keeper) tellHomes(ctx context.Context) {
+func (k *leaseManager) tellHomes(ctx context.Context) {
 	for _, d := range k.documents() {
 		if d.Leases == nil || k.homesEpoch[d.Key.Service] == d.Leases.Epoch {
 			continue
@@ -221,7 +221,7 @@
 	}
 }
 
-func (k *keeper) perform(ctx context.Context) {
+func (k *leaseManager) perform(ctx context.Context) {
 	for i := range k.actions {
 		k.act(ctx, k.actions[i])
 	}
@@ -232,7 +232,7 @@
 	}
 }
 
-func (k *keeper) act(ctx context.Context, a ownership.Action) {
+func (k *leaseManager) act(ctx context.Context, a ownership.Action) {
 	switch a.Kind {
 	case ownership.ActGrant, ownership.ActRenew, ownership.ActRelease:
 		k.leases.call(ctx, a.Call)
@@ -255,7 +255,7 @@
 	}
 }
 
-func (k *keeper) write(a ownership.Action) {
+func (k *leaseManager) write(a ownership.Action) {
 	if err := k.writes.TryPut(a); err != nil && a.Kind == ownership.ActWrite {
 		k.deferred = append(k.deferred, ownership.Message{Kind: ownership.KindWriteResult, Write: ownership.WriteResult{
 			Key: a.Write.Document.Key, ID: a.Write.ID, Status: ownership.WriteNotSent,
@@ -264,7 +264,7 @@
 }
 
 // answer passes a reply to the front end that waits for it. Ticket 0 is a question that the core asked itself.
-func (k *keeper) answer(ticket uint64, a ownership.Action, own ownership.Message) {
+func (k *leaseManager) answer(ticket uint64, a ownership.Action, own ownership.Message) {
 	if reply, ok := k.waiting[ticket]; ok {
 		reply <- a
 		return
@@ -274,7 +274,7 @@
 	}
 }
 
-func (k *keeper) vouch(v ownership.VouchRequest) {
+func (k *leaseManager) vouch(v ownership.VouchRequest) {
 	if v.Member.VM == k.self.VM {
 		k.deferred = append(k.deferred, ownership.Message{Kind: ownership.KindVouchRequest, Vouch: v})
 		return
@@ -286,7 +286,7 @@
 	})
 }
 
-func (k *keeper) install(i ownership.Install) {
+func (k *leaseManager) install(i ownership.Install) {
 	if i.Member.VM == k.self.VM {
 		k.deferred = append(k.deferred, ownership.Message{Kind: ownership.KindInstall, Install: i})
 		return
@@ -307,7 +307,7 @@
 }
 
 // callPeer sends a call whose loss the core tolerates: it asks again on a later tick.
-func (k *keeper) callPeer(vm types.VM, method string, args, reply any, decode func() (ownership.Message, error)) {
+func (k *leaseManager) callPeer(vm types.VM, method string, args, reply any, decode func() (ownership.Message, error)) {
 	link, ok := k.links[vm]
 	if !ok {
 		return
@@ -325,12 +325,12 @@
 			if err != nil {
 				return
 			}
-			_ = k.in.Put(context.Background(), keeperInput{message: message})
+			_ = k.in.Put(context.Background(), leaseInput{message: message})
 		},
 	})
 }
 
-func (k *keeper) decide(d ownership.Decision) {
+func (k *leaseManager) decide(d ownership.Decision) {
 	k.metrics.Counter(fmt.Sprintf("sail_ownership_decisions_total{reason=%q}", d.Reason)).Inc()
 	k.log.Decide(telemetry.Decision{
 		Kind:    "ownership",
@@ -344,7 +344,7 @@
 }
 
 // observe runs on the dispatch duty. A report that finds the ring full is lost; the next result repeats it.
-func (k *keeper) observe(target types.TargetID, condition dispatch.Condition) {
+func (k *leaseManager) observe(target types.TargetID, condition dispatch.Condition) {
 	message := ownership.Message{Target: target}
 	switch condition {
 	case dispatch.ConditionSuspectedDead:
@@ -354,17 +354,17 @@
 	default:
 		return
 	}
-	_ = k.in.TryPut(keeperInput{message: message})
+	_ = k.in.TryPut(leaseInput{message: message})
 }
 
 // drained runs on the dispatch duty.
-func (k *keeper) drained(d ownership.Drained) bool {
-	err := k.in.TryPut(keeperInput{message: ownership.Message{Kind: ownership.KindDrained, Drained: d}})
+func (k *leaseManager) drained(d ownership.Drained) bool {
+	err := k.in.TryPut(leaseInput{message: ownership.Message{Kind: ownership.KindDrained, Drained: d}})
 	return err == nil
 }
 
 // publish shows the leases held on the status page.
-func (k *keeper) publish() {
+func (k *leaseManager) publish() {
 	status := telemetry.Status{Planner: k.planner}
 	for id, s := range k.served {
 		status.Leases = append(status.Leases, telemetry.Lease{
--- a/daemon/dispatcher/keeper_test.go
+++ b/daemon/dispatcher/lease_manager_test.go
@@ -11,11 +11,11 @@
 	"sequoiasail.example/types"
 )
 
-// newTestKeeper returns a keeper that knows the configuration, and the worker that it tells.
-func newTestKeeper(t *testing.T) (*keeper, *testWorker) {
+// newTestLeaseManager returns a manager that knows the configuration, and the worker that it tells.
+func newTestLeaseManager(t *testing.T) (*leaseManager, *testWorker) {
 	w := newTestWorker(t, nil)
-	k := newKeeper(testSelf(), quietLog(), telemetry.NewMetrics(), w.worker)
-	k.apply(context.Background(), keeperInput{
+	k := newLeaseManager(testSelf(), quietLog(), telemetry.NewMetrics(), w.worker)
+	k.apply(context.Background(), leaseInput{
 		message: ownership.Message{Kind: ownership.KindConfiguration, Configuration: testConfiguration()},
 	})
 	return k, w
@@ -24,24 +24,24 @@
 // Guards against a permit from a read of the store whose changes the watch has not delivered yet.
 func TestReadIsFreshOnlyAfterTheWatchDeliveredIt(t *testing.T) {
 	is := is.New(t)
-	k, _ := newTestKeeper(t)
+	k, _ := newTestLeaseManager(t)
 	ctx := context.Background()
-	k.apply(ctx, keeperInput{revision: 4})
-	k.apply(ctx, keeperInput{fresh: &freshness{sentAt: telemetry.Now(), revision: 5}})
-	k.apply(ctx, keeperInput{fresh: &freshness{sentAt: telemetry.Now(), revision: 7}})
+	k.apply(ctx, leaseInput{revision: 4})
+	k.apply(ctx, leaseInput{fresh: &freshness{sentAt: telemetry.Now(), revision: 5}})
+	k.apply(ctx, leaseInput{fresh: &freshness{sentAt: telemetry.Now(), revision: 7}})
 	is.Equal(len(k.pending), 2)
-	k.apply(ctx, keeperInput{revision: 6})
+	k.apply(ctx, leaseInput{revision: 6})
 	is.Equal(len(k.pending), 1) // the read at revision 7 still waits
-	k.apply(ctx, keeperInput{revision: 3})
+	k.apply(ctx, leaseInput{revision: 3})
 	is.Equal(len(k.pending), 1) // a late delivery takes nothing back
-	k.apply(ctx, keeperInput{revision: 7})
+	k.apply(ctx, leaseInput{revision: 7})
 	is.Equal(len(k.pending), 0)
 }
 
 // Guards against a stop that leaves rows owned, or that does not name who takes the lease over.
 func TestStopReleasesEverythingToTheNextDispatcher(t *testing.T) {
 	is := is.New(t)
-	k, w := newTestKeeper(t)
+	k, w := newTestLeaseManager(t)
 	ctx := context.Background()
 	document := ownership.Document{Key: ownership.LeasesKey(keyedTarget.Service), Store: 1, Leases: &ownership.LeaseDocument{
 		Header: ownership.Header{Epoch: 9},
@@ -50,7 +50,7 @@
 			Next: ownership.Peer{VM: nextVM, Incarnation: 1},
 		}},
 	}}
-	k.apply(ctx, keeperInput{message: ownership.Message{
+	k.apply(ctx, leaseInput{message: ownership.Message{
 		Kind: ownership.KindStoreRead, Read: ownership.StoreRead{Documents: []ownership.Document{document}},
 	}})
 	areas := &ownership.Areas{Slots: []ownership.SlotRange{{First: 2, Count: 3, Epoch: 4}}}
--- a/daemon/dispatcher/placer.go
+++ b/daemon/dispatcher/placer.go
@@ -38,7 +38,7 @@
 // placer owns the placement core. It follows the table all the time and proposes moves only with the planner lease.
 type placer struct {
 	in      *ring.Ring[placerInput]
-	out     *ring.Ring[keeperInput]
+	out     *ring.Ring[leaseInput]
 	log     *telemetry.Log
 	metrics *telemetry.Metrics
 	core    *placement.Core
@@ -56,7 +56,7 @@
 	actions    []placement.Action
 }
 
-func newPlacer(out *ring.Ring[keeperInput], log *telemetry.Log, metrics *telemetry.Metrics) *placer {
+func newPlacer(out *ring.Ring[leaseInput], log *telemetry.Log, metrics *telemetry.Metrics) *placer {
 	return &placer{
 		in:         ring.New[placerInput](placerRingCapacity),
 		out:        out,
@@ -306,10 +306,10 @@
 	}
 	keys := ownership.HotKeys{Service: service, Keys: p.core.WantedKeys(telemetry.Now(), service, nil)}
 	slices.Sort(keys.Keys)
-	if err := p.out.Put(ctx, keeperInput{message: ownership.Message{Kind: ownership.KindMoves, Moves: moves}}); err != nil {
+	if err := p.out.Put(ctx, leaseInput{message: ownership.Message{Kind: ownership.KindMoves, Moves: moves}}); err != nil {
 		return err
 	}
-	return p.out.Put(ctx, keeperInput{message: ownership.Message{Kind: ownership.KindHotKeys, HotKeys: keys}})
+	return p.out.Put(ctx, leaseInput{message: ownership.Message{Kind: ownership.KindHotKeys, HotKeys: keys}})
 }
 
 func moveOf(a *placement.Action) ownership.Move {
--- a/daemon/dispatcher/planner.go
+++ b/daemon/dispatcher/planner.go
@@ -24,7 +24,7 @@
 type plannerLease struct {
 	store   store.Store
 	self    ownership.Self
-	out     *ring.Ring[keeperInput]
+	out     *ring.Ring[leaseInput]
 	placer  *placer
 	log     *telemetry.Log
 	writeID func() string
@@ -134,5 +134,5 @@
 	if err := p.placer.in.Put(ctx, placerInput{lead: &lead}); err != nil {
 		return err
 	}
-	return p.out.Put(ctx, keeperInput{message: ownership.Message{Kind: kind}})
+	return p.out.Put(ctx, leaseInput{message: ownership.Message{Kind: kind}})
 }
--- a/daemon/dispatcher/planner_test.go
+++ b/daemon/dispatcher/planner_test.go
@@ -13,7 +13,7 @@
 )
 
 func newTestPlanner(f *fakeStore) *plannerLease {
-	out := ring.New[keeperInput](8)
+	out := ring.New[leaseInput](8)
 	return &plannerLease{
 		store: f, self: testSelf(), out: out, log: quietLog(), free: true,
 		placer:  newPlacer(out, quietLog(), telemetry.NewMetrics()),
--- a/daemon/dispatcher/serve.go
+++ b/daemon/dispatcher/serve.go
@@ -53,7 +53,7 @@
 }
 
 // serve passes an ActServe on.
-func (k *keeper) serve(ctx context.Context, s ownership.Serve) {
+func (k *leaseManager) serve(ctx context.Context, s ownership.Serve) {
 	before, known := k.served[s.Target]
 	k.served[s.Target] = s
 	change := &serveChange{
@@ -71,7 +71,7 @@
 }
 
 // stopServing passes an ActStop on.
-func (k *keeper) stopServing(ctx context.Context, s ownership.Serve) {
+func (k *leaseManager) stopServing(ctx context.Context, s ownership.Serve) {
 	before := k.served[s.Target]
 	delete(k.served, s.Target)
 	change := &serveChange{target: s.Target, epoch: before.Epoch, number: s.Number, stopped: true}
@@ -84,7 +84,7 @@
 }
 
 // describe fills in what changed between two areas and who follows on what was released.
-func (k *keeper) describe(c *serveChange, before, after *ownership.Areas) {
+func (k *leaseManager) describe(c *serveChange, before, after *ownership.Areas) {
 	c.areasChanged = true
 	c.areas = after
 	rows := k.rowsOf(c.target.Service)
@@ -110,7 +110,7 @@
 	}
 }
 
-func (k *keeper) owned(
+func (k *leaseManager) owned(
 	service types.Service, row slotRow, epoch types.Epoch, stored ownership.Ownership, areas *ownership.Areas,
 ) ownedRow {
 	out := ownedRow{slotRow: row, epoch: epoch}
@@ -125,7 +125,7 @@
 }
 
 // successor returns the VM whose dispatcher takes a row over that from releases.
-func (k *keeper) successor(from types.TargetID, row ownership.Ownership) types.VM {
+func (k *leaseManager) successor(from types.TargetID, row ownership.Ownership) types.VM {
 	if row.State != ownership.SlotReleasing || row.Owner != from.Target {
 		return ""
 	}
@@ -136,7 +136,7 @@
 	return l.Holder.VM
 }
 
-func (k *keeper) lease(id types.TargetID) (ownership.Lease, bool) {
+func (k *leaseManager) lease(id types.TargetID) (ownership.Lease, bool) {
 	for _, d := range k.documents() {
 		if d.Leases != nil && d.Key.Service == id.Service {
 			return d.Leases.Find(id.Target)
@@ -146,7 +146,7 @@
 }
 
 // rowsOf returns a function that finds the stored row of a slot or hot key.
-func (k *keeper) rowsOf(service types.Service) func(slotRow) ownership.Ownership {
+func (k *leaseManager) rowsOf(service types.Service) func(slotRow) ownership.Ownership {
 	var parts []*ownership.SlotDocument
 	for _, d := range k.documents() {
 		if d.Slots != nil && d.Key.Service == service {
@@ -172,7 +172,7 @@
 	return r.Ownership, ok
 }
 
-func (k *keeper) documents() []ownership.Document {
+func (k *leaseManager) documents() []ownership.Document {
 	k.known = k.core.Documents(k.known[:0])
 	return k.known
 }
--- a/daemon/dispatcher/voucher.go
+++ b/daemon/dispatcher/voucher.go
@@ -23,7 +23,7 @@
 
 // vouchService serves Vouch.* to other dispatchers. Its methods run on goroutines of net/rpc.
 type vouchService struct {
-	keeper *keeper
+	manager *leaseManager
 }
 
 // Confirm answers whether this quorum group member knows newer leases.
@@ -64,7 +64,7 @@
 
 func (s *vouchService) ask(m ownership.Message) (ownership.Action, error) {
 	b := ballot{message: m, reply: make(chan ownership.Action, 1)}
-	if err := s.keeper.ballots.TryPut(b); err != nil {
+	if err := s.manager.ballots.TryPut(b); err != nil {
 		return ownership.Action{}, err
 	}
 	timer := time.NewTimer(voteWait)
--- a/daemon/dispatcher/writer.go
+++ b/daemon/dispatcher/writer.go
@@ -28,7 +28,7 @@
 type writer struct {
 	store store.Store
 	in    *ring.Ring[ownership.Action]
-	out   *ring.Ring[keeperInput]
+	out   *ring.Ring[leaseInput]
 }
 
 func (w *writer) duty() duty.Duty {
@@ -49,7 +49,7 @@
 		if a.Kind == ownership.ActWrite {
 			message = w.write
 		}
-		if err := w.out.Put(ctx, keeperInput{message: message(ctx, a.Write)}); err != nil {
+		if err := w.out.Put(ctx, leaseInput{message: message(ctx, a.Write)}); err != nil {
 			return nil
 		}
 	}
@@ -113,7 +113,7 @@
 // freshReader learns the store's revision at short intervals. It is the proof that this dispatcher hears the store.
 type freshReader struct {
 	store store.Store
-	out   *ring.Ring[keeperInput]
+	out   *ring.Ring[leaseInput]
 }
 
 func (f *freshReader) duty() duty.Duty {
@@ -135,13 +135,13 @@
 	}
 }
 
-func (f *freshReader) read(ctx context.Context) keeperInput {
+func (f *freshReader) read(ctx context.Context) leaseInput {
 	ctx, cancel := context.WithTimeout(ctx, freshnessTimeout)
 	defer cancel()
 	sentAt := telemetry.Now()
 	_, revision, err := f.store.List(ctx, freshnessPrefix)
 	if err != nil {
-		return keeperInput{message: ownership.Message{Kind: ownership.KindStoreFailed}}
+		return leaseInput{message: ownership.Message{Kind: ownership.KindStoreFailed}}
 	}
-	return keeperInput{fresh: &freshness{sentAt: sentAt, revision: revision}}
+	return leaseInput{fresh: &freshness{sentAt: sentAt, revision: revision}}
 }
--- a/daemon/dispatcher/writer_test.go
+++ b/daemon/dispatcher/writer_test.go
@@ -95,7 +95,7 @@
 func TestLostAnswerIsReadBack(t *testing.T) {
 	is := is.New(t)
 	f := &fakeStore{casErr: types.NewFault(types.CodeAnswerLost, "test")}
-	w := &writer{store: f, in: ring.New[ownership.Action](4), out: ring.New[keeperInput](4)}
+	w := &writer{store: f, in: ring.New[ownership.Action](4), out: ring.New[leaseInput](4)}
 	g := duty.NewGroup()
 	g.Add(w.duty())
 	is.NoErr(g.Start(t.Context()))
