--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -70,7 +70,7 @@
 	d.worker.drained = d.manager.drained
 	d.placer = newPlacer(d.manager.in, d.base.Log, d.base.Metrics)
 	d.worker.toPlanner = d.placer.takeReport
-	d.links = process.NewLinks(d.base.Identity, d.publishLinks)
+	d.links = process.NewLinks(d.base, d.publishLinks)
 	return d, d.addDuties(self)
 }
 
--- a/daemon/dispatcher/lease.go
+++ b/daemon/dispatcher/lease.go
@@ -19,14 +19,16 @@
 // leaseSet keeps one lease duty for each target. It is owned by the ownership duty.
 type leaseSet struct {
 	out       *ring.Ring[leaseInput]
+	metrics   *telemetry.Metrics
 	addresses map[types.TargetID]string
 	callers   map[types.TargetID]*leaseCaller
 	group     *duty.Group
 }
 
-func newLeaseSet(out *ring.Ring[leaseInput]) *leaseSet {
+func newLeaseSet(out *ring.Ring[leaseInput], metrics *telemetry.Metrics) *leaseSet {
 	return &leaseSet{
 		out:       out,
+		metrics:   metrics,
 		addresses: make(map[types.TargetID]string),
 		callers:   make(map[types.TargetID]*leaseCaller),
 		group:     duty.NewGroup(),
@@ -54,6 +56,7 @@
 		if err := s.group.Launch(context.WithoutCancel(ctx), caller.duty()); err != nil {
 			return
 		}
+		s.metrics.Ring(caller.name, caller.in)
 		s.callers[c.Target] = caller
 	}
 	_ = caller.in.Replace(c)
--- a/daemon/dispatcher/lease_manager.go
+++ b/daemon/dispatcher/lease_manager.go
@@ -86,7 +86,7 @@
 	k.slots = make(map[types.Service]uint32)
 	k.homesEpoch = make(map[types.Service]types.Epoch)
 	k.incarnations = make(map[types.TargetID]types.Incarnation)
-	k.leases = newLeaseSet(k.in)
+	k.leases = newLeaseSet(k.in, metrics)
 	k.page = telemetry.NewPage(telemetry.Status{})
 	return k
 }
--- a/daemon/dispatcher/perform.go
+++ b/daemon/dispatcher/perform.go
@@ -93,6 +93,7 @@
 	}
 	client := w.connect(w.addresses[a.Target])
 	s := newSender(a.Target, a.Connection, client, w.results)
+	w.metrics.Ring(s.name, s.in)
 	_ = w.group.Launch(context.WithoutCancel(ctx), s.duty())
 	w.senders[key] = s
 	return s
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -50,7 +50,7 @@
 	g.page = telemetry.NewPage(g.status)
 	g.stats = newStats(g.base.Metrics)
 	g.router = newRouter(s.DataCentre, g.base.Log, g.stats)
-	g.links = process.NewLinks(g.base.Identity, g.publishLinks)
+	g.links = process.NewLinks(g.base, g.publishLinks)
 	g.addDuties()
 	return g
 }
--- a/daemon/process/links.go
+++ b/daemon/process/links.go
@@ -6,6 +6,7 @@
 
 	"sequoiasail.example/duty"
 	"sequoiasail.example/ring"
+	"sequoiasail.example/telemetry"
 	"sequoiasail.example/transport/identity"
 	"sequoiasail.example/transport/peer"
 	"sequoiasail.example/types"
@@ -28,17 +29,19 @@
 
 	identity *identity.Source
 
-	in     *ring.Ring[[]Peer]
-	group  *duty.Group
-	peers  map[types.VM]Peer
-	active map[types.VM]*peer.Link
+	metrics *telemetry.Metrics
+	in      *ring.Ring[[]Peer]
+	group   *duty.Group
+	peers   map[types.VM]Peer
+	active  map[types.VM]*peer.Link
 }
 
-// NewLinks returns an empty set. Links are secured with id, which is nil for plain TCP.
-func NewLinks(id *identity.Source, publish func(map[types.VM]*peer.Link)) *Links {
+// NewLinks returns an empty set for the process of b, with its identity and metrics.
+func NewLinks(b *Base, publish func(map[types.VM]*peer.Link)) *Links {
 	return &Links{
 		Publish:  publish,
-		identity: id,
+		identity: b.Identity,
+		metrics:  b.Metrics,
 		in:       ring.New[[]Peer](linksRingCapacity),
 		group:    duty.NewGroup(),
 		peers:    make(map[types.VM]Peer),
@@ -100,6 +103,7 @@
 		if err := l.group.Launch(ctx, link.Duty()); err != nil {
 			continue
 		}
+		l.metrics.Ring("link-"+string(vm), link.Ring())
 		l.peers[vm] = p
 		l.active[vm] = link
 		started = true
--- a/telemetry/log_test.go
+++ b/telemetry/log_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -70,3 +71,22 @@
 	is.Equal(last["message"], "log lines dropped")
 	is.Equal(last["fields"].(map[string]any)["dropped"], float64(extra))
 }
+
+type fixedQueue struct{ depth int }
+
+func (q fixedQueue) Depth() int       { return q.depth }
+func (q fixedQueue) Cap() int         { return 4 }
+func (q fixedQueue) Refused() uint64  { return 0 }
+func (q fixedQueue) Replaced() uint64 { return 0 }
+
+// Guards against a metric that goes on showing the ring of a link that was replaced.
+func TestRingOfTheSameNameReplacesTheFormer(t *testing.T) {
+	is := is.New(t)
+	m := telemetry.NewMetrics()
+	m.Ring("link-a", fixedQueue{depth: 1})
+	m.Ring("link-a", fixedQueue{depth: 3})
+	w := httptest.NewRecorder()
+	read := func() telemetry.Status { return telemetry.Status{} }
+	telemetry.OpsHandler(m, read).ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	is.True(strings.Contains(w.Body.String(), `sail_ring_depth{ring="link-a"} 3`))
+}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -29,7 +29,11 @@
 func (m *Metrics) Histogram(name string) *metrics.Histogram { return m.set.GetOrCreateHistogram(name) }
 
 // Gauge publishes the value returned by read, which must be safe to call from any goroutine.
-func (m *Metrics) Gauge(name string, read func() float64) { m.set.GetOrCreateGauge(name, read) }
+// A gauge of the same name is replaced, so that a link that was started anew does not show its former ring.
+func (m *Metrics) Gauge(name string, read func() float64) {
+	m.set.UnregisterMetric(name)
+	m.set.GetOrCreateGauge(name, read)
+}
 
 // Ring publishes the depth, capacity, refusals and replacements of a ring.
 func (m *Metrics) Ring(name string, q Queue) {
