--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -40,12 +40,6 @@
   return $bad
 }
 
-show_step() { # NAME COMMAND...: like step, and shows the output of success too
-  local before=$failed
-  step "$@"
-  [ "$failed" -gt "$before" ] || cat "$step_output"
-}
-
 run_user() { # FLEET ANSWERS BASE_PORT LEAVING_CENTRE DATA_CENTRE...
   answers=$2
   local leaving=$4
@@ -57,10 +51,10 @@
   fleet_start_vms "$vms_per_centre"
   step "$fleet: apply configuration" apply
   step "$fleet: all gateways serve all services" ready
-  show_step "$fleet: requests get their own answers" load steady 1 -duration 3s
+  show "$fleet: requests get their own answers" load steady 1 -duration 3s
   show_owners
-  show_step "$fleet: data centre $leaving leaves and returns" leave_and_return "$leaving"
-  show_step "$fleet: no write lost, none ran twice" audit
+  show "$fleet: data centre $leaving leaves and returns" leave_and_return "$leaving"
+  show "$fleet: no write lost, none ran twice" audit
   step "$fleet: every process stops with exit code 0" fleet_stop
 }
 
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -40,12 +40,6 @@
     -records "$dir/steady.record,$dir/freeze.record,$dir/target.record,$dir/store.record,$dir/kill.record"
 }
 
-show() { # NAME COMMAND...: like step, and shows the output of success too
-  local before=$failed
-  step "$@"
-  [ "$failed" -gt "$before" ] || cat "$step_output"
-}
-
 fleet_init faults 20000 praha-a praha-b kladno
 .bin/sailctl generate "$answers" >"$dir/configuration.json"
 fleet_operator_settings 3
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -18,6 +18,16 @@
   fi
 }
 
+# Like step, and shows the output of success too.
+show() { # NAME COMMAND...
+  local before=$failed
+  step "$@"
+  [ "$failed" -gt "$before" ] || cat "$step_output"
+}
+
+# The modules of the workspace, one a line.
+modules() { sed -n 's|^\t\./||p' go.work; }
+
 finish() {
   rm -f "$step_output"
   echo "$passed passed, $failed failed"
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,8 +4,6 @@
 cd "$(dirname "$0")/.."
 . scripts/lib.sh
 
-modules() { sed -n 's|^\t\./||p' go.work; }
-
 format_clean() {
   local files
   files=$(git ls-files '*.go' | xargs -r .bin/gofumpt -l)
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -7,12 +7,6 @@
 
 seed=${SEED:-1}
 
-show() { # NAME COMMAND...: like step, and shows the output of success too
-  local before=$failed
-  step "$@"
-  [ "$failed" -gt "$before" ] || cat "$step_output"
-}
-
 compare() { show "$1" .bin/sail-measure -seed "$seed" "$1"; }
 
 # bench MODULE PATTERN: fails when the module has no benchmark of that name.
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -10,12 +10,6 @@
 seconds=8
 ticks=$(getconf CLK_TCK)
 
-show() { # NAME COMMAND...: like step, and shows the output of success too
-  local before=$failed
-  step "$@"
-  [ "$failed" -gt "$before" ] || cat "$step_output"
-}
-
 bench() { go test -run '^$' -bench "$2" -benchmem -benchtime 200ms "./$1" | grep '^Benchmark'; }
 
 processor_ticks() { # PID...: sum of user and system time
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,8 +5,6 @@
 cd "$(dirname "$0")/.."
 . scripts/lib.sh
 
-modules() { sed -n 's|^\t\./||p' go.work; }
-
 known_red() { [ -f KNOWN-RED.txt ] && sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd'|' -; }
 
 test_module() {
