--- /dev/null
+++ b/admission/choose.go
@@ -0,0 +1,126 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"sequoiasail.example/types"
+)
+
+// choose returns the target for a request, or the code to refuse it with. Neither means that the request waits.
+func (c *Core) choose(now types.Instant, f *flight) (*target, types.Code) {
+	if f.service.Keyed {
+		return c.chooseOwner(now, f)
+	}
+	return c.chooseAny(now, f)
+}
+
+// chooseAny returns the target that is expected to answer first.
+func (c *Core) chooseAny(now types.Instant, f *flight) (*target, types.Code) {
+	var best *target
+	var bestTime time.Duration
+	usable := false
+	for _, t := range f.service.targets {
+		if t.closingAt != 0 || now.Before(t.unreachable) {
+			continue
+		}
+		usable = true
+		if !c.admits(now, t, t.Slots+depthBeyondSlots) || slices.Contains(f.tried, t.Target) {
+			continue
+		}
+		e := t.expected(now) + c.distance(t)
+		// Equal targets are tried in random order, so that VMs that know the same do not all choose the same.
+		e += time.Duration(c.random.Int64N(int64(e/20) + 1))
+		if best == nil || e < bestTime {
+			best, bestTime = t, e
+		}
+	}
+	if best != nil {
+		return best, ""
+	}
+	return nil, c.waitOrRefuse(now, f, usable)
+}
+
+// chooseOwner returns the owner of the request's key.
+func (c *Core) chooseOwner(now types.Instant, f *flight) (*target, types.Code) {
+	s := f.service
+	if !f.keyed {
+		return nil, types.CodeMissingKey
+	}
+	i := s.owners.Index(f.key)
+	if i < 0 {
+		return nil, types.CodeNoOwner
+	}
+	if now.Before(f.waitUntil) || s.moves(now, f.key) {
+		return nil, c.waitOrRefuse(now, f, true)
+	}
+	owner := s.owners.Ranges[i].Owner
+	t := c.targets[owner.Target]
+	if t == nil || t.Life != owner.Life || t.gone(now) {
+		return nil, c.waitOrRefuse(now, f, now.Sub(f.arrived) < ownerWait)
+	}
+	if c.admits(now, t, t.Slots*keyedDepth) {
+		return t, ""
+	}
+	return nil, c.waitOrRefuse(now, f, true)
+}
+
+// ownerWait is how long a request waits for an owner of its key when none is known.
+const ownerWait = 200 * time.Millisecond
+
+// gone reports whether an owner of keys may get no more requests because it leaves.
+func (t *target) gone(now types.Instant) bool {
+	if now.Before(t.unreachable) {
+		return true
+	}
+	if t.closingAt == 0 {
+		return false
+	}
+	limit := keyedEvacuation
+	if t.Draining {
+		limit = keyedDrain
+	}
+	return now.Sub(t.closingAt) > limit
+}
+
+// admits reports whether a target has room for one more request, and may have it now if it is cold.
+func (c *Core) admits(now types.Instant, t *target, depth int) bool {
+	if t.load() >= depth || t.own >= c.connections(t) {
+		return false
+	}
+	if !now.Before(t.ColdUntil) {
+		return true
+	}
+	return t.cold.allows(now)
+}
+
+// connections is this VM's share of the connections that a target accepts.
+func (c *Core) connections(t *target) int {
+	s := c.services[t.Service]
+	if s == nil {
+		return 0
+	}
+	return max(1, (s.MaxConnections-reservedConnections)/(c.fleetSize()+1))
+}
+
+// reservedConnections are left for grants, releases and connections that are being replaced.
+const reservedConnections = 6
+
+// distance is the extra time of a target in another data centre.
+func (c *Core) distance(t *target) time.Duration {
+	if string(t.DataCentre) == c.settings.DataCentre {
+		return 0
+	}
+	return c.settings.RemotePenalty
+}
+
+// waitOrRefuse lets a request wait while it can still be answered in time and a target may become free.
+func (c *Core) waitOrRefuse(now types.Instant, f *flight, usable bool) types.Code {
+	if !usable {
+		return types.CodeNoOwner
+	}
+	if !now.Before(f.deadline.Add(-usualWork / 2)) {
+		return types.CodeOverloaded
+	}
+	return ""
+}
--- /dev/null
+++ b/admission/service.go
@@ -0,0 +1,126 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+
+	"sequoiasail.example/catalog"
+	"sequoiasail.example/keyspace"
+	"sequoiasail.example/types"
+)
+
+// service is the state of one service on this VM.
+type service struct {
+	catalog.Service
+	targets []*target
+	owners  keyspace.Table
+	// moving holds the keys that are being moved, with the time until which their requests wait.
+	moving []movingRange
+	// waiting holds the requests that wait, the most urgent first, then by arrival.
+	waiting []*flight
+	budget  budget
+}
+
+type movingRange struct {
+	keyspace.Range
+	until types.Instant
+}
+
+func (c *Core) setServices(m Services) {
+	for name, conf := range m.Services {
+		s := c.services[name]
+		if s == nil {
+			s = &service{budget: newBudget(c.settings)}
+			c.services[name] = s
+		}
+		s.Service = conf
+	}
+	for name, s := range c.services {
+		if _, ok := m.Services[name]; !ok && len(s.waiting) == 0 {
+			delete(c.services, name)
+		}
+	}
+	c.attach()
+}
+
+// attach sorts the targets into their services.
+func (c *Core) attach() {
+	for _, s := range c.services {
+		s.targets = s.targets[:0]
+	}
+	for _, t := range c.targets {
+		if s := c.services[t.Service]; s != nil {
+			s.targets = append(s.targets, t)
+			t.cold.rate = s.ColdRate
+		}
+	}
+	for _, s := range c.services {
+		slices.SortFunc(s.targets, func(a, b *target) int { return cmp.Compare(a.Target, b.Target) })
+	}
+}
+
+func (c *Core) setOwners(now types.Instant, m Owners) {
+	s := c.services[m.Service]
+	if s == nil {
+		return
+	}
+	s.owners = m.Table
+	// A moved range has another fence now: its requests need not wait any longer.
+	s.moving = slices.DeleteFunc(s.moving, func(r movingRange) bool {
+		i := s.owners.Index(r.From)
+		return i < 0 || s.owners.Ranges[i].Fence != r.Fence || !now.Before(r.until)
+	})
+	c.serve(now, s)
+}
+
+func (c *Core) setMoving(now types.Instant, m Moving) {
+	s := c.services[m.Service]
+	if s == nil {
+		return
+	}
+	for _, r := range m.Ranges {
+		i := s.owners.Index(r.From)
+		if i >= 0 && s.owners.Ranges[i].Fence <= r.Fence {
+			s.moving = append(s.moving, movingRange{Range: r, until: now.Add(movingWait)})
+		}
+	}
+}
+
+// moves reports whether a key is being moved.
+func (s *service) moves(now types.Instant, k keyspace.Key) bool {
+	for _, r := range s.moving {
+		if r.From <= k && k <= r.To && now.Before(r.until) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *service) wait(f *flight) {
+	if f.waiting {
+		return
+	}
+	f.waiting = true
+	i, _ := slices.BinarySearchFunc(s.waiting, f, func(a, b *flight) int {
+		return cmp.Or(cmp.Compare(a.route.Priority, b.route.Priority), cmp.Compare(a.arrived, b.arrived), cmp.Compare(a.id, b.id))
+	})
+	s.waiting = slices.Insert(s.waiting, i, f)
+}
+
+func (s *service) stopWaiting(f *flight) {
+	if !f.waiting {
+		return
+	}
+	f.waiting = false
+	s.waiting = slices.DeleteFunc(s.waiting, func(o *flight) bool { return o == f })
+}
+
+// serve looks at all waiting requests of a service.
+func (c *Core) serve(now types.Instant, s *service) {
+	if s == nil || len(s.waiting) == 0 {
+		return
+	}
+	for _, f := range slices.Clone(s.waiting) {
+		c.place(now, f)
+	}
+}
--- /dev/null
+++ b/admission/settings.go
@@ -0,0 +1,60 @@
+package admission
+
+import "time"
+
+// Settings of a Core.
+type Settings struct {
+	// DataCentre is that of this VM.
+	DataCentre string
+	// VM is this VM.
+	VM string
+	// RemotePenalty is the round trip to a target in another data centre.
+	RemotePenalty time.Duration
+	// RetryRatio and RetrySlack bound the attempts after the first of all VMs together: in each RetryWindow a service
+	// gets at most RetryRatio x its requests + RetrySlack of them.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
+
+// Limits that follow from how targets and callers behave.
+const (
+	// depthBeyondSlots is how many requests may wait at a target: enough that a slot that becomes free has work at once,
+	// few enough that the others can still go elsewhere.
+	depthBeyondSlots = 1
+	// keyedDepth is the same, as a multiple of the slots, where only one target can serve the request.
+	keyedDepth = 2
+	// usualWork is the assumed time of a request before a service has answered any.
+	usualWork = 200 * time.Millisecond
+	// sampleWeight is the weight of a new observation in an average.
+	sampleWeight = 0.15
+	// slownessLife is how long a target's report of its slowness is believed.
+	slownessLife = 400 * time.Millisecond
+	// peerLife is how long a VM's report holds without a newer one.
+	peerLife = 1500 * time.Millisecond
+	// movingWait is how long requests wait for keys that are being moved.
+	movingWait = 600 * time.Millisecond
+	// misdirectedWait is how long requests wait after the owner of their key has refused it.
+	misdirectedWait = 60 * time.Millisecond
+	// keyedDrain is how long the owner of keys that is leaving still gets their requests.
+	keyedDrain = 700 * time.Millisecond
+	// keyedEvacuation is the same for an owner in an evacuated data centre, whose bound is longer.
+	keyedEvacuation = 2500 * time.Millisecond
+	// coldShare is the share of a cold target's tolerated rate that is used.
+	coldShare = 0.8
+	// budgetShare is the share of the retry budget that is used.
+	budgetShare = 0.7
+	// reachableWait is how long a target that could not be reached gets no requests.
+	reachableWait = 500 * time.Millisecond
+	// failureLimit is the average share of failed attempts above which a target is avoided.
+	failureLimit = 0.3
+	// wakeInterval is how often waiting requests are looked at without other cause.
+	wakeInterval = 10 * time.Millisecond
+	// shortestRetryAfter and retryAfterSpread set when refused callers return. Callers honour up to a third of their time.
+	shortestRetryAfter = 100 * time.Millisecond
+	retryAfterSpread   = 200 * time.Millisecond
+	// answerMargin is the time left at the deadline to tell the caller.
+	answerMargin = 15 * time.Millisecond
+	// smallestSend is the least time left for which a request is sent at all.
+	smallestSend = 40 * time.Millisecond
+)
--- /dev/null
+++ b/admission/target.go
@@ -0,0 +1,129 @@
+package admission
+
+import (
+	"fmt"
+	"time"
+
+	"sequoiasail.example/catalog"
+	"sequoiasail.example/types"
+)
+
+// target is what this VM knows of one target.
+type target struct {
+	catalog.Listing
+	// own is the number of this VM's requests under way; peers that of all other VMs.
+	own   int
+	peers int
+	// work is the average time of a request when the target is as fast as usual; 0 before the first answer.
+	work time.Duration
+	// slowness is the last reported one, believed until slownessLife after slowAt.
+	slowness float64
+	slowAt   types.Instant
+	// failures is the average share of failed attempts.
+	failures    float64
+	unreachable types.Instant
+	// closingAt is when the target was first seen to drain or its data centre to be evacuated; 0 when neither.
+	closingAt types.Instant
+	cold      coldLimit
+}
+
+func (c *Core) setTargets(now types.Instant, m Targets) {
+	seen := make(map[types.Target]bool, len(m.Targets))
+	for _, n := range m.Targets {
+		name := n.Target
+		seen[name] = true
+		t := c.targets[name]
+		if t == nil || !t.SameLife(n.Registration) {
+			t = &target{}
+			c.targets[name] = t
+		}
+		t.Listing = n
+		switch closing := n.Draining || n.Evacuated; {
+		case !closing:
+			t.closingAt = 0
+		case t.closingAt == 0:
+			t.closingAt = now
+		}
+	}
+	for name := range c.targets {
+		if !seen[name] {
+			delete(c.targets, name)
+		}
+	}
+	c.attach()
+	c.countPeers(now)
+	for _, s := range c.services {
+		c.serve(now, s)
+	}
+}
+
+// load is the number of requests at the target, as far as this VM knows.
+func (t *target) load() int { return t.own + t.peers }
+
+// learn updates the averages after an attempt and keeps the observation for the other VMs.
+func (c *Core) learn(now types.Instant, f *flight, t *target, m Finished) {
+	s := Sample{Target: t.Target, Failed: m.Result == ResultLost || m.Failed || m.Unreachable}
+	if m.Report != nil {
+		s.Slowness = m.Report.Slowness
+	}
+	if m.Result == ResultAnswered && !m.Failed {
+		s.Took = now.Sub(f.sentAt)
+	}
+	if m.Unreachable {
+		t.unreachable = now.Add(reachableWait)
+	}
+	if f.answered && m.Result == ResultLost {
+		// The attempt was aborted: this says nothing of the target.
+		return
+	}
+	t.observe(now, s)
+	if len(c.samples) < maxSamples {
+		c.samples = append(c.samples, s)
+	}
+}
+
+// maxSamples bounds the observations kept for one report to the other VMs.
+const maxSamples = 64
+
+func (t *target) observe(now types.Instant, s Sample) {
+	if s.Slowness > 0 {
+		t.slowness, t.slowAt = s.Slowness, now
+	}
+	failed := 0.0
+	if s.Failed {
+		failed = 1
+	}
+	t.failures += sampleWeight * (failed - t.failures)
+	if s.Took <= 0 {
+		return
+	}
+	took := s.Took
+	if s.Slowness > 1 {
+		took = time.Duration(float64(took) / s.Slowness)
+	}
+	if t.work == 0 {
+		t.work = usualWork
+	}
+	t.work += time.Duration(sampleWeight * float64(took-t.work))
+}
+
+// expected is the time that a request at the target is expected to take from now.
+func (t *target) expected(now types.Instant) time.Duration {
+	work := t.work
+	if work == 0 {
+		work = usualWork
+	}
+	slow := 1.2
+	if t.slowness > 0 && now.Before(t.slowAt.Add(slownessLife)) {
+		slow = t.slowness
+	}
+	queue := 1 + float64(max(0, t.load()+1-t.Slots))/float64(max(t.Slots, 1))
+	return time.Duration(float64(work) * slow * queue * (1 + 3*t.failures))
+}
+
+// explain tells the log what is known of the target.
+func (t *target) explain(now types.Instant) string {
+	return fmt.Sprintf("own %d peers %d of %d slots, slowness %.1f seen %s ago, failures %.2f, expected %s",
+		t.own, t.peers, t.Slots, t.slowness, now.Sub(t.slowAt).Round(time.Millisecond), t.failures,
+		t.expected(now).Round(time.Millisecond))
+}
--- /dev/null
+++ b/catalog/table.go
@@ -0,0 +1,51 @@
+package catalog
+
+import (
+	"slices"
+	"strings"
+
+	"sequoiasail.example/types"
+)
+
+// Table finds the route of a request in one configuration. It is immutable and safe for concurrent use.
+type Table struct {
+	configuration Configuration
+	// byHost holds the routes of each host, longest prefix first.
+	byHost map[string][]*Route
+}
+
+// NewTable indexes a configuration, which must not change afterwards.
+func NewTable(c Configuration) *Table {
+	t := &Table{configuration: c, byHost: make(map[string][]*Route)}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return t
+}
+
+// Version returns the version of the indexed configuration.
+func (t *Table) Version() types.Version { return t.configuration.Version }
+
+// Limits returns the limits on what callers may send.
+func (t *Table) Limits() Limits { return t.configuration.Limits }
+
+// Services returns the services by name. The map must not be changed.
+func (t *Table) Services() map[types.Service]Service { return t.configuration.Services }
+
+// Lookup returns the route of host with the longest prefix that begins path. A port in host is ignored.
+func (t *Table) Lookup(host, path string) (*Route, bool) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/daemon/edge/edge.go
@@ -0,0 +1,270 @@
+package edge
+
+import (
+	"context"
+	"io"
+	stdlog "log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+
+	"sequoiasail.example/admission"
+	"sequoiasail.example/duty"
+	"sequoiasail.example/keyspace"
+	"sequoiasail.example/platform"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/forward"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+// Numbers of duties and capacities of rings. A full ring of requests refuses; all others block their producer or replace
+// the oldest report.
+const (
+	senders           = 64
+	orderers          = 8
+	admissionCapacity = 1024
+	jobCapacity       = 256
+	updateCapacity    = 64
+	keeperCapacity    = 1024
+	orderCapacity     = 256
+	reportCapacity    = 32
+)
+
+// Times of a planned stop.
+const (
+	// leaveTime lets the load balancer see twice, a second apart, that this VM is not ready.
+	leaveTime = 2300 * time.Millisecond
+	// stopMargin is the part of the stop time that is left for the last duties.
+	stopMargin = 500 * time.Millisecond
+)
+
+// Limits of the caller-facing server before a configuration is known. They are wider than any configuration's.
+const (
+	maxHeaderBytes = 64 << 10
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 60 * time.Second
+)
+
+// remotePenalty is assumed for a round trip between data centres.
+const remotePenalty = 10 * time.Millisecond
+
+// Edge is the daemon of one VM.
+type Edge struct {
+	settings platform.Settings
+	log      *telemetry.Log
+	metrics  *telemetry.Metrics
+	group    *duty.Group
+	store    *platform.Store
+	random   *rand.Rand
+
+	admission *ring.Ring[any]
+	keeper    *ring.Ring[any]
+	session   *session
+	knowledge *knowledge
+	readiness *readiness
+	front     *front
+	server    *httpServer
+}
+
+// New builds the daemon. Nothing runs before Run.
+func New(s platform.Settings, output io.Writer) *Edge {
+	e := &Edge{
+		settings: s, metrics: telemetry.NewMetrics(), group: duty.NewGroup(), store: platform.NewStore(s.StoreAddress),
+		log:       telemetry.NewLog(output, log.Fields{"vm": s.VM, "dataCentre": s.DataCentre}),
+		random:    rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(len(s.VM)))),
+		admission: ring.New[any](admissionCapacity),
+		keeper:    ring.New[any](keeperCapacity),
+	}
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(libraryLog{log: e.log})
+	e.metrics.Gauge("sail_log_dropped_total", func() float64 { return float64(e.log.Dropped()) })
+	e.metrics.Ring("admission", e.admission)
+	e.metrics.Ring("keeper", e.keeper)
+	return e
+}
+
+// libraryLog passes the lines of libraries on.
+type libraryLog struct{ log *telemetry.Log }
+
+func (l libraryLog) Write(p []byte) (int, error) {
+	l.log.Info("library message", log.Fields{"text": string(p)})
+	return len(p), nil
+}
+
+// jitter returns a random time below d. It is safe for concurrent use.
+func jitter(d time.Duration) time.Duration { return rand.N(d) }
+
+// Run serves until ctx ends, then stops within the platform's stop time.
+func (e *Edge) Run(ctx context.Context) error {
+	if err := e.provision(); err != nil {
+		return err
+	}
+	if err := e.group.Start(ctx); err != nil {
+		return err
+	}
+	e.log.Info("started", log.Fields{"duties": len(e.group.Names()), "incarnation": e.session.entry.Incarnation})
+	select {
+	case <-ctx.Done():
+		return e.stop()
+	case f := <-e.group.Failed():
+		e.log.Warn("duty failed, stopping", log.Fields{"duty": f.Duty, "error": f.Err.Error()})
+		_ = e.stop()
+		return f.Err
+	}
+}
+
+// stop lets the load balancer take this VM out, finishes the requests in hand and ends the duties.
+func (e *Edge) stop() error {
+	e.log.Info("stopping", nil)
+	e.readiness.stopping.Store(true)
+	e.front.closing.Store(true)
+	close(e.session.leaving)
+	pause(context.Background(), leaveTime)
+	ctx, cancel := context.WithTimeout(context.Background(), e.settings.StopTime-leaveTime-stopMargin)
+	defer cancel()
+	if err := e.server.shutdown(ctx); err != nil {
+		e.log.Warn("requests were still in hand at the end of the stop time", log.Fields{"error": err.Error()})
+	}
+	return e.group.Stop(context.Background())
+}
+
+func (e *Edge) provision() error {
+	conn, err := listenPeers(e.settings.IP, e.settings.PeerPort)
+	if err != nil {
+		return err
+	}
+	jobs := ring.New[job](jobCapacity)
+	reports := ring.New[report](reportCapacity)
+	members := ring.New[[]vmEntry](1)
+	meter := newMeter(e.metrics)
+	e.group.Add(e.log.Duty())
+	e.addKnowledge(members)
+	e.group.Add((&peerSender{
+		vm: e.settings.VM, in: reports, members: members, keeper: e.keeper, conn: conn, log: e.log,
+	}).duty())
+	e.group.Add((&peerReceiver{conn: conn, admission: e.admission, keeper: e.keeper, log: e.log}).duty())
+	e.addSession()
+	e.addKeeper(reports)
+	e.addAdmission(jobs, reports, meter)
+	return e.addServers(meter)
+}
+
+func (e *Edge) addKnowledge(members *ring.Ring[[]vmEntry]) {
+	updates := ring.New[update](updateCapacity)
+	e.knowledge = newKnowledge()
+	e.knowledge.in, e.knowledge.admission, e.knowledge.keeper = updates, e.admission, e.keeper
+	e.knowledge.session = ring.New[keeperSeen](1)
+	e.knowledge.peers, e.knowledge.log = members, e.log
+	e.group.Add(e.knowledge.duty())
+	e.addWatch("operator", platform.OperatorPrefix, updates)
+	e.addWatch("targets", platform.TargetPrefix, updates)
+	e.addWatch("own", ownPrefix, updates)
+}
+
+func (e *Edge) addWatch(name, prefix string, out *ring.Ring[update]) {
+	w := &watch{name: name, prefix: prefix, pause: watchPause, store: e.store, out: out, log: e.log, jitter: jitter}
+	e.group.Add(w.duty())
+}
+
+func (e *Edge) addSession() {
+	e.session = &session{
+		store: e.store, in: e.knowledge.session, keeper: e.keeper, log: e.log, jitter: jitter,
+		ttl: max(sessionTTL, e.settings.ShortestLease), leaving: make(chan struct{}),
+		entry: vmEntry{
+			VM: e.settings.VM, Incarnation: types.Incarnation(time.Now().UnixNano()),
+			PeerAddress: net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)),
+		},
+	}
+	e.group.Add(e.session.duty())
+}
+
+func (e *Edge) addKeeper(reports *ring.Ring[report]) {
+	stores := ring.New[storeJob](updateCapacity)
+	orders := ring.New[orderJob](orderCapacity)
+	k := &keeper{
+		name:     string(e.settings.VM) + "/" + strconv.FormatUint(uint64(e.session.entry.Incarnation), 10),
+		settings: keyspace.Defaults(e.settings.LongestHold),
+		in:       e.keeper, stores: stores, orders: orders, peers: reports, admission: e.admission, log: e.log,
+		wards:     make(map[types.Service]*ward),
+		addresses: make(map[keyspace.Owner]string),
+		hosts:     make(map[string]*forward.Host),
+	}
+	e.group.Add(k.duty())
+	e.group.Add((&keeperStore{in: stores, out: e.keeper, store: store.Store(e.store)}).duty())
+	for i := range orderers {
+		e.group.Add((&orderer{index: i, in: orders, out: e.keeper, timeout: k.settings.CallTimeout, log: e.log}).duty())
+	}
+}
+
+func (e *Edge) addAdmission(jobs *ring.Ring[job], reports *ring.Ring[report], m *meter) {
+	a := &admissionDuty{
+		in: e.admission, jobs: jobs, peers: reports, log: e.log, meter: m,
+		core: admission.New(admission.Settings{
+			DataCentre: string(e.settings.DataCentre), VM: string(e.settings.VM), RemotePenalty: remotePenalty,
+			RetryRatio: e.settings.RetryRatio, RetrySlack: e.settings.RetrySlack, RetryWindow: e.settings.RetryWindow,
+		}, e.random),
+		hands: make(map[admission.FlightID]*hand),
+		hosts: make(map[hostKey]*forward.Host),
+		keys:  make(map[types.Service][]keyspace.Key),
+	}
+	e.group.Add(a.duty())
+	for i := range senders {
+		e.group.Add((&sender{index: i, jobs: jobs, out: e.admission, log: e.log}).duty())
+	}
+}
+
+func (e *Edge) addServers(m *meter) error {
+	e.front = &front{knowledge: e.knowledge, admission: e.admission, log: e.log, meter: m}
+	e.readiness = &readiness{knowledge: e.knowledge}
+	var err error
+	if e.server, err = newHTTPServer("front", e.settings.CallerAddress, e.front.handler()); err != nil {
+		return err
+	}
+	ready, err := newHTTPServer("ready", e.settings.ReadyAddress, e.readiness.handler(e.metrics))
+	if err != nil {
+		return err
+	}
+	e.group.Add(ready.duty())
+	e.group.Add(e.server.duty())
+	return nil
+}
+
+// httpServer is one listener with its handler.
+type httpServer struct {
+	name     string
+	listener net.Listener
+	server   *http.Server
+}
+
+func newHTTPServer(name, address string, h http.Handler) (*httpServer, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, types.WrapFault(types.CodeBadSettings, err, "listen on %s", address)
+	}
+	return &httpServer{name: name, listener: l, server: &http.Server{
+		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}}, nil
+}
+
+func (s *httpServer) duty() duty.Duty {
+	return duty.Duty{Name: "http-" + s.name, Run: s.run, Stop: s.shutdown}
+}
+
+func (s *httpServer) shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
+
+// run closes all connections at once when ctx ends.
+func (s *httpServer) run(ctx context.Context) error {
+	detach := context.AfterFunc(ctx, func() { _ = s.server.Close() })
+	defer detach()
+	err := s.server.Serve(s.listener)
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return types.WrapFault(types.CodeInternal, err, "serve %s", s.name)
+}
--- /dev/null
+++ b/daemon/edge/keeper.go
@@ -0,0 +1,355 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"sequoiasail.example/admission"
+	"sequoiasail.example/catalog"
+	"sequoiasail.example/duty"
+	"sequoiasail.example/keyspace"
+	"sequoiasail.example/platform"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/forward"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+// keeperTick is how often time passes for the keyspace cores while this VM is the keeper.
+const keeperTick = 50 * time.Millisecond
+
+// Messages of the keeper duty besides those of the keyspace core.
+type (
+	// targetList replaces the targets.
+	targetList struct {
+		targets []catalog.Listing
+		// superseded lists the targets whose address another one has.
+		superseded []catalog.Registration
+	}
+	// serviceList replaces the services.
+	serviceList struct {
+		services map[types.Service]catalog.Service
+	}
+	// requestedKeys reports keys that were asked for.
+	requestedKeys struct {
+		service types.Service
+		keys    []keyspace.Key
+	}
+	// tableRead answers a read of the owners.
+	tableRead struct {
+		service  types.Service
+		loaded   keyspace.Loaded
+		revision types.Revision
+		err      error
+	}
+	// tableWritten answers a write of the owners.
+	tableWritten struct {
+		service  types.Service
+		revision types.Revision
+		err      error
+	}
+	// orderDone answers one call to a target; last marks the end of its batch.
+	orderDone struct {
+		service types.Service
+		called  keyspace.Called
+		last    bool
+	}
+)
+
+// storeJob is a read or write of the owners of one service.
+type storeJob struct {
+	service types.Service
+	// table is nil for a read.
+	table    *keyspace.Table
+	expected types.Revision
+}
+
+// orderJob is a batch of calls to one target.
+type orderJob struct {
+	service types.Service
+	batch   keyspace.Batch
+	host    *forward.Host
+	// until is when the role of the keeper ends: no call may leave later.
+	until types.Instant
+}
+
+// ward is a keyed service with its core.
+type ward struct {
+	core     *keyspace.Core
+	revision types.Revision
+}
+
+// keeper runs the keyspace cores.
+type keeper struct {
+	name     string
+	settings keyspace.Settings
+	in       *ring.Ring[any]
+	stores   *ring.Ring[storeJob]
+	orders   *ring.Ring[orderJob]
+	peers    *ring.Ring[report]
+	// admission of this VM hears of moving keys at once.
+	admission *ring.Ring[any]
+	log       *telemetry.Log
+
+	wards   map[types.Service]*ward
+	targets []catalog.Listing
+	// addresses keeps those of targets that are gone from the store but may still hold keys.
+	addresses map[keyspace.Owner]string
+	hosts     map[string]*forward.Host
+	term      keyspace.Elected
+	elected   bool
+}
+
+func (k *keeper) duty() duty.Duty { return duty.Duty{Name: "keeper", Run: k.run} }
+
+func (k *keeper) run(ctx context.Context) error {
+	tick := time.NewTicker(keeperTick)
+	defer tick.Stop()
+	for {
+		k.in.Drain(func(m any) { k.handle(ctx, m) })
+		select {
+		case <-k.in.Ready():
+		case <-k.ticks(tick):
+			now := telemetry.Now()
+			for s, w := range k.wards {
+				k.perform(ctx, s, w, w.core.Tick(now))
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// ticks is nil, so that nothing wakes up, while this VM is not the keeper.
+func (k *keeper) ticks(t *time.Ticker) <-chan time.Time {
+	if !k.elected {
+		return nil
+	}
+	return t.C
+}
+
+func (k *keeper) handle(ctx context.Context, m any) {
+	switch m := m.(type) {
+	case keyspace.Elected:
+		k.elected, k.term = true, m
+		k.stepAll(ctx, m)
+	case keyspace.Deposed:
+		k.elected = false
+		k.stepAll(ctx, m)
+	case serviceList:
+		k.setServices(ctx, m)
+	case targetList:
+		k.setTargets(ctx, m)
+	case requestedKeys:
+		k.step(ctx, m.service, keyspace.Requested{Keys: m.keys})
+	case tableRead:
+		k.read(ctx, m)
+	case tableWritten:
+		k.written(ctx, m)
+	case orderDone:
+		k.ordered(ctx, m)
+	}
+}
+
+func (k *keeper) stepAll(ctx context.Context, m keyspace.Message) {
+	for s := range k.wards {
+		k.step(ctx, s, m)
+	}
+}
+
+func (k *keeper) step(ctx context.Context, s types.Service, m keyspace.Message) {
+	if w := k.wards[s]; w != nil && (k.elected || isState(m)) {
+		k.perform(ctx, s, w, w.core.Step(telemetry.Now(), m))
+	}
+}
+
+// isState reports whether a core needs the message also while it is not the keeper's.
+func isState(m keyspace.Message) bool {
+	_, load := m.(keyspace.Requested)
+	return !load
+}
+
+func (k *keeper) setServices(ctx context.Context, m serviceList) {
+	for name, s := range m.services {
+		if !s.Keyed || k.wards[name] != nil {
+			continue
+		}
+		k.wards[name] = &ward{core: keyspace.New(k.name, k.settings)}
+		k.tellMembers(ctx, name)
+		if k.elected {
+			term := k.term
+			term.Acquired = true
+			k.step(ctx, name, term)
+		}
+	}
+}
+
+func (k *keeper) setTargets(ctx context.Context, m targetList) {
+	k.targets = m.targets
+	for _, t := range m.targets {
+		k.addresses[ownerOf(t.Registration)] = t.Address
+	}
+	for s := range k.wards {
+		k.tellMembers(ctx, s)
+	}
+	for _, r := range m.superseded {
+		k.step(ctx, r.Service, keyspace.Ended{Owner: ownerOf(r)})
+	}
+}
+
+func ownerOf(r catalog.Registration) keyspace.Owner {
+	return keyspace.Owner{Target: r.Target, Life: r.Life}
+}
+
+func (k *keeper) tellMembers(ctx context.Context, s types.Service) {
+	var list []keyspace.Member
+	for _, t := range k.targets {
+		if t.Service == s {
+			list = append(list, keyspace.Member{
+				Owner: ownerOf(t.Registration), Slots: t.Slots, Usable: !t.Draining && !t.Evacuated, ColdUntil: t.ColdUntil,
+			})
+		}
+	}
+	k.step(ctx, s, keyspace.Members{Members: list})
+}
+
+func (k *keeper) read(ctx context.Context, m tableRead) {
+	w := k.wards[m.service]
+	if w == nil {
+		return
+	}
+	if m.err != nil {
+		k.log.Warn("owners of keys not read", log.Fields{"service": m.service, "error": m.err.Error()})
+		k.step(ctx, m.service, keyspace.LoadFailed{})
+		return
+	}
+	w.revision = m.revision
+	k.step(ctx, m.service, m.loaded)
+}
+
+func (k *keeper) written(ctx context.Context, m tableWritten) {
+	w := k.wards[m.service]
+	if w == nil {
+		return
+	}
+	if m.err == nil {
+		w.revision = m.revision
+	} else {
+		k.log.Warn("owners of keys not written", log.Fields{"service": m.service, "error": m.err.Error()})
+	}
+	k.step(ctx, m.service, keyspace.Committed{Err: m.err})
+}
+
+func (k *keeper) ordered(ctx context.Context, m orderDone) {
+	w := k.wards[m.service]
+	if w == nil {
+		return
+	}
+	k.step(ctx, m.service, m.called)
+	if m.last {
+		k.perform(ctx, m.service, w, w.core.BatchDone(telemetry.Now(), m.called.Call.Owner.Target))
+	}
+}
+
+func (k *keeper) perform(ctx context.Context, s types.Service, w *ward, actions []keyspace.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case keyspace.Load:
+			k.queueStore(ctx, storeJob{service: s})
+		case keyspace.Commit:
+			k.log.Info("owners of keys change", log.Fields{
+				"service": s, "ranges": len(a.Table.Ranges), "nextFence": a.Table.NextFence, "overRevision": w.revision,
+			})
+			table := a.Table
+			k.queueStore(ctx, storeJob{service: s, table: &table, expected: w.revision})
+		case keyspace.Batch:
+			k.order(ctx, s, a)
+		case keyspace.Moving:
+			k.log.Info("keys move", log.Fields{"service": s, "ranges": len(a.Ranges), "reason": a.Reason})
+			k.announce(ctx, s, a)
+		}
+	}
+}
+
+func (k *keeper) queueStore(ctx context.Context, j storeJob) { _ = k.stores.Put(ctx, j) }
+
+func (k *keeper) announce(ctx context.Context, s types.Service, m keyspace.Moving) {
+	_ = k.admission.Put(ctx, admission.Moving{Service: s, Ranges: m.Ranges})
+	_ = k.peers.Replace(report{moving: map[types.Service][]keyspace.Range{s: m.Ranges}})
+}
+
+// order passes a batch on. The address of an owner that was never registered while this VM runs is not known: its calls
+// fail without being sent.
+func (k *keeper) order(ctx context.Context, s types.Service, b keyspace.Batch) {
+	address := k.addresses[b.Owner]
+	host := k.hosts[address]
+	if host == nil && address != "" {
+		host = platform.NewHost(address, ordersPerTarget)
+		k.hosts[address] = host
+	}
+	_ = k.orders.Put(ctx, orderJob{service: s, batch: b, host: host, until: k.term.Until})
+}
+
+// ordersPerTarget is the number of connections to a target for grants and releases.
+const ordersPerTarget = 2
+
+// keeperStore reads and writes the owners of keys.
+type keeperStore struct {
+	in    *ring.Ring[storeJob]
+	out   *ring.Ring[any]
+	store store.Store
+}
+
+func (s *keeperStore) duty() duty.Duty { return duty.Duty{Name: "keeper-store", Run: s.run} }
+
+func (s *keeperStore) run(ctx context.Context) error {
+	for {
+		j, err := s.in.Get(ctx)
+		if err != nil {
+			return nil
+		}
+		var answer any
+		if j.table == nil {
+			answer = s.read(ctx, j)
+		} else {
+			answer = s.write(ctx, j)
+		}
+		if s.out.Put(ctx, answer) != nil {
+			return nil
+		}
+	}
+}
+
+func (s *keeperStore) read(ctx context.Context, j storeJob) tableRead {
+	ctx, cancel := context.WithTimeout(ctx, sessionCall)
+	defer cancel()
+	e, err := s.store.Get(ctx, ownersKey(j.service))
+	if types.CodeOf(err) == types.CodeNotFound && err != nil {
+		return tableRead{service: j.service}
+	}
+	if err != nil {
+		return tableRead{service: j.service, err: err}
+	}
+	t, err := decodeTable(e.Value)
+	return tableRead{service: j.service, loaded: keyspace.Loaded{Table: t, Found: true}, revision: e.Revision, err: err}
+}
+
+// write stores a table. When the answer is lost it reads back whether the write took effect.
+func (s *keeperStore) write(ctx context.Context, j storeJob) tableWritten {
+	value, err := encodeTable(*j.table)
+	if err != nil {
+		return tableWritten{service: j.service, err: err}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, sessionCall)
+	defer cancel()
+	revision, err := s.store.CAS(callCtx, store.Write{Key: ownersKey(j.service), Expected: j.expected, Value: value})
+	if code := types.CodeOf(err); err != nil && (code == types.CodeAnswerLost || code == types.CodeConflict) {
+		if back := s.read(ctx, j); back.err == nil && back.loaded.Table.Writer == j.table.Writer {
+			return tableWritten{service: j.service, revision: back.revision}
+		}
+	}
+	return tableWritten{service: j.service, revision: revision, err: err}
+}
--- /dev/null
+++ b/daemon/edge/knowledge.go
@@ -0,0 +1,304 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"sequoiasail.example/admission"
+	"sequoiasail.example/catalog"
+	"sequoiasail.example/duty"
+	"sequoiasail.example/keyspace"
+	"sequoiasail.example/platform"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+// expireInterval is how often missing registrations are looked at.
+const expireInterval = 200 * time.Millisecond
+
+// view is what the knowledge duty publishes for the front and the ready page.
+type view struct {
+	table *catalog.Table
+	// complete is true once configuration, registrations and owners are known.
+	complete bool
+}
+
+// knowledge owns what the store has told and passes changes on.
+type knowledge struct {
+	in        *ring.Ring[update]
+	admission *ring.Ring[any]
+	keeper    *ring.Ring[any]
+	session   *ring.Ring[keeperSeen]
+	peers     *ring.Ring[[]vmEntry]
+	log       *telemetry.Log
+	published atomic.Pointer[view]
+
+	registry      *catalog.Registry
+	configuration *catalog.Table
+	vms           map[types.VM]vmEntry
+	owners        map[types.Service]keyspace.Table
+	// raw keeps the value of each registration, so that unchanged ones are not decoded again.
+	raw        map[types.Target][]byte
+	registered bool
+	ownersRead bool
+}
+
+// keeperSeen tells the session who the store says is the keeper.
+type keeperSeen struct {
+	entry keeperEntry
+	known bool
+	// revision is the store's revision at which this was so.
+	revision types.Revision
+}
+
+func newKnowledge() *knowledge {
+	k := &knowledge{
+		registry: catalog.NewRegistry(), vms: make(map[types.VM]vmEntry),
+		owners: make(map[types.Service]keyspace.Table), raw: make(map[types.Target][]byte),
+	}
+	k.published.Store(&view{})
+	return k
+}
+
+func (k *knowledge) duty() duty.Duty { return duty.Duty{Name: "knowledge", Run: k.run} }
+
+func (k *knowledge) run(ctx context.Context) error {
+	tick := time.NewTicker(expireInterval)
+	defer tick.Stop()
+	for {
+		k.in.Drain(func(u update) { k.apply(ctx, u) })
+		select {
+		case <-k.in.Ready():
+		case <-tick.C:
+			if k.registry.Expire(telemetry.Now()) {
+				k.tellTargets(ctx)
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (k *knowledge) apply(ctx context.Context, u update) {
+	now := telemetry.Now()
+	switch {
+	case u.err != nil:
+		if u.prefix == platform.TargetPrefix && types.CodeOf(u.err) != types.CodeNotFound {
+			k.registry.StoreAway()
+		}
+	case u.prefix == platform.TargetPrefix:
+		k.registry.StoreBack(now)
+		k.applyTargets(ctx, now, u)
+	case u.prefix == platform.OperatorPrefix:
+		k.applyOperator(ctx, u)
+	default:
+		k.applyOwn(ctx, u)
+	}
+	k.publish()
+}
+
+func (k *knowledge) publish() {
+	v := &view{table: k.configuration, complete: k.configuration != nil && k.registered && k.ownersRead}
+	if v.table != nil {
+		for name, s := range v.table.Services() {
+			v.complete = v.complete && (!s.Keyed || len(k.owners[name].Ranges) > 0)
+		}
+	}
+	k.published.Store(v)
+}
+
+func (k *knowledge) applyTargets(ctx context.Context, now types.Instant, u update) {
+	if u.snapshot {
+		var list []catalog.Registration
+		for _, e := range u.entries {
+			if r, ok := k.register(e); ok {
+				list = append(list, r)
+			}
+		}
+		k.registry.Replace(now, list)
+		k.registered = true
+	}
+	for _, e := range u.events {
+		t, ok := platform.RegisteredTarget(e.Key)
+		if !ok {
+			continue
+		}
+		if e.Deleted {
+			k.log.Info("target gone", log.Fields{"target": t, "revision": e.Revision})
+			delete(k.raw, t)
+			k.registry.Remove(now, t)
+			continue
+		}
+		if bytes.Equal(k.raw[t], e.Value) {
+			continue
+		}
+		if r, ok := k.register(e.Entry); ok {
+			k.registry.Put(now, r)
+		} else {
+			k.registry.Remove(now, t)
+		}
+	}
+	k.tellTargets(ctx)
+}
+
+// register decodes a registration. One that can't be read names no target to use.
+func (k *knowledge) register(e store.Entry) (catalog.Registration, bool) {
+	t, ok := platform.RegisteredTarget(e.Key)
+	if !ok {
+		return catalog.Registration{}, false
+	}
+	seen := bytes.Equal(k.raw[t], e.Value)
+	k.raw[t] = e.Value
+	r, err := platform.DecodeRegistration(t, e.Value)
+	if err != nil {
+		if !seen {
+			k.log.Warn("registration ignored", log.Fields{"target": t, "revision": e.Revision, "error": err.Error()})
+		}
+		return r, false
+	}
+	if !seen {
+		k.log.Info("target registered", log.Fields{
+			"target": t, "life": r.Life, "service": r.Service, "address": r.Address, "dataCentre": r.DataCentre,
+			"draining": r.Draining, "coldFor": r.ColdFor.String(), "revision": e.Revision,
+		})
+	}
+	return r, true
+}
+
+func (k *knowledge) tellTargets(ctx context.Context) {
+	list := k.registry.List()
+	k.pass(ctx, k.admission, admission.Targets{Targets: list})
+	k.pass(ctx, k.keeper, targetList{targets: list, superseded: k.registry.Superseded()})
+}
+
+// pass hands a message to another duty. The only failure is the end of the process.
+func (k *knowledge) pass(ctx context.Context, to *ring.Ring[any], m any) { _ = to.Put(ctx, m) }
+
+func (k *knowledge) applyOperator(ctx context.Context, u update) {
+	if u.snapshot {
+		var out []types.DataCentre
+		for _, e := range u.entries {
+			if d, ok := platform.Evacuation(e.Key); ok {
+				out = append(out, d)
+			}
+			k.configure(ctx, e)
+		}
+		k.registry.ReplaceEvacuations(out)
+	}
+	for _, e := range u.events {
+		if d, ok := platform.Evacuation(e.Key); ok {
+			k.log.Info("data centre evacuation", log.Fields{"dataCentre": d, "out": !e.Deleted, "revision": e.Revision})
+			k.registry.Evacuate(d, !e.Deleted)
+			continue
+		}
+		if !e.Deleted {
+			k.configure(ctx, e.Entry)
+		}
+	}
+	k.tellTargets(ctx)
+}
+
+// configure takes a configuration into force unless it is older than the present one.
+func (k *knowledge) configure(ctx context.Context, e store.Entry) {
+	if !platform.IsConfiguration(e.Key) {
+		return
+	}
+	c, err := platform.DecodeConfiguration(e.Value)
+	if err != nil {
+		k.log.Warn("configuration ignored", log.Fields{"revision": e.Revision, "error": err.Error()})
+		return
+	}
+	if k.configuration != nil && c.Version <= k.configuration.Version() {
+		return
+	}
+	k.configuration = catalog.NewTable(c)
+	k.log.Info("configuration in force", log.Fields{"version": c.Version, "routes": len(c.Routes), "revision": e.Revision})
+	k.pass(ctx, k.admission, admission.Services{Services: c.Services})
+	k.pass(ctx, k.keeper, serviceList{services: c.Services})
+	for name, t := range k.owners {
+		k.pass(ctx, k.admission, admission.Owners{Service: name, Table: t})
+	}
+}
+
+func (k *knowledge) applyOwn(ctx context.Context, u update) {
+	if u.snapshot {
+		clear(k.vms)
+		k.ownersRead = true
+		keeper := keeperSeen{revision: u.revision}
+		for _, e := range u.entries {
+			if e.Key == keeperKey {
+				keeper = k.readKeeper(e)
+				continue
+			}
+			k.applyOwnEntry(ctx, e)
+		}
+		_ = k.session.Replace(keeper)
+	}
+	for _, e := range u.events {
+		switch {
+		case e.Key == keeperKey && e.Deleted:
+			_ = k.session.Replace(keeperSeen{revision: e.Revision})
+		case e.Key == keeperKey:
+			_ = k.session.Replace(k.readKeeper(e.Entry))
+		case e.Deleted:
+			delete(k.vms, types.VM(strings.TrimPrefix(e.Key, vmPrefix)))
+		default:
+			k.applyOwnEntry(ctx, e.Entry)
+		}
+	}
+	k.tellVMs(ctx)
+}
+
+func (k *knowledge) readKeeper(e store.Entry) keeperSeen {
+	entry, err := decodeJSON[keeperEntry](e.Key, e.Value)
+	if err != nil {
+		k.log.Warn("entry ignored", log.Fields{"key": e.Key, "error": err.Error()})
+	}
+	return keeperSeen{entry: entry, known: err == nil, revision: e.Revision}
+}
+
+func (k *knowledge) applyOwnEntry(ctx context.Context, e store.Entry) {
+	if s, ok := ownersService(e.Key); ok {
+		t, err := decodeTable(e.Value)
+		if err != nil {
+			k.log.Warn("owners of keys ignored", log.Fields{"service": s, "revision": e.Revision, "error": err.Error()})
+			return
+		}
+		if old, ok := k.owners[s]; ok && t.NextFence < old.NextFence {
+			return
+		}
+		k.owners[s] = t
+		k.log.Info("owners of keys", log.Fields{"service": s, "ranges": len(t.Ranges), "nextFence": t.NextFence, "revision": e.Revision})
+		k.pass(ctx, k.admission, admission.Owners{Service: s, Table: t})
+		return
+	}
+	if !strings.HasPrefix(e.Key, vmPrefix) {
+		return
+	}
+	m, err := decodeJSON[vmEntry](e.Key, e.Value)
+	if err != nil {
+		k.log.Warn("entry ignored", log.Fields{"key": e.Key, "error": err.Error()})
+		return
+	}
+	k.vms[m.VM] = m
+}
+
+func (k *knowledge) tellVMs(ctx context.Context) {
+	var names []types.VM
+	var list []vmEntry
+	for name, m := range k.vms {
+		names = append(names, name)
+		list = append(list, m)
+	}
+	slices.Sort(names)
+	k.pass(ctx, k.admission, admission.Peers{VMs: names})
+	_ = k.peers.Replace(list)
+}
--- /dev/null
+++ b/daemon/edge/ready.go
@@ -0,0 +1,40 @@
+package edge
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/gorilla/mux"
+
+	"sequoiasail.example/platform"
+	"sequoiasail.example/telemetry"
+)
+
+// readiness tells the load balancer whether this VM should get new connections.
+type readiness struct {
+	knowledge *knowledge
+	stopping  atomic.Bool
+}
+
+func (r *readiness) ready() bool {
+	return !r.stopping.Load() && r.knowledge.published.Load().complete
+}
+
+func (r *readiness) handler(m *telemetry.Metrics) http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !r.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}).Methods(http.MethodGet)
+	router.PathPrefix("/").Handler(telemetry.OpsHandler(m, r.status))
+	return router
+}
+
+func (r *readiness) status() telemetry.Status {
+	s := telemetry.Status{Ready: r.ready(), Draining: r.stopping.Load(), Role: "edge"}
+	if v := r.knowledge.published.Load(); v.table != nil {
+		s.ConfigVersion = uint64(v.table.Version())
+	}
+	return s
+}
--- /dev/null
+++ b/daemon/edge/session.go
@@ -0,0 +1,226 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"sequoiasail.example/duty"
+	"sequoiasail.example/keyspace"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+const (
+	// sessionTTL is the time to live of a VM's lease. It bounds how long a lost keeper delays its successor.
+	sessionTTL = 3 * time.Second
+	// sessionRenewal leaves two more tries before the lease ends.
+	sessionRenewal = time.Second
+	// sessionRetry is how long a failed call waits for the next.
+	sessionRetry = 300 * time.Millisecond
+	// sessionCall bounds a call of the session.
+	sessionCall = 800 * time.Millisecond
+	// sessionMargin is taken off the validity of the lease for differences between the clocks.
+	sessionMargin = 200 * time.Millisecond
+	// electionSpread keeps VMs from trying to become the keeper at the same moment.
+	electionSpread = 250 * time.Millisecond
+)
+
+// session keeps the lease of this VM, its entry and the role of the keeper.
+type session struct {
+	store  store.Store
+	entry  vmEntry
+	in     *ring.Ring[keeperSeen]
+	keeper *ring.Ring[any]
+	log    *telemetry.Log
+	jitter func(time.Duration) time.Duration
+	ttl    time.Duration
+
+	lease      store.LeaseID
+	registered bool
+	elected    bool
+	// leaving is closed when the VM begins to stop: it gives the role of the keeper up.
+	leaving chan struct{}
+	stopped bool
+	seen    keeperSeen
+	// heard is true once the store has told who the keeper is.
+	heard      bool
+	validUntil types.Instant
+}
+
+func (s *session) duty() duty.Duty { return duty.Duty{Name: "session", Run: s.run} }
+
+func (s *session) run(ctx context.Context) error {
+	wait := time.Duration(0)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			timer.Reset(s.round(ctx))
+		case <-s.in.Ready():
+			s.in.Drain(func(k keeperSeen) { s.see(ctx, k) })
+			if s.mayStand() {
+				timer.Reset(s.jitter(electionSpread))
+			}
+		case <-s.leaving:
+			s.leave(ctx)
+			s.leaving = nil
+		case <-ctx.Done():
+			s.end()
+			return nil
+		}
+	}
+}
+
+func (s *session) mayStand() bool { return s.heard && !s.seen.known && !s.elected && !s.stopped }
+
+// see takes what the store says of the keeper. The role ends when the store names another keeper or none, and begins
+// when a write without an answer turns out to have named this VM.
+func (s *session) see(ctx context.Context, k keeperSeen) {
+	s.heard = true
+	if k.revision < s.seen.revision {
+		return
+	}
+	s.seen = k
+	own := k.known && s.isOwn(k.entry)
+	switch {
+	case s.elected && !own:
+		s.depose(ctx, "the store names another keeper")
+	case !s.elected && own && !s.stopped && telemetry.Now().Before(s.validUntil):
+		s.begin(ctx, s.validUntil)
+	}
+}
+
+func (s *session) isOwn(k keeperEntry) bool {
+	return k.VM == s.entry.VM && k.Incarnation == s.entry.Incarnation
+}
+
+// begin takes the role of the keeper.
+func (s *session) begin(ctx context.Context, until types.Instant) {
+	s.elected = true
+	s.log.Info("elected keeper", log.Fields{"lease": s.lease})
+	_ = s.keeper.Put(ctx, keyspace.Elected{Until: until, Acquired: true})
+}
+
+func (s *session) depose(ctx context.Context, reason string) {
+	s.elected = false
+	s.log.Warn("no longer the keeper", log.Fields{"reason": reason})
+	_ = s.keeper.Put(ctx, keyspace.Deposed{})
+}
+
+// round renews what is due and returns the time until the next round.
+func (s *session) round(ctx context.Context) time.Duration {
+	if err := s.renew(ctx); err != nil {
+		return sessionRetry + s.jitter(sessionRetry/3)
+	}
+	if s.mayStand() {
+		s.stand(ctx)
+	}
+	return sessionRenewal
+}
+
+func (s *session) renew(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, sessionCall)
+	defer cancel()
+	sent := telemetry.Now()
+	if s.lease == 0 {
+		id, err := s.store.GrantLease(ctx, s.ttl)
+		if err != nil {
+			return err
+		}
+		s.lease, s.registered = id, false
+	} else if err := s.store.KeepAlive(ctx, s.lease); err != nil {
+		if types.CodeOf(err) == types.CodeNotFound {
+			s.lease = 0
+			if s.elected {
+				s.depose(ctx, "the lease has ended")
+			}
+		}
+		return err
+	}
+	s.extend(ctx, sent)
+	if s.registered {
+		return nil
+	}
+	return s.register(ctx)
+}
+
+// extend tells the keeper duty how long its role holds.
+func (s *session) extend(ctx context.Context, sent types.Instant) {
+	s.validUntil = sent.Add(s.ttl - sessionMargin)
+	if s.elected {
+		_ = s.keeper.Put(ctx, keyspace.Elected{Until: s.validUntil})
+	}
+}
+
+// register writes the entry of this VM, over one of an earlier incarnation if need be.
+func (s *session) register(ctx context.Context) error {
+	key := vmPrefix + string(s.entry.VM)
+	w := store.Write{Key: key, Value: encodeJSON(s.entry), Lease: s.lease}
+	_, err := s.store.CAS(ctx, w)
+	if types.CodeOf(err) == types.CodeConflict {
+		var old store.Entry
+		if old, err = s.store.Get(ctx, key); err != nil {
+			return err
+		}
+		w.Expected = old.Revision
+		_, err = s.store.CAS(ctx, w)
+	}
+	if err != nil {
+		if types.CodeOf(err) == types.CodeNotFound {
+			s.lease = 0
+		}
+		return err
+	}
+	s.registered = true
+	s.log.Info("VM registered", log.Fields{"incarnation": s.entry.Incarnation, "lease": s.lease})
+	return nil
+}
+
+// stand tries to become the keeper. The loser, and the winner whose answer was lost, learn the result from the watch.
+func (s *session) stand(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, sessionCall)
+	defer cancel()
+	k := keeperEntry{VM: s.entry.VM, Incarnation: s.entry.Incarnation}
+	revision, err := s.store.CAS(ctx, store.Write{Key: keeperKey, Value: encodeJSON(k), Lease: s.lease})
+	if err != nil {
+		s.log.Info("not elected", log.Fields{"error": err.Error()})
+		return
+	}
+	s.seen = keeperSeen{entry: k, known: true, revision: revision}
+	s.begin(ctx, s.validUntil)
+}
+
+// leave gives the role of the keeper to another VM at the beginning of a planned stop.
+func (s *session) leave(ctx context.Context) {
+	s.stopped = true
+	if !s.elected {
+		return
+	}
+	s.depose(ctx, "the VM stops")
+	ctx, cancel := context.WithTimeout(ctx, sessionCall)
+	defer cancel()
+	e, err := s.store.Get(ctx, keeperKey)
+	if err == nil {
+		_, err = s.store.CAS(ctx, store.Write{Key: keeperKey, Expected: e.Revision, Delete: true})
+	}
+	if err != nil {
+		s.log.Warn("keeper entry not removed, it ends with the lease", log.Fields{"error": err.Error()})
+	}
+}
+
+// end removes the entries of this VM.
+func (s *session) end() {
+	if s.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), sessionCall)
+	defer cancel()
+	if err := s.store.RevokeLease(ctx, s.lease); err != nil {
+		s.log.Warn("lease not ended, it runs out", log.Fields{"error": err.Error()})
+	}
+}
--- /dev/null
+++ b/keyspace/core.go
@@ -0,0 +1,221 @@
+package keyspace
+
+import (
+	"strconv"
+
+	"sequoiasail.example/types"
+)
+
+// phase is how far the move of a range has come.
+type phase uint8
+
+const (
+	// held ranges stay with their owner and are renewed.
+	held phase = iota
+	// leaving ranges wait for the release or the end of their former owner.
+	leaving
+	// freed ranges are held by nobody and wait for a commit.
+	freed
+	// committing ranges are part of the commit under way.
+	committing
+)
+
+// span is the state of one range beside the table. spans and table.Ranges always have the same length.
+type span struct {
+	phase phase
+	// next is the owner that the range moves to.
+	next Owner
+	// busy is true while a call for the range is under way.
+	busy bool
+	// granted is false until the owner has confirmed a grant of this keeper's term.
+	granted bool
+	// renewAt is when the next grant is due.
+	renewAt types.Instant
+	// heldUntil is the latest time at which the owner may hold the range by any grant.
+	heldUntil types.Instant
+	// unansweredUntil is the same for grants without an answer: a release does not end those.
+	unansweredUntil types.Instant
+	// restUntil is when the range may be moved for balance again.
+	restUntil types.Instant
+}
+
+// Core decides for one keyed service. It is owned by one goroutine.
+type Core struct {
+	settings Settings
+	name     string
+	writes   uint64
+
+	validUntil  types.Instant
+	elected     bool
+	since       types.Instant
+	movesFrom   types.Instant
+	loading     bool
+	retryLoadAt types.Instant
+	loaded      bool
+	committed   bool
+	table       Table
+	spans       []span
+	members     map[types.Target]Member
+	ended       map[Owner]bool
+	outstanding map[types.Target]int
+	pending     *Table
+	load        load
+	planAt      types.Instant
+	actions     []Action
+}
+
+// New returns a core that is not the keeper. name identifies this run of this VM in what it writes.
+func New(name string, s Settings) *Core {
+	return &Core{
+		settings: s, name: name,
+		members: make(map[types.Target]Member), ended: make(map[Owner]bool), outstanding: make(map[types.Target]int),
+	}
+}
+
+// Table returns the table that the core works with. found is false before one was loaded.
+func (c *Core) Table() (t *Table, found bool) { return &c.table, c.loaded && len(c.table.Ranges) > 0 }
+
+// Step applies a message and returns the actions that follow.
+func (c *Core) Step(now types.Instant, m Message) []Action {
+	switch m := m.(type) {
+	case Elected:
+		c.elect(now, m)
+	case Deposed:
+		c.depose()
+	case Members:
+		c.setMembers(m)
+	case Loaded:
+		c.install(now, m)
+	case LoadFailed:
+		c.loading = false
+		c.retryLoadAt = now.Add(retryCall)
+	case Committed:
+		c.finishCommit(now, m)
+	case Called:
+		c.finishCall(now, m)
+	case Ended:
+		c.ended[m.Owner] = true
+	case Requested:
+		c.load.add(m.Keys)
+	}
+	return c.advance(now)
+}
+
+// Tick lets time pass and returns the actions that are due.
+func (c *Core) Tick(now types.Instant) []Action { return c.advance(now) }
+
+func (c *Core) valid(now types.Instant) bool { return c.elected && now.Before(c.validUntil) }
+
+func (c *Core) elect(now types.Instant, m Elected) {
+	c.validUntil = m.Until
+	if !m.Acquired && c.elected {
+		return
+	}
+	c.elected = true
+	c.since = now
+	c.movesFrom = now.Add(c.settings.Term)
+	c.loaded, c.loading = false, false
+	c.pending = nil
+}
+
+func (c *Core) depose() {
+	c.elected, c.loaded, c.loading = false, false, false
+	c.pending = nil
+	c.spans = nil
+}
+
+func (c *Core) setMembers(m Members) {
+	clear(c.members)
+	for _, t := range m.Members {
+		c.members[t.Owner.Target] = t
+	}
+}
+
+// install adopts the table of the store. Calls that are under way stay marked, because their answers still come.
+func (c *Core) install(now types.Instant, m Loaded) {
+	c.loading = false
+	if !c.elected {
+		return
+	}
+	c.loaded = true
+	c.pending = nil
+	old, oldSpans := c.table, c.spans
+	c.table, c.spans = m.Table, nil
+	if !m.Found {
+		c.table = Table{}
+		return
+	}
+	bound := c.movesFrom.Add(c.settings.holdBound())
+	for _, r := range c.table.Ranges {
+		s := span{heldUntil: bound, unansweredUntil: bound, renewAt: now}
+		if i := old.Index(r.From); i >= 0 && i < len(oldSpans) && sameGrant(old.Ranges[i], r) {
+			s = oldSpans[i]
+			s.phase = held
+			s.busy = false
+		}
+		c.spans = append(c.spans, s)
+	}
+}
+
+func sameGrant(a, b Range) bool {
+	return a.From == b.From && a.To == b.To && a.Fence == b.Fence && a.Owner == b.Owner
+}
+
+// advance performs all steps that are possible now, in the order in which they depend on each other.
+func (c *Core) advance(now types.Instant) []Action {
+	c.actions = nil
+	if !c.valid(now) {
+		return nil
+	}
+	if !c.loaded {
+		c.requestLoad(now)
+		return c.actions
+	}
+	if len(c.table.Ranges) == 0 {
+		c.create(now)
+		return c.actions
+	}
+	if !now.Before(c.planAt) {
+		c.planAt = now.Add(planInterval)
+		c.load.decay()
+		c.plan(now)
+	}
+	c.free(now)
+	c.commit()
+	c.order(now)
+	return c.actions
+}
+
+func (c *Core) requestLoad(now types.Instant) {
+	if !c.loading && !now.Before(c.retryLoadAt) {
+		c.loading = true
+		c.actions = append(c.actions, Load{})
+	}
+}
+
+// create commits the first table: small ranges dealt in turn, so that busy neighbouring keys have different owners.
+func (c *Core) create(now types.Instant) {
+	targets := c.candidates(now)
+	if c.pending != nil || len(targets) == 0 || now.Before(c.since.Add(c.settings.Settle)) {
+		return
+	}
+	count := len(targets) * c.settings.RangesPerTarget
+	t := Table{NextFence: 1}
+	for i := range count {
+		t.Ranges = append(t.Ranges, Range{
+			From:  Key(i * Keys / count),
+			To:    Key((i+1)*Keys/count - 1),
+			Owner: targets[i%len(targets)].Owner,
+			Fence: t.NextFence,
+		})
+		t.NextFence++
+	}
+	c.submit(t)
+}
+
+func (c *Core) submit(t Table) {
+	c.writes++
+	t.Writer = c.name + "/" + strconv.FormatUint(c.writes, 10)
+	c.pending = &t
+	c.actions = append(c.actions, Commit{Table: t})
+}
--- /dev/null
+++ b/keyspace/load.go
@@ -0,0 +1,51 @@
+package keyspace
+
+import "math"
+
+// load measures the requests for each key, averaged over loadWindow.
+type load struct {
+	rate  [Keys]float32
+	total float32
+}
+
+// keep is the share of the average that one planInterval leaves.
+var keep = float32(math.Exp(-planInterval.Seconds() / loadWindow.Seconds()))
+
+func (l *load) add(keys []Key) {
+	weight := float32(1 / loadWindow.Seconds())
+	for _, k := range keys {
+		l.rate[k] += weight
+		l.total += weight
+	}
+}
+
+// decay lets one planInterval pass.
+func (l *load) decay() {
+	l.total = 0
+	for k := range l.rate {
+		l.rate[k] *= keep
+		l.total += l.rate[k]
+	}
+}
+
+// of returns the requests a second for a range.
+func (l *load) of(r Range) float64 {
+	sum := float32(0)
+	for _, v := range l.rate[int(r.From) : int(r.To)+1] {
+		sum += v
+	}
+	return float64(sum)
+}
+
+// half returns the key that starts the second half of a range's load. The range must hold two keys or more.
+func (l *load) half(r Range) Key {
+	want := l.of(r) / 2
+	sum := 0.0
+	for k := int(r.From); k < int(r.To); k++ {
+		sum += float64(l.rate[k])
+		if sum >= want {
+			return Key(k + 1)
+		}
+	}
+	return Key((int(r.From) + int(r.To) + 1) / 2)
+}
--- /dev/null
+++ b/keyspace/moves.go
@@ -0,0 +1,200 @@
+package keyspace
+
+import (
+	"sequoiasail.example/types"
+)
+
+// free looks at the leaving ranges whose former owner no longer holds them.
+func (c *Core) free(now types.Instant) {
+	for i := range c.spans {
+		s := &c.spans[i]
+		if s.phase != leaving || s.busy {
+			continue
+		}
+		if c.over(c.table.Ranges[i].Owner) || !now.Before(s.heldUntil) {
+			s.phase = freed
+		}
+	}
+}
+
+// over reports whether a life of a target has surely ended: it was seen to, or the target has registered another life.
+func (c *Core) over(o Owner) bool {
+	if o == (Owner{}) || c.ended[o] {
+		return true
+	}
+	m, ok := c.members[o.Target]
+	return ok && m.Owner.Life > o.Life
+}
+
+// commit writes the new owners of all freed ranges, one commit at a time.
+func (c *Core) commit() {
+	if c.pending != nil {
+		return
+	}
+	var t Table
+	for i := range c.spans {
+		s := &c.spans[i]
+		if s.phase != freed {
+			continue
+		}
+		if t.Ranges == nil {
+			t = c.table.Clone()
+		}
+		s.phase = committing
+		r := &t.Ranges[i]
+		r.Owner = s.next
+		r.Fence = t.NextFence
+		t.NextFence++
+	}
+	if t.Ranges != nil {
+		c.submit(t)
+	}
+}
+
+// finishCommit takes the committed table over, or reads the table again when the result is not certain.
+func (c *Core) finishCommit(now types.Instant, m Committed) {
+	if c.pending == nil {
+		return
+	}
+	t := *c.pending
+	c.pending = nil
+	if m.Err != nil {
+		c.loaded = false
+		return
+	}
+	if len(c.spans) == 0 {
+		c.table = t
+		c.spans = make([]span, len(t.Ranges))
+		for i := range c.spans {
+			c.spans[i].renewAt = now
+		}
+		return
+	}
+	c.table = t
+	for i := range c.spans {
+		if c.spans[i].phase == committing {
+			c.spans[i] = span{renewAt: now, restUntil: now.Add(moveRest)}
+		}
+	}
+}
+
+// order sends the releases and grants that are due, one batch for each target at a time.
+func (c *Core) order(now types.Instant) {
+	batches := make(map[types.Target][]int)
+	var targets []types.Target
+	for i := range c.spans {
+		owner := c.table.Ranges[i].Owner.Target
+		if !c.due(now, i) || c.outstanding[owner] > 0 || len(batches[owner]) >= batchCalls {
+			continue
+		}
+		if len(batches[owner]) == 0 {
+			targets = append(targets, owner)
+		}
+		batches[owner] = append(batches[owner], i)
+	}
+	for _, t := range targets {
+		c.send(now, t, batches[t])
+	}
+}
+
+// due reports whether the range at index i needs a call to its owner.
+func (c *Core) due(now types.Instant, i int) bool {
+	s, r := &c.spans[i], &c.table.Ranges[i]
+	if s.busy || r.Owner == (Owner{}) || now.Before(s.renewAt) || c.over(r.Owner) {
+		return false
+	}
+	_, known := c.members[r.Owner.Target]
+	return s.phase == leaving || (s.phase == held && known)
+}
+
+func (c *Core) send(now types.Instant, t types.Target, indexes []int) {
+	b := Batch{}
+	for _, i := range indexes {
+		s, r := &c.spans[i], &c.table.Ranges[i]
+		b.Owner = r.Owner
+		call := Call{Kind: CallGrant, Owner: r.Owner, From: r.From, To: r.To, Fence: r.Fence, Hold: c.settings.Hold}
+		if s.phase == leaving {
+			call.Kind = CallRelease
+		} else {
+			// The calls of a batch follow one another, so that the last may leave after all others have timed out.
+			sent := now.Add(c.settings.CallTimeout * batchCalls)
+			s.heldUntil = later(s.heldUntil, sent.Add(c.settings.holdBound()))
+			if !s.granted {
+				call.Handover = r.Handover
+			}
+		}
+		s.busy = true
+		b.Calls = append(b.Calls, call)
+	}
+	c.outstanding[t]++
+	c.actions = append(c.actions, b)
+}
+
+func later(a, b types.Instant) types.Instant {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// BatchDone tells the core that all calls of a batch to a target have been answered.
+func (c *Core) BatchDone(now types.Instant, t types.Target) []Action {
+	c.outstanding[t]--
+	if c.outstanding[t] <= 0 {
+		delete(c.outstanding, t)
+	}
+	return c.advance(now)
+}
+
+// finishCall applies the result of one call. The table may have changed since the call was sent.
+func (c *Core) finishCall(now types.Instant, m Called) {
+	if !c.elected {
+		return
+	}
+	for i := c.table.Index(m.Call.From); i >= 0 && i < len(c.spans) && c.table.Ranges[i].From <= m.Call.To; i++ {
+		r := &c.table.Ranges[i]
+		if r.Fence != m.Call.Fence || r.Owner != m.Call.Owner {
+			continue
+		}
+		c.spans[i].busy = false
+		if m.Call.Kind == CallGrant {
+			c.granted(now, i, m)
+		} else {
+			c.released(now, i, m)
+		}
+	}
+}
+
+func (c *Core) granted(now types.Instant, i int, m Called) {
+	s := &c.spans[i]
+	bound := now.Add(c.settings.holdBound())
+	switch m.Result {
+	case CallDone:
+		s.granted = true
+		s.renewAt = now.Add(c.settings.RenewEvery)
+		s.heldUntil = bound
+	case CallUnanswered:
+		s.unansweredUntil = later(s.unansweredUntil, bound)
+		s.heldUntil = bound
+		s.renewAt = now.Add(retryCall)
+	case CallFenced:
+		// Another keeper has given the keys away: the table in the store is newer than this one.
+		c.loaded = false
+		s.renewAt = now.Add(c.settings.RenewEvery)
+	default:
+		s.renewAt = now.Add(retryCall)
+	}
+	s.heldUntil = later(s.heldUntil, s.unansweredUntil)
+}
+
+// released ends the former owner's hold, except for grants without an answer that may still be applied.
+func (c *Core) released(now types.Instant, i int, m Called) {
+	s := &c.spans[i]
+	if m.Result != CallDone {
+		s.renewAt = now.Add(retryCall)
+		return
+	}
+	c.table.Ranges[i].Handover = m.Handover
+	s.heldUntil = s.unansweredUntil
+	s.renewAt = s.heldUntil
+}
--- /dev/null
+++ b/keyspace/table.go
@@ -0,0 +1,88 @@
+package keyspace
+
+import (
+	"sort"
+
+	"sequoiasail.example/types"
+)
+
+// Keys is the number of keys of a service. Keys run from 0 to Keys-1.
+const Keys = 1 << 16
+
+// Key is a key of a keyed service.
+type Key = uint16
+
+// Owner is one life of a target. The zero value means that nobody owns the keys.
+type Owner struct {
+	Target types.Target
+	Life   int64
+}
+
+// Range is a run of keys with one owner.
+type Range struct {
+	// From and To are both inclusive.
+	From, To Key
+	Owner    Owner
+	// Fence is the fencing token of the owner's grant. A target refuses a grant below one that it has seen.
+	Fence types.Epoch
+	// Handover is what the former owner returned at its release. The new owner starts warm with it.
+	Handover string
+}
+
+// Size returns the number of keys.
+func (r Range) Size() int { return int(r.To) - int(r.From) + 1 }
+
+// Table is the assignment of all keys of one service.
+type Table struct {
+	// NextFence is above all fences given so far.
+	NextFence types.Epoch
+	// Writer identifies the write, so that a keeper can tell whether a write without an answer took effect.
+	Writer string
+	// Ranges cover all keys, ordered by From.
+	Ranges []Range
+}
+
+// Index returns the index of the range that holds k, or -1 when the table is empty.
+func (t *Table) Index(k Key) int {
+	i := sort.Search(len(t.Ranges), func(i int) bool { return t.Ranges[i].To >= k })
+	if i == len(t.Ranges) || t.Ranges[i].From > k {
+		return -1
+	}
+	return i
+}
+
+// Clone returns a copy that shares no memory with t.
+func (t *Table) Clone() Table {
+	c := *t
+	c.Ranges = append([]Range(nil), t.Ranges...)
+	return c
+}
+
+// Validate returns a CodeBadConfiguration fault unless the ranges cover all keys in order and all fences are below
+// NextFence.
+func (t *Table) Validate() error {
+	next := 0
+	for _, r := range t.Ranges {
+		if int(r.From) != next || r.To < r.From {
+			return types.NewFault(types.CodeBadConfiguration, "key range %d-%d does not follow key %d", r.From, r.To, next-1)
+		}
+		if r.Fence >= t.NextFence {
+			return types.NewFault(types.CodeBadConfiguration, "fence %d of keys %d-%d is not below %d", r.Fence, r.From, r.To, t.NextFence)
+		}
+		next = int(r.To) + 1
+	}
+	if next != Keys {
+		return types.NewFault(types.CodeBadConfiguration, "key ranges end at %d", next-1)
+	}
+	return nil
+}
+
+// split divides the range at index i so that at starts the second part.
+func (t *Table) split(i int, at Key) {
+	r := t.Ranges[i]
+	t.Ranges = append(t.Ranges, Range{})
+	copy(t.Ranges[i+1:], t.Ranges[i:])
+	t.Ranges[i].To = at - 1
+	t.Ranges[i+1] = r
+	t.Ranges[i+1].From = at
+}
--- a/tools/shapecheck/main.go
+++ b/tools/shapecheck/main.go
@@ -24,7 +24,7 @@
 	exitUsage      = 2
 )
 
-var decisionModules = []string{"config", "dispatch", "ownership", "placement", "routing", "types"}
+var decisionModules = []string{"admission", "catalog", "config", "dispatch", "keyspace", "ownership", "placement", "routing", "types"}
 
 // forbiddenInDecisions lists import paths that perform I/O, log or hide a random source.
 var forbiddenInDecisions = []string{
