--- a/admission/core.go
+++ b/admission/core.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"sequoiasail.example/catalog"
@@ -32,10 +31,16 @@
 	waiting  bool
 }
 
+// Random is a source of uniform random numbers below n.
+type Random interface {
+	IntN(n int) int
+	Int64N(n int64) int64
+}
+
 // Core decides for one VM. It is owned by one goroutine.
 type Core struct {
 	settings Settings
-	random   *rand.Rand
+	random   Random
 	flights  map[FlightID]*flight
 	services map[types.Service]*service
 	targets  map[types.Target]*target
@@ -49,7 +54,7 @@
 }
 
 // New returns a core that knows no services.
-func New(s Settings, random *rand.Rand) *Core {
+func New(s Settings, random Random) *Core {
 	return &Core{
 		settings: s, random: random,
 		flights:  make(map[FlightID]*flight),
--- a/admission/service.go
+++ b/admission/service.go
@@ -65,11 +65,14 @@
 		return
 	}
 	s.owners = m.Table
-	// A moved range has another fence now: its requests need not wait any longer.
-	s.moving = slices.DeleteFunc(s.moving, func(r movingRange) bool {
-		i := s.owners.Index(r.From)
-		return i < 0 || s.owners.Ranges[i].Fence != r.Fence || !now.Before(r.until)
-	})
+	s.moving = slices.DeleteFunc(s.moving, func(r movingRange) bool { return !now.Before(r.until) })
+	for n := range s.moving {
+		r := &s.moving[n]
+		if i := s.owners.Index(r.From); i >= 0 && s.owners.Ranges[i].Fence != r.Fence {
+			// The range has a new owner, who gets its grant at this moment.
+			r.until = min(r.until, now.Add(grantTime))
+		}
+	}
 	c.serve(now, s)
 }
 
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -34,6 +34,8 @@
 	peerLife = 1500 * time.Millisecond
 	// movingWait is how long requests wait for keys that are being moved.
 	movingWait = 600 * time.Millisecond
+	// grantTime is how long after the commit of a new owner its grant may take to arrive.
+	grantTime = 30 * time.Millisecond
 	// misdirectedWait is how long requests wait after the owner of their key has refused it.
 	misdirectedWait = 60 * time.Millisecond
 	// keyedDrain is how long the owner of keys that is leaving still gets their requests.
@@ -46,8 +48,6 @@
 	budgetShare = 0.7
 	// reachableWait is how long a target that could not be reached gets no requests.
 	reachableWait = 500 * time.Millisecond
-	// failureLimit is the average share of failed attempts above which a target is avoided.
-	failureLimit = 0.3
 	// wakeInterval is how often waiting requests are looked at without other cause.
 	wakeInterval = 10 * time.Millisecond
 	// shortestRetryAfter and retryAfterSpread set when refused callers return. Callers honour up to a third of their time.
--- a/admission/target.go
+++ b/admission/target.go
@@ -98,7 +98,7 @@
 		return
 	}
 	took := s.Took
-	if s.Slowness > 1 {
+	if s.Slowness > 0 {
 		took = time.Duration(float64(took) / s.Slowness)
 	}
 	if t.work == 0 {
--- a/daemon/edge/admission.go
+++ b/daemon/edge/admission.go
@@ -21,6 +21,8 @@
 	reportInterval = 25 * time.Millisecond
 	// reportRefresh repeats a report without changes, because a datagram may be lost.
 	reportRefresh = 500 * time.Millisecond
+	// measureInterval spaces the reports to the keeper.
+	measureInterval = 300 * time.Millisecond
 	// hostIdle is the number of idle connections kept to a target; the core bounds those in use.
 	hostIdle = 16
 )
@@ -74,9 +76,10 @@
 
 	hands    map[admission.FlightID]*hand
 	hosts    map[hostKey]*forward.Host
-	versions map[types.Service]types.Epoch
 	keys     map[types.Service][]keyspace.Key
+	seen     []admission.Sample
 	reported time.Time
+	measured time.Time
 }
 
 func (a *admissionDuty) duty() duty.Duty { return duty.Duty{Name: "admission", Run: a.run} }
@@ -231,15 +234,23 @@
 	a.log.Decide(d)
 }
 
-// report tells the other VMs what is new, at most once in reportInterval.
+// report tells the VMs of the data centre what is new, at most once in reportInterval, and the keeper what it measures.
 func (a *admissionDuty) report(now time.Time) {
-	since := now.Sub(a.reported)
-	if since < reportInterval || (since < reportRefresh && !a.core.Changed() && len(a.keys) == 0) {
-		return
+	if since := now.Sub(a.reported); since >= reportInterval && (since >= reportRefresh || a.core.Changed()) {
+		a.reported = now
+		load := a.core.Report()
+		a.seen = append(a.seen, load.Samples...)
+		a.tell(report{to: toDataCentre, load: &load})
+	}
+	if now.Sub(a.measured) >= measureInterval && (len(a.keys) > 0 || len(a.seen) > 0) {
+		a.measured = now
+		a.tell(report{to: toKeeper, keys: a.keys, seen: a.seen})
+		a.keys = make(map[types.Service][]keyspace.Key)
+		a.seen = nil
 	}
-	a.reported = now
-	r := report{peer: a.core.Report(), keys: a.keys}
-	a.keys = make(map[types.Service][]keyspace.Key)
+}
+
+func (a *admissionDuty) tell(r report) {
 	if err := a.peers.Replace(r); err != nil {
 		a.log.Warn("report to the other VMs not queued", log.Fields{"error": err.Error()})
 	}
--- a/daemon/edge/documents.go
+++ b/daemon/edge/documents.go
@@ -12,16 +12,19 @@
 
 // Keys of the store that this daemon writes.
 const (
-	ownPrefix   = "sail/"
-	vmPrefix    = "sail/vm/"
-	keeperKey   = "sail/keeper"
-	ownerPrefix = "sail/keys/"
+	ownPrefix = "sail/"
+	vmPrefix  = "sail/vm/"
+	keeperKey = "sail/keeper"
+	// ownerPrefix is outside ownPrefix: the keeper tells changes of owners to the VMs, because a watch of each VM for each
+	// change would cost many times more calls.
+	ownerPrefix = "sail-keys/"
 )
 
 // vmEntry is the entry of one VM in the store.
 type vmEntry struct {
 	VM          types.VM          `json:"vm"`
 	Incarnation types.Incarnation `json:"incarnation"`
+	DataCentre  types.DataCentre  `json:"dataCentre"`
 	// PeerAddress is host:port for datagrams from other VMs.
 	PeerAddress string `json:"peerAddress"`
 }
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -34,6 +34,7 @@
 	keeperCapacity    = 1024
 	orderCapacity     = 256
 	reportCapacity    = 32
+	ownerReads        = 8
 )
 
 // Times of a planned stop.
@@ -51,8 +52,9 @@
 	idleTimeout    = 60 * time.Second
 )
 
-// remotePenalty is assumed for a round trip between data centres.
-const remotePenalty = 10 * time.Millisecond
+// remotePenalty is how much sooner a target in another data centre must be expected to answer to get a request. It covers
+// the round trip, and the price of bytes between data centres, which is of the order of a request's worth.
+const remotePenalty = 120 * time.Millisecond
 
 // Edge is the daemon of one VM.
 type Edge struct {
@@ -141,33 +143,35 @@
 	}
 	jobs := ring.New[job](jobCapacity)
 	reports := ring.New[report](reportCapacity)
-	members := ring.New[[]vmEntry](1)
+	members := ring.New[fleet](1)
 	meter := newMeter(e.metrics)
 	e.group.Add(e.log.Duty())
 	e.addKnowledge(members)
 	e.group.Add((&peerSender{
-		vm: e.settings.VM, in: reports, members: members, keeper: e.keeper, conn: conn, log: e.log,
+		vm: e.settings.VM, dataCentre: e.settings.DataCentre, in: reports, members: members, keeper: e.keeper, conn: conn, log: e.log,
 	}).duty())
-	e.group.Add((&peerReceiver{conn: conn, admission: e.admission, keeper: e.keeper, log: e.log}).duty())
+	e.group.Add((&peerReceiver{conn: conn, admission: e.admission, keeper: e.keeper, knowledge: e.knowledge.in, log: e.log}).duty())
 	e.addSession()
 	e.addKeeper(reports)
 	e.addAdmission(jobs, reports, meter)
 	return e.addServers(meter)
 }
 
-func (e *Edge) addKnowledge(members *ring.Ring[[]vmEntry]) {
-	updates := ring.New[update](updateCapacity)
+func (e *Edge) addKnowledge(members *ring.Ring[fleet]) {
+	updates := ring.New[any](updateCapacity)
 	e.knowledge = newKnowledge()
 	e.knowledge.in, e.knowledge.admission, e.knowledge.keeper = updates, e.admission, e.keeper
 	e.knowledge.session = ring.New[keeperSeen](1)
 	e.knowledge.peers, e.knowledge.log = members, e.log
+	e.knowledge.reads = ring.New[ownerRead](ownerReads)
 	e.group.Add(e.knowledge.duty())
+	e.group.Add((&ownerReader{in: e.knowledge.reads, out: updates, store: e.store}).duty())
 	e.addWatch("operator", platform.OperatorPrefix, updates)
 	e.addWatch("targets", platform.TargetPrefix, updates)
 	e.addWatch("own", ownPrefix, updates)
 }
 
-func (e *Edge) addWatch(name, prefix string, out *ring.Ring[update]) {
+func (e *Edge) addWatch(name, prefix string, out *ring.Ring[any]) {
 	w := &watch{name: name, prefix: prefix, pause: watchPause, store: e.store, out: out, log: e.log, jitter: jitter}
 	e.group.Add(w.duty())
 }
@@ -177,7 +181,8 @@
 		store: e.store, in: e.knowledge.session, keeper: e.keeper, log: e.log, jitter: jitter,
 		ttl: max(sessionTTL, e.settings.ShortestLease), leaving: make(chan struct{}),
 		entry: vmEntry{
-			VM: e.settings.VM, Incarnation: types.Incarnation(time.Now().UnixNano()),
+			VM: e.settings.VM, DataCentre: e.settings.DataCentre,
+			Incarnation: types.Incarnation(time.Now().UnixNano()),
 			PeerAddress: net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)),
 		},
 	}
@@ -191,6 +196,7 @@
 		name:     string(e.settings.VM) + "/" + strconv.FormatUint(uint64(e.session.entry.Incarnation), 10),
 		settings: keyspace.Defaults(e.settings.LongestHold),
 		in:       e.keeper, stores: stores, orders: orders, peers: reports, admission: e.admission, log: e.log,
+		knowledge: e.knowledge.in,
 		wards:     make(map[types.Service]*ward),
 		addresses: make(map[keyspace.Owner]string),
 		hosts:     make(map[string]*forward.Host),
--- a/daemon/edge/keeper.go
+++ b/daemon/edge/keeper.go
@@ -18,6 +18,9 @@
 	"sequoiasail.example/types"
 )
 
+// remindInterval is how often the keeper repeats which versions of the owners are in force.
+const remindInterval = 500 * time.Millisecond
+
 // keeperTick is how often time passes for the keyspace cores while this VM is the keeper.
 const keeperTick = 50 * time.Millisecond
 
@@ -92,7 +95,10 @@
 	peers    *ring.Ring[report]
 	// admission of this VM hears of moving keys at once.
 	admission *ring.Ring[any]
+	// knowledge of this VM hears of new owners.
+	knowledge *ring.Ring[any]
 	log       *telemetry.Log
+	remindAt  types.Instant
 
 	wards   map[types.Service]*ward
 	targets []catalog.Listing
@@ -114,6 +120,7 @@
 		case <-k.in.Ready():
 		case <-k.ticks(tick):
 			now := telemetry.Now()
+			k.remind(ctx, now)
 			for s, w := range k.wards {
 				k.perform(ctx, s, w, w.core.Tick(now))
 			}
@@ -145,6 +152,8 @@
 		k.setTargets(ctx, m)
 	case requestedKeys:
 		k.step(ctx, m.service, keyspace.Requested{Keys: m.keys})
+	case admission.Sample:
+		k.observe(ctx, m)
 	case tableRead:
 		k.read(ctx, m)
 	case tableWritten:
@@ -154,6 +163,16 @@
 	}
 }
 
+// observe passes an observation to the core of the target's service.
+func (k *keeper) observe(ctx context.Context, m admission.Sample) {
+	for _, t := range k.targets {
+		if t.Target == m.Target {
+			k.step(ctx, t.Service, keyspace.Observed{Target: m.Target, Slowness: m.Slowness, Took: m.Took})
+			return
+		}
+	}
+}
+
 func (k *keeper) stepAll(ctx context.Context, m keyspace.Message) {
 	for s := range k.wards {
 		k.step(ctx, s, m)
@@ -168,8 +187,11 @@
 
 // isState reports whether a core needs the message also while it is not the keeper's.
 func isState(m keyspace.Message) bool {
-	_, load := m.(keyspace.Requested)
-	return !load
+	switch m.(type) {
+	case keyspace.Requested, keyspace.Observed:
+		return false
+	}
+	return true
 }
 
 func (k *keeper) setServices(ctx context.Context, m serviceList) {
@@ -177,7 +199,7 @@
 		if !s.Keyed || k.wards[name] != nil {
 			continue
 		}
-		k.wards[name] = &ward{core: keyspace.New(k.name, k.settings)}
+		k.wards[name] = &ward{core: keyspace.New(k.name, s.HealthPath, k.settings)}
 		k.tellMembers(ctx, name)
 		if k.elected {
 			term := k.term
@@ -267,6 +289,8 @@
 			k.queueStore(ctx, storeJob{service: s, table: &table, expected: w.revision})
 		case keyspace.Batch:
 			k.order(ctx, s, a)
+		case keyspace.Owned:
+			k.own(ctx, s, a)
 		case keyspace.Moving:
 			k.log.Info("keys move", log.Fields{"service": s, "ranges": len(a.Ranges), "reason": a.Reason})
 			k.announce(ctx, s, a)
@@ -274,11 +298,35 @@
 	}
 }
 
+// own tells all VMs about new owners. This VM's knowledge is told in the same way.
+func (k *keeper) own(ctx context.Context, s types.Service, a keyspace.Owned) {
+	o := ownerChange{service: s, base: a.Base, next: a.Next, ranges: a.Ranges}
+	_ = k.knowledge.Put(ctx, o)
+	_ = k.peers.Put(ctx, report{to: toAll, owners: []ownerChange{o}})
+}
+
+// remind repeats the versions of the owners, so that a VM that missed a change reads the table.
+func (k *keeper) remind(ctx context.Context, now types.Instant) {
+	if now.Before(k.remindAt) {
+		return
+	}
+	k.remindAt = now.Add(remindInterval)
+	r := report{to: toAll}
+	for s, w := range k.wards {
+		if t, ok := w.core.Table(); ok {
+			r.owners = append(r.owners, ownerChange{service: s, base: t.NextFence, next: t.NextFence})
+		}
+	}
+	if len(r.owners) > 0 {
+		_ = k.peers.Put(ctx, r)
+	}
+}
+
 func (k *keeper) queueStore(ctx context.Context, j storeJob) { _ = k.stores.Put(ctx, j) }
 
 func (k *keeper) announce(ctx context.Context, s types.Service, m keyspace.Moving) {
 	_ = k.admission.Put(ctx, admission.Moving{Service: s, Ranges: m.Ranges})
-	_ = k.peers.Replace(report{moving: map[types.Service][]keyspace.Range{s: m.Ranges}})
+	_ = k.peers.Put(ctx, report{to: toAll, moving: map[types.Service][]keyspace.Range{s: m.Ranges}})
 }
 
 // order passes a batch on. The address of an owner that was never registered while this VM runs is not known: its calls
--- a/daemon/edge/knowledge.go
+++ b/daemon/edge/knowledge.go
@@ -33,11 +33,12 @@
 
 // knowledge owns what the store has told and passes changes on.
 type knowledge struct {
-	in        *ring.Ring[update]
+	in        *ring.Ring[any]
+	reads     *ring.Ring[ownerRead]
 	admission *ring.Ring[any]
 	keeper    *ring.Ring[any]
 	session   *ring.Ring[keeperSeen]
-	peers     *ring.Ring[[]vmEntry]
+	peers     *ring.Ring[fleet]
 	log       *telemetry.Log
 	published atomic.Pointer[view]
 
@@ -48,7 +49,10 @@
 	// raw keeps the value of each registration, so that unchanged ones are not decoded again.
 	raw        map[types.Target][]byte
 	registered bool
-	ownersRead bool
+	keeperVM   types.VM
+	// heardAt is when the keeper last told the version of the owners, readAt when they were last asked from the store.
+	heardAt types.Instant
+	readAt  map[types.Service]types.Instant
 }
 
 // keeperSeen tells the session who the store says is the keeper.
@@ -63,6 +67,7 @@
 	k := &knowledge{
 		registry: catalog.NewRegistry(), vms: make(map[types.VM]vmEntry),
 		owners: make(map[types.Service]keyspace.Table), raw: make(map[types.Target][]byte),
+		readAt: make(map[types.Service]types.Instant),
 	}
 	k.published.Store(&view{})
 	return k
@@ -74,10 +79,11 @@
 	tick := time.NewTicker(expireInterval)
 	defer tick.Stop()
 	for {
-		k.in.Drain(func(u update) { k.apply(ctx, u) })
+		k.in.Drain(func(m any) { k.handle(ctx, m) })
 		select {
 		case <-k.in.Ready():
 		case <-tick.C:
+			k.refresh(telemetry.Now())
 			if k.registry.Expire(telemetry.Now()) {
 				k.tellTargets(ctx)
 			}
@@ -87,6 +93,18 @@
 	}
 }
 
+func (k *knowledge) handle(ctx context.Context, m any) {
+	switch m := m.(type) {
+	case update:
+		k.apply(ctx, m)
+	case ownerChange:
+		k.applyChange(ctx, m)
+	case ownersFound:
+		k.applyFound(ctx, m)
+	}
+	k.publish()
+}
+
 func (k *knowledge) apply(ctx context.Context, u update) {
 	now := telemetry.Now()
 	switch {
@@ -102,11 +120,10 @@
 	default:
 		k.applyOwn(ctx, u)
 	}
-	k.publish()
 }
 
 func (k *knowledge) publish() {
-	v := &view{table: k.configuration, complete: k.configuration != nil && k.registered && k.ownersRead}
+	v := &view{table: k.configuration, complete: k.configuration != nil && k.registered}
 	if v.table != nil {
 		for name, s := range v.table.Services() {
 			v.complete = v.complete && (!s.Keyed || len(k.owners[name].Ranges) > 0)
@@ -231,32 +248,36 @@
 func (k *knowledge) applyOwn(ctx context.Context, u update) {
 	if u.snapshot {
 		clear(k.vms)
-		k.ownersRead = true
 		keeper := keeperSeen{revision: u.revision}
 		for _, e := range u.entries {
 			if e.Key == keeperKey {
 				keeper = k.readKeeper(e)
 				continue
 			}
-			k.applyOwnEntry(ctx, e)
+			k.applyOwnEntry(e)
 		}
-		_ = k.session.Replace(keeper)
+		k.seeKeeper(keeper)
 	}
 	for _, e := range u.events {
 		switch {
 		case e.Key == keeperKey && e.Deleted:
-			_ = k.session.Replace(keeperSeen{revision: e.Revision})
+			k.seeKeeper(keeperSeen{revision: e.Revision})
 		case e.Key == keeperKey:
-			_ = k.session.Replace(k.readKeeper(e.Entry))
+			k.seeKeeper(k.readKeeper(e.Entry))
 		case e.Deleted:
 			delete(k.vms, types.VM(strings.TrimPrefix(e.Key, vmPrefix)))
 		default:
-			k.applyOwnEntry(ctx, e.Entry)
+			k.applyOwnEntry(e.Entry)
 		}
 	}
 	k.tellVMs(ctx)
 }
 
+func (k *knowledge) seeKeeper(s keeperSeen) {
+	k.keeperVM = s.entry.VM
+	_ = k.session.Replace(s)
+}
+
 func (k *knowledge) readKeeper(e store.Entry) keeperSeen {
 	entry, err := decodeJSON[keeperEntry](e.Key, e.Value)
 	if err != nil {
@@ -265,21 +286,7 @@
 	return keeperSeen{entry: entry, known: err == nil, revision: e.Revision}
 }
 
-func (k *knowledge) applyOwnEntry(ctx context.Context, e store.Entry) {
-	if s, ok := ownersService(e.Key); ok {
-		t, err := decodeTable(e.Value)
-		if err != nil {
-			k.log.Warn("owners of keys ignored", log.Fields{"service": s, "revision": e.Revision, "error": err.Error()})
-			return
-		}
-		if old, ok := k.owners[s]; ok && t.NextFence < old.NextFence {
-			return
-		}
-		k.owners[s] = t
-		k.log.Info("owners of keys", log.Fields{"service": s, "ranges": len(t.Ranges), "nextFence": t.NextFence, "revision": e.Revision})
-		k.pass(ctx, k.admission, admission.Owners{Service: s, Table: t})
-		return
-	}
+func (k *knowledge) applyOwnEntry(e store.Entry) {
 	if !strings.HasPrefix(e.Key, vmPrefix) {
 		return
 	}
@@ -300,5 +307,5 @@
 	}
 	slices.Sort(names)
 	k.pass(ctx, k.admission, admission.Peers{VMs: names})
-	_ = k.peers.Replace(list)
+	_ = k.peers.Replace(fleet{vms: list, keeper: k.keeperVM})
 }
--- /dev/null
+++ b/daemon/edge/owners.go
@@ -0,0 +1,141 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"sequoiasail.example/admission"
+	"sequoiasail.example/duty"
+	"sequoiasail.example/keyspace"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+const (
+	// ownersRetry spaces the reads of the owners of one service.
+	ownersRetry = 300 * time.Millisecond
+	// keeperSilence is how long the keeper may say nothing before the owners are read from the store.
+	keeperSilence = 2 * time.Second
+	// silentRead spaces those reads.
+	silentRead = 2 * time.Second
+)
+
+// ownerChange tells new owners of keys. base and next are the versions of the table before and after; without ranges
+// it only tells that next is in force.
+type ownerChange struct {
+	service types.Service
+	base    types.Epoch
+	next    types.Epoch
+	ranges  []keyspace.Range
+}
+
+// ownerRead asks for the owners of a service.
+type ownerRead struct{ service types.Service }
+
+// ownersFound answers an ownerRead.
+type ownersFound struct {
+	service types.Service
+	table   keyspace.Table
+	err     error
+}
+
+// ownerReader reads owners of keys from the store.
+type ownerReader struct {
+	in    *ring.Ring[ownerRead]
+	out   *ring.Ring[any]
+	store store.Store
+}
+
+func (r *ownerReader) duty() duty.Duty { return duty.Duty{Name: "owner-reader", Run: r.run} }
+
+func (r *ownerReader) run(ctx context.Context) error {
+	for {
+		j, err := r.in.Get(ctx)
+		if err != nil {
+			return nil
+		}
+		if r.out.Put(ctx, r.read(ctx, j.service)) != nil {
+			return nil
+		}
+	}
+}
+
+func (r *ownerReader) read(ctx context.Context, s types.Service) ownersFound {
+	ctx, cancel := context.WithTimeout(ctx, sessionCall)
+	defer cancel()
+	e, err := r.store.Get(ctx, ownersKey(s))
+	if err != nil {
+		return ownersFound{service: s, err: err}
+	}
+	t, err := decodeTable(e.Value)
+	return ownersFound{service: s, table: t, err: err}
+}
+
+// applyChange applies a change that follows the known table, and reads the table when something in between was missed.
+func (k *knowledge) applyChange(ctx context.Context, c ownerChange) {
+	k.heardAt = telemetry.Now()
+	t, known := k.owners[c.service]
+	switch {
+	case known && t.NextFence >= c.next:
+		return
+	case !known || t.NextFence < c.base || len(c.ranges) == 0:
+		k.readOwners(c.service, ownersRetry)
+		return
+	}
+	t = t.Clone()
+	for _, r := range c.ranges {
+		t.Assign(r)
+	}
+	t.NextFence = c.next
+	k.setOwners(ctx, c.service, t)
+}
+
+func (k *knowledge) applyFound(ctx context.Context, f ownersFound) {
+	if f.err != nil {
+		if types.CodeOf(f.err) != types.CodeNotFound {
+			k.log.Warn("owners of keys not read", log.Fields{"service": f.service, "error": f.err.Error()})
+		}
+		return
+	}
+	if old, known := k.owners[f.service]; known && f.table.NextFence <= old.NextFence {
+		return
+	}
+	k.setOwners(ctx, f.service, f.table)
+}
+
+func (k *knowledge) setOwners(ctx context.Context, s types.Service, t keyspace.Table) {
+	k.owners[s] = t
+	k.log.Info("owners of keys", log.Fields{"service": s, "ranges": len(t.Ranges), "nextFence": t.NextFence})
+	k.pass(ctx, k.admission, admission.Owners{Service: s, Table: t})
+}
+
+// readOwners asks for the owners of a service unless that was done less than spacing ago.
+func (k *knowledge) readOwners(s types.Service, spacing time.Duration) {
+	now := telemetry.Now()
+	if at, ok := k.readAt[s]; ok && now.Before(at.Add(spacing)) {
+		return
+	}
+	k.readAt[s] = now
+	_ = k.reads.Replace(ownerRead{service: s})
+}
+
+// refresh reads owners that are not known, or while the keeper is silent.
+func (k *knowledge) refresh(now types.Instant) {
+	if k.configuration == nil {
+		return
+	}
+	for name, s := range k.configuration.Services() {
+		if !s.Keyed {
+			continue
+		}
+		if _, known := k.owners[name]; !known {
+			k.readOwners(name, ownersRetry)
+		} else if now.Sub(k.heardAt) > keeperSilence {
+			k.readOwners(name, silentRead)
+		}
+	}
+}
--- a/daemon/edge/peers.go
+++ b/daemon/edge/peers.go
@@ -5,130 +5,43 @@
 	"errors"
 	"net"
 	"strconv"
-	"time"
 
 	"github.com/apex/log"
-	"github.com/fxamacker/cbor/v2"
 
 	"sequoiasail.example/admission"
 	"sequoiasail.example/duty"
-	"sequoiasail.example/keyspace"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
 	"sequoiasail.example/types"
 )
 
-const (
-	// maxReportedKeys and maxReportedSamples keep a report in one datagram of usual size.
-	maxReportedKeys    = 100
-	maxReportedSamples = 20
-	// maxDatagram is the largest datagram that is read, in bytes.
-	maxDatagram = 16 << 10
-)
-
-// report is what a VM tells the others: its load, the keys that were asked for and, from the keeper, keys on the move.
-type report struct {
-	peer   admission.PeerReport
-	keys   map[types.Service][]keyspace.Key
-	moving map[types.Service][]keyspace.Range
-}
+// maxDatagram is the largest datagram that is read, in bytes.
+const maxDatagram = 16 << 10
 
-// datagram is a report on the wire. Datagrams suit reports, which may be lost and are of no use late; net/rpc would add
-// connections that have to be watched and an answer to each report.
-type datagram struct {
-	_        struct{} `cbor:",toarray"`
-	VM       string
-	InFlight map[string]int
-	Samples  []sampleField
-	Keys     map[string][]uint16
-	Moving   map[string][]movingField
+// fleet is the VMs that the store lists.
+type fleet struct {
+	vms []vmEntry
+	// keeper is empty when there is none.
+	keeper types.VM
 }
 
-type sampleField struct {
-	_        struct{} `cbor:",toarray"`
-	Target   string
-	Micros   int64
-	Slowness float32
-	Failed   bool
-}
-
-type movingField struct {
-	_        struct{} `cbor:",toarray"`
-	From, To uint16
-	Fence    uint64
-}
-
-func encodeReport(vm types.VM, r report) ([]byte, error) {
-	d := datagram{VM: string(vm), InFlight: make(map[string]int, len(r.peer.InFlight))}
-	for t, n := range r.peer.InFlight {
-		d.InFlight[string(t)] = n
-	}
-	for _, s := range r.peer.Samples[:min(len(r.peer.Samples), maxReportedSamples)] {
-		d.Samples = append(d.Samples, sampleField{
-			Target: string(s.Target), Micros: s.Took.Microseconds(), Slowness: float32(s.Slowness), Failed: s.Failed,
-		})
-	}
-	if len(r.keys) > 0 {
-		d.Keys = make(map[string][]uint16)
-		for s, keys := range r.keys {
-			d.Keys[string(s)] = keys
-		}
-	}
-	if len(r.moving) > 0 {
-		d.Moving = make(map[string][]movingField)
-		for s, ranges := range r.moving {
-			for _, m := range ranges {
-				d.Moving[string(s)] = append(d.Moving[string(s)], movingField{From: m.From, To: m.To, Fence: uint64(m.Fence)})
-			}
-		}
-	}
-	data, err := cbor.Marshal(d)
-	if err != nil {
-		return nil, types.WrapFault(types.CodeInternal, err, "encode report")
-	}
-	return data, nil
-}
-
-func decodeReport(data []byte) (types.VM, report, error) {
-	var d datagram
-	if err := cbor.Unmarshal(data, &d); err != nil {
-		return "", report{}, types.WrapFault(types.CodeBadRequest, err, "decode report")
-	}
-	r := report{
-		peer:   admission.PeerReport{VM: types.VM(d.VM), InFlight: make(map[types.Target]int, len(d.InFlight))},
-		keys:   make(map[types.Service][]keyspace.Key, len(d.Keys)),
-		moving: make(map[types.Service][]keyspace.Range, len(d.Moving)),
-	}
-	for t, n := range d.InFlight {
-		r.peer.InFlight[types.Target(t)] = n
-	}
-	for _, s := range d.Samples {
-		r.peer.Samples = append(r.peer.Samples, admission.Sample{
-			Target: types.Target(s.Target), Took: time.Duration(s.Micros) * time.Microsecond,
-			Slowness: float64(s.Slowness), Failed: s.Failed,
-		})
-	}
-	for s, keys := range d.Keys {
-		r.keys[types.Service(s)] = keys
-	}
-	for s, list := range d.Moving {
-		for _, m := range list {
-			r.moving[types.Service(s)] = append(r.moving[types.Service(s)], keyspace.Range{From: m.From, To: m.To, Fence: types.Epoch(m.Fence)})
-		}
-	}
-	return types.VM(d.VM), r, nil
+// peerSender sends reports to other VMs.
+type peerSender struct {
+	vm         types.VM
+	dataCentre types.DataCentre
+	in         *ring.Ring[report]
+	members    *ring.Ring[fleet]
+	keeper     *ring.Ring[any]
+	conn       *net.UDPConn
+	log        *telemetry.Log
+
+	others   []other
+	keeperVM types.VM
 }
 
-// peerSender sends reports to all other VMs.
-type peerSender struct {
-	vm      types.VM
-	in      *ring.Ring[report]
-	members *ring.Ring[[]vmEntry]
-	keeper  *ring.Ring[any]
-	conn    *net.UDPConn
-	log     *telemetry.Log
-
-	others []*net.UDPAddr
+type other struct {
+	vmEntry
+	address *net.UDPAddr
 }
 
 func (p *peerSender) duty() duty.Duty { return duty.Duty{Name: "peer-send", Run: p.run} }
@@ -136,7 +49,7 @@
 func (p *peerSender) run(ctx context.Context) error {
 	for {
 		p.members.Drain(p.setMembers)
-		p.in.Drain(func(r report) { p.send(ctx, r) })
+		p.in.Drain(p.send)
 		select {
 		case <-p.in.Ready():
 		case <-p.members.Ready():
@@ -146,9 +59,10 @@
 	}
 }
 
-func (p *peerSender) setMembers(list []vmEntry) {
+func (p *peerSender) setMembers(f fleet) {
 	p.others = p.others[:0]
-	for _, m := range list {
+	p.keeperVM = f.keeper
+	for _, m := range f.vms {
 		if m.VM == p.vm {
 			continue
 		}
@@ -157,29 +71,48 @@
 			p.log.Warn("VM left out of reports", log.Fields{"vm": m.VM, "address": m.PeerAddress, "error": err.Error()})
 			continue
 		}
-		p.others = append(p.others, a)
+		p.others = append(p.others, other{vmEntry: m, address: a})
 	}
 }
 
-// send also hands the keys to the keeper of this VM, which may be the one that decides.
-func (p *peerSender) send(ctx context.Context, r report) {
-	passKeys(ctx, p.keeper, r)
+// concerns reports whether a report is for a VM.
+func (p *peerSender) concerns(r report, o other) bool {
+	switch r.to {
+	case toDataCentre:
+		return o.DataCentre == p.dataCentre
+	case toKeeper:
+		return o.VM == p.keeperVM
+	default:
+		return true
+	}
+}
+
+func (p *peerSender) send(r report) {
+	if r.to == toKeeper && p.keeperVM == p.vm {
+		passToKeeper(p.keeper, r)
+		return
+	}
 	data, err := encodeReport(p.vm, r)
 	if err != nil {
 		p.log.Warn("report not sent", log.Fields{"error": err.Error()})
 		return
 	}
-	for _, a := range p.others {
-		// A datagram that can't be sent is like one that is lost: the next report replaces it.
-		_, _ = p.conn.WriteToUDP(data, a)
+	for _, o := range p.others {
+		if p.concerns(r, o) {
+			// A datagram that can't be sent is like one that is lost: the next report replaces it.
+			_, _ = p.conn.WriteToUDP(data, o.address)
+		}
 	}
 }
 
-func passKeys(_ context.Context, keeper *ring.Ring[any], r report) {
+// passToKeeper hands on what measures the load. A full ring loses a little of the measurement and nothing else.
+func passToKeeper(keeper *ring.Ring[any], r report) {
 	for s, keys := range r.keys {
-		// A full ring loses a little of the load measurement and nothing else.
 		_ = keeper.TryPut(requestedKeys{service: s, keys: keys})
 	}
+	for _, s := range r.seen {
+		_ = keeper.TryPut(s)
+	}
 }
 
 // peerReceiver takes the reports of other VMs.
@@ -187,6 +120,7 @@
 	conn      *net.UDPConn
 	admission *ring.Ring[any]
 	keeper    *ring.Ring[any]
+	knowledge *ring.Ring[any]
 	log       *telemetry.Log
 }
 
@@ -198,10 +132,11 @@
 	buf := make([]byte, maxDatagram)
 	for {
 		n, _, err := p.conn.ReadFromUDP(buf)
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
 		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
+			p.log.Warn("reports can't be read", log.Fields{"error": err.Error()})
 			continue
 		}
 		_, r, err := decodeReport(buf[:n])
@@ -209,12 +144,21 @@
 			p.log.Warn("report ignored", log.Fields{"error": err.Error()})
 			continue
 		}
-		passKeys(ctx, p.keeper, r)
-		// A full ring means that newer reports are waiting.
-		_ = p.admission.TryPut(r.peer)
-		for s, ranges := range r.moving {
-			_ = p.admission.TryPut(admission.Moving{Service: s, Ranges: ranges})
-		}
+		p.pass(ctx, r)
+	}
+}
+
+// pass hands a report to the duties that it is for. A full ring of admission means that newer reports are waiting.
+func (p *peerReceiver) pass(ctx context.Context, r report) {
+	passToKeeper(p.keeper, r)
+	if r.load != nil {
+		_ = p.admission.TryPut(*r.load)
+	}
+	for s, ranges := range r.moving {
+		_ = p.admission.TryPut(admission.Moving{Service: s, Ranges: ranges})
+	}
+	for _, o := range r.owners {
+		_ = p.knowledge.Put(ctx, o)
 	}
 }
 
--- a/daemon/edge/watch.go
+++ b/daemon/edge/watch.go
@@ -43,7 +43,7 @@
 	prefix string
 	pause  time.Duration
 	store  store.Store
-	out    *ring.Ring[update]
+	out    *ring.Ring[any]
 	log    *telemetry.Log
 	jitter func(time.Duration) time.Duration
 }
--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"sequoiasail.example/types"
 )
@@ -52,7 +53,6 @@
 	loading     bool
 	retryLoadAt types.Instant
 	loaded      bool
-	committed   bool
 	table       Table
 	spans       []span
 	members     map[types.Target]Member
@@ -61,14 +61,22 @@
 	pending     *Table
 	load        load
 	planAt      types.Instant
+	balanceAt   types.Instant
+	commitAt    types.Instant
+	grownAt     types.Instant
+	speeds      map[Owner]*speed
+	work        time.Duration
+	healthPath  string
 	actions     []Action
 }
 
-// New returns a core that is not the keeper. name identifies this run of this VM in what it writes.
-func New(name string, s Settings) *Core {
+// New returns a core that is not the keeper. name identifies this run of this VM in what it writes; healthPath is
+// the page at which targets tell their load.
+func New(name, healthPath string, s Settings) *Core {
 	return &Core{
-		settings: s, name: name,
+		settings: s, name: name, healthPath: healthPath,
 		members: make(map[types.Target]Member), ended: make(map[Owner]bool), outstanding: make(map[types.Target]int),
+		speeds: make(map[Owner]*speed), work: usualWork,
 	}
 }
 
@@ -77,13 +85,14 @@
 
 // Step applies a message and returns the actions that follow.
 func (c *Core) Step(now types.Instant, m Message) []Action {
+	c.actions = nil
 	switch m := m.(type) {
 	case Elected:
 		c.elect(now, m)
 	case Deposed:
 		c.depose()
 	case Members:
-		c.setMembers(m)
+		c.setMembers(now, m)
 	case Loaded:
 		c.install(now, m)
 	case LoadFailed:
@@ -95,6 +104,8 @@
 		c.finishCall(now, m)
 	case Ended:
 		c.ended[m.Owner] = true
+	case Observed:
+		c.observe(m)
 	case Requested:
 		c.load.add(m.Keys)
 	}
@@ -102,7 +113,10 @@
 }
 
 // Tick lets time pass and returns the actions that are due.
-func (c *Core) Tick(now types.Instant) []Action { return c.advance(now) }
+func (c *Core) Tick(now types.Instant) []Action {
+	c.actions = nil
+	return c.advance(now)
+}
 
 func (c *Core) valid(now types.Instant) bool { return c.elected && now.Before(c.validUntil) }
 
@@ -124,7 +138,10 @@
 	c.spans = nil
 }
 
-func (c *Core) setMembers(m Members) {
+func (c *Core) setMembers(now types.Instant, m Members) {
+	if len(m.Members) > len(c.members) {
+		c.grownAt = now
+	}
 	clear(c.members)
 	for _, t := range m.Members {
 		c.members[t.Owner.Target] = t
@@ -163,14 +180,14 @@
 
 // advance performs all steps that are possible now, in the order in which they depend on each other.
 func (c *Core) advance(now types.Instant) []Action {
-	c.actions = nil
 	if !c.valid(now) {
-		return nil
+		return c.actions
 	}
 	if !c.loaded {
 		c.requestLoad(now)
 		return c.actions
 	}
+	c.probe(now)
 	if len(c.table.Ranges) == 0 {
 		c.create(now)
 		return c.actions
@@ -181,7 +198,7 @@
 		c.plan(now)
 	}
 	c.free(now)
-	c.commit()
+	c.commit(now)
 	c.order(now)
 	return c.actions
 }
@@ -193,19 +210,27 @@
 	}
 }
 
-// create commits the first table: small ranges dealt in turn, so that busy neighbouring keys have different owners.
+// create commits the first table: small ranges dealt in turn, so that busy neighbouring keys have different owners. Each
+// range goes to the target that is cheapest then.
 func (c *Core) create(now types.Instant) {
 	targets := c.candidates(now)
-	if c.pending != nil || len(targets) == 0 || now.Before(c.since.Add(c.settings.Settle)) {
+	if c.pending != nil || len(targets) == 0 || !c.settled(now) {
 		return
 	}
+	var bins []*bin
+	for _, m := range targets {
+		bins = append(bins, &bin{member: m, slowness: c.slowness(m.Owner)})
+	}
 	count := len(targets) * c.settings.RangesPerTarget
+	each := firstRate / float64(count) * float64(slots(targets)) / c.work.Seconds()
 	t := Table{NextFence: 1}
 	for i := range count {
+		b := c.cheapest(bins)
+		b.rate += each
 		t.Ranges = append(t.Ranges, Range{
 			From:  Key(i * Keys / count),
 			To:    Key((i+1)*Keys/count - 1),
-			Owner: targets[i%len(targets)].Owner,
+			Owner: b.member.Owner,
 			Fence: t.NextFence,
 		})
 		t.NextFence++
@@ -213,6 +238,22 @@
 	c.submit(t)
 }
 
+// settled reports whether the targets that are starting have probably all registered.
+func (c *Core) settled(now types.Instant) bool {
+	if now.Before(c.since.Add(c.settings.Settle)) {
+		return false
+	}
+	return !now.Before(c.grownAt.Add(c.settings.Settle)) || !now.Before(c.since.Add(c.settings.SettleLimit))
+}
+
+func slots(members []Member) int {
+	n := 0
+	for _, m := range members {
+		n += m.Slots
+	}
+	return n
+}
+
 func (c *Core) submit(t Table) {
 	c.writes++
 	t.Writer = c.name + "/" + strconv.FormatUint(c.writes, 10)
--- a/keyspace/message.go
+++ b/keyspace/message.go
@@ -45,6 +45,8 @@
 		Result CallResult
 		// Handover is what the target returned at a release.
 		Handover string
+		// Slowness is what the target said of its machine at a probe; 0 when it said nothing.
+		Slowness float64
 	}
 	// Ended reports that a life of a target is over: nothing listens at its address, or another target has it.
 	Ended struct{ Owner Owner }
@@ -69,6 +71,8 @@
 const (
 	CallGrant CallKind = iota
 	CallRelease
+	// CallProbe asks a target for its load.
+	CallProbe
 )
 
 // CallResult is how a call to a target ended.
@@ -96,6 +100,8 @@
 	Fence    types.Epoch
 	Hold     time.Duration
 	Handover string
+	// Path is the health page, for a probe.
+	Path string
 }
 
 // Action is an output of a Core.
@@ -111,6 +117,12 @@
 		Owner Owner
 		Calls []Call
 	}
+	// Owned tells the VMs about the ranges that have new owners in a committed table. Base and Next are NextFence of the
+	// table before and after.
+	Owned struct {
+		Base, Next types.Epoch
+		Ranges     []Range
+	}
 	// Moving tells the VMs that keys have no owner for a moment.
 	Moving struct {
 		Ranges []Range
@@ -119,6 +131,7 @@
 	}
 )
 
+func (Owned) action()  {}
 func (Load) action()   {}
 func (Commit) action() {}
 func (Batch) action()  {}
--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -8,10 +8,10 @@
 func (c *Core) free(now types.Instant) {
 	for i := range c.spans {
 		s := &c.spans[i]
-		if s.phase != leaving || s.busy {
+		if s.phase != leaving {
 			continue
 		}
-		if c.over(c.table.Ranges[i].Owner) || !now.Before(s.heldUntil) {
+		if c.over(c.table.Ranges[i].Owner) || (!s.busy && !now.Before(s.heldUntil)) {
 			s.phase = freed
 		}
 	}
@@ -27,8 +27,8 @@
 }
 
 // commit writes the new owners of all freed ranges, one commit at a time.
-func (c *Core) commit() {
-	if c.pending != nil {
+func (c *Core) commit(now types.Instant) {
+	if c.pending != nil || now.Before(c.commitAt) {
 		return
 	}
 	var t Table
@@ -47,6 +47,7 @@
 		t.NextFence++
 	}
 	if t.Ranges != nil {
+		c.commitAt = now.Add(commitInterval)
 		c.submit(t)
 	}
 }
@@ -64,18 +65,23 @@
 	}
 	if len(c.spans) == 0 {
 		c.table = t
+		c.actions = append(c.actions, Owned{Base: 0, Next: t.NextFence, Ranges: nil})
 		c.spans = make([]span, len(t.Ranges))
 		for i := range c.spans {
 			c.spans[i].renewAt = now
 		}
 		return
 	}
+	base := c.table.NextFence
 	c.table = t
+	var owned []Range
 	for i := range c.spans {
 		if c.spans[i].phase == committing {
+			owned = append(owned, t.Ranges[i])
 			c.spans[i] = span{renewAt: now, restUntil: now.Add(moveRest)}
 		}
 	}
+	c.actions = append(c.actions, Owned{Base: base, Next: t.NextFence, Ranges: owned})
 }
 
 // order sends the releases and grants that are due, one batch for each target at a time.
@@ -139,6 +145,7 @@
 
 // BatchDone tells the core that all calls of a batch to a target have been answered.
 func (c *Core) BatchDone(now types.Instant, t types.Target) []Action {
+	c.actions = nil
 	c.outstanding[t]--
 	if c.outstanding[t] <= 0 {
 		delete(c.outstanding, t)
@@ -148,6 +155,10 @@
 
 // finishCall applies the result of one call. The table may have changed since the call was sent.
 func (c *Core) finishCall(now types.Instant, m Called) {
+	if m.Call.Kind == CallProbe {
+		c.observe(Observed{Target: m.Call.Owner.Target, Slowness: m.Slowness})
+		return
+	}
 	if !c.elected {
 		return
 	}
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"sequoiasail.example/types"
 )
@@ -26,41 +27,54 @@
 	return warm
 }
 
-// weighed is a candidate with its load in requests a second.
-type weighed struct {
+// bin is a candidate with what it is expected to carry.
+type bin struct {
 	member Member
-	load   float64
+	// slowness is the usual one of the target; 1 is average.
+	slowness float64
+	// rate is in requests a second.
+	rate float64
 }
 
-// perSlot is the load of one slot.
-func (w *weighed) perSlot() float64 { return w.load / float64(max(w.member.Slots, 1)) }
+// busy is the expected share of the target's slots at work.
+func (b *bin) busy(work time.Duration) float64 {
+	return b.rate * work.Seconds() * b.slowness / float64(max(b.member.Slots, 1))
+}
+
+// cost grows with the time that a request at the target is expected to take: its slowness, and its queue as the slots
+// fill. Fast targets fill up before slow ones get keys.
+func (b *bin) cost(work time.Duration) float64 {
+	u := b.busy(work)
+	return b.slowness * (1 + queueCost*u*u*u)
+}
 
 // plan decides which ranges move: those of owners that may not keep them, then busy ones for balance.
 func (c *Core) plan(now types.Instant) {
 	if now.Before(c.movesFrom) || c.pending != nil {
 		return
 	}
-	candidates := c.weigh(now)
-	if len(candidates) == 0 {
+	bins := c.weigh(now)
+	if len(bins) == 0 {
 		return
 	}
-	moving := c.replaceOwners(now, candidates)
-	c.balance(now, candidates, moving)
+	moving := c.replaceOwners(now, bins)
+	if !now.Before(c.balanceAt) && c.balance(now, bins, moving) {
+		c.balanceAt = now.Add(balanceInterval)
+	}
 }
 
-// weigh adds the load of all ranges to their present or next owner. Keys without requests count a little, so that they
-// are spread as well.
-func (c *Core) weigh(now types.Instant) []*weighed {
-	byTarget := make(map[types.Target]*weighed)
-	var all []*weighed
+// weigh adds the load of all ranges to their present or next owner.
+func (c *Core) weigh(now types.Instant) []*bin {
+	byTarget := make(map[types.Target]*bin)
+	var all []*bin
 	for _, m := range c.candidates(now) {
-		w := &weighed{member: m}
-		byTarget[m.Owner.Target] = w
-		all = append(all, w)
+		b := &bin{member: m, slowness: c.slowness(m.Owner)}
+		byTarget[m.Owner.Target] = b
+		all = append(all, b)
 	}
 	for i := range c.spans {
-		if w := byTarget[c.destination(i).Target]; w != nil {
-			w.load += c.weight(i)
+		if b := byTarget[c.destination(i).Target]; b != nil {
+			b.rate += c.weight(i)
 		}
 	}
 	return all
@@ -73,15 +87,16 @@
 	return c.spans[i].next
 }
 
-// weight is the load of a range plus its share of an even spread of a tenth of all requests.
+// weight is the load of a range plus its share of an even spread of some requests, so that keys that nobody asked for
+// yet are spread as well.
 func (c *Core) weight(i int) float64 {
 	r := c.table.Ranges[i]
-	return c.load.of(r) + (0.1*float64(c.load.total)+0.1)*float64(r.Size())/Keys
+	return c.load.of(r) + (spreadShare*float64(c.load.total)+spreadRate)*float64(r.Size())/Keys
 }
 
 // replaceOwners moves the ranges whose owner is gone, not usable or started anew, and corrects moves towards such
 // owners. It returns the number of ranges under way.
-func (c *Core) replaceOwners(now types.Instant, candidates []*weighed) int {
+func (c *Core) replaceOwners(now types.Instant, bins []*bin) int {
 	moving := 0
 	var moved []Range
 	for i := range c.spans {
@@ -92,8 +107,8 @@
 		if s.phase == committing || c.mayHold(c.destination(i)) {
 			continue
 		}
-		to := slices.MinFunc(candidates, func(a, b *weighed) int { return cmp.Compare(a.perSlot(), b.perSlot()) })
-		to.load += c.weight(i)
+		to := c.cheapest(bins)
+		to.rate += c.weight(i)
 		if s.phase == held {
 			moving++
 			moved = append(moved, c.table.Ranges[i])
@@ -104,6 +119,19 @@
 	return moving
 }
 
+func (c *Core) cheapest(bins []*bin) *bin {
+	return slices.MinFunc(bins, func(a, b *bin) int { return cmp.Compare(a.cost(c.work), b.cost(c.work)) })
+}
+
+func (c *Core) dearest(bins []*bin) *bin {
+	return slices.MaxFunc(bins, func(a, b *bin) int {
+		if a.rate < idleRate || b.rate < idleRate {
+			return cmp.Compare(a.rate, b.rate)
+		}
+		return cmp.Compare(a.cost(c.work), b.cost(c.work))
+	})
+}
+
 // mayHold reports whether a life of a target is the present one and may have keys. A cold owner keeps what it has.
 func (c *Core) mayHold(o Owner) bool {
 	m, ok := c.members[o.Target]
@@ -126,12 +154,13 @@
 	}
 }
 
-// balance moves or splits the busiest ranges of the busiest target until the loads are close to each other.
-func (c *Core) balance(now types.Instant, candidates []*weighed, moving int) {
+// balance moves or splits the busiest ranges of the dearest targets while that lowers the cost by enough. It reports
+// whether anything moved.
+func (c *Core) balance(now types.Instant, bins []*bin, moving int) bool {
 	var moved []Range
 	for ; moving < maxMoves; moving++ {
-		from, to := extremes(candidates)
-		if from.perSlot() < imbalance*mean(candidates) || from.perSlot() < minRate {
+		from, to := c.dearest(bins), c.cheapest(bins)
+		if from == to || from.cost(c.work) < to.cost(c.work)+costGap {
 			break
 		}
 		i := c.choose(now, from, to)
@@ -139,40 +168,18 @@
 			break
 		}
 		w := c.weight(i)
-		from.load -= w
-		to.load += w
+		from.rate -= w
+		to.rate += w
 		moved = append(moved, c.table.Ranges[i])
 		c.move(now, i, to.member.Owner)
 	}
 	c.announce(moved, "balance")
+	return len(moved) > 0
 }
 
-func extremes(candidates []*weighed) (most, least *weighed) {
-	most, least = candidates[0], candidates[0]
-	for _, w := range candidates {
-		if w.perSlot() > most.perSlot() {
-			most = w
-		}
-		if w.perSlot() < least.perSlot() {
-			least = w
-		}
-	}
-	return most, least
-}
-
-func mean(candidates []*weighed) float64 {
-	load, slots := 0.0, 0
-	for _, w := range candidates {
-		load += w.load
-		slots += max(w.member.Slots, 1)
-	}
-	return load / float64(slots)
-}
-
-// choose returns the index of the busiest range whose move lowers the higher of the two loads, after splitting one
-// that is too busy to move whole. It returns -1 when there is none.
-func (c *Core) choose(now types.Instant, from, to *weighed) int {
-	gap := (from.perSlot() - to.perSlot()) * float64(min(from.member.Slots, to.member.Slots)) * 0.6
+// choose returns the index of the busiest range whose move leaves its new owner cheaper than the former one was, after
+// splitting one that is too busy to move whole. It returns -1 when there is none.
+func (c *Core) choose(now types.Instant, from, to *bin) int {
 	best, bestLoad := -1, 0.0
 	for i := range c.spans {
 		s := &c.spans[i]
@@ -183,7 +190,7 @@
 			best, bestLoad = i, w
 		}
 	}
-	for best >= 0 && bestLoad > gap {
+	for best >= 0 && !c.improves(from, to, bestLoad) {
 		if c.table.Ranges[best].Size() < 2 || len(c.spans) >= maxRanges {
 			return -1
 		}
@@ -193,12 +200,20 @@
 		}
 		bestLoad = c.weight(best)
 	}
-	if bestLoad < gap/20 {
+	if bestLoad < smallestMove {
 		return -1
 	}
 	return best
 }
 
+func (c *Core) improves(from, to *bin, rate float64) bool {
+	after := *to
+	after.rate += rate
+	rest := *from
+	rest.rate -= rate
+	return after.cost(c.work) < from.cost(c.work)-costGap/2 && after.cost(c.work) < rest.cost(c.work)+costGap
+}
+
 // divide splits a range and its state. Both parts keep the grant of the whole.
 func (c *Core) divide(i int, at Key) {
 	c.table.split(i, at)
--- a/keyspace/settings.go
+++ b/keyspace/settings.go
@@ -12,8 +12,9 @@
 	CallTimeout time.Duration
 	// Term is the longest validity of a keeper that is gone without notice.
 	Term time.Duration
-	// Settle is how long a keeper without a table waits for registrations before it creates one.
-	Settle time.Duration
+	// Settle is how long no target must have been added before a keeper without a table creates one, at most SettleLimit.
+	Settle      time.Duration
+	SettleLimit time.Duration
 	// RangesPerTarget is the number of ranges for each target in a new table. More ranges spread busy neighbouring keys
 	// over more targets and cost more renewals.
 	RangesPerTarget int
@@ -28,7 +29,7 @@
 	// batchCalls bounds the calls in one batch, so that an urgent grant waits for few round trips.
 	batchCalls = 6
 	// maxMoves bounds the ranges that are being moved for balance at once.
-	maxMoves = 8
+	maxMoves = 24
 	// maxRanges bounds the size of a table: each range costs a renewal.
 	maxRanges = 1500
 	// planInterval is how often the load is compared.
@@ -37,21 +38,43 @@
 	loadWindow = 2 * time.Second
 	// moveRest is how long a range stays where it was moved to.
 	moveRest = 1500 * time.Millisecond
-	// imbalance is the load of the busiest target, relative to the mean, above which a range moves.
-	imbalance = 1.25
-	// minRate is the load of a slot in requests a second below which balance does not matter.
-	minRate = 1.0
+	// balanceInterval spaces the moves for balance, because each group of them costs a write to the store.
+	balanceInterval = 700 * time.Millisecond
+	// costGap is the difference of costs below which no range moves; an average request at an idle target costs 1.
+	costGap = 0.5
+	// queueCost is the cost of a queue when all slots are at work, relative to an idle target.
+	queueCost = 6.0
+	// smallestMove is the load in requests a second below which moving a range changes nothing.
+	smallestMove = 0.02
+	// idleRate is the load in requests a second below which a target counts as idle.
+	idleRate = 0.05
+	// spreadShare and spreadRate are the part of the load that is taken as spread evenly over all keys.
+	spreadShare = 0.1
+	spreadRate  = 2.0
+	// usualWork is assumed until answers show how long requests take.
+	usualWork = 160 * time.Millisecond
+	// workSamples is the number of answers over which the time of requests is averaged.
+	workSamples = 200
+	// probes is the number of questions to a target of which nothing is known, probeInterval the time between them. The
+	// bursts of slowness of a target's neighbours last about as long.
+	probes        = 5
+	probeInterval = 450 * time.Millisecond
+	// firstRate is the share of all slots that the first table expects to be at work.
+	firstRate = 0.35
+	// commitInterval gathers the ranges that are free in one write.
+	commitInterval = 60 * time.Millisecond
 )
 
 // Defaults returns the settings for targets that hold a grant for at most maxHold.
 func Defaults(maxHold time.Duration) Settings {
 	return Settings{
 		Hold:            maxHold,
-		RenewEvery:      maxHold * 2 / 5,
+		RenewEvery:      maxHold / 2,
 		CallTimeout:     time.Second,
 		Term:            3 * time.Second,
-		Settle:          1500 * time.Millisecond,
-		RangesPerTarget: 24,
+		Settle:          time.Second,
+		SettleLimit:     4 * time.Second,
+		RangesPerTarget: 16,
 	}
 }
 
--- /dev/null
+++ b/keyspace/speed.go
@@ -0,0 +1,83 @@
+package keyspace
+
+import (
+	"time"
+
+	"sequoiasail.example/types"
+)
+
+// Observed reports how an answer came, to measure the speed of targets.
+type Observed struct {
+	Target types.Target
+	// Slowness is what the target said of its machine; 0 when it said nothing.
+	Slowness float64
+	// Took is the time of the request, 0 for a probe.
+	Took time.Duration
+}
+
+func (Observed) message() {}
+
+// speed is what is known of one life of a target.
+type speed struct {
+	slowness float64
+	seen     int
+	// askedAt is when the target was last probed.
+	askedAt types.Instant
+}
+
+// slowness is the usual slowness of a target, without the bursts that come from its neighbours.
+func (c *Core) slowness(o Owner) float64 {
+	if s := c.speeds[o]; s != nil && s.seen > 0 {
+		return s.slowness
+	}
+	return 1
+}
+
+// observe follows the usual slowness: down at once, up slowly, and hardly at all for short bursts.
+func (c *Core) observe(m Observed) {
+	member, ok := c.members[m.Target]
+	if !ok {
+		return
+	}
+	if m.Took > 0 && m.Slowness > 0 {
+		took := time.Duration(float64(m.Took) / m.Slowness)
+		c.work += (took - c.work) / workSamples
+	}
+	if m.Slowness <= 0 {
+		return
+	}
+	s := c.speedOf(member.Owner)
+	s.seen++
+	switch ratio := m.Slowness / s.slowness; {
+	case s.seen == 1:
+		s.slowness = m.Slowness
+	case ratio < 0.8:
+		s.slowness += 0.6 * (m.Slowness - s.slowness)
+	case ratio > 2:
+		s.slowness += 0.02 * (m.Slowness - s.slowness)
+	default:
+		s.slowness += 0.2 * (m.Slowness - s.slowness)
+	}
+}
+
+func (c *Core) speedOf(o Owner) *speed {
+	s := c.speeds[o]
+	if s == nil {
+		s = &speed{slowness: 1}
+		c.speeds[o] = s
+	}
+	return s
+}
+
+// probe asks the targets of which little is known, so that the first table already prefers the fast ones.
+func (c *Core) probe(now types.Instant) {
+	for t, m := range c.members {
+		s := c.speedOf(m.Owner)
+		if !m.Usable || s.seen >= probes || c.outstanding[t] > 0 || now.Before(s.askedAt.Add(probeInterval)) {
+			continue
+		}
+		s.askedAt = now
+		c.outstanding[t]++
+		c.actions = append(c.actions, Batch{Owner: m.Owner, Calls: []Call{{Kind: CallProbe, Owner: m.Owner, Path: c.healthPath}}})
+	}
+}
--- a/keyspace/table.go
+++ b/keyspace/table.go
@@ -86,3 +86,22 @@
 	t.Ranges[i+1] = r
 	t.Ranges[i+1].From = at
 }
+
+// Assign gives the keys of r to its owner, and splits the ranges at its ends where needed.
+func (t *Table) Assign(r Range) {
+	i := t.Index(r.From)
+	if i < 0 {
+		return
+	}
+	if t.Ranges[i].From < r.From {
+		t.split(i, r.From)
+		i++
+	}
+	for i < len(t.Ranges) && t.Ranges[i].From <= r.To {
+		if t.Ranges[i].To > r.To {
+			t.split(i, r.To+1)
+		}
+		t.Ranges[i].Owner, t.Ranges[i].Fence, t.Ranges[i].Handover = r.Owner, r.Fence, ""
+		i++
+	}
+}
