--- a/admission/core.go
+++ b/admission/core.go
@@ -83,6 +83,11 @@
 		c.setOwners(now, m)
 	case Moving:
 		c.setMoving(now, m)
+	case Bounds:
+		c.settings.RetryRatio, c.settings.RetrySlack, c.settings.RetryWindow = m.RetryRatio, m.RetrySlack, m.RetryWindow
+		for _, s := range c.services {
+			s.budget.settings = c.settings
+		}
 	case Peers:
 		c.setPeers(m)
 	case PeerReport:
--- a/admission/message.go
+++ b/admission/message.go
@@ -57,6 +57,12 @@
 		Service types.Service
 		Ranges  []keyspace.Range
 	}
+	// Bounds replaces the bounds on repeated requests.
+	Bounds struct {
+		RetryRatio  float64
+		RetrySlack  float64
+		RetryWindow time.Duration
+	}
 	// Peers replaces the VMs of the fleet, this one included.
 	Peers struct{ VMs []types.VM }
 	// PeerReport is what another VM told about its requests under way and its answers.
@@ -74,6 +80,7 @@
 func (Targets) message()    {}
 func (Owners) message()     {}
 func (Moving) message()     {}
+func (Bounds) message()     {}
 func (Peers) message()      {}
 func (PeerReport) message() {}
 
--- a/cmd/sail-edge/main.go
+++ b/cmd/sail-edge/main.go
@@ -37,7 +37,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
-	if err := edge.New(settings, os.Stdout).Run(ctx); err != nil {
+	if err := edge.New(settings, *file, os.Stdout).Run(ctx); err != nil {
 		fmt.Fprintf(os.Stderr, "sail-edge: %v\n", err)
 		return startup.ExitFailed
 	}
--- /dev/null
+++ b/daemon/edge/audit.go
@@ -0,0 +1,167 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"sequoiasail.example/duty"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+const (
+	// auditInterval is how often the keeper reads the watched prefixes. A watch of the store may miss changes and go on
+	// waiting; configurations must be in force within 2 s.
+	auditInterval = 800 * time.Millisecond
+	// auditSilence is how long a VM trusts its watches without hearing from the keeper.
+	auditSilence = 1800 * time.Millisecond
+	// auditSpacing bounds how often a VM reads a prefix again because of a difference.
+	auditSpacing = 400 * time.Millisecond
+)
+
+// digest sums up a prefix of the store at one revision.
+type digest struct {
+	prefix string
+	// at is the revision of the store that the digest was taken at.
+	at types.Revision
+	// newest is the highest revision of a key, count the number of keys.
+	newest types.Revision
+	count  int
+}
+
+// auditRequest asks for a read of a prefix.
+type auditRequest struct{ prefix string }
+
+// auditor reads whole prefixes beside the watches.
+type auditor struct {
+	in    *ring.Ring[auditRequest]
+	out   *ring.Ring[any]
+	store store.Store
+	log   *telemetry.Log
+}
+
+func (a *auditor) duty() duty.Duty { return duty.Duty{Name: "audit", Run: a.run} }
+
+func (a *auditor) run(ctx context.Context) error {
+	for {
+		r, err := a.in.Get(ctx)
+		if err != nil {
+			return nil
+		}
+		callCtx, cancel := context.WithTimeout(ctx, sessionCall)
+		entries, revision, err := a.store.List(callCtx, r.prefix)
+		cancel()
+		u := update{prefix: r.prefix, snapshot: err == nil, audit: true, entries: entries, revision: revision, err: err}
+		if a.out.Put(ctx, u) != nil {
+			return nil
+		}
+	}
+}
+
+// contents tracks the keys of one prefix.
+type contents struct {
+	revisions map[string]types.Revision
+	// known is the revision of the store up to which changes are known.
+	known types.Revision
+	// askedAt is when the prefix was last read again.
+	askedAt types.Instant
+}
+
+func newContents() *contents { return &contents{revisions: make(map[string]types.Revision)} }
+
+// apply records an update. It reports whether the update holds anything new.
+func (c *contents) apply(u update) bool {
+	if u.snapshot && u.revision < c.known {
+		return false
+	}
+	changed := false
+	if u.snapshot {
+		changed = c.differs(u.entries)
+		clear(c.revisions)
+		for _, e := range u.entries {
+			c.revisions[e.Key] = e.Revision
+		}
+		c.known = u.revision
+	}
+	for _, e := range u.events {
+		changed = true
+		c.known = max(c.known, e.Revision)
+		if e.Deleted {
+			delete(c.revisions, e.Key)
+		} else {
+			c.revisions[e.Key] = e.Revision
+		}
+	}
+	return changed
+}
+
+func (c *contents) differs(entries []store.Entry) bool {
+	if len(entries) != len(c.revisions) {
+		return true
+	}
+	for _, e := range entries {
+		if c.revisions[e.Key] != e.Revision {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *contents) digest(prefix string) digest {
+	d := digest{prefix: prefix, at: c.known, count: len(c.revisions)}
+	for _, r := range c.revisions {
+		d.newest = max(d.newest, r)
+	}
+	return d
+}
+
+// behind reports whether another VM's digest, taken at the same revision or later, shows other keys.
+func (c *contents) behind(d digest) bool {
+	own := c.digest(d.prefix)
+	return d.at >= own.newest && (d.newest != own.newest || d.count != own.count)
+}
+
+// compare reads a prefix again when the keeper knows more of it.
+func (k *knowledge) compare(now types.Instant, d digest) {
+	k.auditedAt = now
+	c := k.contents[d.prefix]
+	if c == nil || c.known == 0 || !c.behind(d) {
+		return
+	}
+	k.log.Info("watch has missed a change", log.Fields{"prefix": d.prefix, "known": c.known, "keeperKnows": d.at})
+	k.readAgain(now, d.prefix, auditSpacing)
+}
+
+func (k *knowledge) readAgain(now types.Instant, prefix string, spacing time.Duration) {
+	c := k.contents[prefix]
+	if c == nil || now.Before(c.askedAt.Add(spacing)) {
+		return
+	}
+	c.askedAt = now
+	_ = k.audits.Replace(auditRequest{prefix: prefix})
+}
+
+// audit reads the watched prefixes if this VM is the keeper, or if the keeper is silent.
+func (k *knowledge) audit(now types.Instant) {
+	spacing := auditInterval
+	if k.keeperVM != k.vm {
+		if now.Sub(k.auditedAt) < auditSilence {
+			return
+		}
+		spacing = auditSilence
+	}
+	for prefix := range k.contents {
+		k.readAgain(now, prefix, spacing)
+	}
+}
+
+// tellDigests is called after an audit by the keeper.
+func (k *knowledge) tellDigest(ctx context.Context, prefix string) {
+	if k.keeperVM == k.vm {
+		_ = k.reports.Put(ctx, report{to: toAll, digests: []digest{k.contents[prefix].digest(prefix)}})
+	}
+}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -59,6 +59,7 @@
 // Edge is the daemon of one VM.
 type Edge struct {
 	settings platform.Settings
+	file     string
 	log      *telemetry.Log
 	metrics  *telemetry.Metrics
 	group    *duty.Group
@@ -74,10 +75,10 @@
 	server    *httpServer
 }
 
-// New builds the daemon. Nothing runs before Run.
-func New(s platform.Settings, output io.Writer) *Edge {
+// New builds the daemon with the settings of file, which is read again when it changes. Nothing runs before Run.
+func New(s platform.Settings, file string, output io.Writer) *Edge {
 	e := &Edge{
-		settings: s, metrics: telemetry.NewMetrics(), group: duty.NewGroup(), store: platform.NewStore(s.StoreAddress),
+		settings: s, file: file, metrics: telemetry.NewMetrics(), group: duty.NewGroup(), store: platform.NewStore(s.StoreAddress),
 		log:       telemetry.NewLog(output, log.Fields{"vm": s.VM, "dataCentre": s.DataCentre}),
 		random:    rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(len(s.VM)))),
 		admission: ring.New[any](admissionCapacity),
@@ -146,26 +147,30 @@
 	members := ring.New[fleet](1)
 	meter := newMeter(e.metrics)
 	e.group.Add(e.log.Duty())
-	e.addKnowledge(members)
+	e.addKnowledge(members, reports)
 	e.group.Add((&peerSender{
 		vm: e.settings.VM, dataCentre: e.settings.DataCentre, in: reports, members: members, keeper: e.keeper, conn: conn, log: e.log,
 	}).duty())
 	e.group.Add((&peerReceiver{conn: conn, admission: e.admission, keeper: e.keeper, knowledge: e.knowledge.in, log: e.log}).duty())
+	e.group.Add((&reloader{file: e.file, current: e.settings, admission: e.admission, log: e.log}).duty())
 	e.addSession()
 	e.addKeeper(reports)
 	e.addAdmission(jobs, reports, meter)
 	return e.addServers(meter)
 }
 
-func (e *Edge) addKnowledge(members *ring.Ring[fleet]) {
+func (e *Edge) addKnowledge(members *ring.Ring[fleet], reports *ring.Ring[report]) {
 	updates := ring.New[any](updateCapacity)
 	e.knowledge = newKnowledge()
 	e.knowledge.in, e.knowledge.admission, e.knowledge.keeper = updates, e.admission, e.keeper
 	e.knowledge.session = ring.New[keeperSeen](1)
 	e.knowledge.peers, e.knowledge.log = members, e.log
 	e.knowledge.reads = ring.New[ownerRead](ownerReads)
+	e.knowledge.audits = ring.New[auditRequest](ownerReads)
+	e.knowledge.reports, e.knowledge.vm = reports, e.settings.VM
 	e.group.Add(e.knowledge.duty())
 	e.group.Add((&ownerReader{in: e.knowledge.reads, out: updates, store: e.store}).duty())
+	e.group.Add((&auditor{in: e.knowledge.audits, out: updates, store: e.store, log: e.log}).duty())
 	e.addWatch("operator", platform.OperatorPrefix, updates)
 	e.addWatch("targets", platform.TargetPrefix, updates)
 	e.addWatch("own", ownPrefix, updates)
--- a/daemon/edge/knowledge.go
+++ b/daemon/edge/knowledge.go
@@ -35,6 +35,8 @@
 type knowledge struct {
 	in        *ring.Ring[any]
 	reads     *ring.Ring[ownerRead]
+	audits    *ring.Ring[auditRequest]
+	reports   *ring.Ring[report]
 	admission *ring.Ring[any]
 	keeper    *ring.Ring[any]
 	session   *ring.Ring[keeperSeen]
@@ -49,7 +51,11 @@
 	// raw keeps the value of each registration, so that unchanged ones are not decoded again.
 	raw        map[types.Target][]byte
 	registered bool
+	vm         types.VM
 	keeperVM   types.VM
+	contents   map[string]*contents
+	// auditedAt is when the keeper last told what the store holds.
+	auditedAt types.Instant
 	// heardAt is when the keeper last told the version of the owners, readAt when they were last asked from the store.
 	heardAt types.Instant
 	readAt  map[types.Service]types.Instant
@@ -67,7 +73,8 @@
 	k := &knowledge{
 		registry: catalog.NewRegistry(), vms: make(map[types.VM]vmEntry),
 		owners: make(map[types.Service]keyspace.Table), raw: make(map[types.Target][]byte),
-		readAt: make(map[types.Service]types.Instant),
+		readAt:   make(map[types.Service]types.Instant),
+		contents: map[string]*contents{platform.OperatorPrefix: newContents(), platform.TargetPrefix: newContents()},
 	}
 	k.published.Store(&view{})
 	return k
@@ -84,6 +91,7 @@
 		case <-k.in.Ready():
 		case <-tick.C:
 			k.refresh(telemetry.Now())
+			k.audit(telemetry.Now())
 			if k.registry.Expire(telemetry.Now()) {
 				k.tellTargets(ctx)
 			}
@@ -99,6 +107,8 @@
 		k.apply(ctx, m)
 	case ownerChange:
 		k.applyChange(ctx, m)
+	case digest:
+		k.compare(telemetry.Now(), m)
 	case ownersFound:
 		k.applyFound(ctx, m)
 	}
@@ -107,15 +117,30 @@
 
 func (k *knowledge) apply(ctx context.Context, u update) {
 	now := telemetry.Now()
-	switch {
-	case u.err != nil:
+	if u.err != nil {
 		if u.prefix == platform.TargetPrefix && types.CodeOf(u.err) != types.CodeNotFound {
 			k.registry.StoreAway()
 		}
-	case u.prefix == platform.TargetPrefix:
+		return
+	}
+	if u.prefix == platform.TargetPrefix {
 		k.registry.StoreBack(now)
+	}
+	if c := k.contents[u.prefix]; c != nil {
+		changed := c.apply(u)
+		if u.audit {
+			k.tellDigest(ctx, u.prefix)
+		}
+		if !changed {
+			// An empty list counts as a first answer all the same.
+			k.registered = k.registered || (u.snapshot && u.prefix == platform.TargetPrefix)
+			return
+		}
+	}
+	switch u.prefix {
+	case platform.TargetPrefix:
 		k.applyTargets(ctx, now, u)
-	case u.prefix == platform.OperatorPrefix:
+	case platform.OperatorPrefix:
 		k.applyOperator(ctx, u)
 	default:
 		k.applyOwn(ctx, u)
--- a/daemon/edge/peers.go
+++ b/daemon/edge/peers.go
@@ -157,6 +157,9 @@
 	for s, ranges := range r.moving {
 		_ = p.admission.TryPut(admission.Moving{Service: s, Ranges: ranges})
 	}
+	for _, d := range r.digests {
+		_ = p.knowledge.Put(ctx, d)
+	}
 	for _, o := range r.owners {
 		_ = p.knowledge.Put(ctx, o)
 	}
--- a/daemon/edge/reports.go
+++ b/daemon/edge/reports.go
@@ -34,6 +34,8 @@
 	seen   []admission.Sample
 	moving map[types.Service][]keyspace.Range
 	owners []ownerChange
+	// digests tell what the keeper has read of the store.
+	digests []digest
 }
 
 // datagram is a report on the wire. Datagrams suit reports, which may be lost and are of no use late; net/rpc would add
@@ -48,6 +50,14 @@
 	Seen     []sampleField
 	Moving   map[string][]movingField
 	Owners   []ownersField
+	Digests  []digestField
+}
+
+type digestField struct {
+	_          struct{} `cbor:",toarray"`
+	Prefix     string
+	At, Newest uint64
+	Count      int
 }
 
 type sampleField struct {
@@ -106,6 +116,9 @@
 	for _, o := range r.owners {
 		d.Owners = append(d.Owners, encodeOwners(o))
 	}
+	for _, g := range r.digests {
+		d.Digests = append(d.Digests, digestField{Prefix: g.prefix, At: uint64(g.at), Newest: uint64(g.newest), Count: g.count})
+	}
 	data, err := cbor.Marshal(d)
 	if err != nil {
 		return nil, types.WrapFault(types.CodeInternal, err, "encode report")
@@ -160,6 +173,11 @@
 	for _, f := range d.Owners {
 		r.owners = append(r.owners, decodeOwners(f))
 	}
+	for _, g := range d.Digests {
+		r.digests = append(r.digests, digest{
+			prefix: g.Prefix, at: types.Revision(g.At), newest: types.Revision(g.Newest), count: g.Count,
+		})
+	}
 	return types.VM(d.VM), r, nil
 }
 
--- a/daemon/edge/watch.go
+++ b/daemon/edge/watch.go
@@ -29,7 +29,9 @@
 	prefix string
 	// snapshot is true when entries holds all keys of the prefix.
 	snapshot bool
-	entries  []store.Entry
+	// audit is true for a read beside the watch.
+	audit   bool
+	entries []store.Entry
 	// revision is the store's revision of a snapshot.
 	revision types.Revision
 	events   []store.Event
--- a/keyspace/message.go
+++ b/keyspace/message.go
@@ -90,6 +90,8 @@
 	CallFenced
 	// CallInvalid calls were refused for another reason.
 	CallInvalid
+	// CallOther calls reached another target, which now has the address: the owner has ended.
+	CallOther
 )
 
 // Call is one order to a target.
--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -159,6 +159,9 @@
 		c.observe(Observed{Target: m.Call.Owner.Target, Slowness: m.Slowness})
 		return
 	}
+	if m.Result == CallOther {
+		c.ended[m.Call.Owner] = true
+	}
 	if !c.elected {
 		return
 	}
