keyspace: a grant is renewed only over the connection that carried it

A simulation of two keepers with crashing targets, lost and late calls fails for three reasons: a table read again within a term took the hold of unknown ranges as over; a renewal on a new connection may reach a later life of its target; a release opened such a connection. Ruled out: two keepers, the fences of the table. Now a renewal names its connection, a lost connection or an inherited range needs a new fence, and a later life is not taken as the end of the former hold.

--- a/daemon/edge/keeper.go
+++ b/daemon/edge/keeper.go
@@ -341,8 +341,8 @@
 	_ = k.orders.Put(ctx, orderJob{service: s, batch: b, host: host, until: k.term.Until})
 }
 
-// ordersPerTarget is the number of connections to a target for grants and releases.
-const ordersPerTarget = 2
+// ordersPerTarget is the number of connections to a target for grants and releases: batches follow one another.
+const ordersPerTarget = 1
 
 // keeperStore reads and writes the owners of keys.
 type keeperStore struct {
--- a/daemon/edge/orders.go
+++ b/daemon/edge/orders.go
@@ -78,5 +78,5 @@
 var callResults = map[keyspace.CallResult]string{
 	keyspace.CallUnanswered: "no answer", keyspace.CallNotSent: "not sent", keyspace.CallDone: "done",
 	keyspace.CallFenced: "higher fence seen", keyspace.CallInvalid: "invalid",
-	keyspace.CallOther: "another target has the address",
+	keyspace.CallReconnect: "connection of the grant gone", keyspace.CallOther: "another target has the address",
 }
--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -26,10 +26,20 @@
 	phase phase
 	// next is the owner that the range moves to.
 	next Owner
+	// forced is true when the owner may not keep the range, rather than for balance.
+	forced bool
+	// fenced is true after a grant was refused for a higher fence.
+	fenced bool
 	// busy is true while a call for the range is under way.
 	busy bool
 	// granted is false until the owner has confirmed a grant of this keeper's term.
 	granted bool
+	// fresh is true when this keeper has committed the fence in this term.
+	fresh bool
+	// sent is true once a grant with the present fence has been sent in this term.
+	sent bool
+	// connection carried the last grant; 0 when it is gone.
+	connection uint64
 	// renewAt is when the next grant is due.
 	renewAt types.Instant
 	// heldUntil is the latest time at which the owner may hold the range by any grant.
@@ -162,13 +172,20 @@
 		c.table = Table{}
 		return
 	}
-	bound := c.movesFrom.Add(c.settings.holdBound())
+	// A grant of this or an earlier keeper may have been sent up to now, or until the earlier one's term ended.
+	bound := later(now, c.movesFrom).Add(c.settings.holdBound())
 	for _, r := range c.table.Ranges {
 		s := span{heldUntil: bound, unansweredUntil: bound, renewAt: now}
 		if i := old.Index(r.From); i >= 0 && i < len(oldSpans) && sameGrant(old.Ranges[i], r) {
 			s = oldSpans[i]
-			s.phase = held
+			if s.phase == committing {
+				s.phase = freed
+			}
 			s.busy = false
+			if s.fenced {
+				// The target has seen a higher fence than the table: the range goes to the same owner with a new one.
+				s.fenced, s.phase, s.next = false, freed, r.Owner
+			}
 		}
 		c.spans = append(c.spans, s)
 	}
@@ -198,6 +215,7 @@
 		c.plan(now)
 	}
 	c.free(now)
+	c.refenceInherited()
 	c.commit(now)
 	c.order(now)
 	return c.actions
--- a/keyspace/message.go
+++ b/keyspace/message.go
@@ -43,6 +43,8 @@
 	Called struct {
 		Call   Call
 		Result CallResult
+		// Connection is the one that carried the call.
+		Connection uint64
 		// Handover is what the target returned at a release.
 		Handover string
 		// Slowness is what the target said of its machine at a probe; 0 when it said nothing.
@@ -90,6 +92,8 @@
 	CallFenced
 	// CallInvalid calls were refused for another reason.
 	CallInvalid
+	// CallReconnect renewals were not sent because the connection of the grant is gone.
+	CallReconnect
 	// CallOther calls reached another target, which now has the address: the owner has ended.
 	CallOther
 )
@@ -102,6 +106,10 @@
 	Fence    types.Epoch
 	Hold     time.Duration
 	Handover string
+	// Renewal is true for a grant that was sent before. It may only go over Connection, which carried the grant: over
+	// another one it might reach a later life of the target.
+	Renewal    bool
+	Connection uint64
 	// Path is the health page, for a probe.
 	Path string
 }
--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -17,14 +17,9 @@
 	}
 }
 
-// over reports whether a life of a target has surely ended: it was seen to, or the target has registered another life.
-func (c *Core) over(o Owner) bool {
-	if o == (Owner{}) || c.ended[o] {
-		return true
-	}
-	m, ok := c.members[o.Target]
-	return ok && m.Owner.Life > o.Life
-}
+// over reports whether a target has surely ended, so that nothing of it holds keys. A later life of the same target does
+// not show that: a grant may have reached it before it was known.
+func (c *Core) over(o Owner) bool { return o == (Owner{}) || c.ended[o] }
 
 // commit writes the new owners of all freed ranges, one commit at a time.
 func (c *Core) commit(now types.Instant) {
@@ -68,17 +63,21 @@
 		c.actions = append(c.actions, Owned{Base: 0, Next: t.NextFence, Ranges: nil})
 		c.spans = make([]span, len(t.Ranges))
 		for i := range c.spans {
-			c.spans[i].renewAt = now
+			c.spans[i].fresh, c.spans[i].renewAt = true, now
 		}
 		return
 	}
 	base := c.table.NextFence
+	same := make(map[int]bool)
+	for i := range c.spans {
+		same[i] = c.spans[i].phase == committing && c.table.Ranges[i].Owner.Target == t.Ranges[i].Owner.Target
+	}
 	c.table = t
 	var owned []Range
 	for i := range c.spans {
 		if c.spans[i].phase == committing {
 			owned = append(owned, t.Ranges[i])
-			c.spans[i] = span{renewAt: now, restUntil: now.Add(moveRest)}
+			c.spans[i] = c.spans[i].renewed(now, same[i])
 		}
 	}
 	c.actions = append(c.actions, Owned{Base: base, Next: t.NextFence, Ranges: owned})
@@ -125,6 +124,8 @@
 			// The calls of a batch follow one another, so that the last may leave after all others have timed out.
 			sent := now.Add(c.settings.CallTimeout * batchCalls)
 			s.heldUntil = later(s.heldUntil, sent.Add(c.settings.holdBound()))
+			call.Renewal, call.Connection = s.sent, s.connection
+			s.sent = true
 			if !s.granted {
 				call.Handover = r.Handover
 			}
@@ -180,20 +181,25 @@
 }
 
 func (c *Core) granted(now types.Instant, i int, m Called) {
-	s := &c.spans[i]
+	s, r := &c.spans[i], &c.table.Ranges[i]
 	bound := now.Add(c.settings.holdBound())
 	switch m.Result {
 	case CallDone:
 		s.granted = true
+		s.connection = m.Connection
 		s.renewAt = now.Add(c.settings.RenewEvery)
 		s.heldUntil = bound
 	case CallUnanswered:
+		s.connection = 0
 		s.unansweredUntil = later(s.unansweredUntil, bound)
 		s.heldUntil = bound
 		s.renewAt = now.Add(retryCall)
+	case CallReconnect:
+		c.refence(r.Owner)
 	case CallFenced:
 		// Another keeper has given the keys away: the table in the store is newer than this one.
 		c.loaded = false
+		s.fenced = true
 		s.renewAt = now.Add(c.settings.RenewEvery)
 	default:
 		s.renewAt = now.Add(retryCall)
@@ -201,6 +207,31 @@
 	s.heldUntil = later(s.heldUntil, s.unansweredUntil)
 }
 
+// refence gives all ranges of an owner to it anew, with higher fences.
+func (c *Core) refence(o Owner) {
+	for i := range c.spans {
+		s := &c.spans[i]
+		if s.phase == held && c.table.Ranges[i].Owner == o {
+			s.phase, s.next = freed, o
+		}
+	}
+}
+
+// refenceInherited gives the ranges of an earlier term new fences, because nothing is known of the lives of their owners
+// since their last grant.
+func (c *Core) refenceInherited() {
+	for i := range c.spans {
+		s := &c.spans[i]
+		owner := c.table.Ranges[i].Owner
+		if s.phase != held || s.fresh || c.ended[owner] {
+			continue
+		}
+		if _, known := c.members[owner.Target]; known {
+			s.phase, s.next = freed, owner
+		}
+	}
+}
+
 // released ends the former owner's hold, except for grants without an answer that may still be applied.
 func (c *Core) released(now types.Instant, i int, m Called) {
 	s := &c.spans[i]
@@ -212,3 +243,13 @@
 	s.heldUntil = s.unansweredUntil
 	s.renewAt = s.heldUntil
 }
+
+// renewed is the state of a range after the commit of its next owner. If that is the same target, its former grants still
+// count.
+func (s span) renewed(now types.Instant, same bool) span {
+	n := span{fresh: true, renewAt: now, restUntil: now.Add(moveRest)}
+	if same {
+		n.heldUntil, n.unansweredUntil, n.restUntil = s.heldUntil, s.unansweredUntil, s.restUntil
+	}
+	return n
+}
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -104,6 +104,11 @@
 		if s.phase != held {
 			moving++
 		}
+		if s.phase == leaving && s.forced && c.mayHold(c.table.Ranges[i].Owner) {
+			// The owner is back before it has given the range up.
+			s.phase, s.forced, s.renewAt = held, false, now
+			continue
+		}
 		if s.phase == committing || c.mayHold(c.destination(i)) {
 			continue
 		}
@@ -114,6 +119,7 @@
 			moved = append(moved, c.table.Ranges[i])
 		}
 		c.move(now, i, to.member.Owner)
+		s.forced = true
 	}
 	c.announce(moved, "owner not usable")
 	return moving
--- a/keyspace/speed.go
+++ b/keyspace/speed.go
@@ -1,6 +1,8 @@
 package keyspace
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"sequoiasail.example/types"
@@ -71,7 +73,8 @@
 
 // probe asks the targets of which little is known, so that the first table already prefers the fast ones.
 func (c *Core) probe(now types.Instant) {
-	for t, m := range c.members {
+	for _, t := range slices.Sorted(maps.Keys(c.members)) {
+		m := c.members[t]
 		s := c.speedOf(m.Owner)
 		if !m.Usable || s.seen >= probes || c.outstanding[t] > 0 || now.Before(s.askedAt.Add(probeInterval)) {
 			continue
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -33,6 +33,8 @@
 	Body   []byte
 	// ID is the value of the identifying header. Empty when the answer need not repeat it.
 	ID string
+	// Connection is the serial of the only connection that may carry the request; 0 for any.
+	Connection uint64
 }
 
 // Answer is a complete HTTP answer.
@@ -40,11 +42,13 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Connection is the serial of the connection that carried the exchange.
+	Connection uint64
 }
 
 // Do performs one exchange. It ends with the context. Every error is an *Error.
 func (h *Host) Do(ctx context.Context, r Request) (Answer, error) {
-	c, err := h.take(ctx)
+	c, err := h.take(ctx, r.Connection)
 	if err != nil {
 		return Answer{}, &Error{Refused: errors.Is(err, syscall.ECONNREFUSED), TimedOut: timedOut(ctx, err), Cause: err}
 	}
@@ -114,7 +118,7 @@
 		} else if !own {
 			continue
 		}
-		a := Answer{Status: res.StatusCode, Header: res.Header, Body: body}
+		a := Answer{Status: res.StatusCode, Header: res.Header, Body: body, Connection: c.serial}
 		return a, reusable(c, res), nil
 	}
 	return Answer{}, 0, errForeign
--- a/transport/forward/host.go
+++ b/transport/forward/host.go
@@ -42,8 +42,12 @@
 	opened  atomic.Uint64
 }
 
+// serials numbers the connections of the process, so that a connection can be told from any other.
+var serials atomic.Uint64
+
 type conn struct {
 	net.Conn
+	serial uint64
 	reader *bufio.Reader
 	// expires is when the connection must not be used any more.
 	expires time.Time
@@ -71,14 +75,18 @@
 	h.CloseIdle()
 }
 
-// take returns an idle connection that is still sound, or a new one.
-func (h *Host) take(ctx context.Context) (*conn, error) {
+// take returns an idle connection that is still sound, or a new one. With a serial only that connection will do, and
+// ErrReconnect is returned when it is gone.
+func (h *Host) take(ctx context.Context, serial uint64) (*conn, error) {
 	for {
 		c, ok := h.idle.TryGet()
+		if !ok && serial != 0 {
+			return nil, ErrReconnect
+		}
 		if !ok {
 			return h.dial(ctx)
 		}
-		if time.Now().Before(c.expires) && quiet(c) {
+		if time.Now().Before(c.expires) && quiet(c) && (serial == 0 || c.serial == serial) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -92,7 +100,7 @@
 		return nil, err
 	}
 	h.opened.Add(1)
-	return &conn{Conn: n, reader: bufio.NewReader(n)}, nil
+	return &conn{Conn: n, serial: serials.Add(1), reader: bufio.NewReader(n)}, nil
 }
 
 // put keeps a connection for the next exchange. It is closed when there are enough.
@@ -150,5 +158,8 @@
 // Faults that an exchange can end with besides those of the network.
 var (
 	errTooLong = types.NewFault(types.CodeBodyTooLarge, "answer is too long")
+	// ErrReconnect is the cause when a request needs a connection that is gone. Nothing was sent.
+	ErrReconnect = types.NewFault(types.CodePeerUnavailable, "the connection is gone")
+
 	errForeign = types.NewFault(types.CodeTargetFailed, "answer belongs to another request")
 )
