--- a/admission/choose.go
+++ b/admission/choose.go
@@ -106,7 +106,8 @@
 	if !now.Before(t.ColdUntil) {
 		return true
 	}
-	return t.cold.allows(now)
+	s := c.services[t.Service]
+	return s != nil && t.recent.count(now) < c.coldAllowance(s.ColdRate)
 }
 
 // connections is this VM's share of the connections that a target accepts.
--- a/admission/core.go
+++ b/admission/core.go
@@ -184,7 +184,7 @@
 	f.sentTo, f.sentAt = t, now
 	f.tried = append(f.tried, t.Target)
 	t.own++
-	t.cold.take(now)
+	t.recent.add(now, 1)
 	c.changed[t.Target] = true
 	c.actions = append(c.actions, Send{
 		ID: f.id, Attempt: f.attempts, Target: t.Registration, Deadline: f.deadline.Add(-answerMargin),
--- a/admission/limits.go
+++ b/admission/limits.go
@@ -1,28 +1,35 @@
 package admission
 
-import (
-	"time"
+import "sequoiasail.example/types"
 
-	"sequoiasail.example/types"
-)
+// sends counts the requests that the VMs of this data centre have sent to a target within coldWindow.
+type sends struct {
+	at []types.Instant
+}
 
-// coldLimit spaces the requests of this VM to a cold target.
-type coldLimit struct {
-	// rate is the number of requests a second that the target tolerates from all VMs.
-	rate float64
-	next types.Instant
-	// share is this VM's part of the rate, from 0 to 1.
-	share float64
+func (w *sends) add(now types.Instant, n int) {
+	for range n {
+		w.at = append(w.at, now)
+	}
+	if len(w.at) > maxSends {
+		w.at = w.at[len(w.at)-maxSends:]
+	}
 }
 
-func (l *coldLimit) take(now types.Instant) {
-	if l.rate <= 0 || l.share <= 0 {
-		return
+// count returns the number of requests within coldWindow before now.
+func (w *sends) count(now types.Instant) int {
+	for len(w.at) > 0 && now.Sub(w.at[0]) > coldWindow {
+		w.at = w.at[1:]
 	}
-	l.next = now.Add(time.Duration(float64(time.Second) / (l.rate * l.share * coldShare)))
+	return len(w.at)
 }
 
-func (l *coldLimit) allows(now types.Instant) bool { return l.share > 0 && !now.Before(l.next) }
+// coldAllowance is the number of requests that this data centre may send to a cold target within coldWindow: an equal
+// part of what the target bears from all of them.
+func (c *Core) coldAllowance(rate float64) int {
+	bound := rate*c.settings.ColdOvershoot + c.settings.ColdSlack
+	return max(1, int(coldShare*bound/float64(max(c.settings.DataCentres, 1))))
+}
 
 // budget bounds the attempts after the first of one service on this VM.
 type budget struct {
--- a/admission/peers.go
+++ b/admission/peers.go
@@ -24,42 +24,13 @@
 			delete(c.peers, vm)
 		}
 	}
-	c.shareCold()
-}
-
-// shareCold divides the rate of cold targets. Without keys one VM, the same for all, sends all requests to a cold
-// target; with keys each VM has an equal part.
-func (c *Core) shareCold() {
-	for _, t := range c.targets {
-		s := c.services[t.Service]
-		if s == nil {
-			continue
-		}
-		t.cold.share = 1 / float64(c.fleetSize())
-		if !s.Keyed {
-			t.cold.share = 0
-			if c.warmer(t) == types.VM(c.settings.VM) {
-				t.cold.share = 1
-			}
-		}
-	}
-}
-
-// warmer is the VM that may send requests to a cold target.
-func (c *Core) warmer(t *target) types.VM {
-	best, score := types.VM(""), uint64(0)
-	for _, vm := range c.vms {
-		if n := types.RendezvousScore(string(t.Target), string(vm)); best == "" || n > score {
-			best, score = vm, n
-		}
-	}
-	return best
 }
 
 func (c *Core) hear(now types.Instant, m PeerReport) {
 	if m.VM == types.VM(c.settings.VM) {
 		return
 	}
+	c.countSends(now, m)
 	c.peers[m.VM] = peerReport{inFlight: m.InFlight, at: now}
 	for _, s := range m.Samples {
 		if t := c.targets[s.Target]; t != nil {
@@ -72,6 +43,26 @@
 	}
 }
 
+// countSends notes what another VM has sent since its last report: what is under way now and was not before, and what
+// has been answered.
+func (c *Core) countSends(now types.Instant, m PeerReport) {
+	sent := make(map[types.Target]int)
+	for name, n := range m.InFlight {
+		sent[name] += n
+	}
+	for name, n := range c.peers[m.VM].inFlight {
+		sent[name] -= n
+	}
+	for _, s := range m.Samples {
+		sent[s.Target]++
+	}
+	for name, n := range sent {
+		if t := c.targets[name]; t != nil && n > 0 {
+			t.recent.add(now, n)
+		}
+	}
+}
+
 // countPeers adds up the requests of the other VMs. Reports that are too old count no longer.
 func (c *Core) countPeers(now types.Instant) {
 	for _, t := range c.targets {
@@ -88,7 +79,6 @@
 			}
 		}
 	}
-	c.shareCold()
 }
 
 // Changed reports whether Report has something new.
--- a/admission/service.go
+++ b/admission/service.go
@@ -52,7 +52,6 @@
 	for _, t := range c.targets {
 		if s := c.services[t.Service]; s != nil {
 			s.targets = append(s.targets, t)
-			t.cold.rate = s.ColdRate
 		}
 	}
 	for _, s := range c.services {
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -15,6 +15,11 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// A cold target bears ColdOvershoot x its tolerated rate + ColdSlack requests within a second.
+	ColdOvershoot float64
+	ColdSlack     float64
+	// DataCentres is the number of data centres.
+	DataCentres int
 }
 
 // Limits that follow from how targets and callers behave.
@@ -49,8 +54,13 @@
 	keyedDrain = 700 * time.Millisecond
 	// keyedEvacuation is the same for an owner in an evacuated data centre, whose bound is longer.
 	keyedEvacuation = 2500 * time.Millisecond
-	// coldShare is the share of a cold target's tolerated rate that is used.
-	coldShare = 0.8
+	// coldWindow is the time over which the requests to a cold target are bounded; its bound is for one second.
+	coldWindow = 1100 * time.Millisecond
+	// coldShare is the share of the bound that is used. The rest covers requests that VMs send before they hear of each
+	// other's.
+	coldShare = 0.75
+	// maxSends bounds the memory of a target's requests.
+	maxSends = 64
 	// budgetShare is the share of the retry budget that is used.
 	budgetShare = 0.7
 	// reachableWait is how long a target that could not be reached gets no requests.
--- a/admission/target.go
+++ b/admission/target.go
@@ -28,7 +28,8 @@
 	unreachable types.Instant
 	// closingAt is when the target was first seen to drain or its data centre to be evacuated; 0 when neither.
 	closingAt types.Instant
-	cold      coldLimit
+	// recent holds the requests of this data centre's VMs to the target.
+	recent sends
 }
 
 func (c *Core) setTargets(now types.Instant, m Targets) {
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -219,6 +219,7 @@
 		core: admission.New(admission.Settings{
 			DataCentre: string(e.settings.DataCentre), VM: string(e.settings.VM), RemotePenalty: remotePenalty,
 			RetryRatio: e.settings.RetryRatio, RetrySlack: e.settings.RetrySlack, RetryWindow: e.settings.RetryWindow,
+			ColdOvershoot: e.settings.ColdOvershoot, ColdSlack: e.settings.ColdSlack, DataCentres: len(e.settings.DataCentres),
 		}, e.random),
 		hands: make(map[admission.FlightID]*hand),
 		hosts: make(map[hostKey]*forward.Host),
