--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -42,7 +42,9 @@
 	// leaveTime lets the load balancer see twice, a second apart, that this VM is not ready.
 	leaveTime = 2300 * time.Millisecond
 	// stopMargin is the part of the stop time that is left for the last duties.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = 800 * time.Millisecond
+	// lingerTime lets the last answers leave the VM before the process ends.
+	lingerTime = 300 * time.Millisecond
 )
 
 // Limits of the caller-facing server before a configuration is known. They are wider than any configuration's.
@@ -134,6 +136,7 @@
 	if err := e.server.shutdown(ctx); err != nil {
 		e.log.Warn("requests were still in hand at the end of the stop time", log.Fields{"error": err.Error()})
 	}
+	pause(context.Background(), lingerTime)
 	return e.group.Stop(context.Background())
 }
 
--- a/daemon/edge/session.go
+++ b/daemon/edge/session.go
@@ -69,6 +69,7 @@
 		case <-s.leaving:
 			s.leave(ctx)
 			s.leaving = nil
+			timer.Reset(sessionRetry)
 		case <-ctx.Done():
 			s.end()
 			return nil
@@ -76,7 +77,14 @@
 	}
 }
 
-func (s *session) mayStand() bool { return s.heard && !s.seen.known && !s.elected && !s.stopped }
+func (s *session) mayStand() bool {
+	return s.heard && !s.elected && !s.stopped && (!s.seen.known || s.succeeds(s.seen.entry))
+}
+
+// succeeds reports whether the keeper is an earlier process of this VM, which has ended.
+func (s *session) succeeds(k keeperEntry) bool {
+	return k.VM == s.entry.VM && k.Incarnation < s.entry.Incarnation
+}
 
 // see takes what the store says of the keeper. The role ends when the store names another keeper or none, and begins
 // when a write without an answer turns out to have named this VM.
@@ -91,7 +99,7 @@
 	case s.elected && !own:
 		s.depose(ctx, "the store names another keeper")
 	case !s.elected && own && !s.stopped && telemetry.Now().Before(s.validUntil):
-		s.begin(ctx, s.validUntil)
+		s.begin(ctx, s.validUntil, false)
 	}
 }
 
@@ -100,10 +108,10 @@
 }
 
 // begin takes the role of the keeper.
-func (s *session) begin(ctx context.Context, until types.Instant) {
+func (s *session) begin(ctx context.Context, until types.Instant, alone bool) {
 	s.elected = true
 	s.log.Info("elected keeper", log.Fields{"lease": s.lease})
-	_ = s.keeper.Put(ctx, keyspace.Elected{Until: until, Acquired: true})
+	_ = s.keeper.Put(ctx, keyspace.Elected{Until: until, Acquired: true, Alone: alone})
 }
 
 func (s *session) depose(ctx context.Context, reason string) {
@@ -117,6 +125,10 @@
 	if err := s.renew(ctx); err != nil {
 		return sessionRetry + s.jitter(sessionRetry/3)
 	}
+	if s.stopped {
+		s.leave(ctx)
+		return sessionRetry
+	}
 	if s.mayStand() {
 		s.stand(ctx)
 	}
@@ -186,22 +198,27 @@
 	ctx, cancel := context.WithTimeout(ctx, sessionCall)
 	defer cancel()
 	k := keeperEntry{VM: s.entry.VM, Incarnation: s.entry.Incarnation}
-	revision, err := s.store.CAS(ctx, store.Write{Key: keeperKey, Value: encodeJSON(k), Lease: s.lease})
+	w := store.Write{Key: keeperKey, Value: encodeJSON(k), Lease: s.lease}
+	succeeds := s.seen.known
+	if succeeds {
+		w.Expected = s.seen.revision
+	}
+	revision, err := s.store.CAS(ctx, w)
 	if err != nil {
 		s.log.Info("not elected", log.Fields{"error": err.Error()})
 		return
 	}
 	s.seen = keeperSeen{entry: k, known: true, revision: revision}
-	s.begin(ctx, s.validUntil)
+	s.begin(ctx, s.validUntil, succeeds)
 }
 
-// leave gives the role of the keeper to another VM at the beginning of a planned stop.
+// leave gives the role of the keeper to another VM at the beginning of a planned stop. While the store does not answer,
+// nobody could take it: then this VM keeps it to the end, and the grants hold on after that.
 func (s *session) leave(ctx context.Context) {
 	s.stopped = true
 	if !s.elected {
 		return
 	}
-	s.depose(ctx, "the VM stops")
 	ctx, cancel := context.WithTimeout(ctx, sessionCall)
 	defer cancel()
 	e, err := s.store.Get(ctx, keeperKey)
@@ -209,8 +226,10 @@
 		_, err = s.store.CAS(ctx, store.Write{Key: keeperKey, Expected: e.Revision, Delete: true})
 	}
 	if err != nil {
-		s.log.Warn("keeper entry not removed, it ends with the lease", log.Fields{"error": err.Error()})
+		s.log.Warn("still the keeper, its entry can't be removed", log.Fields{"error": err.Error()})
+		return
 	}
+	s.depose(ctx, "the VM stops")
 }
 
 // end removes the entries of this VM.
--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -142,7 +142,10 @@
 	}
 	c.elected = true
 	c.since = now
-	c.movesFrom = now.Add(c.settings.Term)
+	c.movesFrom = now
+	if !m.Alone {
+		c.movesFrom = now.Add(c.settings.Term)
+	}
 	c.loaded, c.loading, c.uncertain = false, false, false
 	c.pending = nil
 }
--- a/keyspace/message.go
+++ b/keyspace/message.go
@@ -20,10 +20,12 @@
 type Message interface{ message() }
 
 type (
-	// Elected reports that this VM is the keeper until Until. Acquired is set by the first report of a term.
+	// Elected reports that this VM is the keeper until Until. Acquired is set by the first report of a term, Alone if no
+	// earlier keeper can still be valid then.
 	Elected struct {
 		Until    types.Instant
 		Acquired bool
+		Alone    bool
 	}
 	// Deposed reports the end of the term.
 	Deposed struct{}
