--- a/daemon/edge/orders.go
+++ b/daemon/edge/orders.go
@@ -39,7 +39,7 @@
 			if !broken {
 				done = o.call(ctx, j, c)
 			}
-			broken = failedCall(done.called.Result)
+			broken = done.called.Result == keyspace.CallNotSent || done.called.Result == keyspace.CallUnanswered
 			done.last = i == len(j.batch.Calls)-1
 			if o.out.Put(ctx, done) != nil {
 				return nil
@@ -48,15 +48,6 @@
 	}
 }
 
-// failedCall reports whether the rest of a batch has no prospect either.
-func failedCall(r keyspace.CallResult) bool {
-	switch r {
-	case keyspace.CallNotSent, keyspace.CallUnanswered, keyspace.CallRefused:
-		return true
-	}
-	return false
-}
-
 // call performs one call unless the role of the keeper has ended meanwhile, which also holds after a pause of the VM.
 func (o *orderer) call(ctx context.Context, j orderJob, c keyspace.Call) orderDone {
 	done := orderDone{service: j.service, called: keyspace.Called{Call: c, Result: keyspace.CallNotSent}}
@@ -86,6 +77,6 @@
 
 var callResults = map[keyspace.CallResult]string{
 	keyspace.CallUnanswered: "no answer", keyspace.CallNotSent: "not sent", keyspace.CallDone: "done",
-	keyspace.CallRefused: "nothing listens", keyspace.CallFenced: "higher fence seen", keyspace.CallInvalid: "invalid",
+	keyspace.CallFenced: "higher fence seen", keyspace.CallInvalid: "invalid",
 	keyspace.CallReconnect: "connection of the grant gone", keyspace.CallOther: "another target has the address",
 }
--- a/keyspace/message.go
+++ b/keyspace/message.go
@@ -88,8 +88,6 @@
 	CallUnanswered CallResult = iota
 	// CallNotSent calls never left the VM.
 	CallNotSent
-	// CallRefused calls were not sent because nothing listens at the target's address.
-	CallRefused
 	// CallDone calls were confirmed.
 	CallDone
 	// CallFenced grants were refused because the target has seen a higher fence.
--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -21,12 +21,6 @@
 // not show that: a grant may have reached it before it was known.
 func (c *Core) over(o Owner) bool { return o == (Owner{}) || c.ended[o] }
 
-// present reports whether the store lists this life of a target.
-func (c *Core) present(o Owner) bool {
-	m, ok := c.members[o.Target]
-	return ok && m.Owner == o
-}
-
 // commit writes the new owners of all freed ranges, one commit at a time.
 func (c *Core) commit(now types.Instant) {
 	if c.pending != nil || now.Before(c.commitAt) {
@@ -267,11 +261,6 @@
 // released ends the former owner's hold, except for grants without an answer that may still be applied.
 func (c *Core) released(now types.Instant, i int, m Called) {
 	s := &c.spans[i]
-	if m.Result == CallRefused && !c.present(m.Call.Owner) {
-		// Nothing listens there and nothing is registered: the owner has ended.
-		c.ended[m.Call.Owner] = true
-		return
-	}
 	if s.phase == held {
 		// The range has been given back while its release was under way.
 		s.renewAt = now
--- a/keyspace/sim_test.go
+++ b/keyspace/sim_test.go
@@ -160,7 +160,7 @@
 			return
 		}
 		s.call(k, b.Calls[i], func(r CallResult) {
-			broken = r == CallNotSent || r == CallUnanswered || r == CallRefused
+			broken = r == CallNotSent || r == CallUnanswered
 			next(i + 1)
 		})
 	}
@@ -191,7 +191,7 @@
 		answer(simStep, CallReconnect, "")
 		return
 	case !t.up:
-		answer(simStep, CallRefused, "")
+		answer(simStep, CallNotSent, "")
 		return
 	default:
 		s.serial++
