--- a/daemon/edge/audit.go
+++ b/daemon/edge/audit.go
@@ -64,14 +64,19 @@
 
 // contents tracks the keys of one prefix.
 type contents struct {
-	revisions map[string]types.Revision
+	entries map[string]store.Entry
+	// heardAt is when the store last answered, away is true since it has not.
+	heardAt types.Instant
+	away    bool
+	// mirrorAt is when another VM may be asked again.
+	mirrorAt types.Instant
 	// known is the revision of the store up to which changes are known.
 	known types.Revision
 	// askedAt is when the prefix was last read again.
 	askedAt types.Instant
 }
 
-func newContents() *contents { return &contents{revisions: make(map[string]types.Revision)} }
+func newContents() *contents { return &contents{entries: make(map[string]store.Entry)} }
 
 // apply records an update. It reports whether the update holds anything new.
 func (c *contents) apply(u update) bool {
@@ -81,9 +86,9 @@
 	changed := false
 	if u.snapshot {
 		changed = c.differs(u.entries)
-		clear(c.revisions)
+		clear(c.entries)
 		for _, e := range u.entries {
-			c.revisions[e.Key] = e.Revision
+			c.entries[e.Key] = e
 		}
 		c.known = u.revision
 	}
@@ -91,20 +96,20 @@
 		changed = true
 		c.known = max(c.known, e.Revision)
 		if e.Deleted {
-			delete(c.revisions, e.Key)
+			delete(c.entries, e.Key)
 		} else {
-			c.revisions[e.Key] = e.Revision
+			c.entries[e.Key] = e.Entry
 		}
 	}
 	return changed
 }
 
 func (c *contents) differs(entries []store.Entry) bool {
-	if len(entries) != len(c.revisions) {
+	if len(entries) != len(c.entries) {
 		return true
 	}
 	for _, e := range entries {
-		if c.revisions[e.Key] != e.Revision {
+		if c.entries[e.Key].Revision != e.Revision {
 			return true
 		}
 	}
@@ -112,9 +117,9 @@
 }
 
 func (c *contents) digest(prefix string) digest {
-	d := digest{prefix: prefix, at: c.known, count: len(c.revisions)}
-	for _, r := range c.revisions {
-		d.newest = max(d.newest, r)
+	d := digest{prefix: prefix, at: c.known, count: len(c.entries)}
+	for _, e := range c.entries {
+		d.newest = max(d.newest, e.Revision)
 	}
 	return d
 }
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -19,6 +19,7 @@
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
 	"sequoiasail.example/transport/forward"
+	"sequoiasail.example/transport/peer"
 	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
 )
@@ -156,6 +157,11 @@
 	}).duty())
 	e.group.Add((&peerReceiver{conn: conn, admission: e.admission, keeper: e.keeper, knowledge: e.knowledge.in, log: e.log}).duty())
 	e.group.Add((&reloader{file: e.file, current: e.settings, admission: e.admission, log: e.log}).duty())
+	mirror := peer.NewServer(net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)))
+	if err := mirror.Register("Mirror", &Mirror{knowledge: e.knowledge.in}); err != nil {
+		return err
+	}
+	e.group.Add(mirror.Duty())
 	e.addSession()
 	e.addKeeper(reports)
 	e.addAdmission(jobs, reports, meter)
@@ -171,6 +177,8 @@
 	e.knowledge.reads = ring.New[ownerRead](ownerReads)
 	e.knowledge.audits = ring.New[auditRequest](ownerReads)
 	e.knowledge.reports, e.knowledge.vm = reports, e.settings.VM
+	e.knowledge.mirrors = ring.New[mirrorAsk](ownerReads)
+	e.group.Add((&mirrorClient{in: e.knowledge.mirrors, out: updates, log: e.log}).duty())
 	e.group.Add(e.knowledge.duty())
 	e.group.Add((&ownerReader{in: e.knowledge.reads, out: updates, store: e.store}).duty())
 	e.group.Add((&auditor{in: e.knowledge.audits, out: updates, store: e.store, log: e.log}).duty())
@@ -212,7 +220,7 @@
 	e.group.Add(k.duty())
 	e.group.Add((&keeperStore{in: stores, out: e.keeper, store: store.Store(e.store)}).duty())
 	for i := range orderers {
-		e.group.Add((&orderer{index: i, in: orders, out: e.keeper, timeout: k.settings.CallTimeout, log: e.log}).duty())
+		e.group.Add((&orderer{index: i, in: orders, out: e.keeper, settings: k.settings, log: e.log}).duty())
 	}
 }
 
--- a/daemon/edge/knowledge.go
+++ b/daemon/edge/knowledge.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -37,6 +38,7 @@
 	reads     *ring.Ring[ownerRead]
 	audits    *ring.Ring[auditRequest]
 	reports   *ring.Ring[report]
+	mirrors   *ring.Ring[mirrorAsk]
 	admission *ring.Ring[any]
 	keeper    *ring.Ring[any]
 	session   *ring.Ring[keeperSeen]
@@ -53,7 +55,9 @@
 	registered bool
 	vm         types.VM
 	keeperVM   types.VM
-	contents   map[string]*contents
+	// turn rotates the VMs that are asked in place of the store.
+	turn     int
+	contents map[string]*contents
 	// auditedAt is when the keeper last told what the store holds.
 	auditedAt types.Instant
 	// heardAt is when the keeper last told the version of the owners, readAt when they were last asked from the store.
@@ -92,6 +96,7 @@
 		case <-tick.C:
 			k.refresh(telemetry.Now())
 			k.audit(telemetry.Now())
+			k.askMirror(telemetry.Now())
 			if k.registry.Expire(telemetry.Now()) {
 				k.tellTargets(ctx)
 			}
@@ -107,6 +112,9 @@
 		k.apply(ctx, m)
 	case ownerChange:
 		k.applyChange(ctx, m)
+	case mirrorRead:
+		k.answerMirror(telemetry.Now(), m)
+		return
 	case digest:
 		k.compare(telemetry.Now(), m)
 	case ownersFound:
@@ -117,6 +125,13 @@
 
 func (k *knowledge) apply(ctx context.Context, u update) {
 	now := telemetry.Now()
+	c := k.contents[u.prefix]
+	if c != nil && !u.mirrored {
+		c.away = u.err != nil && types.CodeOf(u.err) != types.CodeNotFound
+		if u.err == nil {
+			c.heardAt = now
+		}
+	}
 	if u.err != nil {
 		if u.prefix == platform.TargetPrefix && types.CodeOf(u.err) != types.CodeNotFound {
 			k.registry.StoreAway()
@@ -126,7 +141,10 @@
 	if u.prefix == platform.TargetPrefix {
 		k.registry.StoreBack(now)
 	}
-	if c := k.contents[u.prefix]; c != nil {
+	if u.mirrored {
+		k.log.Info("another VM told what the store holds", log.Fields{"prefix": u.prefix, "revision": u.revision})
+	}
+	if c != nil {
 		changed := c.apply(u)
 		if u.audit {
 			k.tellDigest(ctx, u.prefix)
@@ -323,14 +341,16 @@
 	k.vms[m.VM] = m
 }
 
+func (k *knowledge) vmNames() []types.VM {
+	return slices.Sorted(maps.Keys(k.vms))
+}
+
 func (k *knowledge) tellVMs(ctx context.Context) {
-	var names []types.VM
+	names := k.vmNames()
 	var list []vmEntry
-	for name, m := range k.vms {
-		names = append(names, name)
-		list = append(list, m)
+	for _, name := range names {
+		list = append(list, k.vms[name])
 	}
-	slices.Sort(names)
 	k.pass(ctx, k.admission, admission.Peers{VMs: names})
 	_ = k.peers.Replace(fleet{vms: list, keeper: k.keeperVM})
 }
--- a/daemon/edge/orders.go
+++ b/daemon/edge/orders.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"time"
 
 	"github.com/apex/log"
 
@@ -16,11 +15,11 @@
 
 // orderer performs batches of grants and releases, one call at a time.
 type orderer struct {
-	index   int
-	in      *ring.Ring[orderJob]
-	out     *ring.Ring[any]
-	timeout time.Duration
-	log     *telemetry.Log
+	index    int
+	in       *ring.Ring[orderJob]
+	out      *ring.Ring[any]
+	settings keyspace.Settings
+	log      *telemetry.Log
 }
 
 func (o *orderer) duty() duty.Duty {
@@ -54,7 +53,11 @@
 	if j.host == nil || !telemetry.Now().Before(j.until) {
 		return done
 	}
-	ctx, cancel := context.WithTimeout(ctx, o.timeout)
+	timeout := o.settings.CallTimeout
+	if c.Kind == keyspace.CallRelease {
+		timeout = o.settings.ReleaseTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	called, err := platform.Order(ctx, j.host, c)
 	done.called = called
--- a/daemon/edge/watch.go
+++ b/daemon/edge/watch.go
@@ -30,8 +30,10 @@
 	// snapshot is true when entries holds all keys of the prefix.
 	snapshot bool
 	// audit is true for a read beside the watch.
-	audit   bool
-	entries []store.Entry
+	audit bool
+	// mirrored is true for an answer of another VM in place of the store.
+	mirrored bool
+	entries  []store.Entry
 	// revision is the store's revision of a snapshot.
 	revision types.Revision
 	events   []store.Event
--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -67,7 +67,9 @@
 	retryLoadAt types.Instant
 	loaded      bool
 	// uncertain is true while the table in the store may differ from this one. Grants are renewed, nothing else changes.
-	uncertain   bool
+	uncertain bool
+	// troubled is true while grants get LongHold.
+	troubled    bool
 	table       Table
 	spans       []span
 	members     map[types.Target]Member
@@ -133,6 +135,27 @@
 	return c.advance(now)
 }
 
+// hold is the time to live of the next grants. It is longer while the store or the lease of the keeper is in trouble.
+func (c *Core) hold(now types.Instant) time.Duration {
+	if c.uncertain || c.validUntil.Sub(now) < c.settings.Term/2 {
+		return c.settings.LongHold
+	}
+	return c.settings.Hold
+}
+
+// extendHolds renews all grants once when trouble begins.
+func (c *Core) extendHolds(now types.Instant) {
+	troubled := c.hold(now) == c.settings.LongHold
+	if troubled && !c.troubled {
+		for i := range c.spans {
+			if c.spans[i].phase == held {
+				c.spans[i].renewAt = now
+			}
+		}
+	}
+	c.troubled = troubled
+}
+
 func (c *Core) valid(now types.Instant) bool { return c.elected && now.Before(c.validUntil) }
 
 func (c *Core) elect(now types.Instant, m Elected) {
@@ -186,7 +209,7 @@
 		// Another keeper has written: what it has granted since is not known, as at the beginning of a term.
 		c.movesFrom = later(c.movesFrom, now.Add(c.settings.Term))
 	}
-	bound := later(now, c.movesFrom).Add(c.settings.holdBound())
+	bound := later(now, c.movesFrom).Add(c.settings.holdBound(c.settings.LongHold))
 	for _, r := range c.table.Ranges {
 		s := span{heldUntil: bound, unansweredUntil: bound, renewAt: now}
 		if i := old.Index(r.From); i >= 0 && i < len(oldSpans) && !foreign && sameGrant(old.Ranges[i], r) {
@@ -220,6 +243,7 @@
 		c.requestLoad(now)
 		return c.actions
 	}
+	c.extendHolds(now)
 	if c.uncertain {
 		c.requestLoad(now)
 		c.order(now)
--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -138,16 +138,17 @@
 
 func (c *Core) send(now types.Instant, t types.Target, indexes []int) {
 	b := Batch{}
+	hold := c.hold(now)
 	for _, i := range indexes {
 		s, r := &c.spans[i], &c.table.Ranges[i]
 		b.Owner = r.Owner
-		call := Call{Kind: CallGrant, Owner: r.Owner, From: r.From, To: r.To, Fence: r.Fence, Hold: c.settings.Hold}
+		call := Call{Kind: CallGrant, Owner: r.Owner, From: r.From, To: r.To, Fence: r.Fence, Hold: hold}
 		if s.phase == leaving {
 			call.Kind = CallRelease
 		} else {
 			// The calls of a batch follow one another, so that the last may leave after all others have timed out.
 			sent := now.Add(c.settings.CallTimeout * batchCalls)
-			s.heldUntil = later(s.heldUntil, sent.Add(c.settings.holdBound()))
+			s.heldUntil = later(s.heldUntil, sent.Add(c.settings.holdBound(hold)))
 			call.Renewal, call.Connection = s.sent, s.connection
 			s.sent = true
 			if !s.granted {
@@ -206,7 +207,7 @@
 
 func (c *Core) granted(now types.Instant, i int, m Called) {
 	s, r := &c.spans[i], &c.table.Ranges[i]
-	bound := now.Add(c.settings.holdBound())
+	bound := now.Add(c.settings.holdBound(m.Call.Hold))
 	switch m.Result {
 	case CallDone:
 		// Grants without an answer had lower fences, which the target refuses from now on.
--- a/keyspace/settings.go
+++ b/keyspace/settings.go
@@ -4,12 +4,17 @@
 
 // Settings are the times and limits of a Core.
 type Settings struct {
-	// Hold is the time to live of a grant, counted by the target from the arrival of the call.
+	// Hold is the time to live of a grant, counted by the target from the arrival of the call. Keys of a target that is lost
+	// without a sign wait for its end.
 	Hold time.Duration
+	// LongHold is used instead of Hold while the store or the keeper's lease is in trouble.
+	LongHold time.Duration
 	// RenewEvery is how often a grant is renewed.
 	RenewEvery time.Duration
-	// CallTimeout bounds one call to a target.
+	// CallTimeout bounds a grant or a probe. Until it has passed, a grant without an answer may still arrive.
 	CallTimeout time.Duration
+	// ReleaseTimeout bounds a release, which is answered when the work on the keys has ended.
+	ReleaseTimeout time.Duration
 	// Term is the longest validity of a keeper that is gone without notice.
 	Term time.Duration
 	// Settle is how long no target must have been added before a keeper without a table creates one, at most SettleLimit.
@@ -68,19 +73,21 @@
 // Defaults returns the settings for targets that hold a grant for at most maxHold.
 func Defaults(maxHold time.Duration) Settings {
 	return Settings{
-		Hold:            maxHold,
-		RenewEvery:      maxHold / 2,
-		CallTimeout:     time.Second,
+		Hold:            maxHold * 72 / 100,
+		LongHold:        maxHold,
+		RenewEvery:      maxHold * 40 / 100,
+		CallTimeout:     600 * time.Millisecond,
+		ReleaseTimeout:  2500 * time.Millisecond,
 		Term:            3 * time.Second,
 		Settle:          time.Second,
 		SettleLimit:     4 * time.Second,
-		RangesPerTarget: 16,
+		RangesPerTarget: 8,
 	}
 }
 
 // holdBound is the longest time after the sending of a grant for which its target may hold the keys.
-func (s Settings) holdBound() time.Duration {
-	return s.CallTimeout + time.Duration(float64(s.Hold)*(1+clockDrift)) + holdMargin
+func (s Settings) holdBound(hold time.Duration) time.Duration {
+	return s.CallTimeout + time.Duration(float64(hold)*(1+clockDrift)) + holdMargin
 }
 
 // retryCall is how long a call to a target waits after one that failed.
