--- a/catalog/registry.go
+++ b/catalog/registry.go
@@ -52,6 +52,11 @@
 	}
 }
 
+// Returning reports whether registrations that are missing may still come back.
+func (r *Registry) Returning(now types.Instant) bool {
+	return r.returnedAt != 0 && now.Before(r.returnedAt.Add(returnGrace))
+}
+
 // Put records a registration.
 func (r *Registry) Put(now types.Instant, g Registration) {
 	r.entries[g.Target] = entry{Registration: g, coldUntil: now.Add(g.ColdFor)}
@@ -64,12 +69,11 @@
 	if !ok {
 		return
 	}
-	until := r.returnedAt.Add(returnGrace)
-	if r.returnedAt == 0 || e.Draining || !now.Before(until) {
+	if e.Draining || !r.Returning(now) {
 		delete(r.entries, t)
 		return
 	}
-	e.missing, e.goneAt = true, until
+	e.missing, e.goneAt = true, r.returnedAt.Add(returnGrace)
 	r.entries[t] = e
 }
 
--- a/daemon/edge/admission.go
+++ b/daemon/edge/admission.go
@@ -21,6 +21,9 @@
 	reportInterval = 25 * time.Millisecond
 	// reportRefresh repeats a report without changes, because a datagram may be lost.
 	reportRefresh = 500 * time.Millisecond
+	// neighboursAtOnce and reportersAtOnce are the numbers of VMs of the fleet up to which the intervals hold.
+	neighboursAtOnce = 12
+	reportersAtOnce  = 24
 	// measureInterval spaces the reports to the keeper.
 	measureInterval = 300 * time.Millisecond
 	// hostIdle is the number of idle connections kept to a target; the core bounds those in use.
@@ -80,6 +83,8 @@
 	seen     []admission.Sample
 	reported time.Time
 	measured time.Time
+	// fleet is the number of VMs.
+	fleet int
 }
 
 func (a *admissionDuty) duty() duty.Duty { return duty.Duty{Name: "admission", Run: a.run} }
@@ -118,6 +123,9 @@
 			a.count(m)
 		}
 		a.perform(ctx, a.core.Step(now, m.message))
+	case admission.Peers:
+		a.fleet = len(m.VMs)
+		a.perform(ctx, a.core.Step(now, m))
 	case admission.Targets:
 		a.forget(m)
 		a.perform(ctx, a.core.Step(now, m))
@@ -236,13 +244,13 @@
 
 // report tells the VMs of the data centre what is new, at most once in reportInterval, and the keeper what it measures.
 func (a *admissionDuty) report(now time.Time) {
-	if since := now.Sub(a.reported); since >= reportInterval && (since >= reportRefresh || a.core.Changed()) {
+	if since := now.Sub(a.reported); since >= a.spacing(reportInterval, neighboursAtOnce) && (since >= reportRefresh || a.core.Changed()) {
 		a.reported = now
 		load := a.core.Report()
 		a.seen = append(a.seen, load.Samples...)
 		a.tell(report{to: toDataCentre, load: &load})
 	}
-	if now.Sub(a.measured) >= measureInterval && (len(a.keys) > 0 || len(a.seen) > 0) {
+	if now.Sub(a.measured) >= a.spacing(measureInterval, reportersAtOnce) && (len(a.keys) > 0 || len(a.seen) > 0) {
 		a.measured = now
 		a.tell(report{to: toKeeper, keys: a.keys, seen: a.seen})
 		a.keys = make(map[types.Service][]keyspace.Key)
@@ -250,6 +258,11 @@
 	}
 }
 
+// spacing stretches an interval with the number of VMs, so that the receivers' work does not grow with its square.
+func (a *admissionDuty) spacing(interval time.Duration, atOnce int) time.Duration {
+	return interval * time.Duration(max(1, a.fleet/atOnce))
+}
+
 func (a *admissionDuty) tell(r report) {
 	if err := a.peers.Replace(r); err != nil {
 		a.log.Warn("report to the other VMs not queued", log.Fields{"error": err.Error()})
--- a/daemon/edge/audit.go
+++ b/daemon/edge/audit.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/apex/log"
-
 	"sequoiasail.example/duty"
+	"sequoiasail.example/platform"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
 	"sequoiasail.example/transport/store"
@@ -17,6 +16,9 @@
 	// auditInterval is how often the keeper reads the watched prefixes. A watch of the store may miss changes and go on
 	// waiting; configurations must be in force within 2 s.
 	auditInterval = 800 * time.Millisecond
+	// targetAuditInterval is the same for the registrations, whose list is long. Their bounds hold only while the store is
+	// undisturbed, when watches miss nothing.
+	targetAuditInterval = 2500 * time.Millisecond
 	// auditSilence is how long a VM trusts its watches without hearing from the keeper.
 	auditSilence = 1800 * time.Millisecond
 	// auditSpacing bounds how often a VM reads a prefix again because of a difference.
@@ -85,7 +87,8 @@
 	}
 	changed := false
 	if u.snapshot {
-		changed = c.differs(u.entries)
+		// The first answer counts as new also when it holds nothing.
+		changed = c.known == 0 || c.differs(u.entries)
 		clear(c.entries)
 		for _, e := range u.entries {
 			c.entries[e.Key] = e
@@ -130,17 +133,6 @@
 	return d.at >= own.newest && (d.newest != own.newest || d.count != own.count)
 }
 
-// compare reads a prefix again when the keeper knows more of it.
-func (k *knowledge) compare(now types.Instant, d digest) {
-	k.auditedAt = now
-	c := k.contents[d.prefix]
-	if c == nil || c.known == 0 || !c.behind(d) {
-		return
-	}
-	k.log.Info("watch has missed a change", log.Fields{"prefix": d.prefix, "known": c.known, "keeperKnows": d.at})
-	k.readAgain(now, d.prefix, auditSpacing)
-}
-
 func (k *knowledge) readAgain(now types.Instant, prefix string, spacing time.Duration) {
 	c := k.contents[prefix]
 	if c == nil || now.Before(c.askedAt.Add(spacing)) {
@@ -152,19 +144,21 @@
 
 // audit reads the watched prefixes if this VM is the keeper, or if the keeper is silent.
 func (k *knowledge) audit(now types.Instant) {
-	spacing := auditInterval
+	spacing, targetSpacing := auditInterval, targetAuditInterval
+	if !k.watching.on {
+		return
+	}
 	if k.keeperVM != k.vm {
 		if now.Sub(k.auditedAt) < auditSilence {
 			return
 		}
-		spacing = auditSilence
-	}
-	for prefix := range k.contents {
-		k.readAgain(now, prefix, spacing)
+		spacing, targetSpacing = auditSilence, 2*targetAuditInterval
 	}
+	k.readAgain(now, platform.OperatorPrefix, spacing)
+	k.readAgain(now, platform.TargetPrefix, targetSpacing)
 }
 
-// tellDigests is called after an audit by the keeper.
+// tellDigest sends the result of an audit by the keeper to the VMs that watch.
 func (k *knowledge) tellDigest(ctx context.Context, prefix string) {
 	if k.keeperVM == k.vm {
 		_ = k.reports.Put(ctx, report{to: toAll, digests: []digest{k.contents[prefix].digest(prefix)}})
--- a/daemon/edge/documents.go
+++ b/daemon/edge/documents.go
@@ -25,6 +25,8 @@
 	VM          types.VM          `json:"vm"`
 	Incarnation types.Incarnation `json:"incarnation"`
 	DataCentre  types.DataCentre  `json:"dataCentre"`
+	// Cores is the VM's share of a core, or number of cores. Larger VMs take more of the work for all.
+	Cores float64 `json:"cores"`
 	// PeerAddress is host:port for datagrams from other VMs.
 	PeerAddress string `json:"peerAddress"`
 }
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -177,6 +177,7 @@
 	e.knowledge.reads = ring.New[ownerRead](ownerReads)
 	e.knowledge.audits = ring.New[auditRequest](ownerReads)
 	e.knowledge.reports, e.knowledge.vm = reports, e.settings.VM
+	e.knowledge.entry = e.entry()
 	e.knowledge.mirrors = ring.New[mirrorAsk](ownerReads)
 	e.group.Add((&mirrorClient{in: e.knowledge.mirrors, out: updates, log: e.log}).duty())
 	e.group.Add(e.knowledge.duty())
@@ -187,8 +188,17 @@
 	e.addWatch("own", ownPrefix, updates)
 }
 
+// entry describes this run of this VM to the others.
+func (e *Edge) entry() vmEntry {
+	return vmEntry{
+		VM: e.settings.VM, DataCentre: e.settings.DataCentre, Cores: e.settings.Cores,
+		Incarnation: types.Incarnation(time.Now().UnixNano()),
+		PeerAddress: net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)),
+	}
+}
+
 func (e *Edge) addWatch(name, prefix string, out *ring.Ring[any]) {
-	w := &watch{name: name, prefix: prefix, pause: watchPause, store: e.store, out: out, log: e.log, jitter: jitter}
+	w := &watch{name: name, prefix: prefix, pause: watchPause, store: e.store, out: out, log: e.log, jitter: jitter, gate: e.knowledge.gates[prefix]}
 	e.group.Add(w.duty())
 }
 
@@ -196,11 +206,7 @@
 	e.session = &session{
 		store: e.store, in: e.knowledge.session, keeper: e.keeper, log: e.log, jitter: jitter,
 		ttl: max(sessionTTL, e.settings.ShortestLease), leaving: make(chan struct{}),
-		entry: vmEntry{
-			VM: e.settings.VM, DataCentre: e.settings.DataCentre,
-			Incarnation: types.Incarnation(time.Now().UnixNano()),
-			PeerAddress: net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)),
-		},
+		entry: e.knowledge.entry,
 	}
 	e.group.Add(e.session.duty())
 }
--- a/daemon/edge/knowledge.go
+++ b/daemon/edge/knowledge.go
@@ -54,7 +54,11 @@
 	raw        map[types.Target][]byte
 	registered bool
 	vm         types.VM
-	keeperVM   types.VM
+	// entry is that of this VM; gates open and close its watches.
+	entry    vmEntry
+	gates    map[string]*ring.Ring[bool]
+	watching watching
+	keeperVM types.VM
 	// turn rotates the VMs that are asked in place of the store.
 	turn     int
 	contents map[string]*contents
@@ -71,6 +75,10 @@
 	known bool
 	// revision is the store's revision at which this was so.
 	revision types.Revision
+	// rank is the position of this VM among all, the largest first; VMs stand for election in this order.
+	rank int
+	// fleet is the number of VMs that are known.
+	fleet int
 }
 
 func newKnowledge() *knowledge {
@@ -78,7 +86,11 @@
 		registry: catalog.NewRegistry(), vms: make(map[types.VM]vmEntry),
 		owners: make(map[types.Service]keyspace.Table), raw: make(map[types.Target][]byte),
 		readAt:   make(map[types.Service]types.Instant),
-		contents: map[string]*contents{platform.OperatorPrefix: newContents(), platform.TargetPrefix: newContents()},
+		contents: make(map[string]*contents), gates: make(map[string]*ring.Ring[bool]),
+	}
+	for _, prefix := range prefixes {
+		k.contents[prefix] = newContents()
+		k.gates[prefix] = ring.New[bool](1)
 	}
 	k.published.Store(&view{})
 	return k
@@ -87,6 +99,9 @@
 func (k *knowledge) duty() duty.Duty { return duty.Duty{Name: "knowledge", Run: k.run} }
 
 func (k *knowledge) run(ctx context.Context) error {
+	k.watching.startedAt = telemetry.Now()
+	k.decide(k.watching.startedAt)
+	_ = k.gates[ownPrefix].Replace(true)
 	tick := time.NewTicker(expireInterval)
 	defer tick.Stop()
 	for {
@@ -97,6 +112,8 @@
 			k.refresh(telemetry.Now())
 			k.audit(telemetry.Now())
 			k.askMirror(telemetry.Now())
+			k.decide(telemetry.Now())
+			k.tellNeighbours(telemetry.Now(), false)
 			if k.registry.Expire(telemetry.Now()) {
 				k.tellTargets(ctx)
 			}
@@ -115,8 +132,8 @@
 	case mirrorRead:
 		k.answerMirror(telemetry.Now(), m)
 		return
-	case digest:
-		k.compare(telemetry.Now(), m)
+	case toldDigest:
+		k.hearDigest(telemetry.Now(), m.from, m.digest)
 	case ownersFound:
 		k.applyFound(ctx, m)
 	}
@@ -139,6 +156,9 @@
 		return
 	}
 	if u.prefix == platform.TargetPrefix {
+		if u.returned {
+			k.registry.StoreAway()
+		}
 		k.registry.StoreBack(now)
 	}
 	if u.mirrored {
@@ -150,8 +170,6 @@
 			k.tellDigest(ctx, u.prefix)
 		}
 		if !changed {
-			// An empty list counts as a first answer all the same.
-			k.registered = k.registered || (u.snapshot && u.prefix == platform.TargetPrefix)
 			return
 		}
 	}
@@ -162,7 +180,9 @@
 		k.applyOperator(ctx, u)
 	default:
 		k.applyOwn(ctx, u)
+		k.decide(now)
 	}
+	k.tellNeighbours(now, !u.mirrored)
 }
 
 func (k *knowledge) publish() {
@@ -318,6 +338,8 @@
 
 func (k *knowledge) seeKeeper(s keeperSeen) {
 	k.keeperVM = s.entry.VM
+	s.fleet = len(k.vms)
+	s.rank = k.rank(slices.Collect(maps.Values(k.vms)))
 	_ = k.session.Replace(s)
 }
 
--- a/daemon/edge/mirror.go
+++ b/daemon/edge/mirror.go
@@ -19,9 +19,9 @@
 	// mirrorCall bounds a question to another VM.
 	mirrorCall = 400 * time.Millisecond
 	// mirrorSpacing spaces the questions about one prefix.
-	mirrorSpacing = 600 * time.Millisecond
-	// mirrorAge is the greatest age of an answer of the store that other VMs are told.
-	mirrorAge = 3 * time.Second
+	mirrorSpacing = 100 * time.Millisecond
+	// awaySpacing is the same while the store turns this VM away.
+	awaySpacing = 600 * time.Millisecond
 	// mirrorMethod is the name of the call between VMs.
 	mirrorMethod = "Mirror.Read"
 )
@@ -38,6 +38,8 @@
 	Newer    bool
 	Revision types.Revision
 	Entries  []store.Entry
+	// Returned is true shortly after the store was away: registrations that are missing may come back.
+	Returned bool
 }
 
 // mirrorRead passes a question to the knowledge duty.
@@ -96,7 +98,7 @@
 		if !a.Newer {
 			continue
 		}
-		u := update{prefix: q.question.Prefix, snapshot: true, mirrored: true, entries: a.Entries, revision: a.Revision}
+		u := update{prefix: q.question.Prefix, snapshot: true, mirrored: true, entries: a.Entries, revision: a.Revision, returned: a.Returned}
 		if m.out.Put(ctx, u) != nil {
 			return nil
 		}
@@ -119,12 +121,12 @@
 	return a, nil
 }
 
-// answerMirror tells another VM the keys of a prefix, if this VM has heard from the store lately and knows more.
+// answerMirror tells another VM the keys of a prefix, if this VM watches the store and knows more.
 func (k *knowledge) answerMirror(now types.Instant, m mirrorRead) {
 	c := k.contents[m.question.Prefix]
 	a := MirrorAnswer{}
-	if c != nil && c.known > m.question.Known && now.Sub(c.heardAt) < mirrorAge {
-		a = MirrorAnswer{Newer: true, Revision: c.known}
+	if c != nil && k.watching.on && !c.away && c.known > m.question.Known {
+		a = MirrorAnswer{Newer: true, Revision: c.known, Returned: k.registry.Returning(now)}
 		for _, e := range c.entries {
 			a.Entries = append(a.Entries, e)
 		}
@@ -142,10 +144,9 @@
 		if !c.away || now.Before(c.mirrorAt) {
 			continue
 		}
-		c.mirrorAt = now.Add(mirrorSpacing)
-		other := others[k.turn%len(others)]
+		c.mirrorAt = now.Add(awaySpacing)
+		k.ask(prefix, c, others[k.turn%len(others)])
 		k.turn++
-		_ = k.mirrors.Replace(mirrorAsk{question: MirrorQuestion{Prefix: prefix, Known: c.known}, address: other.PeerAddress})
 	}
 }
 
@@ -153,7 +154,7 @@
 func (k *knowledge) neighbours() []vmEntry {
 	var list []vmEntry
 	for _, name := range k.vmNames() {
-		if m := k.vms[name]; name != k.vm && m.DataCentre == k.vms[k.vm].DataCentre {
+		if m := k.vms[name]; name != k.vm && m.DataCentre == k.entry.DataCentre {
 			list = append(list, m)
 		}
 	}
--- a/daemon/edge/owners.go
+++ b/daemon/edge/owners.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		if _, known := k.owners[name]; !known {
-			k.readOwners(name, ownersRetry)
+			k.readOwners(name, silentRead)
 		} else if now.Sub(k.heardAt) > keeperSilence {
 			k.readOwners(name, silentRead)
 		}
--- a/daemon/edge/peers.go
+++ b/daemon/edge/peers.go
@@ -139,17 +139,23 @@
 			p.log.Warn("reports can't be read", log.Fields{"error": err.Error()})
 			continue
 		}
-		_, r, err := decodeReport(buf[:n])
+		from, r, err := decodeReport(buf[:n])
 		if err != nil {
 			p.log.Warn("report ignored", log.Fields{"error": err.Error()})
 			continue
 		}
-		p.pass(ctx, r)
+		p.pass(ctx, from, r)
 	}
 }
 
+// toldDigest is a digest that another VM has sent.
+type toldDigest struct {
+	from   types.VM
+	digest digest
+}
+
 // pass hands a report to the duties that it is for. A full ring of admission means that newer reports are waiting.
-func (p *peerReceiver) pass(ctx context.Context, r report) {
+func (p *peerReceiver) pass(ctx context.Context, from types.VM, r report) {
 	passToKeeper(p.keeper, r)
 	if r.load != nil {
 		_ = p.admission.TryPut(*r.load)
@@ -158,7 +164,7 @@
 		_ = p.admission.TryPut(admission.Moving{Service: s, Ranges: ranges})
 	}
 	for _, d := range r.digests {
-		_ = p.knowledge.Put(ctx, d)
+		_ = p.knowledge.Put(ctx, toldDigest{from: from, digest: d})
 	}
 	for _, o := range r.owners {
 		_ = p.knowledge.Put(ctx, o)
--- a/daemon/edge/session.go
+++ b/daemon/edge/session.go
@@ -25,8 +25,12 @@
 	sessionCall = 800 * time.Millisecond
 	// sessionMargin is taken off the validity of the lease for differences between the clocks.
 	sessionMargin = 200 * time.Millisecond
-	// electionSpread keeps VMs from trying to become the keeper at the same moment.
-	electionSpread = 250 * time.Millisecond
+	// electionStep is the time between the tries of two VMs to become the keeper, electionLimit the longest wait. The
+	// entry of the first is known to the others within a step or two.
+	electionStep  = 40 * time.Millisecond
+	electionLimit = 1200 * time.Millisecond
+	// electionSpread spreads the tries while the other VMs are not known yet.
+	electionSpread = 500 * time.Millisecond
 )
 
 // session keeps the lease of this VM, its entry and the role of the keeper.
@@ -49,6 +53,7 @@
 	// heard is true once the store has told who the keeper is.
 	heard      bool
 	validUntil types.Instant
+	standAt    types.Instant
 }
 
 func (s *session) duty() duty.Duty { return duty.Duty{Name: "session", Run: s.run} }
@@ -64,7 +69,9 @@
 		case <-s.in.Ready():
 			s.in.Drain(func(k keeperSeen) { s.see(ctx, k) })
 			if s.mayStand() {
-				timer.Reset(s.jitter(electionSpread))
+				wait := s.electionWait()
+				s.standAt = telemetry.Now().Add(wait)
+				timer.Reset(wait)
 			}
 		case <-s.leaving:
 			s.leave(ctx)
@@ -81,6 +88,14 @@
 	return s.heard && !s.elected && !s.stopped && (!s.seen.known || s.succeeds(s.seen.entry))
 }
 
+// electionWait lets the larger VMs try first.
+func (s *session) electionWait() time.Duration {
+	if s.seen.fleet < 2 {
+		return s.jitter(electionSpread) + time.Duration(float64(electionSpread)*max(0, 1-s.entry.Cores))
+	}
+	return min(time.Duration(s.seen.rank)*electionStep, electionLimit) + s.jitter(electionStep)
+}
+
 // succeeds reports whether the keeper is an earlier process of this VM, which has ended.
 func (s *session) succeeds(k keeperEntry) bool {
 	return k.VM == s.entry.VM && k.Incarnation < s.entry.Incarnation
@@ -129,7 +144,7 @@
 		s.leave(ctx)
 		return sessionRetry
 	}
-	if s.mayStand() {
+	if s.mayStand() && !telemetry.Now().Before(s.standAt) {
 		s.stand(ctx)
 	}
 	return sessionRenewal
--- a/daemon/edge/watch.go
+++ b/daemon/edge/watch.go
@@ -15,7 +15,7 @@
 
 const (
 	// watchPause spaces the calls of a watch, because each answer costs a call and changes come in groups.
-	watchPause = 100 * time.Millisecond
+	watchPause = 400 * time.Millisecond
 	// storeRetry is how long a watch waits after a call that failed.
 	storeRetry = 250 * time.Millisecond
 	// storeRetryJitter keeps VMs from calling together.
@@ -33,6 +33,8 @@
 	audit bool
 	// mirrored is true for an answer of another VM in place of the store.
 	mirrored bool
+	// returned is true for such an answer shortly after the store was away.
+	returned bool
 	entries  []store.Entry
 	// revision is the store's revision of a snapshot.
 	revision types.Revision
@@ -46,6 +48,9 @@
 	name   string
 	prefix string
 	pause  time.Duration
+	// gate opens and closes the watch. It starts closed.
+	gate   *ring.Ring[bool]
+	open   bool
 	store  store.Store
 	out    *ring.Ring[any]
 	log    *telemetry.Log
@@ -57,10 +62,16 @@
 func (w *watch) run(ctx context.Context) error {
 	away := false
 	for ctx.Err() == nil {
+		if err := w.admitted(ctx); err != nil {
+			return nil
+		}
 		err := w.follow(ctx, &away)
 		if ctx.Err() != nil {
 			return nil
 		}
+		if err == nil {
+			continue
+		}
 		if types.CodeOf(err) != types.CodeNotFound && !away {
 			away = true
 			w.log.Warn("store does not answer", log.Fields{"prefix": w.prefix, "error": err.Error()})
@@ -73,7 +84,20 @@
 	return nil
 }
 
-// follow lists the prefix and watches from there until a call fails.
+// admitted waits until the gate is open.
+func (w *watch) admitted(ctx context.Context) error {
+	w.gate.Drain(func(open bool) { w.open = open })
+	for !w.open {
+		open, err := w.gate.Get(ctx)
+		if err != nil {
+			return err
+		}
+		w.open = open
+	}
+	return nil
+}
+
+// follow lists the prefix and watches from there until a call fails or the gate closes.
 func (w *watch) follow(ctx context.Context, away *bool) error {
 	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	entries, revision, err := w.store.List(listCtx, w.prefix)
@@ -100,6 +124,9 @@
 			}
 		}
 		pause(ctx, w.pause)
+		if w.gate.Drain(func(open bool) { w.open = open }); !w.open {
+			return nil
+		}
 	}
 }
 
--- /dev/null
+++ b/daemon/edge/watching.go
@@ -0,0 +1,116 @@
+package edge
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"sequoiasail.example/platform"
+	"sequoiasail.example/types"
+)
+
+const (
+	// watchersPerCentre is the number of VMs of a data centre that watch the store for all of them, because each waiting
+	// watch of each VM is a call for each change. The second one covers the loss of the first.
+	watchersPerCentre = 2
+	// digestInterval is how often a watching VM tells its data centre what it knows.
+	digestInterval = 400 * time.Millisecond
+	// watcherSilence is how long a VM waits for a watching one before it watches by itself.
+	watcherSilence = 1200 * time.Millisecond
+	// introduction is how long a VM that has found no other waits for their registrations before it decides.
+	introduction = 700 * time.Millisecond
+	// ownWatchTime is how long every VM watches the list of VMs after its start.
+	ownWatchTime = 2500 * time.Millisecond
+)
+
+// watching decides which VMs watch the store and which are told by those.
+type watching struct {
+	// on is true while this VM watches.
+	on bool
+	// startedAt is when the duty began, heardAt when a watching VM of the data centre was last heard.
+	startedAt types.Instant
+	heardAt   types.Instant
+	toldAt    types.Instant
+}
+
+// decide starts or stops the watches of this VM.
+func (k *knowledge) decide(now types.Instant) {
+	neighbours := k.neighbours()
+	if len(neighbours) == 0 && now.Sub(k.watching.startedAt) < introduction {
+		return
+	}
+	alone := now.Sub(max(k.watching.heardAt, k.watching.startedAt)) > watcherSilence
+	want := alone || k.keeperVM == k.vm || k.rank(neighbours) < watchersPerCentre
+	for prefix, gate := range k.gates {
+		open := want || (prefix == ownPrefix && now.Sub(k.watching.startedAt) < ownWatchTime)
+		// Replace can only fail when the process ends.
+		_ = gate.Replace(open)
+	}
+	if want != k.watching.on {
+		k.log.Info("watching the store", log.Fields{"on": want, "neighbours": len(neighbours), "noWatcherHeard": alone})
+	}
+	k.watching.on = want
+}
+
+// rank is the position of this VM among those of its data centre, the largest first. All VMs that know the same list
+// agree on it.
+func (k *knowledge) rank(neighbours []vmEntry) int {
+	own := k.entry
+	n := 0
+	for _, m := range neighbours {
+		if cmp.Or(cmp.Compare(m.Cores, own.Cores), cmp.Compare(own.VM, m.VM)) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// tellNeighbours sends what this VM knows to its data centre, at once after a change and otherwise now and then.
+func (k *knowledge) tellNeighbours(now types.Instant, changed bool) {
+	if !k.watching.on || (!changed && now.Sub(k.watching.toldAt) < digestInterval) {
+		return
+	}
+	k.watching.toldAt = now
+	r := report{to: toDataCentre}
+	for _, prefix := range prefixes {
+		if c := k.contents[prefix]; c.known > 0 && !c.away {
+			r.digests = append(r.digests, c.digest(prefix))
+		}
+	}
+	if len(r.digests) > 0 {
+		_ = k.reports.Replace(r)
+	}
+}
+
+// prefixes lists what is watched.
+var prefixes = []string{platform.OperatorPrefix, platform.TargetPrefix, ownPrefix}
+
+// hearDigest takes a digest of another VM. This VM asks the store again if it watches, else the VM that has told.
+func (k *knowledge) hearDigest(now types.Instant, from types.VM, d digest) {
+	near := slices.ContainsFunc(k.neighbours(), func(m vmEntry) bool { return m.VM == from })
+	if near {
+		k.watching.heardAt = now
+	}
+	if from == k.keeperVM {
+		k.auditedAt = now
+	}
+	c := k.contents[d.prefix]
+	if c == nil || !c.behind(d) {
+		return
+	}
+	if k.watching.on && !c.away {
+		k.log.Info("watch has missed a change", log.Fields{"prefix": d.prefix, "known": c.known, "told": d.at, "by": from})
+		k.readAgain(now, d.prefix, auditSpacing)
+		return
+	}
+	if near && !now.Before(c.mirrorAt) {
+		c.mirrorAt = now.Add(mirrorSpacing)
+		k.ask(d.prefix, c, k.vms[from])
+	}
+}
+
+func (k *knowledge) ask(prefix string, c *contents, other vmEntry) {
+	_ = k.mirrors.Replace(mirrorAsk{question: MirrorQuestion{Prefix: prefix, Known: c.known}, address: other.PeerAddress})
+}
--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -284,7 +284,7 @@
 	for _, m := range targets {
 		bins = append(bins, &bin{member: m, slowness: c.slowness(m.Owner)})
 	}
-	count := len(targets) * c.settings.RangesPerTarget
+	count := min(len(targets)*c.settings.RangesPerTarget, max(c.settings.MostRanges, 2*len(targets)))
 	each := firstRate / float64(count) * float64(slots(targets)) / c.work.Seconds()
 	t := Table{NextFence: 1}
 	for i := range count {
--- a/keyspace/settings.go
+++ b/keyspace/settings.go
@@ -20,9 +20,10 @@
 	// Settle is how long no target must have been added before a keeper without a table creates one, at most SettleLimit.
 	Settle      time.Duration
 	SettleLimit time.Duration
-	// RangesPerTarget is the number of ranges for each target in a new table. More ranges spread busy neighbouring keys
-	// over more targets and cost more renewals.
+	// RangesPerTarget is the number of ranges for each target in a new table, MostRanges the number for all. More ranges
+	// spread busy neighbouring keys over more targets and cost more renewals.
 	RangesPerTarget int
+	MostRanges      int
 }
 
 // Limits of a Core that follow from the calls to targets and are not settings.
@@ -82,6 +83,7 @@
 		Settle:          time.Second,
 		SettleLimit:     4 * time.Second,
 		RangesPerTarget: 8,
+		MostRanges:      400,
 	}
 }
 
