--- a/admission/choose.go
+++ b/admission/choose.go
@@ -107,7 +107,7 @@
 		return true
 	}
 	s := c.services[t.Service]
-	return s != nil && t.recent.count(now) < c.coldAllowance(s.ColdRate)
+	return s != nil && t.recent.count(now) < c.coldAllowance(now, s.ColdRate)
 }
 
 // connections is this VM's share of the connections that a target accepts.
--- a/admission/core.go
+++ b/admission/core.go
@@ -45,10 +45,12 @@
 	services map[types.Service]*service
 	targets  map[types.Target]*target
 	vms      []types.VM
-	peers    map[types.VM]peerReport
-	changed  map[types.Target]bool
-	samples  []Sample
-	actions  []Action
+	// neighbours are the other VMs of the data centre, which report to this one.
+	neighbours []types.VM
+	peers      map[types.VM]peerReport
+	changed    map[types.Target]bool
+	samples    []Sample
+	actions    []Action
 	// checkAt is when deadlines and waiting requests are looked at next.
 	checkAt types.Instant
 }
--- a/admission/limits.go
+++ b/admission/limits.go
@@ -24,11 +24,19 @@
 	return len(w.at)
 }
 
-// coldAllowance is the number of requests that this data centre may send to a cold target within coldWindow: an equal
-// part of what the target bears from all of them.
-func (c *Core) coldAllowance(rate float64) int {
+// coldAllowance is the number of requests that this VM and the neighbours that it hears may send to a cold target within
+// coldWindow. Each data centre has an equal part of what the target bears, and each VM an equal part of that: what
+// silent neighbours send is not known.
+func (c *Core) coldAllowance(now types.Instant, rate float64) int {
 	bound := rate*c.settings.ColdOvershoot + c.settings.ColdSlack
-	return max(1, int(coldShare*bound/float64(max(c.settings.DataCentres, 1))))
+	part := coldShare * bound / float64(max(c.settings.DataCentres, 1))
+	heard := 1
+	for _, vm := range c.neighbours {
+		if p, ok := c.peers[vm]; ok && now.Sub(p.at) <= heardLife {
+			heard++
+		}
+	}
+	return max(1, int(part*float64(heard)/float64(len(c.neighbours)+1)))
 }
 
 // budget bounds the attempts after the first of one service on this VM.
--- a/admission/message.go
+++ b/admission/message.go
@@ -63,8 +63,11 @@
 		RetrySlack  float64
 		RetryWindow time.Duration
 	}
-	// Peers replaces the VMs of the fleet, this one included.
-	Peers struct{ VMs []types.VM }
+	// Peers replaces the VMs of the fleet, this one included, and those of this data centre without this one.
+	Peers struct {
+		VMs        []types.VM
+		Neighbours []types.VM
+	}
 	// PeerReport is what another VM told about its requests under way and its answers.
 	PeerReport struct {
 		VM       types.VM
--- a/admission/peers.go
+++ b/admission/peers.go
@@ -18,7 +18,7 @@
 func (c *Core) fleetSize() int { return max(len(c.vms), leastFleet) }
 
 func (c *Core) setPeers(m Peers) {
-	c.vms = m.VMs
+	c.vms, c.neighbours = m.VMs, m.Neighbours
 	for vm := range c.peers {
 		if !slices.Contains(m.VMs, vm) {
 			delete(c.peers, vm)
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -38,6 +38,8 @@
 	slownessLife = 400 * time.Millisecond
 	// peerLife is how long a VM's report holds without a newer one.
 	peerLife = 1500 * time.Millisecond
+	// heardLife is how long a neighbour counts as heard after a report; reports come at least every half second.
+	heardLife = 800 * time.Millisecond
 	// movingWait is how long requests wait for keys that are being moved.
 	movingWait = 600 * time.Millisecond
 	// othersLife is the time in which the estimate of the requests from other data centres fades, othersWeight the weight
--- a/daemon/edge/admission.go
+++ b/daemon/edge/admission.go
@@ -22,7 +22,7 @@
 	// reportRefresh repeats a report without changes, because a datagram may be lost.
 	reportRefresh = 500 * time.Millisecond
 	// neighboursAtOnce and reportersAtOnce are the numbers of VMs of the fleet up to which the intervals hold.
-	neighboursAtOnce = 12
+	neighboursAtOnce = 30
 	reportersAtOnce  = 24
 	// measureInterval spaces the reports to the keeper.
 	measureInterval = 300 * time.Millisecond
--- a/daemon/edge/knowledge.go
+++ b/daemon/edge/knowledge.go
@@ -369,10 +369,14 @@
 
 func (k *knowledge) tellVMs(ctx context.Context) {
 	names := k.vmNames()
+	var neighbours []types.VM
+	for _, m := range k.neighbours() {
+		neighbours = append(neighbours, m.VM)
+	}
 	var list []vmEntry
 	for _, name := range names {
 		list = append(list, k.vms[name])
 	}
-	k.pass(ctx, k.admission, admission.Peers{VMs: names})
+	k.pass(ctx, k.admission, admission.Peers{VMs: names, Neighbours: neighbours})
 	_ = k.peers.Replace(fleet{vms: list, keeper: k.keeperVM})
 }
