Ranges beside a hot key move; requests without prospect are refused at once

Cause: a single hot key can't be split; choose() gave up at it, so the other ranges of its owner waited behind it for 5 s.

--- a/admission/choose.go
+++ b/admission/choose.go
@@ -38,6 +38,9 @@
 	if best != nil {
 		return best, ""
 	}
+	if usable && c.hopeless(now, f, nil) {
+		return nil, types.CodeOverloaded
+	}
 	return nil, c.waitOrRefuse(now, f, usable)
 }
 
@@ -62,9 +65,47 @@
 	if c.admits(now, t, depth(f, t)) && !c.yields(now, f, t) {
 		return t, ""
 	}
+	if c.hopeless(now, f, t) {
+		return nil, types.CodeOverloaded
+	}
 	return nil, c.waitOrRefuse(now, f, true)
 }
 
+// hopeless reports whether a request that would have to wait could not be answered within its objective or shortly after, judging by how
+// many wait before it and how many this VM has sent of late. Its caller is told at once and may come again, rather
+// than being kept to the end. t is the owner of the request's key, nil when any target will do.
+func (c *Core) hopeless(now types.Instant, f *flight, t *target) bool {
+	if f.waiting || f.attempts > 0 {
+		return false
+	}
+	rate, ahead := c.rates(now, f, t)
+	wait := time.Duration(float64(ahead+1) / rate * float64(time.Second))
+	limit := f.route.Objective + time.Duration(latePatience*float64(f.deadline.Sub(f.arrived)-f.route.Objective))
+	return now.Add(wait+f.service.usual()).Sub(f.arrived) > max(limit, 2*f.service.usual())
+}
+
+// rates returns the requests a second that this VM sends to a target, or to all of the service, and the number that wait
+// for it.
+func (c *Core) rates(now types.Instant, f *flight, t *target) (rate float64, ahead int) {
+	targets := f.service.targets
+	if t != nil {
+		targets = []*target{t}
+	}
+	for _, o := range targets {
+		share := float64(o.Slots) / o.expectedIdle().Seconds() / float64(len(c.neighbours)+1)
+		rate += max(float64(o.mine.count(now))/coldWindow.Seconds(), share/float64(max(c.settings.DataCentres, 1)))
+	}
+	for _, w := range f.service.waiting {
+		if t == nil || f.service.ownerOf(w.key) == t.Target {
+			ahead++
+		}
+	}
+	return max(rate, leastRate), ahead
+}
+
+// leastRate is the rate in requests a second that is assumed at least.
+const leastRate = 0.2
+
 // depth is the number of requests at the owner of its key up to which a request is sent.
 func depth(f *flight, t *target) int {
 	if f.route.Priority == 0 {
--- a/admission/core.go
+++ b/admission/core.go
@@ -187,6 +187,7 @@
 	f.tried = append(f.tried, t.Target)
 	t.own++
 	t.recent.add(now, 1)
+	t.mine.add(now, 1)
 	c.changed[t.Target] = true
 	c.actions = append(c.actions, Send{
 		ID: f.id, Attempt: f.attempts, Target: t.Registration, Deadline: f.deadline.Add(-answerMargin),
--- a/admission/core_test.go
+++ b/admission/core_test.go
@@ -253,6 +253,10 @@
 	is := is.New(t)
 	b := newBench("vm1", listing("maps", "m1", "a"))
 	b.step(owned("m1"))
+	for range 20 {
+		id, _ := b.arrive(lookups, 1)
+		b.step(Finished{ID: id, Attempt: 1, Result: ResultAnswered})
+	}
 	var running []FlightID
 	for range 3 {
 		id, a := b.arrive(lookups, 1)
@@ -270,3 +274,23 @@
 	is.Equal(sent[0].ID, fresh)
 	is.True(late != fresh)
 }
+
+// Guards against requests that are kept to the end although their place in the queue shows that they can't be answered.
+// Replays a hot key with more requests than its owner can serve.
+func TestRequestsWithoutProspectAreRefusedAtOnce(t *testing.T) {
+	b := newBench("vm1", listing("maps", "m1", "a"))
+	b.step(owned("m1"))
+	refused, kept := 0, 0
+	for range 40 {
+		_, a := b.arrive(lookups, 1)
+		switch {
+		case len(find[Refuse](a)) > 0:
+			refused++
+		case len(find[Send](a)) == 0:
+			kept++
+		}
+	}
+	if refused < 30 || kept > 6 {
+		t.Fatalf("%d of 40 refused, %d kept waiting behind 3 at work", refused, kept)
+	}
+}
--- a/admission/service.go
+++ b/admission/service.go
@@ -89,6 +89,15 @@
 	}
 }
 
+// ownerOf returns the owner of a key, or "" when there is none.
+func (s *service) ownerOf(k keyspace.Key) types.Target {
+	i := s.owners.Index(k)
+	if i < 0 {
+		return ""
+	}
+	return s.owners.Ranges[i].Owner.Target
+}
+
 // usual is the usual time of a request on an average target of the service.
 func (s *service) usual() time.Duration {
 	sum, n := time.Duration(0), 0
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -67,6 +67,9 @@
 	budgetShare = 0.7
 	// reachableWait is how long a target that could not be reached gets no requests.
 	reachableWait = 500 * time.Millisecond
+	// latePatience is the part of the time between a request's objective and its deadline for which it may wait: answers
+	// after the objective are worth less, and the slots they take are missing for others.
+	latePatience = 0.25
 	// wakeInterval is how often waiting requests are looked at without other cause.
 	wakeInterval = 10 * time.Millisecond
 	// shortestRetryAfter and retryAfterSpread set when refused callers return. Callers honour up to a third of their time.
--- a/admission/target.go
+++ b/admission/target.go
@@ -30,6 +30,8 @@
 	closingAt types.Instant
 	// recent holds the requests of this data centre's VMs to the target.
 	recent sends
+	// mine holds those of this VM alone.
+	mine sends
 }
 
 func (c *Core) setTargets(now types.Instant, m Targets) {
@@ -126,6 +128,18 @@
 	t.work += time.Duration(sampleWeight * float64(took-t.work))
 }
 
+// expectedIdle is the time of a request at the target without a queue.
+func (t *target) expectedIdle() time.Duration {
+	work := t.work
+	if work == 0 {
+		work = usualWork
+	}
+	if t.slowness > 0 {
+		work = time.Duration(float64(work) * t.slowness)
+	}
+	return max(work, time.Millisecond)
+}
+
 // expected is the time that a request at the target is expected to take from now.
 func (t *target) expected(now types.Instant) time.Duration {
 	work := t.work
--- a/keyspace/load.go
+++ b/keyspace/load.go
@@ -1,6 +1,9 @@
 package keyspace
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // load measures the requests for each key, averaged over loadWindow.
 type load struct {
@@ -37,6 +40,11 @@
 	return float64(sum)
 }
 
+// most returns the requests a second for the busiest key of a range.
+func (l *load) most(r Range) float64 {
+	return float64(slices.Max(l.rate[int(r.From) : int(r.To)+1]))
+}
+
 // half returns the key that starts the second half of a range's load. The range must hold two keys or more.
 func (l *load) half(r Range) Key {
 	want := l.of(r) / 2
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -183,42 +183,60 @@
 	return len(moved) > 0
 }
 
-// choose returns the index of the busiest range whose move leaves its new owner cheaper than the former one was, after
-// splitting one that is too busy to move whole. It returns -1 when there is none.
+// choose returns the index of the busiest range whose move lowers the higher of the two costs, after splitting one that
+// is too busy to move whole. A single key that no other target could serve better stays, and the ranges beside it move.
+// It returns -1 when there is none.
 func (c *Core) choose(now types.Instant, from, to *bin) int {
-	best, bestLoad := -1, 0.0
+	for _, i := range c.movable(now, from) {
+		if c.weight(i) < smallestMove {
+			return -1
+		}
+		if i = c.shrink(i, from, to); i >= 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// movable returns the indexes of the ranges that a target may give away now, the busiest first.
+func (c *Core) movable(now types.Instant, from *bin) []int {
+	var list []int
 	for i := range c.spans {
 		s := &c.spans[i]
-		if s.phase != held || s.busy || !s.granted || c.table.Ranges[i].Owner != from.member.Owner ||
-			now.Before(s.restUntil) || now.Before(s.unansweredUntil) {
-			continue
-		}
-		if w := c.weight(i); w > bestLoad {
-			best, bestLoad = i, w
+		if s.phase == held && !s.busy && s.granted && c.table.Ranges[i].Owner == from.member.Owner &&
+			!now.Before(s.restUntil) && !now.Before(s.unansweredUntil) {
+			list = append(list, i)
 		}
 	}
-	for best >= 0 && !c.improves(from, to, bestLoad) {
-		if c.table.Ranges[best].Size() < 2 || len(c.spans) >= maxRanges {
+	slices.SortFunc(list, func(a, b int) int { return cmp.Compare(c.weight(b), c.weight(a)) })
+	return list
+}
+
+// shrink splits a range until its busier part is worth moving, and returns the index of that part, or -1. Nothing is
+// split when even a single key would be too much.
+func (c *Core) shrink(i int, from, to *bin) int {
+	if !c.improves(from, to, min(c.weight(i), c.load.most(c.table.Ranges[i]))) {
+		return -1
+	}
+	for !c.improves(from, to, c.weight(i)) {
+		if c.table.Ranges[i].Size() < 2 || len(c.spans) >= maxRanges {
 			return -1
 		}
-		c.divide(best, c.load.half(c.table.Ranges[best]))
-		if second := c.weight(best + 1); second > c.weight(best) {
-			best++
+		c.divide(i, c.load.half(c.table.Ranges[i]))
+		if c.weight(i+1) > c.weight(i) {
+			i++
 		}
-		bestLoad = c.weight(best)
-	}
-	if bestLoad < smallestMove {
-		return -1
 	}
-	return best
+	return i
 }
 
+// improves reports whether moving a rate from one target to the other lowers the higher of their costs.
 func (c *Core) improves(from, to *bin, rate float64) bool {
 	after := *to
 	after.rate += rate
 	rest := *from
 	rest.rate -= rate
-	return after.cost(c.work) < from.cost(c.work)-costGap/2 && after.cost(c.work) < rest.cost(c.work)+costGap
+	return max(after.cost(c.work), rest.cost(c.work)) < from.cost(c.work)-costGap/2
 }
 
 // divide splits a range and its state. Both parts keep the grant of the whole.
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -95,7 +95,7 @@
 	c.serial = serial
 	idle := time.Duration(h.stated.Load())
 	if idle <= 0 {
-		idle = defaultIdle
+		idle = h.options.Idle
 	}
 	h.put(c, idle)
 }
@@ -140,7 +140,7 @@
 			continue
 		}
 		a := Answer{Status: res.StatusCode, Header: res.Header, Body: body, Connection: c.serial}
-		return a, reusable(c, res), nil
+		return a, h.reusable(c, res), nil
 	}
 	return Answer{}, 0, errForeign
 }
@@ -178,7 +178,7 @@
 }
 
 // reusable returns for how long the connection may stay idle. Bytes behind the answer belong to no request.
-func reusable(c *conn, res *http.Response) time.Duration {
+func (h *Host) reusable(c *conn, res *http.Response) time.Duration {
 	if res.Close || c.reader.Buffered() > 0 || (res.ContentLength < 0 && len(res.TransferEncoding) == 0) {
 		return 0
 	}
@@ -193,7 +193,7 @@
 		}
 		return time.Duration(seconds)*time.Second - idleMargin
 	}
-	return defaultIdle
+	return h.options.Idle
 }
 
 // AsError returns err as an *Error.
--- a/transport/forward/host.go
+++ b/transport/forward/host.go
@@ -31,6 +31,8 @@
 	IDHeader string
 	// MaxIdle is the number of idle connections kept.
 	MaxIdle int
+	// Idle is how long a connection is reused when the target states no time. Default 4 s.
+	Idle time.Duration
 	// Continuous hosts open another connection at once when the target closes one after an answer. It counts as the same
 	// connection: a target can't end and start again in between.
 	Continuous bool
@@ -65,6 +67,9 @@
 	if o.DialTimeout == 0 {
 		o.DialTimeout = DefaultDialTimeout
 	}
+	if o.Idle == 0 {
+		o.Idle = defaultIdle
+	}
 	return &Host{options: o, idle: ring.New[*conn](max(o.MaxIdle, 1))}
 }
 
