--- a/daemon/edge/documents.go
+++ b/daemon/edge/documents.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -117,8 +116,3 @@
 }
 
 func ownersKey(s types.Service) string { return ownerPrefix + string(s) }
-
-func ownersService(key string) (types.Service, bool) {
-	name, ok := strings.CutPrefix(key, ownerPrefix)
-	return types.Service(name), ok
-}
--- /dev/null
+++ b/daemon/edge/edge_test.go
@@ -0,0 +1,158 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiasail.example/keyspace"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+// Guards against a path that does not hold from the socket to the target's slot and back: routes, keys with their grants,
+// answers byte by byte, and a version of the configuration that replaces another.
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	v := w.start("vm-1")
+	eventually(t, "a refusal without a configuration", 3*time.Second, func() bool {
+		res, _, err := v.call("GET", "/maps/1", "x", 1, "")
+		return err == nil && res.StatusCode == http.StatusServiceUnavailable && res.Header.Get("Retry-After") != ""
+	})
+	is.True(!v.isReady())
+	m, o := w.target("maps", "i-m", true), w.target("orders", "i-o", false)
+	w.configure("0000000a", route("/maps/", "idempotent", "maps"), route("/orders/", "non_idempotent", "orders"))
+	eventually(t, "readiness", 8*time.Second, v.isReady)
+	eventually(t, "an answer for a key", 3*time.Second, func() bool {
+		res, body, err := v.call("GET", "/maps/a%2Fb?c=1", "r1", 65535, "")
+		return err == nil && res.StatusCode == 200 && res.Header.Get("X-Response-Signature") == "signed-i-m" &&
+			body == "GET /maps/a%2Fb?c=1 "
+	})
+	res, body, err := v.call("POST", "/orders/1", "r2", 5, "seeds")
+	is.NoErr(err)
+	is.Equal(res.StatusCode, 200)
+	is.Equal(body, "POST /orders/1 seeds")
+	is.Equal(o.count(), 1)
+	is.True(m.count() >= 1)
+	res, _, err = v.call("GET", "/none/", "r3", 5, "")
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusNotFound)
+	w.configure("00000010", route("/none/", "non_idempotent", "orders"))
+	eventually(t, "the new configuration", 2*time.Second, func() bool {
+		res, _, err := v.call("GET", "/none/", "r4", 5, "")
+		return err == nil && res.StatusCode == 200
+	})
+}
+
+// Guards against a VM that stops serving what it knows while the store refuses all calls, and against readiness that
+// turns bad then.
+func TestServesThroughStoreOutage(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.target("maps", "i-m", true)
+	w.target("orders", "i-o", false)
+	w.configure("0000000a", route("/maps/", "idempotent", "maps"), route("/orders/", "non_idempotent", "orders"))
+	v := w.start("vm-1")
+	eventually(t, "readiness", 8*time.Second, v.isReady)
+	w.setRefuse(true)
+	for i := range 20 {
+		time.Sleep(100 * time.Millisecond)
+		res, _, err := v.call("GET", "/maps/1", fmt.Sprintf("r%d", i), i*3000, "")
+		is.NoErr(err)
+		is.Equal(res.StatusCode, 200)
+		res, _, err = v.call("POST", "/orders/1", fmt.Sprintf("o%d", i), 1, "b")
+		is.NoErr(err)
+		is.Equal(res.StatusCode, 200)
+	}
+	is.True(v.isReady())
+}
+
+// Guards against requests lost at a planned stop: those in hand are answered, connections end with an answer, and the
+// VM says in time that it is not ready.
+func TestPlannedStopAnswersWhatIsInHand(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.target("maps", "i-m", true)
+	o := w.target("orders", "i-o", false)
+	o.delay = 300 * time.Millisecond
+	w.configure("0000000a", route("/maps/", "idempotent", "maps"), route("/orders/", "non_idempotent", "orders"))
+	v := w.start("vm-1")
+	eventually(t, "readiness", 8*time.Second, v.isReady)
+	status := make(chan int, 1)
+	go func() {
+		res, _, err := v.call("POST", "/orders/1", "r1", 1, "b")
+		if err != nil {
+			status <- 0
+			return
+		}
+		status <- res.StatusCode
+	}()
+	eventually(t, "the order at its target", 2*time.Second, func() bool { return o.count() == 1 || len(status) == 1 })
+	v.stop()
+	eventually(t, "not ready", time.Second, func() bool { return !v.isReady() })
+	is.Equal(<-status, 200)
+	res, _, err := v.call("POST", "/orders/1", "r2", 1, "b")
+	is.NoErr(err)
+	is.Equal(res.StatusCode, 200)
+	is.True(res.Close)
+	select {
+	case err := <-v.done:
+		is.NoErr(err)
+		v.done <- nil
+	case <-time.After(4 * time.Second):
+		t.Fatal("the VM did not stop in time")
+	}
+}
+
+// Guards against owners of keys that change on their way through the store.
+func TestTableDocument(t *testing.T) {
+	is := is.New(t)
+	in := keyspace.Table{NextFence: 9, Writer: "vm/1/2", Ranges: []keyspace.Range{
+		{From: 0, To: 9, Owner: keyspace.Owner{Target: "a", Life: 3}, Fence: 4, Handover: "h"},
+		{From: 10, To: keyspace.Keys - 1, Owner: keyspace.Owner{Target: "b", Life: 5}, Fence: 8},
+	}}
+	data, err := encodeTable(in)
+	is.NoErr(err)
+	out, err := decodeTable(data)
+	is.NoErr(err)
+	is.Equal(out, in)
+	_, err = decodeTable(data[:len(data)/2])
+	is.Equal(types.CodeOf(err), types.CodeBadConfiguration)
+}
+
+func FuzzTableDocument(f *testing.F) {
+	f.Add([]byte{0x84, 1, 0x61, 'w', 0x80, 0x80})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if table, err := decodeTable(data); err == nil && table.Validate() != nil {
+			t.Fatal("accepted a table with gaps")
+		}
+	})
+}
+
+func FuzzReport(f *testing.F) {
+	data, err := encodeReport("vm", report{digests: []digest{{prefix: "op/", at: 3}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _, _ = decodeReport(data) })
+}
+
+// Guards against a watch that missed a change going unnoticed: the digest of another VM shows other keys at the same or a
+// later revision, and only then.
+func TestDigestShowsMissedChanges(t *testing.T) {
+	is := is.New(t)
+	c := newContents()
+	c.apply(update{snapshot: true, revision: 10, entries: []store.Entry{{Key: "a", Revision: 4}, {Key: "b", Revision: 9}}})
+	is.True(!c.behind(c.digest("p")))
+	is.True(c.behind(digest{at: 12, newest: 11, count: 3})) // one key more
+	is.True(c.behind(digest{at: 12, newest: 9, count: 1}))  // one key less
+	is.True(!c.behind(digest{at: 8, newest: 4, count: 1}))  // the other VM knows less
+	is.True(!c.apply(update{snapshot: true, revision: 9}))  // an answer that was overtaken
+	is.True(c.apply(update{snapshot: true, revision: 12}))  // all keys are gone
+	is.Equal(c.digest("p").count, 0)
+}
