--- a/transport/forward/exchange_test.go
+++ b/transport/forward/exchange_test.go
@@ -194,3 +194,17 @@
 	}
 	is.Equal(h.Opened(), uint64(2))
 }
+
+// Guards against an idle connection that counts as broken because the deadline of its last exchange has passed.
+func TestIdleConnectionOutlivesTheDeadlineOfItsExchange(t *testing.T) {
+	is := is.New(t)
+	h := serve(t, func(_ int, r *http.Request) (string, bool) { return answer(r.Header.Get("X-Id"), "a"), true })
+	for _, id := range []string{"1", "2"} {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		_, err := h.Do(ctx, Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{"X-Id": {id}}, ID: id})
+		cancel()
+		is.NoErr(err)
+		time.Sleep(70 * time.Millisecond)
+	}
+	is.Equal(h.Opened(), uint64(1))
+}
--- a/transport/forward/host.go
+++ b/transport/forward/host.go
@@ -116,6 +116,8 @@
 // put keeps a connection for the next exchange. It is closed when there are enough.
 func (h *Host) put(c *conn, idle time.Duration) {
 	c.used = true
+	// A deadline that has passed would make the connection look broken.
+	_ = c.SetDeadline(time.Time{})
 	c.expires = time.Now().Add(idle)
 	if h.idle.TryPut(c) != nil {
 		_ = c.Close()
