--- a/admission/choose.go
+++ b/admission/choose.go
@@ -148,7 +148,10 @@
 		return true
 	}
 	s := c.services[t.Service]
-	return s != nil && t.recent.count(now) < c.coldAllowance(now, s.ColdRate)
+	if s == nil || (!s.Keyed && !c.warms(t)) {
+		return false
+	}
+	return t.recent.count(now) < c.coldAllowance(now, s)
 }
 
 // connections is this VM's share of the connections that a target accepts.
--- a/admission/limits.go
+++ b/admission/limits.go
@@ -25,11 +25,14 @@
 }
 
 // coldAllowance is the number of requests that this VM and the neighbours that it hears may send to a cold target within
-// coldWindow. Each data centre has an equal part of what the target bears, and each VM an equal part of that: what
-// silent neighbours send is not known.
-func (c *Core) coldAllowance(now types.Instant, rate float64) int {
-	bound := rate*c.settings.ColdOvershoot + c.settings.ColdSlack
+// coldWindow. Each data centre has an equal part of what the target bears. Without keys one VM uses all of it. With keys
+// each VM has an equal part: what silent neighbours send is not known.
+func (c *Core) coldAllowance(now types.Instant, s *service) int {
+	bound := s.ColdRate*c.settings.ColdOvershoot + c.settings.ColdSlack
 	part := coldShare * bound / float64(max(c.settings.DataCentres, 1))
+	if !s.Keyed {
+		return max(1, int(part))
+	}
 	heard := 1
 	for _, vm := range c.neighbours {
 		if p, ok := c.peers[vm]; ok && now.Sub(p.at) <= heardLife {
@@ -39,6 +42,18 @@
 	return max(1, int(part*float64(heard)/float64(len(c.neighbours)+1)))
 }
 
+// warms reports whether this VM is the one of its data centre that sends requests to a cold target without keys. An idle
+// target attracts all VMs at the same moment, before they hear of each other's requests.
+func (c *Core) warms(t *target) bool {
+	own := types.RendezvousScore(string(t.Target), c.settings.VM)
+	for _, vm := range c.neighbours {
+		if types.RendezvousScore(string(t.Target), string(vm)) > own {
+			return false
+		}
+	}
+	return true
+}
+
 // budget bounds the attempts after the first of one service on this VM.
 type budget struct {
 	settings Settings
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -28,7 +28,7 @@
 // the oldest report.
 const (
 	senders           = 64
-	orderers          = 8
+	orderers          = 16
 	admissionCapacity = 1024
 	jobCapacity       = 256
 	updateCapacity    = 64
@@ -43,7 +43,7 @@
 	// leaveTime lets the load balancer see twice, a second apart, that this VM is not ready.
 	leaveTime = 2300 * time.Millisecond
 	// stopMargin is the part of the stop time that is left for the last duties.
-	stopMargin = 800 * time.Millisecond
+	stopMargin = 1500 * time.Millisecond
 	// lingerTime lets the last answers leave the VM before the process ends.
 	lingerTime = 300 * time.Millisecond
 )
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -156,3 +156,23 @@
 	is.True(c.apply(update{snapshot: true, revision: 12}))  // all keys are gone
 	is.Equal(c.digest("p").count, 0)
 }
+
+// Guards against a change of many owners that does not fit a datagram, and against parts that are applied over a gap.
+func TestOwnerChangeInParts(t *testing.T) {
+	is := is.New(t)
+	c := ownerChange{service: "maps", base: 100, next: 200}
+	for f := range 100 {
+		c.ranges = append(c.ranges, keyspace.Range{From: uint16(99 - f), To: uint16(99 - f), Fence: types.Epoch(199 - f)})
+	}
+	base, n := c.base, 0
+	for _, p := range c.parts() {
+		is.Equal(p.base, base)
+		is.True(len(p.ranges) <= rangesPerDatagram)
+		data, err := encodeReport("vm", report{owners: []ownerChange{p}})
+		is.NoErr(err)
+		is.True(len(data) < 1400)
+		base, n = p.next, n+len(p.ranges)
+	}
+	is.Equal(base, c.next)
+	is.Equal(n, 100)
+}
--- a/daemon/edge/keeper.go
+++ b/daemon/edge/keeper.go
@@ -302,7 +302,9 @@
 func (k *keeper) own(ctx context.Context, s types.Service, a keyspace.Owned) {
 	o := ownerChange{service: s, base: a.Base, next: a.Next, ranges: a.Ranges}
 	_ = k.knowledge.Put(ctx, o)
-	_ = k.peers.Put(ctx, report{to: toAll, owners: []ownerChange{o}})
+	for _, part := range o.parts() {
+		_ = k.peers.Put(ctx, report{to: toAll, owners: []ownerChange{part}})
+	}
 }
 
 // remind repeats the versions of the owners, so that a VM that missed a change reads the table.
--- a/daemon/edge/owners.go
+++ b/daemon/edge/owners.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -33,6 +35,27 @@
 	ranges  []keyspace.Range
 }
 
+// rangesPerDatagram keeps a change of owners in one datagram of usual size.
+const rangesPerDatagram = 30
+
+// parts divides a change into such that fit a datagram. The fences of a change follow one another, so each part begins
+// where the one before it ends; a VM that misses one sees the gap.
+func (c ownerChange) parts() []ownerChange {
+	if len(c.ranges) <= rangesPerDatagram {
+		return []ownerChange{c}
+	}
+	var list []ownerChange
+	ranges := slices.SortedFunc(slices.Values(c.ranges), func(a, b keyspace.Range) int { return cmp.Compare(a.Fence, b.Fence) })
+	base := c.base
+	for part := range slices.Chunk(ranges, rangesPerDatagram) {
+		next := part[len(part)-1].Fence + 1
+		list = append(list, ownerChange{service: c.service, base: base, next: next, ranges: part})
+		base = next
+	}
+	list[len(list)-1].next = c.next
+	return list
+}
+
 // ownerRead asks for the owners of a service.
 type ownerRead struct{ service types.Service }
 
