A VM that has not heard from the store does not speak for it

A VM speaks for the store only if that has answered it within 1.6 s (the session calls it each second); a digest of the keeper is checked at the store. Two tests replay it.

--- a/daemon/edge/audit.go
+++ b/daemon/edge/audit.go
@@ -67,9 +67,8 @@
 // contents tracks the keys of one prefix.
 type contents struct {
 	entries map[string]store.Entry
-	// heardAt is when the store last answered, away is true since it has not.
-	heardAt types.Instant
-	away    bool
+	// away is true since a read of the prefix has failed.
+	away bool
 	// mirrorAt is when another VM may be asked again.
 	mirrorAt types.Instant
 	// known is the revision of the store up to which changes are known.
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -204,7 +204,7 @@
 
 func (e *Edge) addSession() {
 	e.session = &session{
-		store: e.store, in: e.knowledge.session, keeper: e.keeper, log: e.log, jitter: jitter,
+		store: e.store, in: e.knowledge.session, keeper: e.keeper, knowledge: e.knowledge.in, log: e.log, jitter: jitter,
 		ttl: max(sessionTTL, e.settings.ShortestLease), leaving: make(chan struct{}),
 		entry: e.knowledge.entry,
 	}
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -9,6 +10,8 @@
 	"github.com/matryer/is"
 
 	"sequoiasail.example/keyspace"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/telemetry"
 	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
 )
@@ -176,3 +179,48 @@
 	is.Equal(base, c.next)
 	is.Equal(n, 100)
 }
+
+// newTestKnowledge returns a knowledge duty of vm-1 beside a neighbour, and the reports that it sends.
+func newTestKnowledge(now types.Instant) (*knowledge, *ring.Ring[report]) {
+	k := newKnowledge()
+	k.log = telemetry.NewLog(io.Discard, nil)
+	k.vm = "vm-1"
+	k.entry = vmEntry{VM: "vm-1", DataCentre: "north", Cores: 1}
+	k.reports = ring.New[report](8)
+	k.audits = ring.New[auditRequest](8)
+	k.mirrors = ring.New[mirrorAsk](8)
+	k.vms["vm-1"], k.vms["vm-2"] = k.entry, vmEntry{VM: "vm-2", DataCentre: "north", Cores: 1, PeerAddress: "127.0.0.1:1"}
+	k.watching.startedAt = now
+	k.contents["op/"].apply(update{snapshot: true, revision: 5, entries: []store.Entry{{Key: "op/config", Revision: 5}}})
+	return k, k.reports
+}
+
+// Guards against a VM that speaks for the store while it is cut off from it. Replays a mix of sdv-gateway (seed
+// 727334322508): both watching VMs of a data centre were cut off, their waiting watches showed nothing, and the others
+// kept an old configuration for 2.2 s.
+func TestVMWithoutStoreDoesNotSpeakForIt(t *testing.T) {
+	is := is.New(t)
+	now := types.Instant(time.Hour)
+	k, reports := newTestKnowledge(now)
+	k.watching.on, k.watching.storeAt = true, now
+	k.tellNeighbours(now, true)
+	is.Equal(reports.Depth(), 1)
+	now = now.Add(storeSilence + time.Millisecond)
+	k.tellNeighbours(now, true)
+	is.Equal(reports.Depth(), 1)
+}
+
+// Guards against a VM that waits for its neighbours although the keeper shows that they miss a change.
+func TestDigestOfTheKeeperIsCheckedAtTheStore(t *testing.T) {
+	is := is.New(t)
+	now := types.Instant(time.Hour)
+	k, _ := newTestKnowledge(now)
+	k.keeperVM = "vm-9"
+	k.hearDigest(now, "vm-9", digest{prefix: "op/", at: 9, newest: 9, count: 1})
+	r, ok := k.audits.TryGet()
+	is.True(ok)
+	is.Equal(r.prefix, "op/")
+	k.hearDigest(now, "vm-2", digest{prefix: "op/", at: 9, newest: 9, count: 1})
+	_, ok = k.mirrors.TryGet()
+	is.True(ok) // a neighbour is asked itself
+}
--- a/daemon/edge/knowledge.go
+++ b/daemon/edge/knowledge.go
@@ -132,6 +132,9 @@
 	case mirrorRead:
 		k.answerMirror(telemetry.Now(), m)
 		return
+	case storeHeard:
+		k.watching.storeAt = telemetry.Now()
+		return
 	case toldDigest:
 		k.hearDigest(telemetry.Now(), m.from, m.digest)
 	case ownersFound:
@@ -146,7 +149,7 @@
 	if c != nil && !u.mirrored {
 		c.away = u.err != nil && types.CodeOf(u.err) != types.CodeNotFound
 		if u.err == nil {
-			c.heardAt = now
+			k.watching.storeAt = now
 		}
 	}
 	if u.err != nil {
--- a/daemon/edge/mirror.go
+++ b/daemon/edge/mirror.go
@@ -125,7 +125,7 @@
 func (k *knowledge) answerMirror(now types.Instant, m mirrorRead) {
 	c := k.contents[m.question.Prefix]
 	a := MirrorAnswer{}
-	if c != nil && k.watching.on && !c.away && c.known > m.question.Known {
+	if c != nil && k.watching.on && !c.away && k.inTouch(now) && c.known > m.question.Known {
 		a = MirrorAnswer{Newer: true, Revision: c.known, Returned: k.registry.Returning(now)}
 		for _, e := range c.entries {
 			a.Entries = append(a.Entries, e)
@@ -141,7 +141,7 @@
 		return
 	}
 	for prefix, c := range k.contents {
-		if !c.away || now.Before(c.mirrorAt) {
+		if (!c.away && k.inTouch(now)) || now.Before(c.mirrorAt) {
 			continue
 		}
 		c.mirrorAt = now.Add(awaySpacing)
--- a/daemon/edge/session.go
+++ b/daemon/edge/session.go
@@ -39,9 +39,11 @@
 	entry  vmEntry
 	in     *ring.Ring[keeperSeen]
 	keeper *ring.Ring[any]
-	log    *telemetry.Log
-	jitter func(time.Duration) time.Duration
-	ttl    time.Duration
+	// knowledge hears that the store answers; a full ring holds answers of the store itself.
+	knowledge *ring.Ring[any]
+	log       *telemetry.Log
+	jitter    func(time.Duration) time.Duration
+	ttl       time.Duration
 
 	lease      store.LeaseID
 	registered bool
@@ -170,6 +172,7 @@
 		return err
 	}
 	s.extend(ctx, sent)
+	_ = s.knowledge.TryPut(storeHeard{})
 	if s.registered {
 		return nil
 	}
--- a/daemon/edge/watching.go
+++ b/daemon/edge/watching.go
@@ -19,6 +19,9 @@
 	digestInterval = 400 * time.Millisecond
 	// watcherSilence is how long a VM waits for a watching one before it watches by itself.
 	watcherSilence = 1200 * time.Millisecond
+	// storeSilence is how long the store may answer nothing before this VM no longer speaks for it. The session calls it
+	// each second.
+	storeSilence = 1600 * time.Millisecond
 	// introduction is how long a VM that has found no other waits for their registrations before it decides.
 	introduction = 700 * time.Millisecond
 	// ownWatchTime is how long every VM watches the list of VMs after its start.
@@ -33,6 +36,8 @@
 	startedAt types.Instant
 	heardAt   types.Instant
 	toldAt    types.Instant
+	// storeAt is when the store last answered this VM, to any call.
+	storeAt types.Instant
 }
 
 // decide starts or stops the watches of this VM.
@@ -69,7 +74,7 @@
 
 // tellNeighbours sends what this VM knows to its data centre, at once after a change and otherwise now and then.
 func (k *knowledge) tellNeighbours(now types.Instant, changed bool) {
-	if !k.watching.on || (!changed && now.Sub(k.watching.toldAt) < digestInterval) {
+	if !k.watching.on || !k.inTouch(now) || (!changed && now.Sub(k.watching.toldAt) < digestInterval) {
 		return
 	}
 	k.watching.toldAt = now
@@ -84,6 +89,14 @@
 	}
 }
 
+// inTouch reports whether the store has answered lately. A waiting watch does not show that the store is cut off.
+func (k *knowledge) inTouch(now types.Instant) bool {
+	return now.Sub(k.watching.storeAt) < storeSilence
+}
+
+// storeHeard tells the knowledge duty that the store has answered the session.
+type storeHeard struct{}
+
 // prefixes lists what is watched.
 var prefixes = []string{platform.OperatorPrefix, platform.TargetPrefix, ownPrefix}
 
@@ -100,7 +113,7 @@
 	if c == nil || !c.behind(d) {
 		return
 	}
-	if k.watching.on && !c.away {
+	if k.watching.on && !c.away || from == k.keeperVM && !near {
 		k.log.Info("watch has missed a change", log.Fields{"prefix": d.prefix, "known": c.known, "told": d.at, "by": from})
 		k.readAgain(now, d.prefix, auditSpacing)
 		return
