--- a/admission/settings.go
+++ b/admission/settings.go
@@ -70,6 +70,8 @@
 	// latePatience is the part of the time between a request's objective and its deadline for which it may wait: answers
 	// after the objective are worth less, and the slots they take are missing for others.
 	latePatience = 0.25
+	// abortedFactor is how many times its usual time an aborted attempt must have lasted to count against its target.
+	abortedFactor = 3
 	// wakeInterval is how often waiting requests are looked at without other cause.
 	wakeInterval = 10 * time.Millisecond
 	// shortestRetryAfter and retryAfterSpread set when refused callers return. Callers honour up to a third of their time.
--- a/admission/target.go
+++ b/admission/target.go
@@ -89,8 +89,11 @@
 		t.unreachable = now.Add(reachableWait)
 	}
 	if f.answered && m.Result == ResultLost {
-		// The attempt was aborted: this says nothing of the target.
-		return
+		// The attempt was aborted: this says only that the target has taken at least this long.
+		s.Failed = false
+		if s.Took = now.Sub(f.sentAt); s.Took < abortedFactor*t.expectedIdle() {
+			return
+		}
 	}
 	t.observe(now, s)
 	if len(c.samples) < maxSamples {
--- a/daemon/edge/watching.go
+++ b/daemon/edge/watching.go
@@ -15,6 +15,8 @@
 	// watchersPerCentre is the number of VMs of a data centre that watch the store for all of them, because each waiting
 	// watch of each VM is a call for each change. The second one covers the loss of the first.
 	watchersPerCentre = 2
+	// manyNeighbours is the number of neighbours from which one more VM watches: the store may turn a third of them away.
+	manyNeighbours = 8
 	// digestInterval is how often a watching VM tells its data centre what it knows.
 	digestInterval = 400 * time.Millisecond
 	// watcherSilence is how long a VM waits for a watching one before it watches by itself.
@@ -47,7 +49,7 @@
 		return
 	}
 	alone := now.Sub(max(k.watching.heardAt, k.watching.startedAt)) > watcherSilence
-	want := alone || k.keeperVM == k.vm || k.rank(neighbours) < watchersPerCentre
+	want := alone || k.keeperVM == k.vm || k.rank(neighbours) < watchers(len(neighbours))
 	for prefix, gate := range k.gates {
 		open := want || (prefix == ownPrefix && now.Sub(k.watching.startedAt) < ownWatchTime)
 		// Replace can only fail when the process ends.
@@ -59,6 +61,14 @@
 	k.watching.on = want
 }
 
+// watchers is the number of watching VMs in a data centre.
+func watchers(neighbours int) int {
+	if neighbours >= manyNeighbours {
+		return watchersPerCentre + 1
+	}
+	return watchersPerCentre
+}
+
 // rank is the position of this VM among those of its data centre, the largest first. All VMs that know the same list
 // agree on it.
 func (k *knowledge) rank(neighbours []vmEntry) int {
--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -122,7 +122,7 @@
 	case Ended:
 		c.ended[m.Owner] = true
 	case Observed:
-		c.observe(m)
+		c.observe(now, m)
 	case Requested:
 		c.load.add(m.Keys)
 	}
@@ -257,6 +257,7 @@
 	if !now.Before(c.planAt) {
 		c.planAt = now.Add(planInterval)
 		c.load.decay()
+		c.forgive(now)
 		c.plan(now)
 	}
 	c.free(now)
--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -182,7 +182,7 @@
 // finishCall applies the result of one call. The table may have changed since the call was sent.
 func (c *Core) finishCall(now types.Instant, m Called) {
 	if m.Call.Kind == CallProbe {
-		c.observe(Observed{Target: m.Call.Owner.Target, Slowness: m.Slowness})
+		c.observe(now, Observed{Target: m.Call.Owner.Target, Slowness: m.Slowness})
 		return
 	}
 	if m.Result == CallOther {
--- a/keyspace/settings.go
+++ b/keyspace/settings.go
@@ -67,6 +67,12 @@
 	probeInterval = 450 * time.Millisecond
 	// firstRate is the share of all slots that the first table expects to be at work.
 	firstRate = 0.35
+	// lastingShare is the part of the average time of requests that counts against a target: bursts of neighbours make it
+	// 1.4 times as long as usual, which must not count. tookSamples is the number of requests in the average, tookLife how
+	// long it holds without requests.
+	lastingShare = 0.5
+	tookSamples  = 8
+	tookLife     = 3 * time.Second
 	// commitInterval gathers the ranges that are free in one write.
 	commitInterval = 60 * time.Millisecond
 )
--- a/keyspace/speed.go
+++ b/keyspace/speed.go
@@ -23,32 +23,46 @@
 type speed struct {
 	slowness float64
 	seen     int
+	// took is the average time of requests, with their time in the target's queue; tookAt is when it last changed.
+	took   time.Duration
+	tookAt types.Instant
 	// askedAt is when the target was last probed.
 	askedAt types.Instant
 }
 
-// slowness is the usual slowness of a target, without the bursts that come from its neighbours.
+// slowness is the usual slowness of a target, without the bursts that come from its neighbours. A target whose requests
+// keep taking much longer than its machine explains counts as slower.
 func (c *Core) slowness(o Owner) float64 {
-	if s := c.speeds[o]; s != nil && s.seen > 0 {
-		return s.slowness
+	s := c.speeds[o]
+	if s == nil {
+		return 1
+	}
+	usual := 1.0
+	if s.seen > 0 {
+		usual = s.slowness
 	}
-	return 1
+	return max(usual, lastingShare*s.took.Seconds()/c.work.Seconds())
 }
 
 // observe follows the usual slowness: down at once, up slowly, and hardly at all for short bursts.
-func (c *Core) observe(m Observed) {
+func (c *Core) observe(now types.Instant, m Observed) {
 	member, ok := c.members[m.Target]
 	if !ok {
 		return
 	}
 	if m.Took > 0 && m.Slowness > 0 {
 		took := time.Duration(float64(m.Took) / m.Slowness)
-		c.work += (took - c.work) / workSamples
+		// A few slow targets must not make slowness look usual.
+		c.work += (min(took, 2*c.work) - c.work) / workSamples
+	}
+	s := c.speedOf(member.Owner)
+	if m.Took > 0 {
+		s.took += (m.Took - s.took) / tookSamples
+		s.tookAt = now
 	}
 	if m.Slowness <= 0 {
 		return
 	}
-	s := c.speedOf(member.Owner)
 	s.seen++
 	switch ratio := m.Slowness / s.slowness; {
 	case s.seen == 1:
@@ -71,6 +85,15 @@
 	return s
 }
 
+// forgive lets the time of requests fade at targets that get none any more, so that they are tried again.
+func (c *Core) forgive(now types.Instant) {
+	for _, s := range c.speeds {
+		if now.Sub(s.tookAt) > tookLife {
+			s.took -= s.took / tookSamples
+		}
+	}
+}
+
 // probe asks the targets of which little is known, so that the first table already prefers the fast ones.
 func (c *Core) probe(now types.Instant) {
 	for _, t := range slices.Sorted(maps.Keys(c.members)) {
