A VM that starts while the store is away reads from the seeds of its settings

The role serves the control plane now, whose address takes questions of other VMs; one that knows nothing gets what the asked VM has.

--- a/daemon/edge/documents.go
+++ b/daemon/edge/documents.go
@@ -28,6 +28,8 @@
 	Cores float64 `json:"cores"`
 	// PeerAddress is host:port for datagrams from other VMs.
 	PeerAddress string `json:"peerAddress"`
+	// MirrorAddress is host:port for questions of other VMs by net/rpc.
+	MirrorAddress string `json:"mirrorAddress"`
 }
 
 // keeperEntry names the keeper.
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -157,7 +157,7 @@
 	}).duty())
 	e.group.Add((&peerReceiver{conn: conn, admission: e.admission, keeper: e.keeper, knowledge: e.knowledge.in, log: e.log}).duty())
 	e.group.Add((&reloader{file: e.file, current: e.settings, admission: e.admission, log: e.log}).duty())
-	mirror := peer.NewServer(net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)))
+	mirror := peer.NewServer(e.settings.MirrorAddress)
 	if err := mirror.Register("Mirror", &Mirror{knowledge: e.knowledge.in}); err != nil {
 		return err
 	}
@@ -177,7 +177,7 @@
 	e.knowledge.reads = ring.New[ownerRead](ownerReads)
 	e.knowledge.audits = ring.New[auditRequest](ownerReads)
 	e.knowledge.reports, e.knowledge.vm = reports, e.settings.VM
-	e.knowledge.entry = e.entry()
+	e.knowledge.entry, e.knowledge.seeds = e.entry(), e.settings.Seeds
 	e.knowledge.mirrors = ring.New[mirrorAsk](ownerReads)
 	e.group.Add((&mirrorClient{in: e.knowledge.mirrors, out: updates, log: e.log}).duty())
 	e.group.Add(e.knowledge.duty())
@@ -192,8 +192,9 @@
 func (e *Edge) entry() vmEntry {
 	return vmEntry{
 		VM: e.settings.VM, DataCentre: e.settings.DataCentre, Cores: e.settings.Cores,
-		Incarnation: types.Incarnation(time.Now().UnixNano()),
-		PeerAddress: net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)),
+		Incarnation:   types.Incarnation(time.Now().UnixNano()),
+		PeerAddress:   net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)),
+		MirrorAddress: e.settings.MirrorAddress,
 	}
 }
 
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -224,3 +224,24 @@
 	_, ok = k.mirrors.TryGet()
 	is.True(ok) // a neighbour is asked itself
 }
+
+// Guards against a VM that serves nothing after a start while the store is away. Replays incident inc-6a9b: VMs were
+// restarted during an outage and refused 161 requests.
+func TestVMStartsWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.target("maps", "i-m", true)
+	w.target("orders", "i-o", false)
+	w.configure("0000000a", route("/maps/", "idempotent", "maps"), route("/orders/", "non_idempotent", "orders"))
+	first := w.start("vm-1")
+	eventually(t, "readiness", 8*time.Second, first.isReady)
+	w.setRefuse(true)
+	second := w.start("vm-2")
+	eventually(t, "readiness from a seed", 5*time.Second, second.isReady)
+	res, _, err := second.call("GET", "/maps/1", "r1", 7, "")
+	is.NoErr(err)
+	is.Equal(res.StatusCode, 200)
+	res, _, err = second.call("POST", "/orders/1", "r2", 7, "b")
+	is.NoErr(err)
+	is.Equal(res.StatusCode, 200)
+}
--- a/daemon/edge/knowledge.go
+++ b/daemon/edge/knowledge.go
@@ -55,7 +55,9 @@
 	registered bool
 	vm         types.VM
 	// entry is that of this VM; gates open and close its watches.
-	entry    vmEntry
+	entry vmEntry
+	// seeds are addresses of VMs that may answer when no other VM is known.
+	seeds    []string
 	gates    map[string]*ring.Ring[bool]
 	watching watching
 	keeperVM types.VM
@@ -145,6 +147,10 @@
 
 func (k *knowledge) apply(ctx context.Context, u update) {
 	now := telemetry.Now()
+	if u.prefix == ownerPrefix {
+		k.applyMirroredOwners(ctx, u)
+		return
+	}
 	c := k.contents[u.prefix]
 	if c != nil && !u.mirrored {
 		c.away = u.err != nil && types.CodeOf(u.err) != types.CodeNotFound
--- a/daemon/edge/mirror.go
+++ b/daemon/edge/mirror.go
@@ -121,11 +121,17 @@
 	return a, nil
 }
 
-// answerMirror tells another VM the keys of a prefix, if this VM watches the store and knows more.
+// answerMirror tells another VM the keys of a prefix, if this VM watches the store and knows more. A VM that knows nothing
+// gets what this one has, however old.
 func (k *knowledge) answerMirror(now types.Instant, m mirrorRead) {
-	c := k.contents[m.question.Prefix]
+	q := m.question
 	a := MirrorAnswer{}
-	if c != nil && k.watching.on && !c.away && k.inTouch(now) && c.known > m.question.Known {
+	c := k.contents[q.Prefix]
+	switch {
+	case q.Prefix == ownerPrefix:
+		a = k.mirrorOwners()
+	case c == nil || c.known <= q.Known:
+	case q.Known == 0 || (k.watching.on && !c.away && k.inTouch(now)):
 		a = MirrorAnswer{Newer: true, Revision: c.known, Returned: k.registry.Returning(now)}
 		for _, e := range c.entries {
 			a.Entries = append(a.Entries, e)
@@ -134,10 +140,28 @@
 	m.reply <- a
 }
 
-// askMirror asks another VM of the data centre, while the store does not answer this one.
+// mirrorOwners returns the owners of keys as the store holds them.
+func (k *knowledge) mirrorOwners() MirrorAnswer {
+	a := MirrorAnswer{Newer: len(k.owners) > 0}
+	for s, t := range k.owners {
+		value, err := encodeTable(t)
+		if err != nil {
+			k.log.Warn("owners of keys not told", log.Fields{"service": s, "error": err.Error()})
+			continue
+		}
+		a.Entries = append(a.Entries, store.Entry{Key: ownersKey(s), Value: value})
+	}
+	return a
+}
+
+// askMirror asks other VMs in place of the store: those of the data centre, or the seeds of the settings while no other VM
+// is known.
 func (k *knowledge) askMirror(now types.Instant) {
-	others := k.neighbours()
-	if len(others) == 0 {
+	if k.inTouch(now) && !k.anyAway() {
+		return
+	}
+	addresses := k.mirrorAddresses()
+	if len(addresses) == 0 {
 		return
 	}
 	for prefix, c := range k.contents {
@@ -145,9 +169,37 @@
 			continue
 		}
 		c.mirrorAt = now.Add(awaySpacing)
-		k.ask(prefix, c, others[k.turn%len(others)])
-		k.turn++
+		k.askAt(prefix, c.known, addresses[k.turn%len(addresses)])
+	}
+	if k.configuration != nil && len(k.owners) == 0 && !k.inTouch(now) {
+		k.askAt(ownerPrefix, 0, addresses[k.turn%len(addresses)])
+	}
+	k.turn++
+}
+
+func (k *knowledge) anyAway() bool {
+	for _, c := range k.contents {
+		if c.away {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *knowledge) mirrorAddresses() []string {
+	var list []string
+	for _, m := range k.neighbours() {
+		list = append(list, m.MirrorAddress)
+	}
+	if len(list) > 0 {
+		return list
 	}
+	for _, s := range k.seeds {
+		if s != k.entry.MirrorAddress {
+			list = append(list, s)
+		}
+	}
+	return list
 }
 
 // neighbours returns the other VMs of the data centre, ordered by name.
--- a/daemon/edge/owners.go
+++ b/daemon/edge/owners.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -130,6 +131,15 @@
 	k.setOwners(ctx, f.service, f.table)
 }
 
+// applyMirroredOwners takes owners that another VM has told. An older table than the store's only leads to refusals by
+// targets, since those know their grants.
+func (k *knowledge) applyMirroredOwners(ctx context.Context, u update) {
+	for _, e := range u.entries {
+		t, err := decodeTable(e.Value)
+		k.applyFound(ctx, ownersFound{service: types.Service(strings.TrimPrefix(e.Key, ownerPrefix)), table: t, err: err})
+	}
+}
+
 func (k *knowledge) setOwners(ctx context.Context, s types.Service, t keyspace.Table) {
 	k.owners[s] = t
 	k.log.Info("owners of keys", log.Fields{"service": s, "ranges": len(t.Ranges), "nextFence": t.NextFence})
--- a/daemon/edge/watching.go
+++ b/daemon/edge/watching.go
@@ -135,5 +135,9 @@
 }
 
 func (k *knowledge) ask(prefix string, c *contents, other vmEntry) {
-	_ = k.mirrors.Replace(mirrorAsk{question: MirrorQuestion{Prefix: prefix, Known: c.known}, address: other.PeerAddress})
+	k.askAt(prefix, c.known, other.MirrorAddress)
+}
+
+func (k *knowledge) askAt(prefix string, known types.Revision, address string) {
+	_ = k.mirrors.Replace(mirrorAsk{question: MirrorQuestion{Prefix: prefix, Known: known}, address: address})
 }
--- a/daemon/edge/world_test.go
+++ b/daemon/edge/world_test.go
@@ -32,6 +32,8 @@
 	// refuse makes the store answer 503.
 	refuse bool
 	calls  int
+	// seeds are the mirror addresses of the VMs started so far.
+	seeds []string
 }
 
 type item struct {
@@ -303,12 +305,13 @@
 	s := platform.Settings{
 		VM: types.VM(name), DataCentre: "north", IP: "127.0.0.1",
 		CallerAddress: fmt.Sprintf("127.0.0.1:%d", freePort(w.t)), ReadyAddress: fmt.Sprintf("127.0.0.1:%d", freePort(w.t)),
-		PeerPort: port, StoreAddress: strings.TrimPrefix(w.store.URL, "http://"), ShortestLease: time.Second,
+		PeerPort: port, MirrorAddress: fmt.Sprintf("127.0.0.1:%d", port), Seeds: w.seeds, StoreAddress: strings.TrimPrefix(w.store.URL, "http://"), ShortestLease: time.Second,
 		StopTime: 4 * time.Second, LongestHold: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 		ColdOvershoot: 1.5, ColdSlack: 5, Cores: 1,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	v := &vm{front: "http://" + s.CallerAddress, ready: "http://" + s.ReadyAddress, stop: cancel, done: make(chan error, 1)}
+	w.seeds = append(w.seeds, s.MirrorAddress)
 	e := New(s, "", io.Discard)
 	go func() { v.done <- e.Run(ctx) }()
 	w.t.Cleanup(func() {
