--- a/daemon/edge/audit.go
+++ b/daemon/edge/audit.go
@@ -69,6 +69,9 @@
 	entries map[string]store.Entry
 	// away is true since a read of the prefix has failed.
 	away bool
+	// doubt is a digest of the keeper that shows more than this VM knows, since doubtAt; its revision is 0 for none.
+	doubt   digest
+	doubtAt types.Instant
 	// mirrorAt is when another VM may be asked again.
 	mirrorAt types.Instant
 	// known is the revision of the store up to which changes are known.
@@ -157,7 +160,7 @@
 	k.readAgain(now, platform.TargetPrefix, targetSpacing)
 }
 
-// tellDigest sends the result of an audit by the keeper to the VMs that watch.
+// tellDigest sends what the keeper knows of a prefix to all VMs.
 func (k *knowledge) tellDigest(ctx context.Context, prefix string) {
 	if k.keeperVM == k.vm {
 		_ = k.reports.Put(ctx, report{to: toAll, digests: []digest{k.contents[prefix].digest(prefix)}})
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -217,6 +217,9 @@
 	k, _ := newTestKnowledge(now)
 	k.keeperVM = "vm-9"
 	k.hearDigest(now, "vm-9", digest{prefix: "op/", at: 9, newest: 9, count: 1})
+	_, ok := k.audits.TryGet()
+	is.True(!ok) // the neighbours are about to tell it
+	k.checkDoubts(now.Add(doubtTime))
 	r, ok := k.audits.TryGet()
 	is.True(ok)
 	is.Equal(r.prefix, "op/")
--- a/daemon/edge/knowledge.go
+++ b/daemon/edge/knowledge.go
@@ -114,6 +114,7 @@
 			k.refresh(telemetry.Now())
 			k.audit(telemetry.Now())
 			k.askMirror(telemetry.Now())
+			k.checkDoubts(telemetry.Now())
 			k.decide(telemetry.Now())
 			k.tellNeighbours(telemetry.Now(), false)
 			if k.registry.Expire(telemetry.Now()) {
@@ -175,7 +176,7 @@
 	}
 	if c != nil {
 		changed := c.apply(u)
-		if u.audit {
+		if u.audit || (changed && !u.mirrored) {
 			k.tellDigest(ctx, u.prefix)
 		}
 		if !changed {
--- a/daemon/edge/watching.go
+++ b/daemon/edge/watching.go
@@ -24,6 +24,8 @@
 	// storeSilence is how long the store may answer nothing before this VM no longer speaks for it. The session calls it
 	// each second.
 	storeSilence = 1600 * time.Millisecond
+	// doubtTime is how long the data centre has to tell a change that the keeper has told.
+	doubtTime = 400 * time.Millisecond
 	// introduction is how long a VM that has found no other waits for their registrations before it decides.
 	introduction = 700 * time.Millisecond
 	// ownWatchTime is how long every VM watches the list of VMs after its start.
@@ -123,7 +125,11 @@
 	if c == nil || !c.behind(d) {
 		return
 	}
-	if k.watching.on && !c.away || from == k.keeperVM && !near {
+	if from == k.keeperVM && !near {
+		k.doubt(now, c, d)
+		return
+	}
+	if k.watching.on && !c.away {
 		k.log.Info("watch has missed a change", log.Fields{"prefix": d.prefix, "known": c.known, "told": d.at, "by": from})
 		k.readAgain(now, d.prefix, auditSpacing)
 		return
@@ -134,6 +140,29 @@
 	}
 }
 
+// doubt notes that the keeper knows more of a prefix than this VM. The watching VMs of the data centre are about to tell
+// it as well, unless they are cut off.
+func (k *knowledge) doubt(now types.Instant, c *contents, d digest) {
+	if c.doubt.at == 0 {
+		c.doubt, c.doubtAt = d, now
+	}
+}
+
+// checkDoubts reads what the keeper knows and the data centre has not told from the store.
+func (k *knowledge) checkDoubts(now types.Instant) {
+	for prefix, c := range k.contents {
+		switch {
+		case c.doubt.at == 0:
+		case !c.behind(c.doubt):
+			c.doubt = digest{}
+		case now.Sub(c.doubtAt) >= doubtTime:
+			c.doubt = digest{}
+			k.log.Info("neighbours have missed a change", log.Fields{"prefix": prefix, "known": c.known})
+			k.readAgain(now, prefix, auditSpacing)
+		}
+	}
+}
+
 func (k *knowledge) ask(prefix string, c *contents, other vmEntry) {
 	k.askAt(prefix, c.known, other.MirrorAddress)
 }
