--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -40,12 +40,13 @@
 
 // Times of a planned stop.
 const (
-	// leaveTime lets the load balancer see twice, a second apart, that this VM is not ready.
-	leaveTime = 2300 * time.Millisecond
+	// leaveShare is the part of the stop time before connections are closed, 3.4 of 6 s: the load balancer has to see twice,
+	// a second apart, that this VM is not ready, and the last packets may be lost and sent again up to a second later.
+	leaveShare = 0.57
 	// stopMargin is the part of the stop time that is left for the last duties.
-	stopMargin = 1500 * time.Millisecond
+	stopMargin = 800 * time.Millisecond
 	// lingerTime lets the last answers leave the VM before the process ends.
-	lingerTime = 300 * time.Millisecond
+	lingerTime = 200 * time.Millisecond
 )
 
 // Limits of the caller-facing server before a configuration is known. They are wider than any configuration's.
@@ -131,8 +132,9 @@
 	e.readiness.stopping.Store(true)
 	e.front.closing.Store(true)
 	close(e.session.leaving)
-	pause(context.Background(), leaveTime)
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.StopTime-leaveTime-stopMargin)
+	leave := time.Duration(leaveShare * float64(e.settings.StopTime))
+	pause(context.Background(), leave)
+	ctx, cancel := context.WithTimeout(context.Background(), e.settings.StopTime-leave-stopMargin)
 	defer cancel()
 	if err := e.server.shutdown(ctx); err != nil {
 		e.log.Warn("requests were still in hand at the end of the stop time", log.Fields{"error": err.Error()})
--- a/daemon/edge/session.go
+++ b/daemon/edge/session.go
@@ -23,6 +23,8 @@
 	sessionRetry = 300 * time.Millisecond
 	// sessionCall bounds a call of the session.
 	sessionCall = 800 * time.Millisecond
+	// sessionEnd bounds the last call, within the stop time of the process.
+	sessionEnd = 300 * time.Millisecond
 	// sessionMargin is taken off the validity of the lease for differences between the clocks.
 	sessionMargin = 200 * time.Millisecond
 	// electionStep is the time between the tries of two VMs to become the keeper, electionLimit the longest wait. The
@@ -255,7 +257,7 @@
 	if s.lease == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), sessionCall)
+	ctx, cancel := context.WithTimeout(context.Background(), sessionEnd)
 	defer cancel()
 	if err := s.store.RevokeLease(ctx, s.lease); err != nil {
 		s.log.Warn("lease not ended, it runs out", log.Fields{"error": err.Error()})
