--- /dev/null
+++ b/daemon/edge/keeperstore.go
@@ -0,0 +1,77 @@
+package edge
+
+import (
+	"context"
+
+	"sequoiasail.example/duty"
+	"sequoiasail.example/keyspace"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+// storeJob is a read or write of the owners of one service.
+type storeJob struct {
+	service types.Service
+	// table is nil for a read.
+	table    *keyspace.Table
+	expected types.Revision
+}
+
+// keeperStore reads and writes the owners of keys.
+type keeperStore struct {
+	in    *ring.Ring[storeJob]
+	out   *ring.Ring[any]
+	store store.Store
+}
+
+func (s *keeperStore) duty() duty.Duty { return duty.Duty{Name: "keeper-store", Run: s.run} }
+
+func (s *keeperStore) run(ctx context.Context) error {
+	for {
+		j, err := s.in.Get(ctx)
+		if err != nil {
+			return nil
+		}
+		var answer any
+		if j.table == nil {
+			answer = s.read(ctx, j)
+		} else {
+			answer = s.write(ctx, j)
+		}
+		if s.out.Put(ctx, answer) != nil {
+			return nil
+		}
+	}
+}
+
+func (s *keeperStore) read(ctx context.Context, j storeJob) tableRead {
+	ctx, cancel := context.WithTimeout(ctx, sessionCall)
+	defer cancel()
+	e, err := s.store.Get(ctx, ownersKey(j.service))
+	if types.CodeOf(err) == types.CodeNotFound && err != nil {
+		return tableRead{service: j.service}
+	}
+	if err != nil {
+		return tableRead{service: j.service, err: err}
+	}
+	t, err := decodeTable(e.Value)
+	return tableRead{service: j.service, loaded: keyspace.Loaded{Table: t, Found: true}, revision: e.Revision, err: err}
+}
+
+// write stores a table. When the answer is lost it reads back whether the write took effect.
+func (s *keeperStore) write(ctx context.Context, j storeJob) tableWritten {
+	value, err := encodeTable(*j.table)
+	if err != nil {
+		return tableWritten{service: j.service, err: err}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, sessionCall)
+	defer cancel()
+	revision, err := s.store.CAS(callCtx, store.Write{Key: ownersKey(j.service), Expected: j.expected, Value: value})
+	if code := types.CodeOf(err); err != nil && (code == types.CodeAnswerLost || code == types.CodeConflict) {
+		if back := s.read(ctx, j); back.err == nil && back.loaded.Table.Writer == j.table.Writer {
+			return tableWritten{service: j.service, revision: back.revision}
+		}
+	}
+	return tableWritten{service: j.service, revision: revision, err: err}
+}
