--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -282,3 +282,14 @@
 	is.NoErr(err)
 	is.Equal(res.StatusCode, 200)
 }
+
+// Guards against a VM that keeps an old configuration because the answer of its neighbour was lost.
+func TestUnansweredMirrorLeadsToTheStore(t *testing.T) {
+	is := is.New(t)
+	now := types.Instant(time.Hour)
+	k, _ := newTestKnowledge(now)
+	k.hearDigest(now, "vm-2", digest{prefix: "op/", at: 9, newest: 9, count: 1})
+	k.checkDoubts(now.Add(doubtTime))
+	_, ok := k.audits.TryGet()
+	is.True(ok)
+}
--- a/daemon/edge/watching.go
+++ b/daemon/edge/watching.go
@@ -24,7 +24,7 @@
 	// storeSilence is how long the store may answer nothing before this VM no longer speaks for it. The session calls it
 	// each second.
 	storeSilence = 1600 * time.Millisecond
-	// doubtTime is how long the data centre has to tell a change that the keeper has told.
+	// doubtTime is how long the data centre has to tell a change of which a digest was heard.
 	doubtTime = 400 * time.Millisecond
 	// introduction is how long a VM that has found no other waits for their registrations before it decides.
 	introduction = 700 * time.Millisecond
@@ -134,14 +134,15 @@
 		k.readAgain(now, d.prefix, auditSpacing)
 		return
 	}
+	k.doubt(now, c, d)
 	if near && !now.Before(c.mirrorAt) {
 		c.mirrorAt = now.Add(mirrorSpacing)
 		k.ask(d.prefix, c, k.vms[from])
 	}
 }
 
-// doubt notes that the keeper knows more of a prefix than this VM. The watching VMs of the data centre are about to tell
-// it as well, unless they are cut off.
+// doubt notes that another VM knows more of a prefix than this one. The watching VMs of the data centre are about to tell
+// it, unless they are cut off or their answer is lost.
 func (k *knowledge) doubt(now types.Instant, c *contents, d digest) {
 	if c.doubt.at == 0 {
 		c.doubt, c.doubtAt = d, now
