One read of the owners of keys; remove what nothing uses

Read of the whole change: keeper-store and owner-reader each read and decoded the owners' document, readTable serves both. Core.Open, the count of refusals of a flight and the auditor's log were never used.

--- a/admission/core.go
+++ b/admission/core.go
@@ -26,9 +26,7 @@
 	answered bool
 	// waitUntil delays the next attempt, after a target has refused the key.
 	waitUntil types.Instant
-	// refusals counts the attempts that no target ran.
-	refusals int
-	waiting  bool
+	waiting   bool
 }
 
 // Random is a source of uniform random numbers below n.
@@ -117,17 +115,6 @@
 // Busy reports whether Tick is needed again after wakeInterval.
 func (c *Core) Busy() (time.Duration, bool) { return wakeInterval, len(c.flights) > 0 }
 
-// Open returns the number of requests without a final answer.
-func (c *Core) Open() int {
-	n := 0
-	for _, f := range c.flights {
-		if !f.answered {
-			n++
-		}
-	}
-	return n
-}
-
 func (c *Core) arrive(now types.Instant, m Arrived) {
 	f := &flight{id: m.ID, route: m.Route, keyed: m.Keyed, key: m.Key, arrived: now, deadline: m.Deadline}
 	if limit := now.Add(m.Route.Timeout); limit.Before(f.deadline) {
@@ -276,7 +263,6 @@
 
 // again places a request once more. A refusal of its key means that the key moves: the request waits a little.
 func (c *Core) again(now types.Instant, f *flight, t *target, m Finished) {
-	f.refusals++
 	if f.service.Keyed {
 		f.waitUntil = now.Add(fullWait)
 		if m.Result == ResultMisdirected {
--- a/daemon/edge/audit.go
+++ b/daemon/edge/audit.go
@@ -7,7 +7,6 @@
 	"sequoiasail.example/duty"
 	"sequoiasail.example/platform"
 	"sequoiasail.example/ring"
-	"sequoiasail.example/telemetry"
 	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
 )
@@ -43,7 +42,6 @@
 	in    *ring.Ring[auditRequest]
 	out   *ring.Ring[any]
 	store store.Store
-	log   *telemetry.Log
 }
 
 func (a *auditor) duty() duty.Duty { return duty.Duty{Name: "audit", Run: a.run} }
@@ -69,7 +67,7 @@
 	entries map[string]store.Entry
 	// away is true since a read of the prefix has failed.
 	away bool
-	// doubt is a digest of the keeper that shows more than this VM knows, since doubtAt; its revision is 0 for none.
+	// doubt is a digest of another VM that shows more than this VM knows, since doubtAt; its revision is 0 for none.
 	doubt   digest
 	doubtAt types.Instant
 	// mirrorAt is when another VM may be asked again.
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -188,7 +188,7 @@
 	e.group.Add((&mirrorClient{in: e.knowledge.mirrors, out: updates, log: e.log}).duty())
 	e.group.Add(e.knowledge.duty())
 	e.group.Add((&ownerReader{in: e.knowledge.reads, out: updates, store: e.store}).duty())
-	e.group.Add((&auditor{in: e.knowledge.audits, out: updates, store: e.store, log: e.log}).duty())
+	e.group.Add((&auditor{in: e.knowledge.audits, out: updates, store: e.store}).duty())
 	e.addWatch("operator", platform.OperatorPrefix, updates)
 	e.addWatch("targets", platform.TargetPrefix, updates)
 	e.addWatch("own", ownPrefix, updates)
--- a/daemon/edge/keeperstore.go
+++ b/daemon/edge/keeperstore.go
@@ -46,17 +46,11 @@
 }
 
 func (s *keeperStore) read(ctx context.Context, j storeJob) tableRead {
-	ctx, cancel := context.WithTimeout(ctx, sessionCall)
-	defer cancel()
-	e, err := s.store.Get(ctx, ownersKey(j.service))
-	if types.CodeOf(err) == types.CodeNotFound && err != nil {
+	t, revision, err := readTable(ctx, s.store, j.service)
+	if err != nil && types.CodeOf(err) == types.CodeNotFound {
 		return tableRead{service: j.service}
 	}
-	if err != nil {
-		return tableRead{service: j.service, err: err}
-	}
-	t, err := decodeTable(e.Value)
-	return tableRead{service: j.service, loaded: keyspace.Loaded{Table: t, Found: true}, revision: e.Revision, err: err}
+	return tableRead{service: j.service, loaded: keyspace.Loaded{Table: t, Found: err == nil}, revision: revision, err: err}
 }
 
 // write stores a table. When the answer is lost it reads back whether the write took effect.
--- a/daemon/edge/owners.go
+++ b/daemon/edge/owners.go
@@ -89,14 +89,21 @@
 }
 
 func (r *ownerReader) read(ctx context.Context, s types.Service) ownersFound {
+	t, _, err := readTable(ctx, r.store, s)
+	return ownersFound{service: s, table: t, err: err}
+}
+
+// readTable reads the owners of a service from the store, and the revision of their document. It returns the faults of
+// store.Store, and a CodeBadConfiguration fault for a document that can't be read.
+func readTable(ctx context.Context, from store.Store, s types.Service) (keyspace.Table, types.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, sessionCall)
 	defer cancel()
-	e, err := r.store.Get(ctx, ownersKey(s))
+	e, err := from.Get(ctx, ownersKey(s))
 	if err != nil {
-		return ownersFound{service: s, err: err}
+		return keyspace.Table{}, 0, err
 	}
 	t, err := decodeTable(e.Value)
-	return ownersFound{service: s, table: t, err: err}
+	return t, e.Revision, err
 }
 
 // applyChange applies a change that follows the known table, and reads the table when something in between was missed.
