keyspace: one batch of orders for each life of a target

Orders for two lives of one target were put into one batch and all went to the address of the last one. A batch now holds orders for one life, and each life has its own batch under way. TestBatchHoldsOneLife failed before.

--- a/daemon/edge/keeper.go
+++ b/daemon/edge/keeper.go
@@ -263,7 +263,7 @@
 	}
 	k.step(ctx, m.service, m.called)
 	if m.last {
-		k.perform(ctx, m.service, w, w.core.BatchDone(telemetry.Now(), m.called.Call.Owner.Target))
+		k.perform(ctx, m.service, w, w.core.BatchDone(telemetry.Now(), m.called.Call.Owner))
 	}
 }
 
--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -74,7 +74,7 @@
 	spans       []span
 	members     map[types.Target]Member
 	ended       map[Owner]bool
-	outstanding map[types.Target]int
+	outstanding map[Owner]int
 	pending     *Table
 	load        load
 	planAt      types.Instant
@@ -92,7 +92,7 @@
 func New(name, healthPath string, s Settings) *Core {
 	return &Core{
 		settings: s, name: name, healthPath: healthPath,
-		members: make(map[types.Target]Member), ended: make(map[Owner]bool), outstanding: make(map[types.Target]int),
+		members: make(map[types.Target]Member), ended: make(map[Owner]bool), outstanding: make(map[Owner]int),
 		speeds: make(map[Owner]*speed), work: usualWork,
 	}
 }
--- a/keyspace/core_test.go
+++ b/keyspace/core_test.go
@@ -49,7 +49,7 @@
 				for _, call := range a.Calls {
 					queue = append(queue, c.Step(now, Called{Call: call, Result: CallDone, Slowness: 1, Connection: 1})...)
 				}
-				queue = append(queue, c.BatchDone(now, a.Owner.Target)...)
+				queue = append(queue, c.BatchDone(now, a.Owner)...)
 			}
 		}
 	}
@@ -124,3 +124,26 @@
 	run(c, now, time.Second, once(members))
 	is.Equal(shares(c)["t1"], 0)
 }
+
+// Guards against orders for two lives of one target in a batch, which would all go to the address of one of them.
+func TestBatchHoldsOneLife(t *testing.T) {
+	is := is.New(t)
+	c, now := ready(t, "t1")
+	for i := range c.spans {
+		c.spans[i].renewAt = now
+	}
+	c.table.Ranges[1].Owner.Life = 2
+	lives := make(map[Owner]int)
+	for _, a := range c.Tick(now) {
+		b, ok := a.(Batch)
+		if !ok {
+			continue
+		}
+		for _, call := range b.Calls {
+			is.Equal(call.Owner, b.Owner)
+		}
+		lives[b.Owner]++
+	}
+	is.Equal(lives[Owner{Target: "t1", Life: 1}], 1)
+	is.Equal(lives[Owner{Target: "t1", Life: 2}], 1)
+}
--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -107,22 +107,23 @@
 	}
 }
 
-// order sends the releases and grants that are due, one batch for each target at a time.
+// order sends the releases and grants that are due, one batch for each life of a target at a time. Lives may have
+// different addresses.
 func (c *Core) order(now types.Instant) {
-	batches := make(map[types.Target][]int)
-	var targets []types.Target
+	batches := make(map[Owner][]int)
+	var owners []Owner
 	for i := range c.spans {
-		owner := c.table.Ranges[i].Owner.Target
+		owner := c.table.Ranges[i].Owner
 		if !c.due(now, i) || c.outstanding[owner] > 0 || len(batches[owner]) >= batchCalls {
 			continue
 		}
 		if len(batches[owner]) == 0 {
-			targets = append(targets, owner)
+			owners = append(owners, owner)
 		}
 		batches[owner] = append(batches[owner], i)
 	}
-	for _, t := range targets {
-		c.send(now, t, batches[t])
+	for _, o := range owners {
+		c.send(now, o, batches[o])
 	}
 }
 
@@ -136,12 +137,11 @@
 	return s.phase == leaving || (s.phase == held && s.fresh && known)
 }
 
-func (c *Core) send(now types.Instant, t types.Target, indexes []int) {
-	b := Batch{}
+func (c *Core) send(now types.Instant, o Owner, indexes []int) {
+	b := Batch{Owner: o}
 	hold := c.hold(now)
 	for _, i := range indexes {
 		s, r := &c.spans[i], &c.table.Ranges[i]
-		b.Owner = r.Owner
 		call := Call{Kind: CallGrant, Owner: r.Owner, From: r.From, To: r.To, Fence: r.Fence, Hold: hold}
 		if s.phase == leaving {
 			call.Kind = CallRelease
@@ -158,7 +158,7 @@
 		s.busy = true
 		b.Calls = append(b.Calls, call)
 	}
-	c.outstanding[t]++
+	c.outstanding[o]++
 	c.actions = append(c.actions, b)
 }
 
@@ -169,12 +169,12 @@
 	return a
 }
 
-// BatchDone tells the core that all calls of a batch to a target have been answered.
-func (c *Core) BatchDone(now types.Instant, t types.Target) []Action {
+// BatchDone tells the core that all calls of a batch have been answered.
+func (c *Core) BatchDone(now types.Instant, o Owner) []Action {
 	c.actions = nil
-	c.outstanding[t]--
-	if c.outstanding[t] <= 0 {
-		delete(c.outstanding, t)
+	c.outstanding[o]--
+	if c.outstanding[o] <= 0 {
+		delete(c.outstanding, o)
 	}
 	return c.advance(now)
 }
--- a/keyspace/sim_test.go
+++ b/keyspace/sim_test.go
@@ -150,7 +150,7 @@
 	var next func(i int)
 	next = func(i int) {
 		if i == len(b.Calls) {
-			s.perform(k, k.core.BatchDone(s.now, b.Owner.Target))
+			s.perform(k, k.core.BatchDone(s.now, b.Owner))
 			return
 		}
 		if broken {
--- a/keyspace/speed.go
+++ b/keyspace/speed.go
@@ -99,11 +99,11 @@
 	for _, t := range slices.Sorted(maps.Keys(c.members)) {
 		m := c.members[t]
 		s := c.speedOf(m.Owner)
-		if !m.Usable || s.seen >= probes || c.outstanding[t] > 0 || now.Before(s.askedAt.Add(probeInterval)) {
+		if !m.Usable || s.seen >= probes || c.outstanding[m.Owner] > 0 || now.Before(s.askedAt.Add(probeInterval)) {
 			continue
 		}
 		s.askedAt = now
-		c.outstanding[t]++
+		c.outstanding[m.Owner]++
 		c.actions = append(c.actions, Batch{Owner: m.Owner, Calls: []Call{{Kind: CallProbe, Owner: m.Owner, Path: c.healthPath}}})
 	}
 }
