VMs whose watching neighbours are cut off read the store within 2.2 s

Watching VMs now renew their lease every 0.5 s and speak for 1 s after the last answer, the others wait 0.9 s. TestNeighboursOfCutWatchersAskTheStoreInTime failed before with 3 s.

--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -192,6 +192,7 @@
 	k.reports = ring.New[report](8)
 	k.audits = ring.New[auditRequest](8)
 	k.mirrors = ring.New[mirrorAsk](8)
+	k.session = ring.New[keeperSeen](1)
 	k.vms["vm-1"], k.vms["vm-2"] = k.entry, vmEntry{VM: "vm-2", DataCentre: "north", Cores: 1, PeerAddress: "127.0.0.1:1"}
 	k.watching.startedAt = now
 	k.contents["op/"].apply(update{snapshot: true, revision: 5, entries: []store.Entry{{Key: "op/config", Revision: 5}}})
@@ -208,7 +209,7 @@
 	k.watching.on, k.watching.storeAt = true, now
 	k.tellNeighbours(now, true)
 	is.Equal(reports.Depth(), 1)
-	now = now.Add(storeSilence + time.Millisecond)
+	now = now.Add(watcherStoreSilence + time.Millisecond)
 	k.tellNeighbours(now, true)
 	is.Equal(reports.Depth(), 1)
 }
@@ -293,3 +294,29 @@
 	_, ok := k.audits.TryGet()
 	is.True(ok)
 }
+
+// Guards against VMs that rely on neighbours which are cut off from the store without a sign. Replays zcsp-brana-grown
+// trouble-1: all watching VMs of a data centre were cut off, a target drained right after, and the others sent to it
+// 2.58 s after the store had accepted that; the bound is 2.5 s.
+func TestNeighboursOfCutWatchersAskTheStoreInTime(t *testing.T) {
+	is := is.New(t)
+	start := types.Instant(time.Hour)
+	watcher, told := newTestKnowledge(start)
+	watcher.watching.on, watcher.watching.storeAt = true, start
+	other, _ := newTestKnowledge(start)
+	other.keeperVM = "vm-9"
+	for name, cores := range map[types.VM]float64{"vm-2": 2, "vm-3": 2} {
+		other.vms[name] = vmEntry{VM: name, DataCentre: "north", Cores: cores}
+	}
+	now := start
+	for ; !other.watching.on && now.Sub(start) < 5*time.Second; now = now.Add(expireInterval) {
+		watcher.tellNeighbours(now, false)
+		told.Drain(func(r report) {
+			for _, d := range r.digests {
+				other.hearDigest(now, "vm-2", d)
+			}
+		})
+		other.decide(now)
+	}
+	is.True(now.Sub(start) <= 2200*time.Millisecond)
+}
--- a/daemon/edge/fleet.go
+++ b/daemon/edge/fleet.go
@@ -46,7 +46,17 @@
 	k.keeperVM = s.entry.VM
 	s.fleet = len(k.vms)
 	s.rank = k.rank(slices.Collect(maps.Values(k.vms)))
-	_ = k.session.Replace(s)
+	k.seen = &s
+	k.tellSession()
+}
+
+// tellSession passes on who the keeper is and whether this VM watches, once the store has told.
+func (k *knowledge) tellSession() {
+	if k.seen == nil {
+		return
+	}
+	k.seen.watches = k.watching.on
+	_ = k.session.Replace(*k.seen)
 }
 
 func (k *knowledge) readKeeper(e store.Entry) keeperSeen {
--- a/daemon/edge/knowledge.go
+++ b/daemon/edge/knowledge.go
@@ -58,6 +58,8 @@
 	gates    map[string]*ring.Ring[bool]
 	watching watching
 	keeperVM types.VM
+	// seen is what the session was last told; nil before the store has told who the keeper is.
+	seen *keeperSeen
 	// turn rotates the VMs that are asked in place of the store.
 	turn     int
 	contents map[string]*contents
@@ -78,6 +80,8 @@
 	rank int
 	// fleet is the number of VMs that are known.
 	fleet int
+	// watches is true while this VM watches the store for its data centre.
+	watches bool
 }
 
 func newKnowledge() *knowledge {
--- a/daemon/edge/session.go
+++ b/daemon/edge/session.go
@@ -19,6 +19,8 @@
 	sessionTTL = 3 * time.Second
 	// sessionRenewal leaves two more tries before the lease ends.
 	sessionRenewal = time.Second
+	// watcherRenewal is the same on VMs that watch the store for others: the answers show that it is not cut off.
+	watcherRenewal = 500 * time.Millisecond
 	// sessionRetry is how long a failed call waits for the next.
 	sessionRetry = 300 * time.Millisecond
 	// sessionCall bounds a call of the session.
@@ -54,8 +56,9 @@
 	leaving chan struct{}
 	stopped bool
 	seen    keeperSeen
-	// heard is true once the store has told who the keeper is.
+	// heard is true once the store has told who the keeper is, watches while this VM watches the store for others.
 	heard      bool
+	watches    bool
 	validUntil types.Instant
 	standAt    types.Instant
 }
@@ -108,7 +111,7 @@
 // see takes what the store says of the keeper. The role ends when the store names another keeper or none, and begins
 // when a write without an answer turns out to have named this VM.
 func (s *session) see(ctx context.Context, k keeperSeen) {
-	s.heard = true
+	s.heard, s.watches = true, k.watches
 	if k.revision < s.seen.revision {
 		return
 	}
@@ -151,6 +154,9 @@
 	if s.mayStand() && !telemetry.Now().Before(s.standAt) {
 		s.stand(ctx)
 	}
+	if s.watches {
+		return watcherRenewal
+	}
 	return sessionRenewal
 }
 
--- a/daemon/edge/watching.go
+++ b/daemon/edge/watching.go
@@ -19,11 +19,13 @@
 	manyNeighbours = 8
 	// digestInterval is how often a watching VM tells its data centre what it knows.
 	digestInterval = 400 * time.Millisecond
-	// watcherSilence is how long a VM waits for a watching one before it watches by itself.
-	watcherSilence = 1200 * time.Millisecond
-	// storeSilence is how long the store may answer nothing before this VM no longer speaks for it. The session calls it
-	// each second.
-	storeSilence = 1600 * time.Millisecond
+	// watcherSilence is how long a VM waits for a watching one before it watches by itself. With watcherStoreSilence and the
+	// reading it must stay below 2.5 s, the time in which VMs have to learn of changes.
+	watcherSilence = 900 * time.Millisecond
+	// storeSilence is how long the store may answer nothing before this VM takes itself for cut off, watcherStoreSilence
+	// the same while others rely on it. The session calls the store every sessionRenewal or watcherRenewal.
+	storeSilence        = 1600 * time.Millisecond
+	watcherStoreSilence = time.Second
 	// doubtTime is how long the data centre has to tell a change of which a digest was heard.
 	doubtTime = 400 * time.Millisecond
 	// introduction is how long a VM that has found no other waits for their registrations before it decides.
@@ -57,10 +59,12 @@
 		// Replace can only fail when the process ends.
 		_ = gate.Replace(open)
 	}
-	if want != k.watching.on {
-		k.log.Info("watching the store", log.Fields{"on": want, "neighbours": len(neighbours), "noWatcherHeard": alone})
+	if want == k.watching.on {
+		return
 	}
+	k.log.Info("watching the store", log.Fields{"on": want, "neighbours": len(neighbours), "noWatcherHeard": alone})
 	k.watching.on = want
+	k.tellSession()
 }
 
 // watchers is the number of watching VMs in a data centre.
@@ -103,7 +107,11 @@
 
 // inTouch reports whether the store has answered lately. A waiting watch does not show that the store is cut off.
 func (k *knowledge) inTouch(now types.Instant) bool {
-	return now.Sub(k.watching.storeAt) < storeSilence
+	limit := storeSilence
+	if k.watching.on {
+		limit = watcherStoreSilence
+	}
+	return now.Sub(k.watching.storeAt) < limit
 }
 
 // storeHeard tells the knowledge duty that the store has answered the session.
