--- a/admission/choose.go
+++ b/admission/choose.go
@@ -148,7 +148,7 @@
 		return true
 	}
 	s := c.services[t.Service]
-	if s == nil || (!s.Keyed && !c.warms(t)) {
+	if s == nil || (!s.Keyed && !c.warms(t)) || now.Before(c.startedAt.Add(coldIntroduction)) {
 		return false
 	}
 	return t.recent.count(now) < c.coldAllowance(now, s)
--- a/admission/core.go
+++ b/admission/core.go
@@ -49,6 +49,8 @@
 	changed    map[types.Target]bool
 	samples    []Sample
 	actions    []Action
+	// startedAt is the time of the first message.
+	startedAt types.Instant
 	// checkAt is when deadlines and waiting requests are looked at next.
 	checkAt types.Instant
 }
@@ -68,6 +70,9 @@
 // Step applies a message and returns the actions that follow.
 func (c *Core) Step(now types.Instant, m Message) []Action {
 	c.actions = nil
+	if c.startedAt == 0 {
+		c.startedAt = now
+	}
 	switch m := m.(type) {
 	case Arrived:
 		c.arrive(now, m)
--- a/admission/core_test.go
+++ b/admission/core_test.go
@@ -53,6 +53,8 @@
 		"orders": {Name: "orders", MaxConnections: 100, ColdRate: 4},
 	}})
 	b.step(Targets{Targets: targets})
+	// The VM has been up for longer than coldIntroduction.
+	b.now = b.now.Add(coldIntroduction)
 	return b
 }
 
@@ -250,6 +252,22 @@
 	}
 }
 
+// Guards against a VM that has just started, and knows no neighbour yet, sending to a cold target as if it were alone.
+// Replays soak seed 1: three VMs that started together sent 15 requests in a second, one more than the target bears.
+func TestColdTargetIsSparedByVMsThatStart(t *testing.T) {
+	is := is.New(t)
+	cold := listing("orders", "t1", "a")
+	cold.ColdUntil = start.Add(time.Minute)
+	b := &bench{Core: New(settings("vm-1"), rand.New(rand.NewPCG(1, 2))), now: start}
+	b.step(Services{Services: map[types.Service]catalog.Service{"orders": {Name: "orders", MaxConnections: 100, ColdRate: 4}}})
+	b.step(Targets{Targets: []catalog.Listing{cold}})
+	_, actions := b.arrive(orders, 0)
+	is.Equal(len(find[Send](actions)), 0)
+	b.now = b.now.Add(coldIntroduction)
+	_, actions = b.arrive(orders, 0)
+	is.Equal(len(find[Send](actions)), 1)
+}
+
 // Guards against retries beyond the share of this VM when a whole service refuses.
 func TestRetriesStayWithinBudget(t *testing.T) {
 	b := newBench("vm1", listing("orders", "o1", "a"), listing("orders", "o2", "a"))
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -61,6 +61,9 @@
 	// coldShare is the share of the bound that is used. The rest covers requests that VMs send before they hear of each
 	// other's.
 	coldShare = 0.75
+	// coldIntroduction is how long after its start a VM sends nothing to cold targets, because it has not heard yet which
+	// neighbours it has and what they have sent within coldWindow.
+	coldIntroduction = coldWindow + 100*time.Millisecond
 	// maxSends bounds the memory of a target's requests.
 	maxSends = 64
 	// budgetShare is the share of the retry budget that is used.
--- a/standin/internal/httpserve/httpserve.go
+++ b/standin/httpserve/httpserve.go
@@ -26,7 +26,9 @@
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ConnContext: connContext}
 	return duty.Duty{
 		Name: name,
-		Run: func(context.Context) error {
+		Run: func(ctx context.Context) error {
+			detach := context.AfterFunc(ctx, func() { _ = server.Close() })
+			defer detach()
 			defer server.Close()
 			return ServeResult(server.Serve(l))
 		},
--- /dev/null
+++ b/standin/store/client.go
@@ -0,0 +1,80 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+// Client reaches a stand-in store in the same process, so that front ends of other protocols can serve it. Besides the
+// faults of store.Store its calls return ErrBroken.
+type Client struct {
+	server *Server
+	name   string
+}
+
+var _ store.Store = (*Client)(nil)
+
+// Client returns the store as the named client sees it. Faults name clients.
+func (s *Server) Client(name string) *Client { return &Client{server: s, name: name} }
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(ctx context.Context, f Faults) error {
+	_, err := s.ask(ctx, message{kind: kindSetFaults, faults: f})
+	return err
+}
+
+// Compact forgets the history.
+func (s *Server) Compact(ctx context.Context) error {
+	_, err := s.ask(ctx, message{kind: kindCompact})
+	return err
+}
+
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, key string) (store.Entry, error) {
+	a, err := c.call(ctx, message{kind: kindGet, key: key})
+	return a.entry, err
+}
+
+// List implements store.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]store.Entry, types.Revision, error) {
+	a, err := c.call(ctx, message{kind: kindList, key: prefix})
+	return a.entries, a.revision, err
+}
+
+// CAS implements store.Store.
+func (c *Client) CAS(ctx context.Context, w store.Write) (types.Revision, error) {
+	a, err := c.call(ctx, message{kind: kindCAS, write: w})
+	return a.revision, err
+}
+
+// GrantLease implements store.Store.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	a, err := c.call(ctx, message{kind: kindLeaseGrant, ttl: ttl})
+	return a.lease, err
+}
+
+// KeepAlive implements store.Store.
+func (c *Client) KeepAlive(ctx context.Context, id store.LeaseID) error {
+	_, err := c.call(ctx, message{kind: kindLeaseKeepAlive, lease: id})
+	return err
+}
+
+// RevokeLease implements store.Store.
+func (c *Client) RevokeLease(ctx context.Context, id store.LeaseID) error {
+	_, err := c.call(ctx, message{kind: kindLeaseRevoke, lease: id})
+	return err
+}
+
+// Watch implements store.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after types.Revision) ([]store.Event, types.Revision, error) {
+	a, err := c.call(ctx, message{kind: kindWatch, key: prefix, after: after, wait: store.MaxWatchWait})
+	return a.events, a.revision, err
+}
+
+func (c *Client) call(ctx context.Context, m message) (answer, error) {
+	m.client = c.name
+	return c.server.call(ctx, m)
+}
--- a/standin/store/control.go
+++ b/standin/store/control.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"sequoiasail.example/standin/internal/httpserve"
+	"sequoiasail.example/standin/httpserve"
 	"sequoiasail.example/transport/store"
 )
 
--- a/standin/store/message.go
+++ b/standin/store/message.go
@@ -21,11 +21,12 @@
 	kindVMs
 	kindSetVMs
 	kindSetFaults
+	kindCompact
 	kindCount
 )
 
 var kindNames = [kindCount]string{
-	"get", "list", "cas", "leaseGrant", "leaseKeepAlive", "leaseRevoke", "watch", "vms", "setVMs", "setFaults",
+	"get", "list", "cas", "leaseGrant", "leaseKeepAlive", "leaseRevoke", "watch", "vms", "setVMs", "setFaults", "compact",
 }
 
 // message is one call. Only the fields of its kind are set.
--- a/standin/store/server.go
+++ b/standin/store/server.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -15,8 +16,8 @@
 
 	"sequoiasail.example/duty"
 	"sequoiasail.example/ring"
-	"sequoiasail.example/standin/internal/httpserve"
-	"sequoiasail.example/standin/internal/loop"
+	"sequoiasail.example/standin/httpserve"
+	"sequoiasail.example/standin/loop"
 	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
 )
@@ -38,6 +39,9 @@
 // maxBody bounds a request body: a value of the largest size as base64 in JSON, in bytes.
 const maxBody = 2 * store.MaxValueBytes
 
+// ErrBroken ends a call whose caller must get no answer, although it may have taken effect.
+var ErrBroken = types.NewFault(types.CodeAnswerLost, "the answer is lost")
+
 // Options describes a stand-in store.
 type Options struct {
 	// Listen is host:port.
@@ -53,6 +57,14 @@
 	counts [kindCount]atomic.Uint64
 }
 
+// New returns a stand-in store that keeps history changes for watches. Duty has to run.
+func New(history int) *Server {
+	return &Server{in: ring.New[message](ringCapacity), state: newState(history)}
+}
+
+// Duty returns the duty that owns the content. It stops before the front ends, so that no call waits for it.
+func (s *Server) Duty() duty.Duty { return loop.Duty("store-state", s.in, s.state) }
+
 // Start adds and starts the duties of a stand-in store, and returns its address.
 func Start(ctx context.Context, g *duty.Group, o Options) (string, error) {
 	if o.History == 0 {
@@ -62,9 +74,9 @@
 	if err != nil {
 		return "", err
 	}
-	s := &Server{in: ring.New[message](ringCapacity), state: newState(o.History)}
+	s := New(o.History)
 	g.Add(httpserve.Duty("http-store", l, s.routes(), nil))
-	g.Add(loop.Duty("store-state", s.in, s.state))
+	g.Add(s.Duty())
 	return l.Addr().String(), g.Start(ctx)
 }
 
@@ -135,28 +147,37 @@
 
 // serve answers one call of the platform's interface under the faults in force.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, m message, body func(answer) any) {
-	s.counts[m.kind].Add(1)
 	m.client = r.Header.Get(store.HeaderClient)
+	a, err := s.call(r.Context(), m)
+	switch {
+	case errors.Is(err, ErrBroken):
+		httpserve.Break()
+	case err != nil:
+		refuse(w, err)
+	default:
+		httpserve.Encode(w, http.StatusOK, body(a))
+	}
+}
+
+// call applies one call under the faults in force. It returns the fault of the store, or ErrBroken.
+func (s *Server) call(ctx context.Context, m message) (answer, error) {
+	s.counts[m.kind].Add(1)
 	f := s.state.faults.Load()
 	if f.silences(m.client) {
-		s.hang(r.Context())
+		s.hang(ctx)
+		return answer{}, ErrBroken
 	}
-	if f.cuts(m.client) || !loop.Pause(r.Context(), time.Duration(f.SlowMs)*time.Millisecond) {
-		httpserve.Break()
+	if f.cuts(m.client) || !loop.Pause(ctx, time.Duration(f.SlowMs)*time.Millisecond) {
+		return answer{}, ErrBroken
 	}
 	if f.Down {
-		refuse(w, types.NewFault(types.CodeStoreUnavailable, "store is down"))
-		return
+		return answer{}, types.NewFault(types.CodeStoreUnavailable, "store is down")
 	}
-	a, err := s.ask(r.Context(), m)
+	a, err := s.ask(ctx, m)
 	if a.lose || loop.Gone(err) {
-		httpserve.Break()
-	}
-	if err != nil {
-		refuse(w, err)
-		return
+		return answer{}, ErrBroken
 	}
-	httpserve.Encode(w, http.StatusOK, body(a))
+	return a, err
 }
 
 // hang holds a call until its caller or the store goes away.
@@ -165,7 +186,6 @@
 	case <-ctx.Done():
 	case <-s.in.Done():
 	}
-	httpserve.Break()
 }
 
 // ask returns the answer of the state duty, and its fault as the error.
--- a/standin/store/state.go
+++ b/standin/store/state.go
@@ -87,6 +87,8 @@
 		return s.setVMs(now, m.vms)
 	case kindSetFaults:
 		return s.setFaults(m.faults)
+	case kindCompact:
+		return s.compact()
 	}
 	return failed(types.CodeInternal, "unknown call")
 }
@@ -170,6 +172,12 @@
 	return answer{}
 }
 
+// compact forgets the history, so that watches from before it fail.
+func (s *state) compact() answer {
+	s.history, s.forgotten = nil, s.revision
+	return answer{revision: s.revision}
+}
+
 // Finish implements loop.State.
 func (s *state) Finish() {
 	s.endWatches(func(watcher) (answer, bool) { return watchEnded, true })
--- a/standin/target/control.go
+++ b/standin/target/control.go
@@ -5,7 +5,7 @@
 
 	"github.com/gorilla/mux"
 
-	"sequoiasail.example/standin/internal/httpserve"
+	"sequoiasail.example/standin/httpserve"
 )
 
 // PathTargets is the root of the control page. GET lists the targets. Below it, service/name/faults, /journal and
--- a/standin/target/gate.go
+++ b/standin/target/gate.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"sequoiasail.example/standin/internal/httpserve"
-	"sequoiasail.example/standin/internal/loop"
+	"sequoiasail.example/standin/httpserve"
+	"sequoiasail.example/standin/loop"
 )
 
 // relistenPause separates attempts to open the listener again after an outage.
--- a/standin/target/host.go
+++ b/standin/target/host.go
@@ -7,8 +7,8 @@
 
 	"sequoiasail.example/duty"
 	"sequoiasail.example/ring"
-	"sequoiasail.example/standin/internal/httpserve"
-	"sequoiasail.example/standin/internal/loop"
+	"sequoiasail.example/standin/httpserve"
+	"sequoiasail.example/standin/loop"
 	"sequoiasail.example/types"
 )
 
--- a/standin/target/server.go
+++ b/standin/target/server.go
@@ -18,8 +18,8 @@
 	"github.com/gorilla/mux"
 
 	"sequoiasail.example/ring"
-	"sequoiasail.example/standin/internal/httpserve"
-	"sequoiasail.example/standin/internal/loop"
+	"sequoiasail.example/standin/httpserve"
+	"sequoiasail.example/standin/loop"
 	"sequoiasail.example/transport/target"
 	"sequoiasail.example/types"
 )
