Missing registrations are kept only after a long silence of the store, and VMs don't prolong it for each other

Any failed call began a grace of 2.2 s, and a VM that asked another within its grace began one of its own. Ruled out: watches that miss events (no VM saw a draining entry; the entry was removed). Now a silence of 1.8 s of all calls begins the grace, and a VM that is told takes over what is left of it. TestGraceIsNotProlongedByTelling and TestSingleFailureGivesNoGrace did not compile before.

--- a/catalog/registry.go
+++ b/catalog/registry.go
@@ -16,7 +16,7 @@
 	entries map[types.Target]entry
 	// evacuated holds the data centres that are out of service.
 	evacuated map[types.DataCentre]bool
-	// returnedAt is when the store answered again after it had failed; 0 while it is away.
+	// returnedAt is when the store last answered again after it had been away for long; 0 for never.
 	returnedAt types.Instant
 	away       bool
 }
@@ -41,20 +41,33 @@
 	return &Registry{entries: make(map[types.Target]entry), evacuated: make(map[types.DataCentre]bool)}
 }
 
-// StoreAway notes that the store did not answer. Nothing is removed until it has returned.
+// StoreAway notes that the store did not answer. Missing registrations are kept until it answers.
 func (r *Registry) StoreAway() { r.away = true }
 
 // StoreBack notes that the store answers.
-func (r *Registry) StoreBack(now types.Instant) {
-	if r.away {
-		r.away = false
-		r.returnedAt = now
+func (r *Registry) StoreBack() { r.away = false }
+
+// Returned notes that the store answered at a time after it had been away for so long that registrations lapse. Those
+// that went missing may come back for a while from then.
+func (r *Registry) Returned(at types.Instant) {
+	if r.returnedAt.Before(at) {
+		r.returnedAt = at
 	}
 }
 
-// Returning reports whether registrations that are missing may still come back.
-func (r *Registry) Returning(now types.Instant) bool {
-	return r.returnedAt != 0 && now.Before(r.returnedAt.Add(returnGrace))
+// GraceLeft returns how long registrations that are missing may still come back.
+func (r *Registry) GraceLeft(now types.Instant) time.Duration {
+	if r.returnedAt == 0 {
+		return 0
+	}
+	return max(0, r.returnedAt.Add(returnGrace).Sub(now))
+}
+
+// Grace notes that another VM keeps missing registrations for a time from now.
+func (r *Registry) Grace(now types.Instant, left time.Duration) {
+	if left > 0 {
+		r.Returned(now.Add(left - returnGrace))
+	}
 }
 
 // Put records a registration.
@@ -69,7 +82,7 @@
 	if !ok {
 		return
 	}
-	if e.Draining || !r.Returning(now) {
+	if e.Draining || r.GraceLeft(now) == 0 {
 		delete(r.entries, t)
 		return
 	}
--- a/catalog/registry_test.go
+++ b/catalog/registry_test.go
@@ -27,7 +27,8 @@
 	r.StoreAway()
 	is.True(!r.Expire(now.Add(time.Minute)))
 	now = now.Add(time.Minute)
-	r.StoreBack(now)
+	r.StoreBack()
+	r.Returned(now)
 	r.Replace(now, nil)
 	is.Equal(names(r), []types.Target{"a", "b"})
 	r.Put(now.Add(time.Second), a)
@@ -35,6 +36,24 @@
 	is.Equal(names(r), []types.Target{"a"})
 }
 
+// Guards against VMs that prolong each other's grace: one told by another keeps a missing registration no longer than
+// that one. Replays zcsp-brana-grown trouble-2, where requests reached a target 2.5 s after its removal.
+func TestGraceIsNotProlongedByTelling(t *testing.T) {
+	is := is.New(t)
+	now := types.Instant(time.Hour)
+	first, second := NewRegistry(), NewRegistry()
+	first.Returned(now)
+	second.Replace(now, []Registration{{Target: "a", Address: "a"}})
+	now = now.Add(returnGrace - time.Millisecond)
+	second.Grace(now, first.GraceLeft(now))
+	second.Replace(now, nil)
+	is.Equal(len(names(second)), 1)
+	is.True(second.Expire(now.Add(time.Millisecond)))
+	now = now.Add(time.Second)
+	second.Grace(now, first.GraceLeft(now))
+	is.Equal(second.GraceLeft(now), time.Duration(0))
+}
+
 // Guards against a removal being delayed while the store is sound, or for a target that had announced its end.
 func TestRemovalIsImmediate(t *testing.T) {
 	is := is.New(t)
@@ -43,8 +62,7 @@
 	r.Replace(now, []Registration{{Target: "a", Address: "a"}, {Target: "b", Address: "b", Draining: true}})
 	r.Remove(now, "a")
 	is.Equal(names(r), []types.Target{"b"})
-	r.StoreAway()
-	r.StoreBack(now)
+	r.Returned(now)
 	r.Remove(now, "b")
 	is.Equal(len(names(r)), 0)
 }
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -320,3 +320,15 @@
 	}
 	is.True(now.Sub(start) <= 2200*time.Millisecond)
 }
+
+// Guards against a target that is kept after its removal because of a single call that failed: the store was not away.
+func TestSingleFailureGivesNoGrace(t *testing.T) {
+	is := is.New(t)
+	now := types.Instant(time.Hour)
+	k, _ := newTestKnowledge(now)
+	k.watching.storeAt = now
+	k.hearStore(now.Add(time.Second))
+	is.Equal(k.registry.GraceLeft(now.Add(time.Second)), time.Duration(0))
+	k.hearStore(now.Add(4 * time.Second))
+	is.True(k.registry.GraceLeft(now.Add(4*time.Second)) > 0)
+}
--- a/daemon/edge/knowledge.go
+++ b/daemon/edge/knowledge.go
@@ -103,6 +103,7 @@
 
 func (k *knowledge) run(ctx context.Context) error {
 	k.watching.startedAt = telemetry.Now()
+	k.watching.storeAt = k.watching.startedAt
 	k.decide(k.watching.startedAt)
 	_ = k.gates[ownPrefix].Replace(true)
 	tick := time.NewTicker(expireInterval)
@@ -137,7 +138,7 @@
 		k.answerMirror(telemetry.Now(), m)
 		return
 	case storeHeard:
-		k.watching.storeAt = telemetry.Now()
+		k.hearStore(telemetry.Now())
 		return
 	case toldDigest:
 		k.hearDigest(telemetry.Now(), m.from, m.digest)
@@ -157,7 +158,7 @@
 	if c != nil && !u.mirrored {
 		c.away = u.err != nil && types.CodeOf(u.err) != types.CodeNotFound
 		if u.err == nil {
-			k.watching.storeAt = now
+			k.hearStore(now)
 		}
 	}
 	if u.err != nil {
@@ -167,10 +168,8 @@
 		return
 	}
 	if u.prefix == platform.TargetPrefix {
-		if u.returned {
-			k.registry.StoreAway()
-		}
-		k.registry.StoreBack(now)
+		k.registry.StoreBack()
+		k.registry.Grace(now, u.graceLeft)
 	}
 	if u.mirrored {
 		k.log.Info("another VM told what the store holds", log.Fields{"prefix": u.prefix, "revision": u.revision})
--- a/daemon/edge/mirror.go
+++ b/daemon/edge/mirror.go
@@ -38,8 +38,8 @@
 	Newer    bool
 	Revision types.Revision
 	Entries  []store.Entry
-	// Returned is true shortly after the store was away: registrations that are missing may come back.
-	Returned bool
+	// GraceLeft is how long registrations that are missing may still come back, after the store was away.
+	GraceLeft time.Duration
 }
 
 // mirrorRead passes a question to the knowledge duty.
@@ -98,7 +98,7 @@
 		if !a.Newer {
 			continue
 		}
-		u := update{prefix: q.question.Prefix, snapshot: true, mirrored: true, entries: a.Entries, revision: a.Revision, returned: a.Returned}
+		u := update{prefix: q.question.Prefix, snapshot: true, mirrored: true, entries: a.Entries, revision: a.Revision, graceLeft: a.GraceLeft}
 		if m.out.Put(ctx, u) != nil {
 			return nil
 		}
@@ -132,7 +132,7 @@
 		a = k.mirrorOwners()
 	case c == nil || c.known <= q.Known:
 	case q.Known == 0 || (k.watching.on && !c.away && k.inTouch(now)):
-		a = MirrorAnswer{Newer: true, Revision: c.known, Returned: k.registry.Returning(now)}
+		a = MirrorAnswer{Newer: true, Revision: c.known, GraceLeft: k.registry.GraceLeft(now)}
 		for _, e := range c.entries {
 			a.Entries = append(a.Entries, e)
 		}
--- a/daemon/edge/watch.go
+++ b/daemon/edge/watch.go
@@ -33,9 +33,9 @@
 	audit bool
 	// mirrored is true for an answer of another VM in place of the store.
 	mirrored bool
-	// returned is true for such an answer shortly after the store was away.
-	returned bool
-	entries  []store.Entry
+	// graceLeft is how long, by such an answer, missing registrations may still come back.
+	graceLeft time.Duration
+	entries   []store.Entry
 	// revision is the store's revision of a snapshot.
 	revision types.Revision
 	events   []store.Event
--- a/daemon/edge/watching.go
+++ b/daemon/edge/watching.go
@@ -26,6 +26,9 @@
 	// the same while others rely on it. The session calls the store every sessionRenewal or watcherRenewal.
 	storeSilence        = 1600 * time.Millisecond
 	watcherStoreSilence = time.Second
+	// lapseTime is how long the store must have been silent for registrations to lapse meanwhile: three heartbeats of a
+	// target, 2.6 s, less the time between two calls of this VM.
+	lapseTime = 1800 * time.Millisecond
 	// doubtTime is how long the data centre has to tell a change of which a digest was heard.
 	doubtTime = 400 * time.Millisecond
 	// introduction is how long a VM that has found no other waits for their registrations before it decides.
@@ -114,6 +117,15 @@
 	return now.Sub(k.watching.storeAt) < limit
 }
 
+// hearStore notes that the store has answered. After a long silence the registrations of targets may have lapsed.
+func (k *knowledge) hearStore(now types.Instant) {
+	if now.Sub(k.watching.storeAt) >= lapseTime {
+		k.log.Info("store answers after a long silence", log.Fields{"silence": now.Sub(k.watching.storeAt).String()})
+		k.registry.Returned(now)
+	}
+	k.watching.storeAt = now
+}
+
 // storeHeard tells the knowledge duty that the store has answered the session.
 type storeHeard struct{}
 
