--- a/admission/choose.go
+++ b/admission/choose.go
@@ -54,11 +54,11 @@
 	if i < 0 {
 		return nil, types.CodeNoOwner
 	}
+	owner := s.owners.Ranges[i].Owner
+	t := c.targets[owner.Target]
 	if now.Before(f.waitUntil) || s.moves(now, f.key) {
 		return nil, c.waitOrRefuse(now, f, true)
 	}
-	owner := s.owners.Ranges[i].Owner
-	t := c.targets[owner.Target]
 	if t == nil || t.Life != owner.Life || t.gone(now) {
 		return nil, c.waitOrRefuse(now, f, now.Sub(f.arrived) < ownerWait)
 	}
--- a/admission/core.go
+++ b/admission/core.go
@@ -128,7 +128,7 @@
 	f.service = c.choosePart(m.Route)
 	if f.service == nil {
 		c.flights[f.id] = f
-		c.refuse(f, types.CodeNoRoute)
+		c.refuse(now, f, types.CodeNoRoute)
 		return
 	}
 	f.service.budget.request(now)
@@ -165,7 +165,7 @@
 		f.service.wait(f)
 	default:
 		f.service.stopWaiting(f)
-		c.refuse(f, verdict)
+		c.refuse(now, f, verdict)
 	}
 }
 
@@ -194,7 +194,7 @@
 	}
 	if f.sentTo == nil {
 		f.service.stopWaiting(f)
-		c.refuse(f, types.CodeDeadlineExceeded)
+		c.refuse(now, f, types.CodeDeadlineExceeded)
 		return
 	}
 	c.actions = append(c.actions, Fail{ID: f.id, Code: types.CodeDeadlineExceeded}, Abort{ID: f.id, Attempt: f.attempts})
@@ -219,9 +219,9 @@
 	}
 }
 
-func (c *Core) refuse(f *flight, code types.Code) {
+func (c *Core) refuse(now types.Instant, f *flight, code types.Code) {
 	after := shortestRetryAfter + time.Duration(c.random.Int64N(int64(retryAfterSpread)))
-	c.actions = append(c.actions, Refuse{ID: f.id, Code: code, RetryAfter: after})
+	c.actions = append(c.actions, Refuse{ID: f.id, Code: code, RetryAfter: after, Reason: c.reason(now, f)})
 	delete(c.flights, f.id)
 }
 
@@ -254,7 +254,7 @@
 	case c.mayRepeat(now, f, notRun || f.route.Idempotent):
 		c.again(now, f, t, m)
 	case notRun:
-		c.refuse(f, types.CodeTargetRefused)
+		c.refuse(now, f, types.CodeTargetRefused)
 	default:
 		c.actions = append(c.actions, Fail{ID: f.id, Code: types.CodeTargetFailed})
 		delete(c.flights, f.id)
--- a/admission/message.go
+++ b/admission/message.go
@@ -151,6 +151,8 @@
 		ID         FlightID
 		Code       types.Code
 		RetryAfter time.Duration
+		// Reason tells what decided, for the log.
+		Reason string
 	}
 	// Fail tells the caller that its request may or may not have run.
 	Fail struct {
--- a/admission/target.go
+++ b/admission/target.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"fmt"
 	"math"
 	"time"
 
@@ -156,10 +155,3 @@
 	queue := 1 + max(0, t.load(now)+1-float64(t.Slots))/float64(max(t.Slots, 1))
 	return time.Duration(float64(work) * slow * queue * (1 + 3*t.failures))
 }
-
-// explain tells the log what is known of the target.
-func (t *target) explain(now types.Instant) string {
-	return fmt.Sprintf("own %d peers %d others %.1f of %d slots, slowness %.1f seen %s ago, failures %.2f, expected %s",
-		t.own, t.peers, t.others(now), t.Slots, t.slowness, now.Sub(t.slowAt).Round(time.Millisecond), t.failures,
-		t.expected(now).Round(time.Millisecond))
-}
--- a/daemon/edge/admission.go
+++ b/daemon/edge/admission.go
@@ -233,7 +233,7 @@
 		d.Outcome = "answered"
 		a.meter.answered.Inc()
 	case admission.Refuse:
-		d.Outcome, d.Code, d.Detail = "refused, not run", string(m.Code), "retry after "+m.RetryAfter.String()
+		d.Outcome, d.Code, d.Detail = "refused, not run", string(m.Code), "retry after "+m.RetryAfter.String()+", "+m.Reason
 		a.meter.refused.Inc()
 	case admission.Fail:
 		d.Outcome, d.Code = "failed, may have run", string(m.Code)
