keyspace: keys of a target that is lost without a sign move after one hold; the keeper has a lease of its own

Renewals without an answer put the end of the owner's hold off until its registration lapsed: 8 to 11 s without an owner. An owner that leaves a call unanswered now gets probes instead of grants, and after 1 s its keys are given to others once its grants have run out. A confirmed grant counts from its answer, without the time-out of the call; it never shortens an earlier hold. Holds last 4.2 s (7.2 s before) and are renewed every 1.8 s (4 s), so that a keeper that is lost must be followed sooner: its role has a lease of 2 s of its own, the entry of a VM keeps 3 s.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -212,7 +212,7 @@
 func (e *Edge) addSession() {
 	e.session = &session{
 		store: e.store, in: e.knowledge.session, keeper: e.keeper, knowledge: e.knowledge.in, log: e.log, jitter: jitter,
-		ttl: max(sessionTTL, e.settings.ShortestLease), leaving: make(chan struct{}),
+		ttl: max(sessionTTL, e.settings.ShortestLease), roleTTL: max(roleTTL, e.settings.ShortestLease), leaving: make(chan struct{}),
 		entry: e.knowledge.entry,
 	}
 	e.group.Add(e.session.duty())
@@ -223,7 +223,7 @@
 	orders := ring.New[orderJob](orderCapacity)
 	k := &keeper{
 		name:     string(e.settings.VM) + "/" + strconv.FormatUint(uint64(e.session.entry.Incarnation), 10),
-		settings: keyspace.Defaults(e.settings.LongestHold),
+		settings: e.keeperSettings(),
 		in:       e.keeper, stores: stores, orders: orders, peers: reports, admission: e.admission, log: e.log,
 		knowledge: e.knowledge.in,
 		wards:     make(map[types.Service]*ward),
@@ -237,6 +237,13 @@
 	}
 }
 
+// keeperSettings are those of the keyspace cores. A predecessor is valid for its lease at most.
+func (e *Edge) keeperSettings() keyspace.Settings {
+	s := keyspace.Defaults(e.settings.LongestHold)
+	s.Term = e.session.roleTTL
+	return s
+}
+
 func (e *Edge) addAdmission(jobs *ring.Ring[job], reports *ring.Ring[report], m *meter) {
 	a := &admissionDuty{
 		in: e.admission, jobs: jobs, peers: reports, log: e.log, meter: m,
--- a/daemon/edge/session.go
+++ b/daemon/edge/session.go
@@ -15,8 +15,14 @@
 )
 
 const (
-	// sessionTTL is the time to live of a VM's lease. It bounds how long a lost keeper delays its successor.
+	// sessionTTL is the time to live of the lease of a VM's entry.
 	sessionTTL = 3 * time.Second
+	// roleTTL is the same for the role of the keeper. It bounds how long a lost keeper delays its successor, who must renew
+	// the grants before they run out.
+	roleTTL = 2 * time.Second
+	// roleRenewal leaves two more tries before the role ends, roleCall bounds each.
+	roleRenewal = 500 * time.Millisecond
+	roleCall    = 400 * time.Millisecond
 	// sessionRenewal leaves two more tries before the lease ends.
 	sessionRenewal = time.Second
 	// watcherRenewal is the same on VMs that watch the store for others: the answers show that it is not cut off.
@@ -27,7 +33,7 @@
 	sessionCall = 800 * time.Millisecond
 	// sessionEnd bounds the last call, within the stop time of the process.
 	sessionEnd = 300 * time.Millisecond
-	// sessionMargin is taken off the validity of the lease for differences between the clocks.
+	// sessionMargin is taken off the validity of the role for differences between the clocks.
 	sessionMargin = 200 * time.Millisecond
 	// electionStep is the time between the tries of two VMs to become the keeper, electionLimit the longest wait. The
 	// entry of the first is known to the others within a step or two.
@@ -48,8 +54,12 @@
 	log       *telemetry.Log
 	jitter    func(time.Duration) time.Duration
 	ttl       time.Duration
+	roleTTL   time.Duration
 
+	// lease is that of the VM's entry, role that of the keeper's; 0 for none.
 	lease      store.LeaseID
+	role       store.LeaseID
+	renewAt    types.Instant
 	registered bool
 	elected    bool
 	// leaving is closed when the VM begins to stop: it gives the role of the keeper up.
@@ -144,8 +154,14 @@
 
 // round renews what is due and returns the time until the next round.
 func (s *session) round(ctx context.Context) time.Duration {
-	if err := s.renew(ctx); err != nil {
-		return sessionRetry + s.jitter(sessionRetry/3)
+	if s.elected {
+		s.renewRole(ctx)
+	}
+	if !telemetry.Now().Before(s.renewAt) {
+		if err := s.renew(ctx); err != nil {
+			return sessionRetry + s.jitter(sessionRetry/3)
+		}
+		s.renewAt = telemetry.Now().Add(s.renewal())
 	}
 	if s.stopped {
 		s.leave(ctx)
@@ -154,16 +170,41 @@
 	if s.mayStand() && !telemetry.Now().Before(s.standAt) {
 		s.stand(ctx)
 	}
+	if s.elected {
+		return roleRenewal
+	}
+	return max(0, s.renewAt.Sub(telemetry.Now()))
+}
+
+// renewal is the time between two renewals of the lease of the entry, less a little for timers.
+func (s *session) renewal() time.Duration {
 	if s.watches {
 		return watcherRenewal
 	}
 	return sessionRenewal
 }
 
+// renewRole renews the lease of the role. A failure is repeated at the next round; the role ends by itself.
+func (s *session) renewRole(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, roleCall)
+	defer cancel()
+	sent := telemetry.Now()
+	err := s.store.KeepAlive(callCtx, s.role)
+	switch {
+	case err == nil:
+		s.extend(ctx, sent)
+		_ = s.knowledge.TryPut(storeHeard{})
+	case types.CodeOf(err) == types.CodeNotFound:
+		s.role = 0
+		s.depose(ctx, "its lease has ended")
+	default:
+		s.log.Warn("role of the keeper not renewed", log.Fields{"left": s.validUntil.Sub(telemetry.Now()).String(), "error": err.Error()})
+	}
+}
+
 func (s *session) renew(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, sessionCall)
 	defer cancel()
-	sent := telemetry.Now()
 	if s.lease == 0 {
 		id, err := s.store.GrantLease(ctx, s.ttl)
 		if err != nil {
@@ -173,13 +214,9 @@
 	} else if err := s.store.KeepAlive(ctx, s.lease); err != nil {
 		if types.CodeOf(err) == types.CodeNotFound {
 			s.lease = 0
-			if s.elected {
-				s.depose(ctx, "the lease has ended")
-			}
 		}
 		return err
 	}
-	s.extend(ctx, sent)
 	_ = s.knowledge.TryPut(storeHeard{})
 	if s.registered {
 		return nil
@@ -187,9 +224,9 @@
 	return s.register(ctx)
 }
 
-// extend tells the keeper duty how long its role holds.
+// extend tells the keeper duty how long its role holds after a renewal that was sent at a time.
 func (s *session) extend(ctx context.Context, sent types.Instant) {
-	s.validUntil = sent.Add(s.ttl - sessionMargin)
+	s.validUntil = sent.Add(s.roleTTL - sessionMargin)
 	if s.elected {
 		_ = s.keeper.Put(ctx, keyspace.Elected{Until: s.validUntil})
 	}
@@ -223,8 +260,17 @@
 func (s *session) stand(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, sessionCall)
 	defer cancel()
+	sent := telemetry.Now()
+	if s.role == 0 || s.store.KeepAlive(ctx, s.role) != nil {
+		var err error
+		if s.role, err = s.store.GrantLease(ctx, s.roleTTL); err != nil {
+			s.log.Info("not elected", log.Fields{"error": err.Error()})
+			return
+		}
+	}
+	s.validUntil = sent.Add(s.roleTTL - sessionMargin)
 	k := keeperEntry{VM: s.entry.VM, Incarnation: s.entry.Incarnation}
-	w := store.Write{Key: keeperKey, Value: encodeJSON(k), Lease: s.lease}
+	w := store.Write{Key: keeperKey, Value: encodeJSON(k), Lease: s.role}
 	succeeds := s.seen.known
 	if succeeds {
 		w.Expected = s.seen.revision
@@ -260,12 +306,14 @@
 
 // end removes the entries of this VM.
 func (s *session) end() {
-	if s.lease == 0 {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), sessionEnd)
 	defer cancel()
-	if err := s.store.RevokeLease(ctx, s.lease); err != nil {
-		s.log.Warn("lease not ended, it runs out", log.Fields{"error": err.Error()})
+	for _, id := range []store.LeaseID{s.lease, s.role} {
+		if id == 0 {
+			continue
+		}
+		if err := s.store.RevokeLease(ctx, id); err != nil {
+			s.log.Warn("lease not ended, it runs out", log.Fields{"error": err.Error()})
+		}
 	}
 }
--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -45,14 +45,25 @@
 	connection uint64
 	// renewAt is when the next grant is due.
 	renewAt types.Instant
-	// heldUntil is the latest time at which the owner may hold the range by any grant.
-	heldUntil types.Instant
-	// unansweredUntil is the same for grants without an answer: a release does not end those.
+	// confirmedUntil is until when the owner may hold the range by grants that it has confirmed, or by those of an earlier
+	// keeper. underWayUntil is the same for the call under way, unansweredUntil for grants without an answer, which a release
+	// does not end. formerUntil is the part of those with lower fences, which end when a higher one is confirmed.
+	confirmedUntil  types.Instant
+	underWayUntil   types.Instant
 	unansweredUntil types.Instant
+	formerUntil     types.Instant
 	// restUntil is when the range may be moved for balance again.
 	restUntil types.Instant
 }
 
+// heldUntil is the latest time at which the owner may hold the range by any grant.
+func (s *span) heldUntil() types.Instant {
+	return later(later(s.confirmedUntil, s.underWayUntil), s.doubtUntil())
+}
+
+// doubtUntil is until when grants without an answer may hold.
+func (s *span) doubtUntil() types.Instant { return later(s.unansweredUntil, s.formerUntil) }
+
 // Core decides for one keyed service. It is owned by one goroutine.
 type Core struct {
 	settings Settings
@@ -75,16 +86,18 @@
 	members     map[types.Target]Member
 	ended       map[Owner]bool
 	outstanding map[Owner]int
-	pending     *Table
-	load        load
-	planAt      types.Instant
-	balanceAt   types.Instant
-	commitAt    types.Instant
-	grownAt     types.Instant
-	speeds      map[Owner]*speed
-	work        time.Duration
-	healthPath  string
-	actions     []Action
+	// suspects are owners that have left a call unanswered.
+	suspects   map[Owner]suspicion
+	pending    *Table
+	load       load
+	planAt     types.Instant
+	balanceAt  types.Instant
+	commitAt   types.Instant
+	grownAt    types.Instant
+	speeds     map[Owner]*speed
+	work       time.Duration
+	healthPath string
+	actions    []Action
 }
 
 // New returns a core that is not the keeper. name identifies this run of this VM in what it writes; healthPath is
@@ -93,7 +106,8 @@
 	return &Core{
 		settings: s, name: name, healthPath: healthPath,
 		members: make(map[types.Target]Member), ended: make(map[Owner]bool), outstanding: make(map[Owner]int),
-		speeds: make(map[Owner]*speed), work: usualWork,
+		suspects: make(map[Owner]suspicion),
+		speeds:   make(map[Owner]*speed), work: usualWork,
 	}
 }
 
@@ -211,7 +225,7 @@
 	}
 	bound := later(now, c.movesFrom).Add(c.settings.holdBound(c.settings.LongHold))
 	for _, r := range c.table.Ranges {
-		s := span{heldUntil: bound, unansweredUntil: bound, renewAt: now}
+		s := span{confirmedUntil: bound, formerUntil: bound, renewAt: now}
 		if i := old.Index(r.From); i >= 0 && i < len(oldSpans) && !foreign && sameGrant(old.Ranges[i], r) {
 			s = oldSpans[i]
 			if s.phase == committing {
@@ -244,6 +258,7 @@
 		return c.actions
 	}
 	c.extendHolds(now)
+	c.probeSuspects(now)
 	if c.uncertain {
 		c.requestLoad(now)
 		c.order(now)
--- a/keyspace/core_test.go
+++ b/keyspace/core_test.go
@@ -147,3 +147,36 @@
 	is.Equal(lives[Owner{Target: "t1", Life: 1}], 1)
 	is.Equal(lives[Owner{Target: "t1", Life: 2}], 1)
 }
+
+// Guards against keys that stay with a target that is lost without a sign: each renewal without an answer could put the
+// end of its hold off, and its registration lapses only after seconds.
+func TestKeysOfASilentTargetMoveAfterItsHold(t *testing.T) {
+	is := is.New(t)
+	c, now := ready(t, "t1", "t2")
+	start := now
+	limit := c.settings.RenewEvery + c.settings.CallTimeout + c.settings.holdBound(c.settings.Hold) + time.Second
+	for shares(c)["t1"] > 0 && now.Sub(start) < 20*time.Second {
+		now = now.Add(50 * time.Millisecond)
+		queue := c.Tick(now)
+		for len(queue) > 0 {
+			a := queue[0]
+			queue = queue[1:]
+			switch a := a.(type) {
+			case Commit:
+				queue = append(queue, c.Step(now, Committed{})...)
+			case Batch:
+				for i, call := range a.Calls {
+					result := CallDone
+					if a.Owner.Target == "t1" {
+						// The rest of a batch is not sent after a call without an answer.
+						result = []CallResult{CallUnanswered, CallNotSent}[min(i, 1)]
+					}
+					queue = append(queue, c.Step(now, Called{Call: call, Result: result, Slowness: 1, Connection: 1})...)
+				}
+				queue = append(queue, c.BatchDone(now, a.Owner)...)
+			}
+		}
+	}
+	is.Equal(shares(c)["t1"], 0)
+	is.True(now.Sub(start) <= limit)
+}
--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -11,7 +11,7 @@
 		if s.phase != leaving {
 			continue
 		}
-		if c.over(c.table.Ranges[i].Owner) || (!s.busy && !now.Before(s.heldUntil)) {
+		if c.over(c.table.Ranges[i].Owner) || (!s.busy && !now.Before(s.heldUntil())) {
 			s.phase = freed
 		}
 	}
@@ -114,7 +114,7 @@
 	var owners []Owner
 	for i := range c.spans {
 		owner := c.table.Ranges[i].Owner
-		if !c.due(now, i) || c.outstanding[owner] > 0 || len(batches[owner]) >= batchCalls {
+		if !c.due(now, i) || c.outstanding[owner] > 0 || (c.suspected(owner) && c.spans[i].phase == held) || len(batches[owner]) >= batchCalls {
 			continue
 		}
 		if len(batches[owner]) == 0 {
@@ -148,7 +148,7 @@
 		} else {
 			// The calls of a batch follow one another, so that the last may leave after all others have timed out.
 			sent := now.Add(c.settings.CallTimeout * batchCalls)
-			s.heldUntil = later(s.heldUntil, sent.Add(c.settings.holdBound(hold)))
+			s.underWayUntil = sent.Add(c.settings.holdBound(hold))
 			call.Renewal, call.Connection = s.sent, s.connection
 			s.sent = true
 			if !s.granted {
@@ -182,7 +182,7 @@
 // finishCall applies the result of one call. The table may have changed since the call was sent.
 func (c *Core) finishCall(now types.Instant, m Called) {
 	if m.Call.Kind == CallProbe {
-		c.observe(now, Observed{Target: m.Call.Owner.Target, Slowness: m.Slowness})
+		c.probed(now, m)
 		return
 	}
 	if m.Result == CallOther {
@@ -207,20 +207,20 @@
 
 func (c *Core) granted(now types.Instant, i int, m Called) {
 	s, r := &c.spans[i], &c.table.Ranges[i]
-	bound := now.Add(c.settings.holdBound(m.Call.Hold))
+	s.underWayUntil = 0
 	switch m.Result {
 	case CallDone:
-		// Grants without an answer had lower fences, which the target refuses from now on.
-		s.unansweredUntil = 0
+		// The target refuses grants with lower fences from now on. The call arrived before now. It may not shorten a hold.
+		s.formerUntil = 0
 		s.granted = true
 		s.connection = m.Connection
 		s.renewAt = now.Add(c.settings.RenewEvery)
-		s.heldUntil = bound
+		s.confirmedUntil = later(s.confirmedUntil, now.Add(lasts(m.Call.Hold)))
 	case CallUnanswered:
 		s.connection = 0
-		s.unansweredUntil = later(s.unansweredUntil, bound)
-		s.heldUntil = bound
+		s.unansweredUntil = later(s.unansweredUntil, now.Add(c.settings.holdBound(m.Call.Hold)))
 		s.renewAt = now.Add(retryCall)
+		c.suspect(now, r.Owner)
 	case CallReconnect:
 		c.refence(r.Owner)
 	case CallFenced:
@@ -231,7 +231,6 @@
 	default:
 		s.renewAt = now.Add(retryCall)
 	}
-	s.heldUntil = later(s.heldUntil, s.unansweredUntil)
 }
 
 // refence gives all ranges of an owner to it anew, with higher fences.
@@ -272,8 +271,8 @@
 		return
 	}
 	c.table.Ranges[i].Handover = m.Handover
-	s.heldUntil = s.unansweredUntil
-	s.renewAt = s.heldUntil
+	s.confirmedUntil = 0
+	s.renewAt = s.doubtUntil()
 }
 
 // renewed is the state of a range after the commit of its next owner. If that is the same target, its former grants still
@@ -281,7 +280,7 @@
 func (s span) renewed(now types.Instant, same bool) span {
 	n := span{fresh: true, renewAt: now, restUntil: now.Add(moveRest)}
 	if same {
-		n.heldUntil, n.unansweredUntil, n.restUntil = s.heldUntil, s.unansweredUntil, s.restUntil
+		n.confirmedUntil, n.formerUntil, n.restUntil = s.confirmedUntil, s.doubtUntil(), s.restUntil
 	}
 	return n
 }
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -13,7 +13,7 @@
 	var warm, cold []Member
 	for _, m := range c.members {
 		switch {
-		case !m.Usable:
+		case !m.Usable || c.suspected(m.Owner):
 		case now.Before(m.ColdUntil):
 			cold = append(cold, m)
 		default:
@@ -141,7 +141,7 @@
 // mayHold reports whether a life of a target is the present one and may have keys. A cold owner keeps what it has.
 func (c *Core) mayHold(o Owner) bool {
 	m, ok := c.members[o.Target]
-	return ok && m.Usable && m.Owner == o && !c.ended[o]
+	return ok && m.Usable && m.Owner == o && !c.ended[o] && !c.silent(o)
 }
 
 // move starts to move a range, or changes the destination of a move under way.
@@ -204,7 +204,7 @@
 	for i := range c.spans {
 		s := &c.spans[i]
 		if s.phase == held && !s.busy && s.granted && c.table.Ranges[i].Owner == from.member.Owner &&
-			!now.Before(s.restUntil) && !now.Before(s.unansweredUntil) {
+			!now.Before(s.restUntil) && !now.Before(s.doubtUntil()) {
 			list = append(list, i)
 		}
 	}
--- a/keyspace/settings.go
+++ b/keyspace/settings.go
@@ -5,7 +5,7 @@
 // Settings are the times and limits of a Core.
 type Settings struct {
 	// Hold is the time to live of a grant, counted by the target from the arrival of the call. Keys of a target that is lost
-	// without a sign wait for its end.
+	// without a sign wait for its end. What is left of it when a keeper is lost, Hold less RenewEvery, should exceed Term.
 	Hold time.Duration
 	// LongHold is used instead of Hold while the store or the keeper's lease is in trouble.
 	LongHold time.Duration
@@ -80,12 +80,12 @@
 // Defaults returns the settings for targets that hold a grant for at most maxHold.
 func Defaults(maxHold time.Duration) Settings {
 	return Settings{
-		Hold:            maxHold * 72 / 100,
+		Hold:            maxHold * 42 / 100,
 		LongHold:        maxHold,
-		RenewEvery:      maxHold * 40 / 100,
+		RenewEvery:      maxHold * 18 / 100,
 		CallTimeout:     600 * time.Millisecond,
 		ReleaseTimeout:  2500 * time.Millisecond,
-		Term:            3 * time.Second,
+		Term:            2 * time.Second,
 		Settle:          time.Second,
 		SettleLimit:     4 * time.Second,
 		RangesPerTarget: 8,
@@ -93,10 +93,13 @@
 	}
 }
 
-// holdBound is the longest time after the sending of a grant for which its target may hold the keys.
-func (s Settings) holdBound(hold time.Duration) time.Duration {
-	return s.CallTimeout + time.Duration(float64(hold)*(1+clockDrift)) + holdMargin
+// lasts is the longest time after the arrival of a grant for which its target may hold the keys.
+func lasts(hold time.Duration) time.Duration {
+	return time.Duration(float64(hold)*(1+clockDrift)) + holdMargin
 }
 
+// holdBound is the same after the sending of a grant.
+func (s Settings) holdBound(hold time.Duration) time.Duration { return s.CallTimeout + lasts(hold) }
+
 // retryCall is how long a call to a target waits after one that failed.
 const retryCall = 300 * time.Millisecond
--- a/keyspace/speed.go
+++ b/keyspace/speed.go
@@ -103,7 +103,6 @@
 			continue
 		}
 		s.askedAt = now
-		c.outstanding[m.Owner]++
-		c.actions = append(c.actions, Batch{Owner: m.Owner, Calls: []Call{{Kind: CallProbe, Owner: m.Owner, Path: c.healthPath}}})
+		c.ask(m.Owner)
 	}
 }
--- a/keyspace/table.go
+++ b/keyspace/table.go
@@ -1,6 +1,7 @@
 package keyspace
 
 import (
+	"cmp"
 	"sort"
 
 	"sequoiasail.example/types"
@@ -18,6 +19,10 @@
 	Life   int64
 }
 
+func compareOwners(a, b Owner) int {
+	return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Life, b.Life))
+}
+
 // Range is a run of keys with one owner.
 type Range struct {
 	// From and To are both inclusive.
