--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -21,7 +21,6 @@
 	"sequoiasail.example/telemetry"
 	"sequoiasail.example/transport/forward"
 	"sequoiasail.example/transport/peer"
-	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
 )
 
@@ -68,7 +67,7 @@
 	log      *telemetry.Log
 	metrics  *telemetry.Metrics
 	group    *duty.Group
-	store    *platform.Store
+	store    *meteredStore
 	random   *rand.Rand
 
 	admission *ring.Ring[any]
@@ -83,12 +82,13 @@
 // New builds the daemon with the settings of file, which is read again when it changes. Nothing runs before Run.
 func New(s platform.Settings, file string, output io.Writer) *Edge {
 	e := &Edge{
-		settings: s, file: file, metrics: telemetry.NewMetrics(), group: duty.NewGroup(), store: platform.NewStore(s.StoreAddress),
+		settings: s, file: file, metrics: telemetry.NewMetrics(), group: duty.NewGroup(),
 		log:       telemetry.NewLog(output, log.Fields{"vm": s.VM, "dataCentre": s.DataCentre}),
 		random:    rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(len(s.VM)))),
 		admission: ring.New[any](admissionCapacity),
 		keeper:    ring.New[any](keeperCapacity),
 	}
+	e.store = &meteredStore{Store: platform.NewStore(s.StoreAddress), metrics: e.metrics, log: e.log}
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(libraryLog{log: e.log})
 	e.metrics.Gauge("sail_log_dropped_total", func() float64 { return float64(e.log.Dropped()) })
@@ -157,6 +157,7 @@
 	members := ring.New[fleet](1)
 	meter := newMeter(e.metrics)
 	e.group.Add(e.log.Duty())
+	e.group.Add(e.store.duty())
 	e.addKnowledge(members, reports)
 	e.group.Add((&peerSender{
 		vm: e.settings.VM, dataCentre: e.settings.DataCentre, in: reports, members: members, keeper: e.keeper, conn: conn, log: e.log,
@@ -231,7 +232,7 @@
 		hosts:     make(map[string]*forward.Host),
 	}
 	e.group.Add(k.duty())
-	e.group.Add((&keeperStore{in: stores, out: e.keeper, store: store.Store(e.store)}).duty())
+	e.group.Add((&keeperStore{in: stores, out: e.keeper, store: e.store}).duty())
 	for i := range orderers {
 		e.group.Add((&orderer{index: i, in: orders, out: e.keeper, settings: k.settings, log: e.log}).duty())
 	}
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -332,3 +332,18 @@
 	k.hearStore(now.Add(4 * time.Second))
 	is.True(k.registry.GraceLeft(now.Add(4*time.Second)) > 0)
 }
+
+// Guards against every VM of a large fleet reading the owners of keys from the store: calls are priced and limited. A VM
+// that is told by a neighbour asks it first, and the store when that did not help.
+func TestOwnersAreReadFromANeighbourFirst(t *testing.T) {
+	is := is.New(t)
+	now := telemetry.Now()
+	k, _ := newTestKnowledge(now)
+	k.reads = ring.New[ownerRead](1)
+	k.watching.heardAt = now
+	k.readOwners("maps", 0)
+	is.Equal(k.mirrors.Depth(), 1)
+	is.Equal(k.reads.Depth(), 0)
+	k.readOwners("maps", 0)
+	is.Equal(k.reads.Depth(), 1)
+}
--- a/daemon/edge/knowledge.go
+++ b/daemon/edge/knowledge.go
@@ -67,7 +67,9 @@
 	auditedAt types.Instant
 	// heardAt is when the keeper last told the version of the owners, readAt when they were last asked from the store.
 	heardAt types.Instant
-	readAt  map[types.Service]types.Instant
+	// ownersAsked is when a neighbour was last asked for them.
+	ownersAsked types.Instant
+	readAt      map[types.Service]types.Instant
 }
 
 // keeperSeen tells the session who the store says is the keeper.
--- a/daemon/edge/owners.go
+++ b/daemon/edge/owners.go
@@ -23,6 +23,8 @@
 	ownersRetry = 300 * time.Millisecond
 	// keeperSilence is how long the keeper may say nothing before the owners are read from the store.
 	keeperSilence = 2 * time.Second
+	// mirrorTrust is how long after a question to a neighbour the store is asked, if the owners are still missing.
+	mirrorTrust = time.Second
 	// silentRead spaces those reads.
 	silentRead = 2 * time.Second
 )
@@ -160,9 +162,29 @@
 		return
 	}
 	k.readAt[s] = now
+	if address, ok := k.ownersMirror(now); ok && now.Sub(k.ownersAsked) > mirrorTrust {
+		k.ownersAsked = now
+		k.askAt(ownerPrefix, 0, address)
+		return
+	}
 	_ = k.reads.Replace(ownerRead{service: s})
 }
 
+// ownersMirror returns a watching VM of the data centre to read owners from, so that not every VM calls the store at each
+// change that it has missed. Watching VMs read the store.
+func (k *knowledge) ownersMirror(now types.Instant) (address string, ok bool) {
+	if k.watching.on || now.Sub(k.watching.heardAt) > watcherSilence {
+		return "", false
+	}
+	list := k.neighbours()
+	slices.SortFunc(list, func(a, b vmEntry) int { return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.VM, b.VM)) })
+	if len(list) == 0 {
+		return "", false
+	}
+	k.turn++
+	return list[k.turn%min(len(list), watchersPerCentre)].MirrorAddress, true
+}
+
 // refresh reads owners that are not known, or while the keeper is silent.
 func (k *knowledge) refresh(now types.Instant) {
 	if k.configuration == nil {
--- /dev/null
+++ b/daemon/edge/storemeter.go
@@ -0,0 +1,101 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"sequoiasail.example/duty"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/store"
+	"sequoiasail.example/types"
+)
+
+// callsInterval is how often the number of calls to the store is logged.
+const callsInterval = 10 * time.Second
+
+// storeCallKind is a call to the store.
+type storeCallKind uint8
+
+const (
+	callGet storeCallKind = iota
+	callList
+	callWrite
+	callLease
+	callRenewal
+	callWatch
+	storeCallKinds
+)
+
+var storeCallNames = [storeCallKinds]string{"get", "list", "write", "lease", "renewal", "watch"}
+
+// meteredStore counts the calls to the store by kind and answer.
+type meteredStore struct {
+	store.Store
+	metrics *telemetry.Metrics
+	log     *telemetry.Log
+	counts  [storeCallKinds]atomic.Uint64
+}
+
+func (m *meteredStore) count(k storeCallKind, err error) {
+	m.counts[k].Add(1)
+	answer := "ok"
+	if err != nil {
+		answer = string(types.CodeOf(err))
+	}
+	m.metrics.Counter(fmt.Sprintf("sail_store_calls_total{call=%q,answer=%q}", storeCallNames[k], answer)).Inc()
+}
+
+// duty logs the number of calls since the start.
+func (m *meteredStore) duty() duty.Duty {
+	return duty.Duty{Name: "store-calls", Run: func(ctx context.Context) error {
+		for ctx.Err() == nil {
+			pause(ctx, callsInterval)
+			fields := log.Fields{}
+			for k, name := range storeCallNames {
+				fields[name] = m.counts[k].Load()
+			}
+			m.log.Info("calls to the store since the start", fields)
+		}
+		return nil
+	}}
+}
+
+func (m *meteredStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	e, err := m.Store.Get(ctx, key)
+	m.count(callGet, err)
+	return e, err
+}
+
+func (m *meteredStore) List(ctx context.Context, prefix string) ([]store.Entry, types.Revision, error) {
+	e, r, err := m.Store.List(ctx, prefix)
+	m.count(callList, err)
+	return e, r, err
+}
+
+func (m *meteredStore) CAS(ctx context.Context, w store.Write) (types.Revision, error) {
+	r, err := m.Store.CAS(ctx, w)
+	m.count(callWrite, err)
+	return r, err
+}
+
+func (m *meteredStore) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	id, err := m.Store.GrantLease(ctx, ttl)
+	m.count(callLease, err)
+	return id, err
+}
+
+func (m *meteredStore) KeepAlive(ctx context.Context, id store.LeaseID) error {
+	err := m.Store.KeepAlive(ctx, id)
+	m.count(callRenewal, err)
+	return err
+}
+
+func (m *meteredStore) Watch(ctx context.Context, prefix string, after types.Revision) ([]store.Event, types.Revision, error) {
+	e, r, err := m.Store.Watch(ctx, prefix, after)
+	m.count(callWatch, err)
+	return e, r, err
+}
--- a/daemon/edge/watching.go
+++ b/daemon/edge/watching.go
@@ -33,7 +33,7 @@
 	doubtTime = 400 * time.Millisecond
 	// introduction is how long a VM that has found no other waits for their registrations before it decides.
 	introduction = 700 * time.Millisecond
-	// ownWatchTime is how long every VM watches the list of VMs after its start.
+	// ownWatchTime is how long every VM watches the list of VMs after its start, unless a neighbour tells it.
 	ownWatchTime = 2500 * time.Millisecond
 )
 
@@ -58,7 +58,7 @@
 	alone := now.Sub(max(k.watching.heardAt, k.watching.startedAt)) > watcherSilence
 	want := alone || k.keeperVM == k.vm || k.rank(neighbours) < watchers(len(neighbours))
 	for prefix, gate := range k.gates {
-		open := want || (prefix == ownPrefix && now.Sub(k.watching.startedAt) < ownWatchTime)
+		open := want || (prefix == ownPrefix && now.Sub(k.watching.startedAt) < ownWatchTime && k.watching.heardAt == 0)
 		// Replace can only fail when the process ends.
 		_ = gate.Replace(open)
 	}
@@ -149,27 +149,26 @@
 		k.doubt(now, c, d)
 		return
 	}
+	k.doubt(now, c, d)
 	if k.watching.on && !c.away {
-		k.log.Info("watch has missed a change", log.Fields{"prefix": d.prefix, "known": c.known, "told": d.at, "by": from})
-		k.readAgain(now, d.prefix, auditSpacing)
+		// The watch is about to tell it: its calls are spaced.
 		return
 	}
-	k.doubt(now, c, d)
 	if near && !now.Before(c.mirrorAt) {
 		c.mirrorAt = now.Add(mirrorSpacing)
 		k.ask(d.prefix, c, k.vms[from])
 	}
 }
 
-// doubt notes that another VM knows more of a prefix than this one. The watching VMs of the data centre are about to tell
-// it, unless they are cut off or their answer is lost.
+// doubt notes that another VM knows more of a prefix than this one. The watching VMs of the data centre are about to hear
+// and tell it, unless they are cut off, a watch has missed it or an answer is lost.
 func (k *knowledge) doubt(now types.Instant, c *contents, d digest) {
 	if c.doubt.at == 0 {
 		c.doubt, c.doubtAt = d, now
 	}
 }
 
-// checkDoubts reads what the keeper knows and the data centre has not told from the store.
+// checkDoubts reads from the store what others know and neither the watch of this VM nor its neighbours have told.
 func (k *knowledge) checkDoubts(now types.Instant) {
 	for prefix, c := range k.contents {
 		switch {
@@ -178,7 +177,7 @@
 			c.doubt = digest{}
 		case now.Sub(c.doubtAt) >= doubtTime:
 			c.doubt = digest{}
-			k.log.Info("neighbours have missed a change", log.Fields{"prefix": prefix, "known": c.known})
+			k.log.Info("a change was missed", log.Fields{"prefix": prefix, "known": c.known, "watching": k.watching.on})
 			k.readAgain(now, prefix, auditSpacing)
 		}
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -134,7 +134,6 @@
 	// address makes the addresses of the VMs those of this run.
 	address uint32
 	output  *os.File
-	began   time.Time
 
 	store    *backend.Server
 	operator *operator
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -56,6 +56,7 @@
 	// planned is when the process was asked to stop, killed is true once it was killed on purpose or paused meanwhile.
 	planned time.Time
 	killed  bool
+	paused  bool
 	restart time.Duration
 	timer   *time.Timer
 }
@@ -120,7 +121,7 @@
 		return types.WrapFault(types.CodeInternal, err, "start %s", v.binary)
 	}
 	v.starts++
-	v.process, v.planned, v.killed = c.Process, time.Time{}, false
+	v.process, v.planned, v.killed, v.paused = c.Process, time.Time{}, false, false
 	p := c.Process
 	return v.group.Launch(ctx, duty.Duty{Name: "wait-" + strconv.Itoa(v.starts), Run: func(ctx context.Context) error {
 		state, err := p.Wait()
@@ -144,16 +145,18 @@
 	}
 	switch m := m.(type) {
 	case pauseVM:
-		v.killed = v.killed || !v.planned.IsZero()
+		v.killed, v.paused = v.killed || !v.planned.IsZero(), true
 		v.signal(syscall.SIGSTOP)
 	case resumeVM:
+		v.paused = false
 		v.signal(syscall.SIGCONT)
 	case killVM:
 		v.killed, v.restart = true, m.restart
 		v.signal(syscall.SIGKILL)
 	case stopVM:
 		if v.planned.IsZero() {
-			v.planned, v.restart = time.Now(), m.restart
+			// A process that is paused loses a part of its stop time.
+			v.planned, v.restart, v.killed = time.Now(), m.restart, v.killed || v.paused
 			v.signal(syscall.SIGTERM)
 			v.timer.Reset(v.settings.StopTime)
 		}
