--- a/keyspace/settings.go
+++ b/keyspace/settings.go
@@ -88,7 +88,7 @@
 		Term:            2 * time.Second,
 		Settle:          time.Second,
 		SettleLimit:     4 * time.Second,
-		RangesPerTarget: 8,
+		RangesPerTarget: 4,
 		MostRanges:      400,
 	}
 }
