--- a/cmd/internal/sailctl/command.go
+++ b/cmd/internal/sailctl/command.go
@@ -51,7 +51,7 @@
 func (a *app) all() []*command {
 	return []*command{
 		a.checkCommand(), a.generateCommand(), a.explainCommand(), a.diffCommand(), a.applyCommand(), a.reapplyCommand(),
-		a.historyCommand(), a.statusCommand(), a.watchCommand(),
+		a.historyCommand(), a.statusCommand(), a.watchCommand(), a.traceCommand(),
 		a.dataCentreCommand(), a.vmCommand(), a.targetCommand(),
 	}
 }
--- a/cmd/internal/sailctl/pages_test.go
+++ b/cmd/internal/sailctl/pages_test.go
@@ -47,6 +47,10 @@
 	if err := os.Rename(filepath.Join(w.dir, "joint-venture.json"), filepath.Join(w.dir, "answers.json")); err != nil {
 		t.Fatal(err)
 	}
+	// Lines of a play of zcsp-brana-grown scale-2, for the pages that trace requests.
+	if err := os.CopyFS(w.dir, os.DirFS("testdata/logs")); err != nil {
+		t.Fatal(err)
+	}
 	before, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/internal/sailctl/script_test.go
+++ b/cmd/internal/sailctl/script_test.go
@@ -168,7 +168,7 @@
 func (w *testSystem) run(args []string, stdout, stderr io.Writer) int {
 	args = append([]string(nil), args...)
 	for i, a := range args {
-		if strings.HasSuffix(a, ".json") {
+		if strings.HasSuffix(a, ".json") || strings.HasSuffix(a, ".jsonl") {
 			args[i] = filepath.Join(w.dir, a)
 		}
 	}
--- /dev/null
+++ b/cmd/internal/sailctl/trace.go
@@ -0,0 +1,115 @@
+package sailctl
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"sequoiasail.example/types"
+)
+
+const groupLogs = "logs (no store needed)"
+
+// maxLine bounds a log line, in bytes.
+const maxLine = 1 << 20
+
+// logLine is a line of a process's log.
+type logLine struct {
+	Timestamp time.Time      `json:"timestamp"`
+	Message   string         `json:"message"`
+	Fields    map[string]any `json:"fields"`
+}
+
+// text returns a field, or "" if it is not there.
+func (l logLine) text(field string) string {
+	s, _ := l.Fields[field].(string)
+	return s
+}
+
+func (a *app) traceCommand() *command {
+	c := &command{
+		name: "trace", group: groupLogs, usage: "trace REQUEST [FILE...]",
+		synopsis: "Print what the VMs logged of a request, in the order of time",
+		details: "\nWithout FILE the lines are read from standard input. What stands before the first brace of a line is passed\n" +
+			"over, as are lines that are no JSON. The request counts as not found when no line names it.\n",
+	}
+	c.run = func(_ context.Context, args []string) int {
+		if len(args) < 1 {
+			return a.usage(c)
+		}
+		lines, err := readLogs(args[0], args[1:])
+		if err != nil {
+			return a.fail("", err)
+		}
+		if len(lines) == 0 {
+			return a.fail("", types.NewFault(types.CodeNotFound, "no line names request %s", args[0]))
+		}
+		return a.done(a.print(lines, func() { a.printTrace(lines) }))
+	}
+	return c
+}
+
+// readLogs returns the lines of all files that name a request, ordered by time.
+func readLogs(request string, files []string) ([]logLine, error) {
+	if len(files) == 0 {
+		return readLog(request, os.Stdin, "standard input")
+	}
+	var all []logLine
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, types.WrapFault(types.CodeNotFound, err, "open log")
+		}
+		lines, err := readLog(request, f, name)
+		_ = f.Close()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	slices.SortStableFunc(all, func(a, b logLine) int { return cmp.Compare(a.Timestamp.UnixNano(), b.Timestamp.UnixNano()) })
+	return all, nil
+}
+
+func readLog(request string, r io.Reader, name string) ([]logLine, error) {
+	var found []logLine
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		start := bytes.IndexByte(s.Bytes(), '{')
+		if start < 0 || !bytes.Contains(s.Bytes(), []byte(request)) {
+			continue
+		}
+		var l logLine
+		if json.Unmarshal(s.Bytes()[start:], &l) == nil && l.text("request") == request {
+			found = append(found, l)
+		}
+	}
+	if err := s.Err(); err != nil {
+		return nil, types.WrapFault(types.CodeInternal, err, "read %s", name)
+	}
+	slices.SortStableFunc(found, func(a, b logLine) int { return cmp.Compare(a.Timestamp.UnixNano(), b.Timestamp.UnixNano()) })
+	return found, nil
+}
+
+// printTrace prints the time since the first line, the VM, and what was decided by what.
+func (a *app) printTrace(lines []logLine) {
+	first := lines[0].Timestamp
+	a.printf("%s\n", first.UTC().Format(time.RFC3339Nano))
+	for _, l := range lines {
+		var parts []string
+		for _, field := range []string{"target", "code", "outcome", "reason", "detail"} {
+			if text := l.text(field); text != "" {
+				parts = append(parts, field+": "+text)
+			}
+		}
+		a.printf("%8.3f s  %s  %s  %s\n", l.Timestamp.Sub(first).Seconds(), l.text("vm"), l.Message, strings.Join(parts, "; "))
+	}
+}
