keyspace: few probes of silent targets at once, 64 orderers

A data centre that goes silent leaves 50 to 80 targets without an answer; each probe kept one of 16 orderers busy for 0.6 s, so that the grants of the others, now 4.2 s long, ran out. At most 8 suspects are probed at once, each every 0.6 s. TestFewSuspectsAreProbedAtOnce.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -28,7 +28,7 @@
 // the oldest report.
 const (
 	senders           = 64
-	orderers          = 16
+	orderers          = 64
 	admissionCapacity = 1024
 	jobCapacity       = 256
 	updateCapacity    = 64
--- a/keyspace/core_test.go
+++ b/keyspace/core_test.go
@@ -1,6 +1,7 @@
 package keyspace
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -180,3 +181,27 @@
 	is.Equal(shares(c)["t1"], 0)
 	is.True(now.Sub(start) <= limit)
 }
+
+// Guards against renewals that wait behind probes of many silent targets. Replays zcsp-brana-grown scale-1, where a data
+// centre went silent and the grants of the others ran out: 46,759 requests reached targets that did not hold their key.
+func TestFewSuspectsAreProbedAtOnce(t *testing.T) {
+	is := is.New(t)
+	var names []types.Target
+	for i := range 60 {
+		names = append(names, types.Target(strconv.Itoa(i)))
+	}
+	c, now := ready(t, names...)
+	for _, name := range names[:50] {
+		c.suspect(now, Owner{Target: name, Life: 1})
+	}
+	probes := 0
+	for range 3 {
+		for _, a := range c.Tick(now) {
+			if b, ok := a.(Batch); ok && b.Calls[0].Kind == CallProbe {
+				probes++
+			}
+		}
+		now = now.Add(time.Second)
+	}
+	is.Equal(probes, mostProbes)
+}
--- a/keyspace/suspect.go
+++ b/keyspace/suspect.go
@@ -1,6 +1,7 @@
 package keyspace
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -34,17 +35,36 @@
 
 func (c *Core) silent(o Owner) bool { return c.suspects[o].silent }
 
-// probeSuspects asks the owners under suspicion for a sign of life.
+// Limits of the probes to suspects. Each one without an answer keeps an orderer busy for CallTimeout; when a data centre goes
+// silent, the renewals for all others must not wait for them.
+const (
+	// mostProbes is the number of suspects that are probed at once.
+	mostProbes = 8
+	// suspectInterval is the time between two probes of one suspect.
+	suspectInterval = 600 * time.Millisecond
+)
+
+// probeSuspects asks the owners under suspicion for a sign of life, those that have waited longest first.
 func (c *Core) probeSuspects(now types.Instant) {
-	for _, o := range slices.SortedFunc(maps.Keys(c.suspects), compareOwners) {
+	probed := 0
+	for o := range c.suspects {
+		if c.outstanding[o] > 0 {
+			probed++
+		}
+	}
+	byTurn := func(a, b Owner) int {
+		return cmp.Or(cmp.Compare(c.suspects[a].probeAt, c.suspects[b].probeAt), compareOwners(a, b))
+	}
+	for _, o := range slices.SortedFunc(maps.Keys(c.suspects), byTurn) {
 		s := c.suspects[o]
 		if m, ok := c.members[o.Target]; !ok || m.Owner != o || c.ended[o] {
 			delete(c.suspects, o)
 			continue
 		}
 		s.silent = s.silent || now.Sub(s.since) >= silentTime
-		if !now.Before(s.probeAt) && c.outstanding[o] == 0 {
-			s.probeAt = now.Add(retryCall)
+		if !now.Before(s.probeAt) && c.outstanding[o] == 0 && probed < mostProbes {
+			probed++
+			s.probeAt = now.Add(suspectInterval)
 			c.ask(o)
 		}
 		c.suspects[o] = s
