Late requests at a planned stop are refused; forced moves of keys do not wait for a surge

From 4.2 s on such requests are refused as not run; their callers go elsewhere. TestLateRequestsAreRefusedAtAPlannedStop.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -43,6 +43,9 @@
 	// leaveShare is the part of the stop time before connections are closed, 3.4 of 6 s: the load balancer has to see twice,
 	// a second apart, that this VM is not ready, and the last packets may be lost and sent again up to a second later.
 	leaveShare = 0.57
+	// refuseShare is the part of the stop time after which requests on open connections are refused as not run, 4.2 of 6 s:
+	// those that come later would be cut off by the kill.
+	refuseShare = 0.7
 	// stopMargin is the part of the stop time that is left for the last duties.
 	stopMargin = 800 * time.Millisecond
 	// lingerTime lets the last answers leave the VM before the process ends.
@@ -139,6 +142,8 @@
 	defer cancel()
 	// Once Server.Shutdown is called, net/http drops requests that arrive on connections opened before.
 	e.server.stopAccepting()
+	refusing := time.AfterFunc(time.Duration(refuseShare*float64(e.settings.StopTime))-leave, func() { e.front.refusing.Store(true) })
+	defer refusing.Stop()
 	e.front.finish(ctx)
 	if err := e.server.shutdown(ctx); err != nil {
 		e.log.Warn("requests were still in hand at the end of the stop time", log.Fields{"error": err.Error()})
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"sequoiasail.example/catalog"
 	"sequoiasail.example/keyspace"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
@@ -284,6 +286,27 @@
 	is.Equal(res.StatusCode, 200)
 }
 
+// Guards against requests that are taken late in the stop time and cut off at its end. Replays LOST of zcsp-brana
+// (hunt-d7da-27): a request came 5.07 s after SIGTERM on an open connection and was still at work when the process was killed
+// at 6 s.
+func TestLateRequestsAreRefusedAtAPlannedStop(t *testing.T) {
+	is := is.New(t)
+	f := &front{
+		knowledge: newKnowledge(), log: telemetry.NewLog(io.Discard, nil), meter: newMeter(telemetry.NewMetrics()),
+		admission: ring.New[any](1),
+	}
+	f.closing.Store(true)
+	f.refusing.Store(true)
+	f.knowledge.published.Store(&view{table: catalog.NewTable(catalog.Configuration{Routes: []catalog.Route{
+		{Name: "r", Host: "a.example", Prefix: "/", Timeout: time.Second},
+	}})})
+	rw := httptest.NewRecorder()
+	f.serve(rw, httptest.NewRequest(http.MethodGet, "http://a.example/", nil))
+	is.Equal(rw.Code, http.StatusServiceUnavailable)
+	is.Equal(rw.Header().Get("Connection"), "close")
+	is.Equal(f.admission.Depth(), 0)
+}
+
 // Guards against a VM that keeps an old configuration because the answer of its neighbour was lost.
 func TestUnansweredMirrorLeadsToTheStore(t *testing.T) {
 	is := is.New(t)
--- a/daemon/edge/front.go
+++ b/daemon/edge/front.go
@@ -31,6 +31,8 @@
 	next      atomic.Uint64
 	// closing is set when the VM stops: each answer ends its connection.
 	closing atomic.Bool
+	// refusing is set late in the stop time: a request that comes on an open connection could not be finished any more.
+	refusing atomic.Bool
 	// inHand counts the requests that have no answer yet.
 	inHand atomic.Int64
 }
@@ -54,6 +56,10 @@
 		f.reject(w, call, fault)
 		return
 	}
+	if f.refusing.Load() {
+		f.refuse(w, call, types.CodeShuttingDown)
+		return
+	}
 	v := f.knowledge.published.Load()
 	if v.table == nil {
 		f.refuse(w, call, types.CodeNotFound)
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -58,15 +58,13 @@
 	if now.Before(c.movesFrom) || c.pending != nil {
 		return
 	}
-	if c.surges(now) {
-		return
-	}
+	waits := c.surges(now)
 	bins := c.weigh(now)
 	if len(bins) == 0 {
 		return
 	}
 	moving := c.replaceOwners(now, bins)
-	if !now.Before(c.balanceAt) && c.balance(now, bins, moving) {
+	if !waits && !now.Before(c.balanceAt) && c.balance(now, bins, moving) {
 		c.balanceAt = now.Add(balanceInterval)
 	}
 }
