--- a/cmd/internal/operator/operator.go
+++ b/cmd/internal/operator/operator.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sequoiasail.example/config"
+	"sequoiasail.example/duty"
 	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
 )
@@ -74,14 +75,10 @@
 
 // waitFor waits for d without using the processor. It returns a CodeDeadlineExceeded fault when ctx ends first.
 func waitFor(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !duty.Pause(ctx, d) {
 		return types.WrapFault(types.CodeDeadlineExceeded, ctx.Err(), "stopped waiting")
 	}
+	return nil
 }
 
 // isNotFound reports whether err says that a key does not exist.
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -137,7 +137,7 @@
 	e.front.closing.Store(true)
 	close(e.session.leaving)
 	leave := time.Duration(leaveShare * float64(e.settings.StopTime))
-	pause(context.Background(), leave)
+	duty.Pause(context.Background(), leave)
 	ctx, cancel := context.WithTimeout(context.Background(), e.settings.StopTime-leave-stopMargin)
 	defer cancel()
 	// Once Server.Shutdown is called, net/http drops requests that arrive on connections opened before.
@@ -148,7 +148,7 @@
 	if err := e.server.shutdown(ctx); err != nil {
 		e.log.Warn("requests were still in hand at the end of the stop time", log.Fields{"error": err.Error()})
 	}
-	pause(context.Background(), lingerTime)
+	duty.Pause(context.Background(), lingerTime)
 	return e.group.Stop(context.Background())
 }
 
--- a/daemon/edge/front.go
+++ b/daemon/edge/front.go
@@ -12,6 +12,7 @@
 
 	"sequoiasail.example/admission"
 	"sequoiasail.example/catalog"
+	"sequoiasail.example/duty"
 	"sequoiasail.example/platform"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
@@ -85,7 +86,7 @@
 		if f.inHand.Load() > 0 {
 			quiet = time.Now()
 		}
-		pause(ctx, quietTime/10)
+		duty.Pause(ctx, quietTime/10)
 	}
 }
 
--- a/daemon/edge/storemeter.go
+++ b/daemon/edge/storemeter.go
@@ -53,7 +53,7 @@
 func (m *meteredStore) duty() duty.Duty {
 	return duty.Duty{Name: "store-calls", Run: func(ctx context.Context) error {
 		for ctx.Err() == nil {
-			pause(ctx, callsInterval)
+			duty.Pause(ctx, callsInterval)
 			fields := log.Fields{}
 			for k, name := range storeCallNames {
 				fields[name] = m.counts[k].Load()
--- a/daemon/edge/watch.go
+++ b/daemon/edge/watch.go
@@ -79,7 +79,7 @@
 		if w.out.Put(ctx, update{prefix: w.prefix, err: err}) != nil {
 			return nil
 		}
-		pause(ctx, storeRetry+w.jitter(storeRetryJitter))
+		duty.Pause(ctx, storeRetry+w.jitter(storeRetryJitter))
 	}
 	return nil
 }
@@ -123,19 +123,9 @@
 				return err
 			}
 		}
-		pause(ctx, w.pause)
+		duty.Pause(ctx, w.pause)
 		if w.gate.Drain(func(open bool) { w.open = open }); !w.open {
 			return nil
 		}
 	}
 }
-
-// pause parks for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/daemon/process/watch.go
+++ b/daemon/process/watch.go
@@ -71,7 +71,7 @@
 		if err := w.learnFromPeers(ctx); err != nil {
 			return nil
 		}
-		park(ctx, delay)
+		duty.Pause(ctx, delay)
 		delay = min(2*delay, watchRetryCeiling)
 	}
 	return nil
@@ -126,13 +126,3 @@
 	}
 	return w.Deliver(ctx, w.Knowledge.Apply(u))
 }
-
-// park waits for d or the end of ctx.
-func park(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -102,3 +102,13 @@
 	is.NoErr(g.Retire(context.Background(), "link"))
 	is.Equal(types.CodeOf(g.Retire(context.Background(), "link")), types.CodeNotFound)
 }
+
+// Guards against a wait that outlasts its caller, or that parks when there is nothing to wait for.
+func TestPause(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.True(!duty.Pause(ctx, time.Hour))
+	is.True(duty.Pause(ctx, 0))
+	is.True(duty.Pause(t.Context(), time.Millisecond))
+}
--- /dev/null
+++ b/duty/pause.go
@@ -0,0 +1,21 @@
+package duty
+
+import (
+	"context"
+	"time"
+)
+
+// Pause parks for d, which costs no processor time. It returns false when ctx ends first.
+func Pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -56,20 +56,11 @@
 		if c.conn != nil || c.connect(ctx) {
 			c.send(ctx)
 		}
-		wait(ctx, time.Duration(c.random.Int64N(int64(longestPause))))
+		duty.Pause(ctx, time.Duration(c.random.Int64N(int64(longestPause))))
 	}
 	return nil
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // connect chooses a VM among those that take connections, or any if there is none.
 func (c *caller) connect(ctx context.Context) bool {
 	var open []int
--- a/soak/link/link.go
+++ b/soak/link/link.go
@@ -195,7 +195,7 @@
 		if n > 0 && loses(s) {
 			p.lost.Store(true)
 		}
-		if s.Delay > 0 && !wait(ctx, s.Delay) {
+		if !duty.Pause(ctx, s.Delay) {
 			return
 		}
 		if n > 0 && !p.lost.Load() {
@@ -212,14 +212,3 @@
 		}
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -103,7 +103,7 @@
 			return err
 		}
 	}
-	for end := time.Now().Add(readyTime); !o.rotation.allOpen(); wait(ctx, storeRetry) {
+	for end := time.Now().Add(readyTime); !o.rotation.allOpen(); duty.Pause(ctx, storeRetry) {
 		if ctx.Err() != nil || time.Now().After(end) {
 			return types.NewFault(types.CodeTimeout, "the VMs are not ready after %v", readyTime)
 		}
@@ -184,7 +184,7 @@
 		})
 	}
 	for len(o.steps) > 0 && ctx.Err() == nil {
-		wait(ctx, time.Until(o.steps[0].at))
+		duty.Pause(ctx, time.Until(o.steps[0].at))
 		if err := o.runDue(ctx); err != nil {
 			return err
 		}
@@ -196,7 +196,7 @@
 func (o *operator) recover(ctx context.Context, result *outcome) {
 	began := time.Now()
 	for ctx.Err() == nil {
-		wait(ctx, storeRetry)
+		duty.Pause(ctx, storeRetry)
 		if time.Since(began) < recoveryWindow {
 			continue
 		}
--- a/soak/rotation.go
+++ b/soak/rotation.go
@@ -53,7 +53,7 @@
 			}
 		}
 		r.open.Store(mask)
-		wait(ctx, time.Until(next))
+		duty.Pause(ctx, time.Until(next))
 	}
 	return nil
 }
--- a/standin/loop/loop.go
+++ b/standin/loop/loop.go
@@ -99,20 +99,5 @@
 	}
 }
 
-// Pause waits for d. It returns false when ctx ends first.
-func Pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Gone reports whether err says that the caller has gone.
 func Gone(err error) bool { return errors.Is(err, context.Canceled) }
--- a/standin/loop/loop_test.go
+++ b/standin/loop/loop_test.go
@@ -74,6 +74,4 @@
 	cancel()
 	_, err := Wait(ctx, make(chan string))
 	is.True(Gone(err))
-	is.True(!Pause(ctx, time.Hour))
-	is.True(Pause(ctx, 0))
 }
--- a/standin/store/server.go
+++ b/standin/store/server.go
@@ -167,7 +167,7 @@
 		s.hang(ctx)
 		return answer{}, ErrBroken
 	}
-	if f.cuts(m.client) || !loop.Pause(ctx, time.Duration(f.SlowMs)*time.Millisecond) {
+	if f.cuts(m.client) || !duty.Pause(ctx, time.Duration(f.SlowMs)*time.Millisecond) {
 		return answer{}, ErrBroken
 	}
 	if f.Down {
--- a/standin/target/gate.go
+++ b/standin/target/gate.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"sequoiasail.example/duty"
 	"sequoiasail.example/standin/httpserve"
-	"sequoiasail.example/standin/loop"
 )
 
 // relistenPause separates attempts to open the listener again after an outage.
@@ -85,7 +85,7 @@
 
 // reopen waits for the outage to pass and listens again. It returns false when the gate is closed.
 func (g *gate) reopen(down time.Duration) bool {
-	for loop.Pause(g.ctx, down) {
+	for duty.Pause(g.ctx, down) {
 		if _, err := g.listen(g.address); err == nil {
 			return true
 		}
