Read the change: work done twice, twins and dead branches

admission: the wait for an owner was judged after the rates of all targets had been computed and dropped, on each request that has to wait. keyspace: weights of ranges are computed once for a sort, not in each comparison; one sum of rates, one walk over the ranges that an owner holds; max in place of an own later. daemon/edge: one order of VMs by size, one branch for the doubt of a digest and for the reads of owners, one place that computes the end of the role.

--- a/admission/choose.go
+++ b/admission/choose.go
@@ -71,15 +71,18 @@
 	return nil, c.waitOrRefuse(now, f, true)
 }
 
-// hopeless reports whether a request that would have to wait could not be answered within its objective or shortly after, judging by how
-// many wait before it and how many this VM has sent of late. Its caller is told at once and may come again, rather
-// than being kept to the end. t is the owner of the request's key, nil when any target will do.
+// hopeless reports whether a request that would have to wait could not be answered within its objective or shortly after,
+// judging by how many wait before it and at what rate they are served. Its caller is told at once and may come again,
+// rather than being kept to the end. t is the owner of the request's key, nil when any target will do.
 func (c *Core) hopeless(now types.Instant, f *flight, t *target) bool {
 	if f.waiting || f.attempts > 0 {
 		return false
 	}
-	rate, ahead := c.rates(now, f)
-	if t != nil {
+	var rate float64
+	var ahead int
+	if t == nil {
+		rate, ahead = c.rates(now, f)
+	} else {
 		rate, ahead = c.ownerRates(now, f, t)
 	}
 	wait := time.Duration(float64(ahead+1) / rate * float64(time.Second))
--- a/daemon/edge/mirror.go
+++ b/daemon/edge/mirror.go
@@ -169,10 +169,10 @@
 			continue
 		}
 		c.mirrorAt = now.Add(awaySpacing)
-		k.askAt(prefix, c.known, addresses[k.turn%len(addresses)])
+		k.ask(prefix, c.known, addresses[k.turn%len(addresses)])
 	}
 	if k.configuration != nil && len(k.owners) == 0 && !k.inTouch(now) {
-		k.askAt(ownerPrefix, 0, addresses[k.turn%len(addresses)])
+		k.ask(ownerPrefix, 0, addresses[k.turn%len(addresses)])
 	}
 	k.turn++
 }
--- a/daemon/edge/owners.go
+++ b/daemon/edge/owners.go
@@ -164,7 +164,7 @@
 	k.readAt[s] = now
 	if address, ok := k.ownersMirror(now); ok && now.Sub(k.ownersAsked) > mirrorTrust {
 		k.ownersAsked = now
-		k.askAt(ownerPrefix, 0, address)
+		k.ask(ownerPrefix, 0, address)
 		return
 	}
 	_ = k.reads.Replace(ownerRead{service: s})
@@ -177,10 +177,10 @@
 		return "", false
 	}
 	list := k.neighbours()
-	slices.SortFunc(list, func(a, b vmEntry) int { return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.VM, b.VM)) })
 	if len(list) == 0 {
 		return "", false
 	}
+	slices.SortFunc(list, byRank)
 	k.turn++
 	return list[k.turn%min(len(list), watchersPerCentre)].MirrorAddress, true
 }
@@ -194,9 +194,7 @@
 		if !s.Keyed {
 			continue
 		}
-		if _, known := k.owners[name]; !known {
-			k.readOwners(name, silentRead)
-		} else if now.Sub(k.heardAt) > keeperSilence {
+		if _, known := k.owners[name]; !known || now.Sub(k.heardAt) > keeperSilence {
 			k.readOwners(name, silentRead)
 		}
 	}
--- a/daemon/edge/session.go
+++ b/daemon/edge/session.go
@@ -78,8 +78,7 @@
 func (s *session) duty() duty.Duty { return duty.Duty{Name: "session", Run: s.run} }
 
 func (s *session) run(ctx context.Context) error {
-	wait := time.Duration(0)
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
@@ -178,7 +177,7 @@
 	return max(0, s.renewAt.Sub(telemetry.Now()))
 }
 
-// renewal is the time between two renewals of the lease of the entry, less a little for timers.
+// renewal is the time between two renewals of the lease of the entry.
 func (s *session) renewal() time.Duration {
 	if s.watches {
 		return watcherRenewal
@@ -228,7 +227,7 @@
 	return s.register(ctx)
 }
 
-// extend tells the keeper duty how long its role holds after a renewal that was sent at a time.
+// extend notes how long the role holds after a call for its lease that was sent at a time, and tells the keeper duty.
 func (s *session) extend(ctx context.Context, sent types.Instant) {
 	s.validUntil = sent.Add(s.roleTTL - sessionMargin)
 	if s.elected {
@@ -272,7 +271,7 @@
 			return
 		}
 	}
-	s.validUntil = sent.Add(s.roleTTL - sessionMargin)
+	s.extend(ctx, sent)
 	k := keeperEntry{VM: s.entry.VM, Incarnation: s.entry.Incarnation}
 	w := store.Write{Key: keeperKey, Value: encodeJSON(k), Lease: s.role}
 	succeeds := s.seen.known
--- a/daemon/edge/watching.go
+++ b/daemon/edge/watching.go
@@ -81,16 +81,18 @@
 // rank is the position of this VM among those of its data centre, the largest first. All VMs that know the same list
 // agree on it.
 func (k *knowledge) rank(neighbours []vmEntry) int {
-	own := k.entry
 	n := 0
 	for _, m := range neighbours {
-		if cmp.Or(cmp.Compare(m.Cores, own.Cores), cmp.Compare(own.VM, m.VM)) > 0 {
+		if byRank(m, k.entry) < 0 {
 			n++
 		}
 	}
 	return n
 }
 
+// byRank orders VMs, the largest first.
+func byRank(a, b vmEntry) int { return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.VM, b.VM)) }
+
 // tellNeighbours sends what this VM knows to its data centre, at once after a change and otherwise now and then.
 func (k *knowledge) tellNeighbours(now types.Instant, changed bool) {
 	if !k.watching.on || !k.inTouch(now) || (!changed && now.Sub(k.watching.toldAt) < digestInterval) {
@@ -145,18 +147,12 @@
 	if c == nil || !c.behind(d) {
 		return
 	}
-	if from == k.keeperVM && !near {
-		k.doubt(now, c, d)
-		return
-	}
 	k.doubt(now, c, d)
-	if k.watching.on && !c.away {
-		// The watch is about to tell it: its calls are spaced.
-		return
-	}
-	if near && !now.Before(c.mirrorAt) {
+	// A watch is about to tell it: its calls are spaced.
+	watched := k.watching.on && !c.away
+	if near && !watched && !now.Before(c.mirrorAt) {
 		c.mirrorAt = now.Add(mirrorSpacing)
-		k.ask(d.prefix, c, k.vms[from])
+		k.ask(d.prefix, c.known, k.vms[from].MirrorAddress)
 	}
 }
 
@@ -183,10 +179,7 @@
 	}
 }
 
-func (k *knowledge) ask(prefix string, c *contents, other vmEntry) {
-	k.askAt(prefix, c.known, other.MirrorAddress)
-}
-
-func (k *knowledge) askAt(prefix string, known types.Revision, address string) {
+// ask asks another VM for a prefix beyond what this VM knows of it.
+func (k *knowledge) ask(prefix string, known types.Revision, address string) {
 	_ = k.mirrors.Replace(mirrorAsk{question: MirrorQuestion{Prefix: prefix, Known: known}, address: address})
 }
--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -58,11 +58,11 @@
 
 // heldUntil is the latest time at which the owner may hold the range by any grant.
 func (s *span) heldUntil() types.Instant {
-	return later(later(s.confirmedUntil, s.underWayUntil), s.doubtUntil())
+	return max(s.confirmedUntil, s.underWayUntil, s.doubtUntil())
 }
 
 // doubtUntil is until when grants without an answer may hold.
-func (s *span) doubtUntil() types.Instant { return later(s.unansweredUntil, s.formerUntil) }
+func (s *span) doubtUntil() types.Instant { return max(s.unansweredUntil, s.formerUntil) }
 
 // Core decides for one keyed service. It is owned by one goroutine.
 type Core struct {
@@ -223,9 +223,9 @@
 	foreign := m.Found && !strings.HasPrefix(m.Table.Writer, c.name+"/")
 	if foreign && len(oldSpans) > 0 {
 		// Another keeper has written: what it has granted since is not known, as at the beginning of a term.
-		c.movesFrom = later(c.movesFrom, now.Add(c.settings.Term))
+		c.movesFrom = max(c.movesFrom, now.Add(c.settings.Term))
 	}
-	bound := later(now, c.movesFrom).Add(c.settings.holdBound(c.settings.LongHold))
+	bound := max(now, c.movesFrom).Add(c.settings.holdBound(c.settings.LongHold))
 	for _, r := range c.table.Ranges {
 		s := span{confirmedUntil: bound, formerUntil: bound, renewAt: now}
 		if i := old.Index(r.From); i >= 0 && i < len(oldSpans) && !foreign && sameGrant(old.Ranges[i], r) {
--- a/keyspace/load.go
+++ b/keyspace/load.go
@@ -38,11 +38,7 @@
 
 // surges reports whether a range has become busy of a sudden. Its average would show that only after loadWindow.
 func (l *load) surges(r Range) bool {
-	recent := float32(0)
-	for _, v := range l.recent[int(r.From) : int(r.To)+1] {
-		recent += v
-	}
-	return float64(recent) >= surgeFactor*l.of(r)+surgeRate
+	return sum(l.recent[int(r.From):int(r.To)+1]) >= surgeFactor*l.of(r)+surgeRate
 }
 
 // catchUp takes over the recent rates of a range.
@@ -51,12 +47,14 @@
 }
 
 // of returns the requests a second for a range.
-func (l *load) of(r Range) float64 {
-	sum := float32(0)
-	for _, v := range l.rate[int(r.From) : int(r.To)+1] {
-		sum += v
+func (l *load) of(r Range) float64 { return sum(l.rate[int(r.From) : int(r.To)+1]) }
+
+func sum(rates []float32) float64 {
+	total := float32(0)
+	for _, v := range rates {
+		total += v
 	}
-	return float64(sum)
+	return float64(total)
 }
 
 // most returns the requests a second for the busiest key of a range.
@@ -67,10 +65,10 @@
 // half returns the key that starts the second half of a range's load. The range must hold two keys or more.
 func (l *load) half(r Range) Key {
 	want := l.of(r) / 2
-	sum := 0.0
+	passed := 0.0
 	for k := int(r.From); k < int(r.To); k++ {
-		sum += float64(l.rate[k])
-		if sum >= want {
+		passed += float64(l.rate[k])
+		if passed >= want {
 			return Key(k + 1)
 		}
 	}
--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -1,6 +1,8 @@
 package keyspace
 
 import (
+	"iter"
+
 	"sequoiasail.example/types"
 )
 
@@ -176,13 +178,6 @@
 	c.actions = append(c.actions, b)
 }
 
-func later(a, b types.Instant) types.Instant {
-	if a.Before(b) {
-		return b
-	}
-	return a
-}
-
 // BatchDone tells the core that all calls of a batch have been answered.
 func (c *Core) BatchDone(now types.Instant, o Owner) []Action {
 	c.actions = nil
@@ -229,10 +224,10 @@
 		s.granted = true
 		s.connection = m.Connection
 		s.renewAt = now.Add(c.settings.RenewEvery)
-		s.confirmedUntil = later(s.confirmedUntil, now.Add(lasts(m.Call.Hold)))
+		s.confirmedUntil = max(s.confirmedUntil, now.Add(lasts(m.Call.Hold)))
 	case CallUnanswered:
 		s.connection = 0
-		s.unansweredUntil = later(s.unansweredUntil, now.Add(c.settings.holdBound(m.Call.Hold)))
+		s.unansweredUntil = max(s.unansweredUntil, now.Add(c.settings.holdBound(m.Call.Hold)))
 		s.renewAt = now.Add(retryCall)
 		c.suspect(now, r.Owner)
 	case CallReconnect:
@@ -249,10 +244,18 @@
 
 // refence gives all ranges of an owner to it anew, with higher fences.
 func (c *Core) refence(o Owner) {
-	for i := range c.spans {
-		s := &c.spans[i]
-		if s.phase == held && c.table.Ranges[i].Owner == o {
-			s.phase, s.next = refencing, o
+	for s := range c.heldBy(o) {
+		s.phase, s.next = refencing, o
+	}
+}
+
+// heldBy returns the states of the ranges that stay with an owner.
+func (c *Core) heldBy(o Owner) iter.Seq[*span] {
+	return func(yield func(*span) bool) {
+		for i := range c.spans {
+			if s := &c.spans[i]; s.phase == held && c.table.Ranges[i].Owner == o && !yield(s) {
+				return
+			}
 		}
 	}
 }
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -232,14 +232,16 @@
 // movable returns the indexes of the ranges that a target may give away now, the busiest first.
 func (c *Core) movable(now types.Instant, from *bin) []int {
 	var list []int
+	weights := make(map[int]float64)
 	for i := range c.spans {
 		s := &c.spans[i]
 		if s.phase == held && !s.busy && s.granted && c.table.Ranges[i].Owner == from.member.Owner &&
 			!now.Before(s.restUntil) && !now.Before(s.doubtUntil()) {
 			list = append(list, i)
+			weights[i] = c.weight(i)
 		}
 	}
-	slices.SortFunc(list, func(a, b int) int { return cmp.Compare(c.weight(b), c.weight(a)) })
+	slices.SortFunc(list, func(a, b int) int { return cmp.Compare(weights[b], weights[a]) })
 	return list
 }
 
--- a/keyspace/suspect.go
+++ b/keyspace/suspect.go
@@ -79,10 +79,8 @@
 		return
 	}
 	delete(c.suspects, o)
-	for i := range c.spans {
-		if s := &c.spans[i]; s.phase == held && c.table.Ranges[i].Owner == o {
-			s.renewAt = now
-		}
+	for s := range c.heldBy(o) {
+		s.renewAt = now
 	}
 }
 
