--- a/daemon/dispatcher/lease.go
+++ b/daemon/dispatcher/lease.go
@@ -82,17 +82,11 @@
 
 func (l *leaseCaller) run(ctx context.Context) error {
 	defer l.client.CloseConnection()
-	for {
-		c, err := l.in.Get(ctx)
-		if err != nil {
-			return nil
-		}
-		result := l.make(ctx, c)
-		message := ownership.Message{Kind: ownership.KindCallResult, Call: result}
-		if err := l.out.Put(ctx, leaseInput{message: message}); err != nil {
-			return nil
-		}
-	}
+	l.in.Serve(ctx, func(c ownership.TargetCall) error {
+		message := ownership.Message{Kind: ownership.KindCallResult, Call: l.make(ctx, c)}
+		return l.out.Put(ctx, leaseInput{message: message})
+	})
+	return nil
 }
 
 func (l *leaseCaller) make(ctx context.Context, c ownership.TargetCall) ownership.CallResult {
--- a/daemon/dispatcher/sender.go
+++ b/daemon/dispatcher/sender.go
@@ -75,19 +75,14 @@
 
 func (s *sender) run(ctx context.Context) error {
 	defer s.client.CloseConnection()
-	for {
-		m, err := s.in.Get(ctx)
-		if err != nil {
-			return nil
-		}
+	s.in.Serve(ctx, func(m send) error {
 		if m.request == nil {
 			s.client.CloseConnection()
-			continue
-		}
-		if err := s.out.Put(ctx, s.do(m)); err != nil {
 			return nil
 		}
-	}
+		return s.out.Put(ctx, s.do(m))
+	})
+	return nil
 }
 
 func (s *sender) do(m send) sent {
--- a/daemon/dispatcher/writer.go
+++ b/daemon/dispatcher/writer.go
@@ -40,19 +40,14 @@
 }
 
 func (w *writer) run(ctx context.Context) error {
-	for {
-		a, err := w.in.Get(ctx)
-		if err != nil {
-			return nil
-		}
+	w.in.Serve(ctx, func(a ownership.Action) error {
 		message := w.readBack
 		if a.Kind == ownership.ActWrite {
 			message = w.write
 		}
-		if err := w.out.Put(ctx, leaseInput{message: message(ctx, a.Write)}); err != nil {
-			return nil
-		}
-	}
+		return w.out.Put(ctx, leaseInput{message: message(ctx, a.Write)})
+	})
+	return nil
 }
 
 func (w *writer) write(ctx context.Context, write ownership.Write) ownership.Message {
--- a/daemon/edge/audit.go
+++ b/daemon/edge/audit.go
@@ -47,19 +47,15 @@
 func (a *auditor) duty() duty.Duty { return duty.Duty{Name: "audit", Run: a.run} }
 
 func (a *auditor) run(ctx context.Context) error {
-	for {
-		r, err := a.in.Get(ctx)
-		if err != nil {
-			return nil
-		}
-		callCtx, cancel := context.WithTimeout(ctx, sessionCall)
-		entries, revision, err := a.store.List(callCtx, r.prefix)
-		cancel()
-		u := update{prefix: r.prefix, snapshot: err == nil, audit: true, entries: entries, revision: revision, err: err}
-		if a.out.Put(ctx, u) != nil {
-			return nil
-		}
-	}
+	a.in.Serve(ctx, func(r auditRequest) error { return a.out.Put(ctx, a.read(ctx, r)) })
+	return nil
+}
+
+func (a *auditor) read(ctx context.Context, r auditRequest) update {
+	ctx, cancel := context.WithTimeout(ctx, sessionCall)
+	defer cancel()
+	entries, revision, err := a.store.List(ctx, r.prefix)
+	return update{prefix: r.prefix, snapshot: err == nil, audit: true, entries: entries, revision: revision, err: err}
 }
 
 // contents tracks the keys of one prefix.
--- a/daemon/edge/keeperstore.go
+++ b/daemon/edge/keeperstore.go
@@ -28,21 +28,13 @@
 func (s *keeperStore) duty() duty.Duty { return duty.Duty{Name: "keeper-store", Run: s.run} }
 
 func (s *keeperStore) run(ctx context.Context) error {
-	for {
-		j, err := s.in.Get(ctx)
-		if err != nil {
-			return nil
-		}
-		var answer any
+	s.in.Serve(ctx, func(j storeJob) error {
 		if j.table == nil {
-			answer = s.read(ctx, j)
-		} else {
-			answer = s.write(ctx, j)
-		}
-		if s.out.Put(ctx, answer) != nil {
-			return nil
+			return s.out.Put(ctx, s.read(ctx, j))
 		}
-	}
+		return s.out.Put(ctx, s.write(ctx, j))
+	})
+	return nil
 }
 
 func (s *keeperStore) read(ctx context.Context, j storeJob) tableRead {
--- a/daemon/edge/mirror.go
+++ b/daemon/edge/mirror.go
@@ -85,24 +85,23 @@
 func (m *mirrorClient) duty() duty.Duty { return duty.Duty{Name: "mirror-client", Run: m.run} }
 
 func (m *mirrorClient) run(ctx context.Context) error {
-	for {
-		q, err := m.in.Get(ctx)
-		if err != nil {
-			return nil
-		}
-		a, err := m.ask(ctx, q)
-		if err != nil {
-			m.log.Warn("no answer from the mirror", log.Fields{"address": q.address, "error": err.Error()})
-			continue
-		}
-		if !a.Newer {
-			continue
-		}
-		u := update{prefix: q.question.Prefix, snapshot: true, mirrored: true, entries: a.Entries, revision: a.Revision, graceLeft: a.GraceLeft}
-		if m.out.Put(ctx, u) != nil {
-			return nil
-		}
+	m.in.Serve(ctx, func(q mirrorAsk) error { return m.answer(ctx, q) })
+	return nil
+}
+
+// answer asks a question and passes on what is newer.
+func (m *mirrorClient) answer(ctx context.Context, q mirrorAsk) error {
+	a, err := m.ask(ctx, q)
+	if err != nil {
+		m.log.Warn("no answer from the mirror", log.Fields{"address": q.address, "error": err.Error()})
+		return nil
+	}
+	if !a.Newer {
+		return nil
 	}
+	return m.out.Put(ctx, update{
+		prefix: q.question.Prefix, snapshot: true, mirrored: true, entries: a.Entries, revision: a.Revision, graceLeft: a.GraceLeft,
+	})
 }
 
 // ask opens a connection for each question, because questions come only while the store turns this VM away.
--- a/daemon/edge/orders.go
+++ b/daemon/edge/orders.go
@@ -27,24 +27,25 @@
 }
 
 func (o *orderer) run(ctx context.Context) error {
-	for {
-		j, err := o.in.Get(ctx)
-		if err != nil {
-			return nil
+	o.in.Serve(ctx, func(j orderJob) error { return o.perform(ctx, j) })
+	return nil
+}
+
+// perform sends the calls of a batch. After one that was not answered the others are not sent.
+func (o *orderer) perform(ctx context.Context, j orderJob) error {
+	broken := false
+	for i, c := range j.batch.Calls {
+		done := orderDone{service: j.service, called: keyspace.Called{Call: c, Result: keyspace.CallNotSent}}
+		if !broken {
+			done = o.call(ctx, j, c)
 		}
-		broken := false
-		for i, c := range j.batch.Calls {
-			done := orderDone{service: j.service, called: keyspace.Called{Call: c, Result: keyspace.CallNotSent}}
-			if !broken {
-				done = o.call(ctx, j, c)
-			}
-			broken = done.called.Result == keyspace.CallNotSent || done.called.Result == keyspace.CallUnanswered
-			done.last = i == len(j.batch.Calls)-1
-			if o.out.Put(ctx, done) != nil {
-				return nil
-			}
+		broken = done.called.Result == keyspace.CallNotSent || done.called.Result == keyspace.CallUnanswered
+		done.last = i == len(j.batch.Calls)-1
+		if err := o.out.Put(ctx, done); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // call performs one call unless the role of the keeper has ended meanwhile, which also holds after a pause of the VM.
--- a/daemon/edge/owners.go
+++ b/daemon/edge/owners.go
@@ -79,15 +79,8 @@
 func (r *ownerReader) duty() duty.Duty { return duty.Duty{Name: "owner-reader", Run: r.run} }
 
 func (r *ownerReader) run(ctx context.Context) error {
-	for {
-		j, err := r.in.Get(ctx)
-		if err != nil {
-			return nil
-		}
-		if r.out.Put(ctx, r.read(ctx, j.service)) != nil {
-			return nil
-		}
-	}
+	r.in.Serve(ctx, func(j ownerRead) error { return r.out.Put(ctx, r.read(ctx, j.service)) })
+	return nil
 }
 
 func (r *ownerReader) read(ctx context.Context, s types.Service) ownersFound {
--- a/daemon/edge/sender.go
+++ b/daemon/edge/sender.go
@@ -25,22 +25,19 @@
 }
 
 func (s *sender) run(ctx context.Context) error {
-	for {
-		j, err := s.jobs.Get(ctx)
-		if err != nil {
-			return nil
-		}
-		began := time.Now()
-		o := platform.Forward(j.ctx, j.host, j.call, j.body, j.send.Target.Target)
-		j.cancel()
-		s.explain(j, o, time.Since(began))
-		err = s.out.Put(ctx, admission.Finished{
-			ID: j.send.ID, Attempt: j.send.Attempt, Result: o.Result, Failed: o.Failed, Unreachable: o.Unreachable,
-			Report: o.Report, Answer: o.Answer,
-		})
-		if err != nil {
-			return nil
-		}
+	s.jobs.Serve(ctx, func(j job) error { return s.out.Put(ctx, s.send(j)) })
+	return nil
+}
+
+// send performs one attempt.
+func (s *sender) send(j job) admission.Finished {
+	began := time.Now()
+	o := platform.Forward(j.ctx, j.host, j.call, j.body, j.send.Target.Target)
+	j.cancel()
+	s.explain(j, o, time.Since(began))
+	return admission.Finished{
+		ID: j.send.ID, Attempt: j.send.Attempt, Result: o.Result, Failed: o.Failed, Unreachable: o.Unreachable,
+		Report: o.Report, Answer: o.Answer,
 	}
 }
 
--- a/daemon/process/links.go
+++ b/daemon/process/links.go
@@ -63,15 +63,13 @@
 
 func (l *Links) run(ctx context.Context) error {
 	defer func() { _ = l.group.Stop(context.WithoutCancel(ctx)) }()
-	for {
-		peers, err := l.in.Get(ctx)
-		if err != nil {
-			return nil
-		}
+	l.in.Serve(ctx, func(peers []Peer) error {
 		if l.apply(ctx, peers) {
 			l.Publish(maps.Clone(l.active))
 		}
-	}
+		return nil
+	})
+	return nil
 }
 
 // apply retires links to peers that are gone or restarted, and reports whether anything changed.
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -108,6 +108,17 @@
 	}
 }
 
+// Serve removes each element and passes it to do. It returns when ctx ends, when the ring is closed and empty, or when do
+// returns an error, which the consumer has dealt with.
+func (r *Ring[T]) Serve(ctx context.Context, do func(T) error) {
+	for {
+		v, err := r.Get(ctx)
+		if err != nil || do(v) != nil {
+			return
+		}
+	}
+}
+
 // TryGet removes the oldest element without waiting. ok is false when the ring is empty.
 func (r *Ring[T]) TryGet() (v T, ok bool) {
 	v, ok, _ = r.pop()
--- a/ring/ring_test.go
+++ b/ring/ring_test.go
@@ -153,3 +153,30 @@
 	close(c)
 	wg.Wait()
 }
+
+// Guards against a consumer that loses what a closed ring still holds, or that goes on after it has failed.
+func TestServe(t *testing.T) {
+	is := is.New(t)
+	r := ring.New[int](4)
+	for v := range 4 {
+		is.NoErr(r.TryPut(v))
+	}
+	failed := errors.New("failed")
+	r.Serve(t.Context(), func(v int) error {
+		if v == 1 {
+			return failed
+		}
+		return nil
+	})
+	is.Equal(r.Depth(), 2)
+	r.Close()
+	rest := []int{}
+	r.Serve(t.Context(), func(v int) error {
+		rest = append(rest, v)
+		return nil
+	})
+	is.Equal(rest, []int{2, 3})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	ring.New[int](1).Serve(ctx, func(int) error { return nil })
+}
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -49,21 +49,23 @@
 func (j *judge) duty() duty.Duty { return duty.Duty{Name: "judge", Run: j.run} }
 
 func (j *judge) run(ctx context.Context) error {
-	for {
-		m, err := j.in.Get(ctx)
-		if err != nil {
-			return nil
-		}
-		switch m := m.(type) {
-		case recovered:
-			share, n := j.checker.Served(m.since)
-			m.reply <- n >= recoveredCount && share >= recoveredShare
-		case verdict:
-			j.checker.Finish(time.Now())
-			share, n := j.checker.Served(time.Time{})
-			m.reply <- Report{Requests: n, ServedShare: share, Broken: j.checker.Found()}
-		default:
-			j.checker.Step(m)
-		}
+	j.in.Serve(ctx, func(m any) error {
+		j.step(m)
+		return nil
+	})
+	return nil
+}
+
+func (j *judge) step(m any) {
+	switch m := m.(type) {
+	case recovered:
+		share, n := j.checker.Served(m.since)
+		m.reply <- n >= recoveredCount && share >= recoveredShare
+	case verdict:
+		j.checker.Finish(time.Now())
+		share, n := j.checker.Served(time.Time{})
+		m.reply <- Report{Requests: n, ServedShare: share, Broken: j.checker.Found()}
+	default:
+		j.checker.Step(m)
 	}
 }
--- a/transport/identity/source.go
+++ b/transport/identity/source.go
@@ -121,16 +121,14 @@
 }
 
 func (s *Source) run(ctx context.Context) error {
-	for {
-		c, err := s.checks.Get(ctx)
-		if err != nil {
-			return nil
-		}
+	s.checks.Serve(ctx, func(c check) error {
 		if now := s.options.Now(); now.Sub(s.checkedAt) >= checkInterval {
 			_ = s.reload(now) // reported to the observer
 		}
 		close(c.done)
-	}
+		return nil
+	})
+	return nil
 }
 
 // reload takes the files into use when they have changed and fit together. Files that did not fit are tried again even
