One command line for all daemons, the platform's environment variable in one place

sail-edge had its own copy of the flags and messages of settings/startup; startup.Program now takes a reader for settings of another format and a usual file. The reload reads the file by the same function.

--- a/cmd/sail-edge/main.go
+++ b/cmd/sail-edge/main.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"flag"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,40 +12,20 @@
 	"sequoiasail.example/settings/startup"
 )
 
-func main() { os.Exit(run()) }
-
-func run() int {
-	file := flag.String("settings", platform.SettingsFile(), "read the settings from `FILE` (JSON)")
-	check := flag.Bool("check", false, "check the settings and exit")
-	version := flag.Bool("version", false, "print the version and exit")
-	flag.Parse()
-	if *version {
-		fmt.Println(startup.VersionLine("sail-edge"))
-		return startup.ExitOK
-	}
-	settings, err := read(*file)
-	if err != nil {
-		startup.Report(os.Stderr, *file, err)
-		return startup.ExitSettings
-	}
-	if *check {
-		fmt.Printf("%s: settings are valid\n", *file)
-		return startup.ExitOK
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	signal.Ignore(syscall.SIGPIPE)
-	if err := edge.New(settings, *file, os.Stdout).Run(ctx); err != nil {
-		fmt.Fprintf(os.Stderr, "sail-edge: %v\n", err)
-		return startup.ExitFailed
-	}
-	return startup.ExitOK
-}
-
-func read(file string) (platform.Settings, error) {
-	data, err := startup.ReadFile(file)
-	if err != nil {
-		return platform.Settings{}, err
-	}
-	return platform.DecodeSettings(data)
+func main() {
+	var settings platform.Settings
+	var from string
+	os.Exit(startup.Main(startup.Program{
+		Name: "sail-edge",
+		File: platform.SettingsFile(),
+		Load: func(file string) (err error) {
+			from = file
+			settings, err = edge.ReadSettings(file)
+			return err
+		},
+		Run: func(ctx context.Context) error {
+			signal.Ignore(syscall.SIGPIPE)
+			return edge.New(settings, from, os.Stdout).Run(ctx)
+		},
+	}))
 }
--- a/daemon/edge/reload.go
+++ b/daemon/edge/reload.go
@@ -62,13 +62,18 @@
 	return info.ModTime()
 }
 
+// ReadSettings reads the settings file of the platform. It returns settings.Problems.
+func ReadSettings(file string) (platform.Settings, error) {
+	data, err := startup.ReadFile(file)
+	if err != nil {
+		return platform.Settings{}, err
+	}
+	return platform.DecodeSettings(data)
+}
+
 // reload takes the bounds of the file into force. Bad settings change nothing.
 func (r *reloader) reload(ctx context.Context, cause string) {
-	data, err := startup.ReadFile(r.file)
-	var s platform.Settings
-	if err == nil {
-		s, err = platform.DecodeSettings(data)
-	}
+	s, err := ReadSettings(r.file)
 	if err != nil {
 		r.log.Warn("settings not reloaded", log.Fields{"cause": cause, "error": err.Error()})
 		return
--- a/settings/startup/startup.go
+++ b/settings/startup/startup.go
@@ -37,6 +37,10 @@
 	Name string
 	// Settings points at the settings struct. It may have Provision and Validate.
 	Settings any
+	// Load reads the settings instead, from a file of another format. It returns settings.Problems.
+	Load func(file string) error
+	// File is read when the command line names none.
+	File string
 	// Run does the work. It returns when ctx ends; an error gives exit code 1.
 	Run func(ctx context.Context) error
 }
@@ -52,7 +56,7 @@
 func (p Program) Execute(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	set := flag.NewFlagSet(p.Name, flag.ContinueOnError)
 	set.SetOutput(stderr)
-	file := set.String("settings", "", "read the settings from `FILE` (JSON)")
+	file := set.String("settings", p.File, "read the settings from `FILE` (JSON)")
 	check := set.Bool("check", false, "check the settings and exit")
 	version := set.Bool("version", false, "print the version and exit")
 	if err := set.Parse(args); err != nil {
@@ -69,7 +73,7 @@
 		fmt.Fprintf(stderr, "%s: unexpected argument %q\n", p.Name, set.Arg(0))
 		return ExitSettings
 	}
-	if err := Read(*file, p.Settings); err != nil {
+	if err := p.load(*file); err != nil {
 		Report(stderr, *file, err)
 		return ExitSettings
 	}
@@ -80,6 +84,13 @@
 	return p.run(ctx, stderr)
 }
 
+func (p Program) load(file string) error {
+	if p.Load != nil {
+		return p.Load(file)
+	}
+	return Read(file, p.Settings)
+}
+
 func (p Program) run(ctx context.Context, stderr io.Writer) int {
 	if err := p.Run(ctx); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", p.Name, err)
@@ -95,9 +106,6 @@
 
 // Read loads the settings file name into the struct that into points at. It returns settings.Problems.
 func Read(name string, into any) error {
-	if name == "" {
-		return problem("no settings file given; use -settings FILE")
-	}
 	data, err := ReadFile(name)
 	if err != nil {
 		return err
@@ -107,6 +115,9 @@
 
 // ReadFile returns the content of the file name, at most 1 MiB. It returns settings.Problems.
 func ReadFile(name string) ([]byte, error) {
+	if name == "" {
+		return nil, problem("no settings file given; use -settings FILE")
+	}
 	f, err := os.Open(name)
 	if err != nil {
 		return nil, problem("cannot read the file: %v", err)
--- a/settings/startup/startup_test.go
+++ b/settings/startup/startup_test.go
@@ -82,3 +82,25 @@
 		})
 	}
 }
+
+// Guards against a program with settings of another format that reads another file than the one named, or starts without.
+func TestProgramWithItsOwnFormat(t *testing.T) {
+	is := is.New(t)
+	var read []string
+	p := startup.Program{
+		Name: "sail-test", File: "usual.conf",
+		Load: func(file string) error {
+			read = append(read, file)
+			_, err := startup.ReadFile(file)
+			return err
+		},
+		Run: func(context.Context) error { t.Error("started without settings"); return nil },
+	}
+	var out, errs bytes.Buffer
+	is.Equal(p.Execute(t.Context(), nil, &out, &errs), startup.ExitSettings)
+	is.True(strings.HasPrefix(errs.String(), "usual.conf: "))
+	is.Equal(p.Execute(t.Context(), []string{"-settings", "other.conf"}, &out, &errs), startup.ExitSettings)
+	p.File = ""
+	is.Equal(p.Execute(t.Context(), nil, &out, &errs), startup.ExitSettings)
+	is.Equal(read, []string{"usual.conf", "other.conf", ""})
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -168,7 +168,7 @@
 
 // addLink adds a link that leads to a server.
 func (w *world) addLink(ctx context.Context, name, server string) (*link.Link, error) {
-	l, err := standin.Listen(ctx, 0)
+	l, err := standin.Listen(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -198,7 +198,7 @@
 		seeds = append(seeds, s.ControlAddress())
 		urls = append(urls, s.ReadyURL())
 		s.Seeds = seeds[:min(len(seeds), 3)]
-		front, err := standin.Listen(ctx, 0)
+		front, err := standin.Listen(ctx)
 		if err != nil {
 			return err
 		}
--- a/soak/target.go
+++ b/soak/target.go
@@ -27,7 +27,7 @@
 
 // begin starts a new life. It listens at a port of its own, to which the link leads from now on.
 func (p *place) begin(ctx context.Context, id types.Target) error {
-	l, err := standin.Listen(ctx, 0)
+	l, err := standin.Listen(ctx)
 	if err != nil {
 		return err
 	}
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -16,9 +16,6 @@
 	"sequoiasail.example/types"
 )
 
-// settingsVariable names the settings file to the daemon.
-const settingsVariable = "SEQUOIASAIL_NODE_FILE"
-
 // commandCapacity bounds the commands that wait for a VM's duty.
 const commandCapacity = 64
 
@@ -115,7 +112,7 @@
 	}
 	defer output.Close()
 	c := exec.Command(v.binary)
-	c.Env = append(os.Environ(), settingsVariable+"="+v.settingsFile())
+	c.Env = append(os.Environ(), standin.Environment(v.settingsFile()))
 	c.Stdout, c.Stderr = output, output
 	if err := c.Start(); err != nil {
 		return types.WrapFault(types.CodeInternal, err, "start %s", v.binary)
