daemon/edge: the loopback tests use the stand-in of the platform

They had a store and targets of their own, which the stand-in of the soak repeated. Its store ends waiting watches in an outage and its targets check fences and slots, so the tests see more. The set-up that four tests shared is one function, the expected signature names life and request too (i-m.1.r1 instead of signed-i-m); all other assertions stay. The write over whatever a key holds and the loopback addresses are shared with the soak.

--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -32,12 +32,12 @@
 		return err == nil && res.StatusCode == http.StatusServiceUnavailable && res.Header.Get("Retry-After") != ""
 	})
 	is.True(!v.isReady())
-	m, o := w.target("maps", "i-m", true), w.target("orders", "i-o", false)
-	w.configure("0000000a", route("/maps/", "idempotent", "maps"), route("/orders/", "non_idempotent", "orders"))
+	m, o := w.target("maps", "i-m", true, 0), w.target("orders", "i-o", false, 0)
+	w.configure(10, route("/maps/", true, "maps"), route("/orders/", false, "orders"))
 	eventually(t, "readiness", 8*time.Second, v.isReady)
 	eventually(t, "an answer for a key", 3*time.Second, func() bool {
 		res, body, err := v.call("GET", "/maps/a%2Fb?c=1", "r1", 65535, "")
-		return err == nil && res.StatusCode == 200 && res.Header.Get("X-Response-Signature") == "signed-i-m" &&
+		return err == nil && res.StatusCode == 200 && res.Header.Get("X-Response-Signature") == "i-m.1.r1" &&
 			body == "GET /maps/a%2Fb?c=1 "
 	})
 	res, body, err := v.call("POST", "/orders/1", "r2", 5, "seeds")
@@ -49,7 +49,7 @@
 	res, _, err = v.call("GET", "/none/", "r3", 5, "")
 	is.NoErr(err)
 	is.Equal(res.StatusCode, http.StatusNotFound)
-	w.configure("00000010", route("/none/", "non_idempotent", "orders"))
+	w.configure(16, route("/none/", false, "orders"))
 	eventually(t, "the new configuration", 2*time.Second, func() bool {
 		res, _, err := v.call("GET", "/none/", "r4", 5, "")
 		return err == nil && res.StatusCode == 200
@@ -60,10 +60,7 @@
 // turns bad then.
 func TestServesThroughStoreOutage(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t)
-	w.target("maps", "i-m", true)
-	w.target("orders", "i-o", false)
-	w.configure("0000000a", route("/maps/", "idempotent", "maps"), route("/orders/", "non_idempotent", "orders"))
+	w, _ := newServingWorld(t, 0)
 	v := w.start("vm-1")
 	eventually(t, "readiness", 8*time.Second, v.isReady)
 	w.setRefuse(true)
@@ -83,11 +80,7 @@
 // VM says in time that it is not ready.
 func TestPlannedStopAnswersWhatIsInHand(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t)
-	w.target("maps", "i-m", true)
-	o := w.target("orders", "i-o", false)
-	o.delay = 300 * time.Millisecond
-	w.configure("0000000a", route("/maps/", "idempotent", "maps"), route("/orders/", "non_idempotent", "orders"))
+	w, o := newServingWorld(t, 300*time.Millisecond)
 	v := w.start("vm-1")
 	eventually(t, "readiness", 8*time.Second, v.isReady)
 	status := make(chan int, 1)
@@ -238,10 +231,7 @@
 // restarted during an outage and refused 161 requests.
 func TestVMStartsWhileTheStoreIsAway(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t)
-	w.target("maps", "i-m", true)
-	w.target("orders", "i-o", false)
-	w.configure("0000000a", route("/maps/", "idempotent", "maps"), route("/orders/", "non_idempotent", "orders"))
+	w, _ := newServingWorld(t, 0)
 	first := w.start("vm-1")
 	eventually(t, "readiness", 8*time.Second, first.isReady)
 	w.setRefuse(true)
@@ -260,10 +250,7 @@
 // request came 0.3 s after its connection.
 func TestPlannedStopAnswersOpenConnections(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t)
-	w.target("maps", "i-m", true)
-	w.target("orders", "i-o", false)
-	w.configure("0000000a", route("/maps/", "idempotent", "maps"), route("/orders/", "non_idempotent", "orders"))
+	w, _ := newServingWorld(t, 0)
 	v := w.start("vm-1")
 	eventually(t, "readiness", 8*time.Second, v.isReady)
 	v.stop()
--- a/daemon/edge/world_test.go
+++ b/daemon/edge/world_test.go
@@ -2,293 +2,119 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptest"
-	"net/url"
 	"strconv"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"sequoiasail.example/duty"
 	"sequoiasail.example/platform"
+	"sequoiasail.example/platform/standin"
+	backend "sequoiasail.example/standin/store"
+	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
 )
 
-// world is the platform on loopback: a store with watches and leases, and targets that take grants.
+// world is the platform on loopback, and the VMs of a test.
 type world struct {
-	t       *testing.T
-	store   *httptest.Server
-	mu      sync.Mutex
-	changed chan struct{}
-	items   map[string]item
-	log     []item
-	rev     uint64
-	leases  uint64
-	// refuse makes the store answer 503.
-	refuse bool
-	calls  int
+	t     *testing.T
+	group *duty.Group
+	store *backend.Server
+	// storeAddress is where all VMs reach the store.
+	storeAddress string
+	run          uint32
 	// seeds are the mirror addresses of the VMs started so far.
 	seeds []string
 }
 
-type item struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value"`
-	Revision uint64 `json:"revision"`
-	Lease    uint64 `json:"lease"`
-	Removed  bool   `json:"removed,omitempty"`
-}
+// worlds counts the worlds of the process, so that each has addresses of its own.
+var worlds atomic.Uint32
 
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, items: make(map[string]item), changed: make(chan struct{})}
-	w.store = httptest.NewServer(http.HandlerFunc(w.serve))
-	t.Cleanup(func() {
-		w.store.CloseClientConnections()
-		w.store.Close()
-	})
+	t.Helper()
+	w := &world{t: t, group: duty.NewGroup(), store: backend.New(backend.DefaultHistory), run: worlds.Add(1)}
+	l, err := standin.Listen(t.Context())
+	w.check(err)
+	w.storeAddress = l.Addr().String()
+	w.launch(w.store.Duty(), standin.StoreDuty(l, w.store, "vm"))
+	t.Cleanup(func() { w.check(w.group.Abort(context.Background())) })
 	return w
 }
 
-func (w *world) serve(rw http.ResponseWriter, r *http.Request) {
-	w.mu.Lock()
-	w.calls++
-	refuse := w.refuse
-	w.mu.Unlock()
-	q := r.URL.Query()
-	switch path := r.URL.Path; {
-	case refuse:
-		rw.WriteHeader(http.StatusServiceUnavailable)
-	case path == "/api/kv-watch":
-		w.watch(rw, r, q)
-	case path == "/api/kv-range":
-		w.list(rw, q.Get("prefix"))
-	case path == "/api/kv-key":
-		w.get(rw, q.Get("key"))
-	case path == "/api/kv-txn":
-		w.txn(rw, r)
-	case path == "/api/kv-lease":
-		w.mu.Lock()
-		w.leases++
-		id := w.leases
-		w.mu.Unlock()
-		reply(rw, map[string]any{"lease": id, "ttl_s_time": 3})
-	case strings.HasPrefix(path, "/api/kv-keep/"):
-		reply(rw, map[string]any{"ttl_s_time": 3})
-	case strings.HasPrefix(path, "/api/kv-lease-end/"):
-		w.endLease(strings.TrimPrefix(path, "/api/kv-lease-end/"))
-		reply(rw, map[string]any{})
-	}
-}
-
-func reply(rw http.ResponseWriter, v any) { _ = json.NewEncoder(rw).Encode(v) }
-
-func (w *world) write(i item) {
-	w.rev++
-	i.Revision = w.rev
-	w.log = append(w.log, i)
-	if i.Removed {
-		delete(w.items, i.Key)
-	} else {
-		w.items[i.Key] = i
-	}
-	close(w.changed)
-	w.changed = make(chan struct{})
+// newServingWorld returns a world with a target of each service and routes to them. An order takes orderWork.
+func newServingWorld(t *testing.T, orderWork time.Duration) (w *world, orders *worldTarget) {
+	t.Helper()
+	w = newWorld(t)
+	w.target("maps", "i-m", true, 0)
+	orders = w.target("orders", "i-o", false, orderWork)
+	w.configure(10, route("/maps/", true, "maps"), route("/orders/", false, "orders"))
+	return w, orders
 }
 
-func (w *world) put(key string, v any) {
-	data, err := json.Marshal(v)
+func (w *world) check(err error) {
+	w.t.Helper()
 	if err != nil {
-		w.t.Error(err)
+		w.t.Fatal(err)
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.write(item{Key: key, Value: data})
-}
-
-func (w *world) setRefuse(refuse bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.refuse = refuse
 }
 
-func (w *world) endLease(text string) {
-	id, _ := strconv.ParseUint(text, 10, 64)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for key, i := range w.items {
-		if i.Lease == id {
-			w.write(item{Key: key, Removed: true})
-		}
+func (w *world) launch(duties ...duty.Duty) {
+	w.t.Helper()
+	for _, d := range duties {
+		w.group.Add(d)
 	}
+	w.check(w.group.Start(w.t.Context()))
 }
 
-func (w *world) list(rw http.ResponseWriter, prefix string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	items := []item{}
-	for key, i := range w.items {
-		if strings.HasPrefix(key, prefix) {
-			items = append(items, i)
-		}
-	}
-	reply(rw, map[string]any{"items": items, "more_pages": false, "current_rev": w.rev})
+func (w *world) put(key string, value []byte) {
+	w.t.Helper()
+	w.check(standin.Replace(w.t.Context(), w.store.Client("operator"), store.Write{Key: key, Value: value}))
 }
 
-func (w *world) get(rw http.ResponseWriter, key string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	i, ok := w.items[key]
-	if !ok {
-		rw.WriteHeader(http.StatusNotFound)
-		return
-	}
-	reply(rw, i)
+// setRefuse makes the store refuse all calls.
+func (w *world) setRefuse(refuse bool) {
+	w.t.Helper()
+	w.check(w.store.SetFaults(w.t.Context(), backend.Faults{Down: refuse}))
 }
 
-func (w *world) watch(rw http.ResponseWriter, r *http.Request, q url.Values) {
-	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
-	for {
-		w.mu.Lock()
-		events, changed, rev := []item{}, w.changed, w.rev
-		for _, i := range w.log {
-			if i.Revision > after && strings.HasPrefix(i.Key, q.Get("prefix")) {
-				events = append(events, i)
-			}
-		}
-		w.mu.Unlock()
-		if len(events) > 0 {
-			reply(rw, map[string]any{"events": events, "current_rev": rev})
-			return
-		}
-		select {
-		case <-changed:
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
+// worldTarget counts the requests that a target has run.
+type worldTarget struct{ ran atomic.Int64 }
 
-func (w *world) txn(rw http.ResponseWriter, r *http.Request) {
-	var t struct {
-		Precondition []item   `json:"precondition"`
-		Writes       []item   `json:"writes"`
-		Remove       []string `json:"remove"`
-	}
-	if json.NewDecoder(r.Body).Decode(&t) != nil {
-		rw.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, p := range t.Precondition {
-		if w.items[p.Key].Revision != p.Revision {
-			rw.WriteHeader(http.StatusPreconditionFailed)
-			return
-		}
-	}
-	for _, i := range t.Writes {
-		w.write(i)
-	}
-	for _, key := range t.Remove {
-		w.write(item{Key: key, Removed: true})
-	}
-	reply(rw, map[string]any{"revision": w.rev})
-}
-
-// fakeTarget runs requests for the keys that it holds.
-type fakeTarget struct {
-	id     string
-	server *httptest.Server
-	mu     sync.Mutex
-	holds  map[int]time.Time
-	ran    []string
-	// delay is how long a request takes.
-	delay time.Duration
-}
+func (f *worldTarget) count() int { return int(f.ran.Load()) }
 
-func (w *world) target(service, id string, keyed bool) *fakeTarget {
-	f := &fakeTarget{id: id, holds: make(map[int]time.Time)}
-	f.server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { f.serve(rw, r, keyed) }))
-	w.t.Cleanup(f.server.Close)
-	w.register(f, service, "ready")
+func (w *world) target(service types.Service, id types.Target, keyed bool, work time.Duration) *worldTarget {
+	w.t.Helper()
+	l, err := standin.Listen(w.t.Context())
+	w.check(err)
+	f := &worldTarget{}
+	s := standin.TargetSettings{
+		Target: id, Life: 1, Service: service, DataCentre: "north", Keyed: keyed, Slots: 4, Queue: 4, Work: work,
+	}
+	w.launch(standin.TargetDuties(l, s, func(event any) {
+		if _, ran := event.(standin.Ran); ran {
+			f.ran.Add(1)
+		}
+	})...)
+	w.put(standin.Registration(s, l.Addr().String(), false, 0))
 	return f
 }
 
-func (w *world) register(f *fakeTarget, service, state string) {
-	w.put("servers/"+f.id, map[string]any{
-		"service": service, "address": f.address(), "zone": "north", "version": "v1", "slots": 4, "state": state,
-		"warmup_left_s": 0, "seq_no": 1, "born": 1,
-	})
-}
-
-func (f *fakeTarget) address() string { return strings.TrimPrefix(f.server.URL, "http://") }
-
-func (f *fakeTarget) serve(rw http.ResponseWriter, r *http.Request, keyed bool) {
-	rw.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-	if want := r.Header.Get("X-Expected-Instance"); want != f.id {
-		rw.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch r.URL.Path {
-	case "/api/grant", "/api/release":
-		f.order(r)
-		return
-	case "/health":
-		rw.Header().Set("X-Server-Load", "0,0,4,100")
-		return
-	}
-	key, _ := strconv.Atoi(r.Header.Get("X-Shard-Key"))
-	if keyed && !time.Now().Before(f.holds[key]) {
-		rw.Header().Set("X-Not-Executed", "1")
-		rw.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	f.ran = append(f.ran, r.Header.Get("X-Request-Id"))
-	time.Sleep(f.delay)
-	rw.Header().Set("X-Response-Signature", "signed-"+f.id)
-	body, _ := io.ReadAll(r.Body)
-	_, _ = fmt.Fprintf(rw, "%s %s %s", r.Method, r.RequestURI, body)
-}
-
-func (f *fakeTarget) order(r *http.Request) {
-	var o struct {
-		From, To int
-		Hold     float64 `json:"hold_s"`
-	}
-	_ = json.NewDecoder(r.Body).Decode(&o)
-	for k := o.From; k <= o.To; k++ {
-		f.holds[k] = time.Now().Add(time.Duration(o.Hold * float64(time.Second)))
+func (w *world) configure(version uint32, routes ...standin.Route) {
+	w.t.Helper()
+	services := []standin.Service{
+		{Name: "maps", Keyed: true, ColdTime: 3 * time.Second, ColdRate: 4},
+		{Name: "orders", ColdTime: 3 * time.Second, ColdRate: 4},
 	}
+	w.put(standin.ConfigurationKey, standin.Configuration(version, routes, services))
 }
 
-func (f *fakeTarget) count() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.ran)
-}
-
-func (w *world) configure(version string, routes ...map[string]any) {
-	w.put("op/config", map[string]any{
-		"version": version, "routes": routes,
-		"services": []map[string]any{
-			{"name": "maps", "health_path": "/health", "max_conns": 100, "warmup_s": 3, "warmup_per_s": 4, "sharded": true},
-			{"name": "orders", "health_path": "/health", "max_conns": 100, "warmup_s": 3, "warmup_per_s": 4},
-		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1024, "header_timeout_s": 3, "idle_timeout_s": 15},
-	})
-}
-
-func route(prefix, kind, service string) map[string]any {
-	return map[string]any{
-		"name": prefix, "host": "a.example", "prefix": prefix, "route_type": kind, "timeout_s": 1.5, "target_latency_s": 0.5,
-		"priority": 1, "service": service, "max_attempts": 2,
+func route(prefix string, idempotent bool, service types.Service) standin.Route {
+	return standin.Route{
+		Name: prefix, Host: "a.example", Prefix: prefix, Idempotent: idempotent, Service: service,
+		Timeout: 1500 * time.Millisecond, Attempts: 2,
 	}
 }
 
@@ -299,19 +125,20 @@
 	done         chan error
 }
 
-func (w *world) start(name string) *vm {
+func (w *world) start(name types.VM) *vm {
 	w.t.Helper()
-	port := freePort(w.t)
-	s := platform.Settings{
-		VM: types.VM(name), DataCentre: "north", IP: "127.0.0.1",
-		CallerAddress: fmt.Sprintf("127.0.0.1:%d", freePort(w.t)), ReadyAddress: fmt.Sprintf("127.0.0.1:%d", freePort(w.t)),
-		PeerPort: port, MirrorAddress: fmt.Sprintf("127.0.0.1:%d", port), Seeds: w.seeds, StoreAddress: strings.TrimPrefix(w.store.URL, "http://"), ShortestLease: time.Second,
-		StopTime: 4 * time.Second, LongestHold: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
-		ColdOvershoot: 1.5, ColdSlack: 5, Cores: 1,
+	description := standin.VM{
+		Name: name, DataCentre: "north", DataCentres: []types.DataCentre{"north"}, IP: standin.LoopbackIP(w.run, len(w.seeds)),
+		Seeds: w.seeds, StoreAddress: w.storeAddress, StopTime: 4 * time.Second, LongestHold: 5 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5,
 	}
+	s, err := platform.DecodeSettings(description.SettingsFile())
+	w.check(err)
 	ctx, cancel := context.WithCancel(context.Background())
-	v := &vm{front: "http://" + s.CallerAddress, ready: "http://" + s.ReadyAddress, stop: cancel, done: make(chan error, 1)}
-	w.seeds = append(w.seeds, s.MirrorAddress)
+	v := &vm{
+		front: "http://" + description.CallerAddress(), ready: description.ReadyURL(), stop: cancel, done: make(chan error, 1),
+	}
+	w.seeds = append(w.seeds, description.ControlAddress())
 	e := New(s, "", io.Discard)
 	go func() { v.done <- e.Run(ctx) }()
 	w.t.Cleanup(func() {
@@ -321,17 +148,8 @@
 	return v
 }
 
-func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
-}
-
 func (v *vm) isReady() bool {
-	res, err := http.Get(v.ready + "/api/ready")
+	res, err := http.Get(v.ready)
 	if err != nil {
 		return false
 	}
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sequoiasail.example/duty"
+	"sequoiasail.example/platform/standin"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/soak/check"
 	"sequoiasail.example/soak/link"
@@ -158,21 +159,11 @@
 	return false
 }
 
-// change applies a write over whatever the key holds. A deletion of a key that is gone is done.
+// change applies a write over whatever the key holds.
 func (o *operator) change(ctx context.Context, w store.Write) error {
 	ctx, cancel := context.WithTimeout(ctx, storeCall)
 	defer cancel()
-	old, err := o.client.Get(ctx, w.Key)
-	switch {
-	case err == nil:
-		w.Expected = old.Revision
-	case types.CodeOf(err) != types.CodeNotFound:
-		return err
-	case w.Delete:
-		return nil
-	}
-	_, err = o.client.CAS(ctx, w)
-	return err
+	return standin.Replace(ctx, o.client, w)
 }
 
 // disturb performs the faults of the plan.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -106,7 +106,7 @@
 	if o.VMs < 1 || o.VMs > 64 || o.Targets < 2*fewestTargets || o.Callers < 1 {
 		return Report{}, types.NewFault(types.CodeBadSettings, "a run takes 1 to 64 VMs, %d targets or more, and callers", 2*fewestTargets)
 	}
-	w := &world{options: o, group: duty.NewGroup(), events: ring.New[any](eventCapacity), address: runs.Add(1)}
+	w := &world{options: o, group: duty.NewGroup(), events: ring.New[any](eventCapacity), run: runs.Add(1)}
 	output, err := os.Create(filepath.Join(o.Dir, "soak.log"))
 	if err != nil {
 		return Report{}, types.WrapFault(types.CodeInternal, err, "create log")
@@ -131,9 +131,9 @@
 	options Options
 	group   *duty.Group
 	events  *ring.Ring[any]
-	// address makes the addresses of the VMs those of this run.
-	address uint32
-	output  *os.File
+	// run is the number of this run in the process.
+	run    uint32
+	output *os.File
 
 	store    *backend.Server
 	operator *operator
@@ -179,12 +179,6 @@
 	return k, nil
 }
 
-// ip returns a loopback address that no other run on this machine uses: it holds the process and the run.
-func (w *world) ip(vm int) string {
-	const networks, hosts = 200, 250
-	return fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%networks, w.address%hosts, vm+1)
-}
-
 var dataCentres = []types.DataCentre{"north", "south"}
 
 func (w *world) addVMs(ctx context.Context) error {
@@ -192,7 +186,7 @@
 	for i := range w.options.VMs {
 		s := standin.VM{
 			Name: types.VM("vm-" + strconv.Itoa(i)), DataCentre: dataCentres[i%len(dataCentres)], DataCentres: dataCentres,
-			IP: w.ip(i), StopTime: stopTime, LongestHold: longestHold, RetryRatio: retryRatio, RetrySlack: retrySlack,
+			IP: standin.LoopbackIP(w.run, i), StopTime: stopTime, LongestHold: longestHold, RetryRatio: retryRatio, RetrySlack: retrySlack,
 			RetryWindow: retryWindow, ColdFactor: coldFactor, ColdSlack: coldSlack,
 		}
 		seeds = append(seeds, s.ControlAddress())
