daemon/httpserver: one HTTP listener as a duty for all daemons

daemon/edge had a copy of that of daemon/process. The limits stay those of each daemon; an address that can't be opened is still a fault of the settings, now told by the duty's provision.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -6,14 +6,13 @@
 	stdlog "log"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 
 	"sequoiasail.example/admission"
+	"sequoiasail.example/daemon/httpserver"
 	"sequoiasail.example/duty"
 	"sequoiasail.example/keyspace"
 	"sequoiasail.example/platform"
@@ -52,12 +51,8 @@
 	lingerTime = 200 * time.Millisecond
 )
 
-// Limits of the caller-facing server before a configuration is known. They are wider than any configuration's.
-const (
-	maxHeaderBytes = 64 << 10
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 60 * time.Second
-)
+// httpLimits are those of the servers before a configuration is known. They are wider than any configuration's.
+var httpLimits = httpserver.Limits{HeaderBytes: 64 << 10, HeaderTime: 10 * time.Second, IdleTime: 60 * time.Second}
 
 // remotePenalty is how much sooner a target in another data centre must be expected to answer to get a request. It covers
 // the round trip, and the price of bytes between data centres, which is of the order of a request's worth.
@@ -79,7 +74,7 @@
 	knowledge *knowledge
 	readiness *readiness
 	front     *front
-	server    *httpServer
+	server    *httpserver.Server
 }
 
 // New builds the daemon with the settings of file, which is read again when it changes. Nothing runs before Run.
@@ -141,11 +136,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), e.settings.StopTime-leave-stopMargin)
 	defer cancel()
 	// Once Server.Shutdown is called, net/http drops requests that arrive on connections opened before.
-	e.server.stopAccepting()
+	e.server.StopAccepting()
 	refusing := time.AfterFunc(time.Duration(refuseShare*float64(e.settings.StopTime))-leave, func() { e.front.refusing.Store(true) })
 	defer refusing.Stop()
 	e.front.finish(ctx)
-	if err := e.server.shutdown(ctx); err != nil {
+	if err := e.server.Shutdown(ctx); err != nil {
 		e.log.Warn("requests were still in hand at the end of the stop time", log.Fields{"error": err.Error()})
 	}
 	duty.Pause(context.Background(), lingerTime)
@@ -177,7 +172,8 @@
 	e.addSession()
 	e.addKeeper(reports)
 	e.addAdmission(jobs, reports, meter)
-	return e.addServers(meter)
+	e.addServers(meter)
+	return nil
 }
 
 func (e *Edge) addKnowledge(members *ring.Ring[fleet], reports *ring.Ring[report]) {
@@ -268,60 +264,15 @@
 	}
 }
 
-func (e *Edge) addServers(m *meter) error {
+func (e *Edge) addServers(m *meter) {
 	e.front = &front{knowledge: e.knowledge, admission: e.admission, log: e.log, meter: m}
 	e.readiness = &readiness{knowledge: e.knowledge}
-	var err error
-	if e.server, err = newHTTPServer("front", e.settings.CallerAddress, e.front.handler()); err != nil {
-		return err
+	ready := &httpserver.Server{
+		Name: "ready", Address: e.settings.ReadyAddress, Handler: e.readiness.handler(e.metrics), Limits: httpLimits,
 	}
-	ready, err := newHTTPServer("ready", e.settings.ReadyAddress, e.readiness.handler(e.metrics))
-	if err != nil {
-		return err
-	}
-	e.group.Add(ready.duty())
-	e.group.Add(e.server.duty())
-	return nil
-}
-
-// httpServer is one listener with its handler.
-type httpServer struct {
-	name     string
-	listener net.Listener
-	server   *http.Server
-	// closing is true once the listener has been closed on purpose.
-	closing atomic.Bool
-}
-
-func newHTTPServer(name, address string, h http.Handler) (*httpServer, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, types.WrapFault(types.CodeBadSettings, err, "listen on %s", address)
-	}
-	return &httpServer{name: name, listener: l, server: &http.Server{
-		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-	}}, nil
-}
-
-func (s *httpServer) duty() duty.Duty {
-	return duty.Duty{Name: "http-" + s.name, Run: s.run, Stop: s.shutdown}
-}
-
-// stopAccepting closes the listener. The connections stay open.
-func (s *httpServer) stopAccepting() {
-	s.closing.Store(true)
-	_ = s.listener.Close()
-}
-
-func (s *httpServer) shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
-
-// run closes all connections at once when ctx ends.
-func (s *httpServer) run(ctx context.Context) error {
-	detach := context.AfterFunc(ctx, func() { _ = s.server.Close() })
-	defer detach()
-	err := s.server.Serve(s.listener)
-	if err == http.ErrServerClosed || s.closing.Load() {
-		return nil
+	e.server = &httpserver.Server{
+		Name: "front", Address: e.settings.CallerAddress, Handler: e.front.handler(), Limits: httpLimits,
 	}
-	return types.WrapFault(types.CodeInternal, err, "serve %s", s.name)
+	e.group.Add(ready.Duty())
+	e.group.Add(e.server.Duty())
 }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"sequoiasail.example/config"
+	"sequoiasail.example/daemon/httpserver"
 	"sequoiasail.example/daemon/process"
 	"sequoiasail.example/routing"
 	"sequoiasail.example/telemetry"
@@ -70,7 +71,8 @@
 	}
 	registration := &process.Registration{Store: storeClient, Member: g.member, Log: g.base.Log}
 	ops := g.base.OpsServer(string(s.OpsAddress), g.readStatus)
-	callers := &process.HTTPServer{
+	callers := &httpserver.Server{
+		Limits:  process.HTTPLimits,
 		Name:    "callers",
 		Address: string(s.CallerAddress),
 		Handler: (&frontend{gw: g}).handler(),
--- a/daemon/process/tls.go
+++ b/daemon/process/tls.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"sequoiasail.example/daemon/httpserver"
 	"sequoiasail.example/telemetry"
 	"sequoiasail.example/transport/identity"
 )
@@ -16,8 +17,9 @@
 const handshakeLogInterval = time.Second
 
 // OpsServer returns the server of the operators' pages.
-func (b *Base) OpsServer(address string, read func() telemetry.Status) *HTTPServer {
-	return &HTTPServer{
+func (b *Base) OpsServer(address string, read func() telemetry.Status) *httpserver.Server {
+	return &httpserver.Server{
+		Limits:  HTTPLimits,
 		Name:    "ops",
 		Address: address,
 		Handler: telemetry.OpsHandler(b.Metrics, read),
