edge: log the steps of a planned stop and connections closed without an answer

A request that net/http reads and drops never reaches a handler, so the log did not tell it from a request that never arrived, and the log of a stop did not show what it waited for. The HTTP server now tracks for each connection whether a request was read and no byte of its answer written, and reports a connection that it closes in that state. Four lines give the open connections, requests in flight and unanswered connections at each step of a stop. No logic changes.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -130,7 +130,8 @@
 // stop reports the VM as not ready, so that the load balancer removes it, finishes the in-flight requests and stops the
 // duties.
 func (e *Edge) stop() error {
-	e.log.Info("stopping", nil)
+	began := time.Now()
+	e.log.Info("stopping", e.stopFields(began))
 	e.readiness.stopping.Store(true)
 	e.frontend.closing.Store(true)
 	close(e.session.stopRequested)
@@ -141,16 +142,27 @@
 	// The listener is closed first: once Server.Shutdown is called, net/http drops requests that arrive on connections
 	// opened before.
 	e.server.StopAccepting()
+	e.log.Info("no longer accepting connections", e.stopFields(began))
 	refusing := time.AfterFunc(time.Duration(acceptShare*float64(e.settings.StopGracePeriod))-servingTime, func() { e.frontend.refusing.Store(true) })
 	defer refusing.Stop()
 	e.frontend.drain(ctx)
+	e.log.Info("closing the connections of callers", e.stopFields(began))
 	if err := e.server.Shutdown(ctx); err != nil {
 		e.log.Warn("requests still in flight at the end of the stop time", log.Fields{"error": err.Error()})
 	}
 	duty.Pause(context.Background(), lingerTime)
+	e.log.Info("stopping the duties", e.stopFields(began))
 	return e.group.Stop(context.Background())
 }
 
+// stopFields describes what a planned stop still waits for.
+func (e *Edge) stopFields(began time.Time) log.Fields {
+	return log.Fields{
+		"since": time.Since(began).Round(time.Millisecond).String(), "connections": e.server.Connections(),
+		"inFlight": e.frontend.inFlight.Load(), "unanswered": e.server.UnansweredRequests(),
+	}
+}
+
 // addDuties creates the rings and adds all duties to the group.
 func (e *Edge) addDuties() error {
 	conn, err := listenPeers(e.settings.IP, e.settings.PeerPort)
@@ -283,7 +295,13 @@
 	}
 	e.server = &httpserver.Server{
 		Name: "front", Address: e.settings.CallerAddress, Handler: e.frontend.handler(), Limits: initialHTTPLimits,
+		Unanswered: func(remote string) {
+			e.log.Warn("connection closed without an answer", log.Fields{"caller": remote})
+		},
 	}
+	e.metrics.Gauge("sail_caller_connections", func() float64 { return float64(e.server.Connections()) })
+	e.metrics.Gauge("sail_caller_requests_in_flight", func() float64 { return float64(e.frontend.inFlight.Load()) })
+	e.metrics.Gauge("sail_caller_requests_unanswered_total", func() float64 { return float64(e.server.UnansweredRequests()) })
 	e.group.Add(ready.Duty())
 	e.group.Add(e.server.Duty())
 }
--- a/daemon/httpserver/server.go
+++ b/daemon/httpserver/server.go
@@ -35,9 +35,14 @@
 	Listen peer.Listen
 	// Secure wraps the listener, for example in TLS. If it is nil, connections are plain TCP.
 	Secure func(net.Listener) net.Listener
+	// Unanswered, if set, is called with the caller's address when the server closes a connection on which it has read a byte of
+	// a request and written none of its answer.
+	Unanswered func(remote string)
 
-	listener net.Listener
-	server   *http.Server
+	listener    net.Listener
+	server      *http.Server
+	connections connections
+	unanswered  atomic.Uint64
 	// closing is true once StopAccepting has been called: Serve's error is then expected.
 	closing atomic.Bool
 }
@@ -53,6 +58,12 @@
 	_ = s.listener.Close()
 }
 
+// Connections returns the number of open connections.
+func (s *Server) Connections() int { return int(s.connections.count.Load()) }
+
+// UnansweredRequests returns the number of connections that were closed without an answer to a request that had been read.
+func (s *Server) UnansweredRequests() uint64 { return s.unanswered.Load() }
+
 // Shutdown closes the listener and the idle connections, and waits for in-flight requests until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
 
@@ -68,8 +79,9 @@
 	if s.Secure != nil {
 		l = s.Secure(l)
 	}
-	s.listener = l
+	s.listener = &trackingListener{Listener: l, server: s}
 	s.server = &http.Server{
+		ConnState:         trackState,
 		Handler:           s.Handler,
 		MaxHeaderBytes:    s.Limits.HeaderBytes,
 		ReadHeaderTimeout: s.Limits.HeaderTime,
@@ -89,3 +101,10 @@
 	}
 	return types.WrapFault(types.CodeInternal, err, "serve %s", s.Name)
 }
+
+// trackState records the end of a request on a connection that stays open.
+func trackState(c net.Conn, state http.ConnState) {
+	if state == http.StateIdle {
+		c.(*connection).state.Store(awaitingRequest)
+	}
+}
