--- a/daemon/edge/cluster_test.go
+++ b/daemon/edge/cluster_test.go
@@ -128,12 +128,15 @@
 	done               chan error
 }
 
+// stopGracePeriod is the time that a stopping VM of a cluster has before it would be killed.
+const stopGracePeriod = 4 * time.Second
+
 // start runs an edge daemon. Its seeds are the VMs started before.
 func (c *cluster) start(name types.VM) *vm {
 	c.t.Helper()
 	description := standin.VM{
 		Name: name, DataCentre: "north", DataCentres: []types.DataCentre{"north"}, IP: standin.LoopbackIP(c.index, len(c.seeds)),
-		Seeds: c.seeds, StoreAddress: c.storeAddress, StopGracePeriod: 4 * time.Second, MaxGrantTTL: 5 * time.Second,
+		Seeds: c.seeds, StoreAddress: c.storeAddress, StopGracePeriod: stopGracePeriod, MaxGrantTTL: 5 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, ColdOvershoot: 1.5, ColdSlack: 5,
 	}
 	s, err := platform.DecodeSettings(description.SettingsFile())
--- /dev/null
+++ b/daemon/edge/stop_test.go
@@ -0,0 +1,109 @@
+package edge
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// stopOutcome is how a request ended that was sent on an open connection of a stopping VM.
+type stopOutcome struct {
+	// sentAfter and endedAfter are counted from the beginning of the stop.
+	sentAfter, endedAfter time.Duration
+	status                int
+	err                   error
+}
+
+// sendWhileStopping opens connections to a VM, stops it and sends a request for an order on each of them, at the given times
+// after the beginning of the stop.
+func sendWhileStopping(t *testing.T, v *vm, after ...time.Duration) []stopOutcome {
+	t.Helper()
+	connections := make([]net.Conn, len(after))
+	for i := range after {
+		c, err := net.Dial("tcp", strings.TrimPrefix(v.frontURL, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		connections[i] = c
+	}
+	began := time.Now()
+	v.stop()
+	outcomes := make(chan stopOutcome, len(after))
+	for i, c := range connections {
+		go func() {
+			time.Sleep(time.Until(began.Add(after[i])))
+			o := stopOutcome{sentAfter: time.Since(began)}
+			o.status, o.err = order(c, fmt.Sprintf("r%d", i))
+			o.endedAfter = time.Since(began)
+			outcomes <- o
+		}()
+	}
+	all := make([]stopOutcome, len(after))
+	for i := range all {
+		all[i] = <-outcomes
+	}
+	return all
+}
+
+// order sends a request for an order on an open connection and returns the status of its answer.
+func order(c net.Conn, id string) (int, error) {
+	_ = c.SetDeadline(time.Now().Add(3 * time.Second))
+	_, err := io.WriteString(c, "POST /orders/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: "+id+"\r\nX-Deadline-Ms: 1400\r\n"+
+		"X-Shard-Key: 1\r\nContent-Length: 1\r\n\r\nb")
+	if err != nil {
+		return 0, err
+	}
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer res.Body.Close()
+	_, err = io.ReadAll(res.Body)
+	return res.StatusCode, err
+}
+
+// Guards against a request that a stopping VM passes on to a target although it can outlive the stop grace period, at the end of
+// which the process is killed.
+func TestPlannedStopAcceptsNoRequestThatOutlivesIt(t *testing.T) {
+	is := is.New(t)
+	const work = 1350 * time.Millisecond
+	cl, _ := newServingCluster(t, work)
+	v := cl.start("vm-1")
+	eventually(t, "readiness", 8*time.Second, v.isReady)
+	for _, o := range sendWhileStopping(t, v, 0, 1500*time.Millisecond, 2500*time.Millisecond, 2700*time.Millisecond) {
+		is.NoErr(o.err)
+		if o.endedAfter >= stopGracePeriod {
+			t.Errorf("a request sent %v after the beginning of the stop ended after %v with status %d", o.sentAfter, o.endedAfter, o.status)
+		}
+		if o.sentAfter < work {
+			is.Equal(o.status, http.StatusOK)
+		}
+	}
+}
+
+// Guards against a request that is read at the end of a stop and whose connection is closed without an answer. A connection with
+// unread bytes is reset when it is closed, so that a clean end shows that the request was read.
+func TestPlannedStopReadsNoRequestWithoutAnsweringIt(t *testing.T) {
+	cl, _ := newServingCluster(t, 0)
+	v := cl.start("vm-1")
+	eventually(t, "readiness", 8*time.Second, v.isReady)
+	var after []time.Duration
+	for d := 2 * time.Second; d < stopGracePeriod; d += 50 * time.Millisecond {
+		after = append(after, d)
+	}
+	for _, o := range sendWhileStopping(t, v, after...) {
+		if o.err != nil && !errors.Is(o.err, syscall.ECONNRESET) && !errors.Is(o.err, syscall.EPIPE) {
+			t.Errorf("a request sent %v after the beginning of the stop ended without an answer after %v: %v", o.sentAfter, o.endedAfter, o.err)
+		}
+	}
+}
