httpserver: a shutdown reads no request that it does not answer

What callers saw: a request on an open connection was read by a stopping VM and its connection closed without an answer, so that the caller could not know whether its order had run.

Cause: once http.Server.Shutdown has been called, net/http reads a request that arrives on an open connection and closes it without calling the handler.

Ruled out: waiting for a quiet time.

Change: Server.Shutdown no longer calls http.Server.Shutdown. Each connection tracks how far its request has come. During a shutdown a connection on which no byte of a request has been read refuses further reads and is closed; one that has read a byte finishes its request. The claim of a connection and the read are ordered by one atomic state, so that no request is read in between.

--- a/daemon/httpserver/connection.go
+++ b/daemon/httpserver/connection.go
@@ -4,45 +4,118 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 )
 
-// connectionState is how far the request on a connection has come.
-type connectionState = uint32
-
+// States of a connection: how far its current request has come.
 const (
 	// awaitingRequest: no byte of a request has been read since the last answer.
-	awaitingRequest connectionState = iota
+	awaitingRequest uint32 = iota
+	// readingRequest: a read is in progress that may return the first bytes of a request.
+	readingRequest
 	// requestRead: a byte of a request has been read, and none of its answer has been written.
 	requestRead
 	// answering: a byte of the answer has been written.
 	answering
+	// refusingRequests: no further request is read.
+	refusingRequests
 )
 
-// connection is an accepted connection that tracks whether it owes its caller an answer.
+// expired is a deadline in the past, which ends a pending read.
+var expired = time.Unix(1, 0)
+
+// connection is an accepted connection of a Server. During a shutdown it reads no byte of a further request: what arrives then
+// stays unread, and the connection is reset when it is closed, which tells the caller that its request has not run.
 type connection struct {
 	net.Conn
+	// raw is nil if the connection is not a socket, for example with TLS.
+	raw    syscall.RawConn
 	server *Server
 	state  atomic.Uint32
-	// callerClosed is true once reading has shown that the caller closed the connection.
+	// callerClosed is true once a read has shown that the caller closed the connection.
 	callerClosed atomic.Bool
 	closed       atomic.Bool
 }
 
-// Read reads from the connection.
-func (c *connection) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.state.CompareAndSwap(awaitingRequest, requestRead)
+// Read reads from the connection. It returns io.EOF instead of the first bytes of a request during a shutdown.
+func (c *connection) Read(p []byte) (n int, err error) {
+	switch c.state.Load() {
+	case refusingRequests:
+		return 0, io.EOF
+	case awaitingRequest:
+		n, err = c.readFirst(p)
+	default:
+		n, err = c.Conn.Read(p)
 	}
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) && c.state.Load() != refusingRequests {
 		c.callerClosed.Store(true)
 	}
 	return n, err
 }
 
+// readFirst reads the first bytes of a request. refuseRequests may end it at any time but while it is reading them.
+func (c *connection) readFirst(p []byte) (n int, err error) {
+	if c.raw == nil {
+		n, err = c.Conn.Read(p)
+		if n > 0 && !c.state.CompareAndSwap(awaitingRequest, requestRead) {
+			return 0, io.EOF
+		}
+		return n, err
+	}
+	waitErr := c.raw.Read(func(fd uintptr) bool {
+		if !c.state.CompareAndSwap(awaitingRequest, readingRequest) {
+			n, err = 0, io.EOF
+			return true
+		}
+		n, err = readSocket(int(fd), p)
+		if n > 0 {
+			c.state.Store(requestRead)
+			return true
+		}
+		c.state.Store(awaitingRequest)
+		if c.server.shuttingDown.Load() {
+			c.state.Store(refusingRequests)
+			n, err = 0, io.EOF
+		}
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+	switch {
+	case waitErr != nil:
+		return 0, waitErr
+	case err == nil || err == io.EOF:
+		return n, err
+	}
+	return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
+}
+
+// readSocket reads from a non-blocking socket. The end of the stream is io.EOF.
+func readSocket(fd int, p []byte) (int, error) {
+	for {
+		n, err := syscall.Read(fd, p)
+		switch {
+		case err == syscall.EINTR:
+			continue
+		case err != nil:
+			return 0, err
+		case n == 0 && len(p) > 0:
+			return 0, io.EOF
+		}
+		return n, nil
+	}
+}
+
+// refuseRequests makes the connection read no further request. net/http then closes it, unless it has a request to answer.
+func (c *connection) refuseRequests() {
+	if c.state.CompareAndSwap(awaitingRequest, refusingRequests) {
+		_ = c.Conn.SetReadDeadline(expired)
+	}
+}
+
 // Write writes to the connection.
 func (c *connection) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
@@ -52,12 +125,7 @@
 	return n, err
 }
 
-// ReadFrom keeps net/http from writing to the embedded connection directly, which would not be tracked.
-func (c *connection) ReadFrom(r io.Reader) (int64, error) {
-	return io.Copy(struct{ io.Writer }{c}, r)
-}
-
-// Close closes the connection and reports it when a request that was read has no answer.
+// Close closes the connection and reports it if a request that was read has no answer.
 func (c *connection) Close() error {
 	err := c.Conn.Close()
 	if c.closed.Swap(true) {
@@ -73,10 +141,30 @@
 	return err
 }
 
+// trackState is the http.Server.ConnState of a Server.
+func trackState(n net.Conn, state http.ConnState) {
+	c := n.(*connection)
+	switch state {
+	case http.StateActive:
+		// A request that was read together with the one before has changed no state yet. It is answered also if the
+		// connection refuses further ones.
+		if !c.state.CompareAndSwap(awaitingRequest, requestRead) {
+			c.state.CompareAndSwap(refusingRequests, requestRead)
+		}
+	case http.StateIdle:
+		c.state.Store(awaitingRequest)
+		if c.server.shuttingDown.Load() {
+			c.refuseRequests()
+		}
+	}
+}
+
 // connections is the set of the open connections of a Server.
 type connections struct {
 	open  sync.Map
 	count atomic.Int64
+	// removed holds a wake-up for a goroutine that waits until no connection is open.
+	removed chan struct{}
 }
 
 func (s *connections) add(c *connection) {
@@ -87,6 +175,18 @@
 func (s *connections) remove(c *connection) {
 	s.open.Delete(c)
 	s.count.Add(-1)
+	select {
+	case s.removed <- struct{}{}:
+	default:
+	}
+}
+
+// refuseRequests makes all connections read no further request.
+func (s *connections) refuseRequests() {
+	s.open.Range(func(c, _ any) bool {
+		c.(*connection).refuseRequests()
+		return true
+	})
 }
 
 // trackingListener adds the connections that it accepts to those of its server.
@@ -101,6 +201,15 @@
 		return nil, err
 	}
 	c := &connection{Conn: inner, server: l.server}
+	if socket, ok := inner.(syscall.Conn); ok {
+		if c.raw, err = socket.SyscallConn(); err != nil {
+			_ = inner.Close()
+			return nil, err
+		}
+	}
 	l.server.connections.add(c)
+	if l.server.shuttingDown.Load() {
+		c.refuseRequests()
+	}
 	return c, nil
 }
--- a/daemon/httpserver/server.go
+++ b/daemon/httpserver/server.go
@@ -45,6 +45,8 @@
 	unanswered  atomic.Uint64
 	// closing is true once StopAccepting has been called: Serve's error is then expected.
 	closing atomic.Bool
+	// shuttingDown is true once Shutdown has been called: connections then read no further request.
+	shuttingDown atomic.Bool
 }
 
 // Duty returns the duty that serves requests. Its stop is Shutdown.
@@ -64,8 +66,33 @@
 // UnansweredRequests returns the number of connections that were closed without an answer to a request that had been read.
 func (s *Server) UnansweredRequests() uint64 { return s.unanswered.Load() }
 
-// Shutdown closes the listener and the idle connections, and waits for in-flight requests until ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
+// Shutdown closes the listener, lets the connections finish the requests that they have read, and closes them. When ctx
+// ends it closes those that remain and returns a CodeTimeout fault.
+//
+// http.Server.Shutdown is not used: once it has been called, net/http reads requests and closes their connections without an
+// answer.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.StopAccepting()
+	s.shuttingDown.Store(true)
+	s.connections.refuseRequests()
+	err := s.WaitClosed(ctx)
+	if err != nil {
+		_ = s.server.Close()
+	}
+	return err
+}
+
+// WaitClosed waits until no connection is open. It returns a CodeTimeout fault if connections remain when ctx ends.
+func (s *Server) WaitClosed(ctx context.Context) error {
+	for s.Connections() > 0 {
+		select {
+		case <-s.connections.removed:
+		case <-ctx.Done():
+			return types.NewFault(types.CodeTimeout, "%d connections are still open", s.Connections())
+		}
+	}
+	return nil
+}
 
 // provision opens the listener. It returns a CodeBadSettings fault if that fails.
 func (s *Server) provision(ctx context.Context) error {
@@ -79,6 +106,7 @@
 	if s.Secure != nil {
 		l = s.Secure(l)
 	}
+	s.connections.removed = make(chan struct{}, 1)
 	s.listener = &trackingListener{Listener: l, server: s}
 	s.server = &http.Server{
 		ConnState:         trackState,
@@ -101,10 +129,3 @@
 	}
 	return types.WrapFault(types.CodeInternal, err, "serve %s", s.Name)
 }
-
-// trackState records the end of a request on a connection that stays open.
-func trackState(c net.Conn, state http.ConnState) {
-	if state == http.StateIdle {
-		c.(*connection).state.Store(awaitingRequest)
-	}
-}
--- a/daemon/httpserver/server_test.go
+++ b/daemon/httpserver/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -14,14 +15,19 @@
 	"github.com/matryer/is"
 
 	"sequoiasail.example/duty"
+	"sequoiasail.example/types"
 )
 
 // startServer runs a server that answers each request with its path after the given time.
 func startServer(t *testing.T, work time.Duration) *Server {
 	t.Helper()
 	s := &Server{Name: "test", Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(work)
-		_, _ = io.WriteString(w, r.URL.Path)
+		select {
+		case <-time.After(work):
+			_, _ = io.WriteString(w, r.URL.Path)
+		case <-r.Context().Done():
+			_, _ = io.WriteString(w, "the caller has left")
+		}
 	})}
 	g := duty.NewGroup()
 	g.Add(s.Duty())
@@ -63,9 +69,19 @@
 	return string(body), err
 }
 
-// isUnread reports whether an error shows that the server closed the connection without reading the request: closing a
+// isOpen reports whether the server has not closed the connection yet.
+func (c client) isOpen() bool {
+	_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := c.reader.Peek(1)
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// isReset reports whether an error shows that the server closed the connection without reading the request: closing a
 // connection with unread bytes resets it.
-func isUnread(err error) bool { return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) }
+func isReset(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
 
 // Guards against a request that is read and dropped because it arrives after the beginning of a shutdown, on a connection that
 // has carried no request yet.
@@ -83,8 +99,99 @@
 	done := make(chan error, 1)
 	go func() { done <- s.Shutdown(t.Context()) }()
 	time.Sleep(100 * time.Millisecond)
-	_, err := fresh.get("/late")
-	is.True(err == nil || isUnread(err)) // a clean end shows that the request was read
+	if fresh.isOpen() {
+		_, err := fresh.get("/late")
+		is.True(err == nil || isReset(err)) // a clean end shows that the request was read
+	}
 	is.NoErr(<-answered)
 	is.NoErr(<-done)
 }
+
+// Guards against a shutdown that drops one of the requests that race with it, on connections that have carried others before.
+func TestRequestsThatRaceWithAShutdownAreAnsweredOrNotRead(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		s := startServer(t, 0)
+		const callers = 40
+		lost := make(chan error, callers)
+		for range callers {
+			c := dial(t, s)
+			go func() { lost <- c.sendUntilClosed() }()
+		}
+		time.Sleep(5 * time.Millisecond)
+		is.NoErr(s.Shutdown(t.Context()))
+		for range callers {
+			is.NoErr(<-lost)
+		}
+		is.Equal(s.UnansweredRequests(), uint64(0))
+	}
+}
+
+// sendUntilClosed sends requests until the connection is closed. It returns an error when a request was read and not answered.
+func (c client) sendUntilClosed() error {
+	for c.isOpen() {
+		if _, err := c.get("/"); err != nil {
+			if isReset(err) || err == io.ErrUnexpectedEOF {
+				// The close may have crossed the request. UnansweredRequests tells whether it was read.
+				return nil
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+// Guards against a shutdown that waits for a caller who never finishes its request, and against a connection that stays open
+// after it.
+func TestShutdownClosesConnectionsWithUnfinishedRequestsAtItsLimit(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, 0)
+	c := dial(t, s)
+	_, err := io.WriteString(c, "GET /half HTTP/1.1\r\nHo")
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	is.Equal(types.CodeOf(s.Shutdown(ctx)), types.CodeTimeout)
+	is.True(!c.isOpen())
+}
+
+// Guards against a kept connection that stops serving requests, or that counts as open after its caller has closed it.
+func TestKeptConnectionServesRequests(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, 0)
+	c := dial(t, s)
+	for _, path := range []string{"/a", "/b", "/c"} {
+		body, err := c.get(path)
+		is.NoErr(err)
+		is.Equal(body, path)
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.Equal(s.Connections(), 1)
+	is.NoErr(c.Close())
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	is.NoErr(s.WaitClosed(ctx))
+	is.Equal(s.UnansweredRequests(), uint64(0))
+}
+
+// Guards against two requests sent at once of which the second is dropped by a shutdown, because its first byte was read with
+// the first request.
+func TestPipelinedRequestIsAnsweredDuringShutdown(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, 100*time.Millisecond)
+	c := dial(t, s)
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(t.Context()) }()
+	for _, path := range []string{"/1", "/2"} {
+		res, err := http.ReadResponse(c.reader, nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(res.Body)
+		is.NoErr(err)
+		is.Equal(string(body), path)
+	}
+	is.NoErr(<-done)
+}
