edge, admission: a planned stop accepts no request that may outlive it

What callers saw: an order that a stopping VM had taken ended with a closed connection and no answer.

Cause: a stopping VM passed requests on until 70% of the stop grace period, and closed connections after a pause without requests or at a fixed time. A request may run for as long as its route's timeout, which is longer than the rest of the grace period.

Change: the admission core is told the end of the stop. A request whose deadline is later is refused at once as not run, with Retry-After 0 because other VMs have room, except in the first 40% of the grace period, when callers cannot know yet; such requests get their answer by the end. Waiting requests and retries follow the same rule. Open connections are served until the end, so that no pause without requests has to come, and then read no further request.

--- a/admission/core.go
+++ b/admission/core.go
@@ -29,6 +29,8 @@
 	notBefore types.Instant
 	// waiting is true while the request is in the queue of its service.
 	waiting bool
+	// outlivesStop is true if a planned stop has brought the deadline forward.
+	outlivesStop bool
 }
 
 // Random is a source of uniform random numbers below n.
@@ -59,6 +61,8 @@
 	startedAt types.Instant
 	// nextCheck is when Tick next checks deadlines and waiting requests.
 	nextCheck types.Instant
+	// stopping is the planned stop of the process, nil if there is none.
+	stopping *Stopping
 }
 
 // New returns a core that knows no services.
@@ -103,6 +107,8 @@
 		c.setPeers(m)
 	case PeerReport:
 		c.applyPeerReport(now, m)
+	case Stopping:
+		c.setStopping(m)
 	}
 	return c.actions
 }
@@ -138,6 +144,7 @@
 		c.refuse(now, req, types.CodeNoRoute)
 		return
 	}
+	c.limitToStop(req)
 	req.service.retryBudget.addRequest(now)
 	c.requests[req.id] = req
 	c.sendOrQueue(now, req)
@@ -164,6 +171,11 @@
 
 // sendOrQueue sends a request, queues it or refuses it.
 func (c *Core) sendOrQueue(now types.Instant, req *request) {
+	if !c.mayStart(now, req) {
+		req.service.dequeue(req)
+		c.refuse(now, req, types.CodeShuttingDown)
+		return
+	}
 	t, code := c.chooseTarget(now, req)
 	switch {
 	case t != nil:
@@ -239,6 +251,9 @@
 // refuse ends a request that has no attempt in flight.
 func (c *Core) refuse(now types.Instant, req *request, code types.Code) {
 	after := minRetryAfter + time.Duration(c.random.Int64N(int64(retryAfterJitter)))
+	if code == types.CodeShuttingDown {
+		after = stopRetryAfter
+	}
 	c.actions = append(c.actions, Refuse{ID: req.id, Code: code, RetryAfter: after, Reason: c.refusalReason(now, req)})
 	delete(c.requests, req.id)
 }
@@ -282,7 +297,7 @@
 
 // mayRetry reports whether a retry is safe and within the route's attempts, the retry budget and the deadline.
 func (c *Core) mayRetry(now types.Instant, req *request, safe bool) bool {
-	return safe && req.attempts < req.route.MaxAttempts && req.service.retryBudget.allows(now, c.fleetSize()) &&
+	return safe && c.mayStart(now, req) && req.attempts < req.route.MaxAttempts && req.service.retryBudget.allows(now, c.fleetSize()) &&
 		now.Before(req.deadline.Add(-minSendTime))
 }
 
--- a/admission/explain.go
+++ b/admission/explain.go
@@ -20,6 +20,8 @@
 	switch {
 	case s == nil:
 		return "service not known"
+	case !c.mayStart(now, req):
+		return "may outlive the stop of this VM"
 	case !s.Keyed:
 		return c.unkeyedRefusalReason(now, s)
 	case !req.keyed:
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -37,18 +37,22 @@
 	storeReadCapacity   = 8
 )
 
-// Timing of a planned stop, which starts at SIGTERM.
+// Timing of a planned stop, which begins at SIGTERM. Shares are of the platform's stop grace period, after which the process is
+// killed.
 const (
-	// serveShare is the share of the stop time during which new connections are still accepted, 3.4 of 6 s: the load
-	// balancer needs two failed readiness probes, a second apart, and lost packets are retransmitted up to a second later.
+	// serveShare is the share during which new connections are still accepted, 3.4 of 6 s: the load balancer needs two failed
+	// readiness probes, a second apart, and lost packets are retransmitted up to a second later.
 	serveShare = 0.57
-	// acceptShare is the share of the stop time during which requests on open connections are still accepted, 4.2 of 6 s.
-	// Later ones are refused as not run, because the process would be killed before they finish.
-	acceptShare = 0.7
-	// stopMargin is the end of the stop time, reserved for stopping the duties after the HTTP server.
-	stopMargin = 800 * time.Millisecond
+	// acceptShare is the share during which a request is sent to a target although its deadline is later than the end of the
+	// stop. Callers that the load balancer has connected before its probes failed depend on it.
+	acceptShare = 0.4
+	// answerMargin is the end of the grace period in which no request is in flight any more. It covers late timers and the last
+	// answers on a busy VM.
+	answerMargin = 500 * time.Millisecond
+	// closeMargin is the end of the grace period that is left for the duties once the connections are closed.
+	closeMargin = 250 * time.Millisecond
 	// lingerTime gives the kernel time to send the last responses before the process ends.
-	lingerTime = 200 * time.Millisecond
+	lingerTime = 50 * time.Millisecond
 )
 
 // initialHTTPLimits are the limits of both HTTP servers. They apply before a configuration is known, and are wider than
@@ -128,26 +132,25 @@
 }
 
 // stop reports the VM as not ready, so that the load balancer removes it, finishes the in-flight requests and stops the
-// duties.
+// duties. Open connections are served until no request could be finished any more, because their callers may use them at any
+// time: a request that is read gets an answer, and later ones are not read.
 func (e *Edge) stop() error {
-	began := time.Now()
+	began := telemetry.Now()
+	end := began.Add(e.settings.StopGracePeriod)
 	e.log.Info("stopping", e.stopFields(began))
 	e.readiness.stopping.Store(true)
 	e.frontend.closing.Store(true)
 	close(e.session.stopRequested)
-	servingTime := time.Duration(serveShare * float64(e.settings.StopGracePeriod))
-	duty.Pause(context.Background(), servingTime)
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.StopGracePeriod-servingTime-stopMargin)
-	defer cancel()
-	// The listener is closed first: once Server.Shutdown is called, net/http drops requests that arrive on connections
-	// opened before.
+	_ = e.admission.Put(context.Background(), admission.Stopping{
+		AcceptUntil: began.Add(share(e.settings.StopGracePeriod, acceptShare)), End: end.Add(-answerMargin),
+	})
+	duty.Pause(context.Background(), share(e.settings.StopGracePeriod, serveShare))
 	e.server.StopAccepting()
 	e.log.Info("no longer accepting connections", e.stopFields(began))
-	refusing := time.AfterFunc(time.Duration(acceptShare*float64(e.settings.StopGracePeriod))-servingTime, func() { e.frontend.refusing.Store(true) })
-	defer refusing.Stop()
-	e.frontend.drain(ctx)
+	// An error means that connections remain, which are closed next.
+	_ = e.waitUntil(end.Add(-answerMargin), e.server.WaitClosed)
 	e.log.Info("closing the connections of callers", e.stopFields(began))
-	if err := e.server.Shutdown(ctx); err != nil {
+	if err := e.waitUntil(end.Add(-closeMargin), e.server.Shutdown); err != nil {
 		e.log.Warn("requests still in flight at the end of the stop time", log.Fields{"error": err.Error()})
 	}
 	duty.Pause(context.Background(), lingerTime)
@@ -155,10 +158,20 @@
 	return e.group.Stop(context.Background())
 }
 
+// share returns the given share of d.
+func share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
+
+// waitUntil calls wait with a context that ends at the given time.
+func (e *Edge) waitUntil(end types.Instant, wait func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(telemetry.Now()))
+	defer cancel()
+	return wait(ctx)
+}
+
 // stopFields describes what a planned stop still waits for.
-func (e *Edge) stopFields(began time.Time) log.Fields {
+func (e *Edge) stopFields(began types.Instant) log.Fields {
 	return log.Fields{
-		"since": time.Since(began).Round(time.Millisecond).String(), "connections": e.server.Connections(),
+		"since": telemetry.Now().Sub(began).Round(time.Millisecond).String(), "connections": e.server.Connections(),
 		"inFlight": e.frontend.inFlight.Load(), "unanswered": e.server.UnansweredRequests(),
 	}
 }
--- a/daemon/edge/frontend.go
+++ b/daemon/edge/frontend.go
@@ -12,7 +12,6 @@
 
 	"sequoiasail.example/admission"
 	"sequoiasail.example/catalog"
-	"sequoiasail.example/duty"
 	"sequoiasail.example/platform"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
@@ -20,8 +19,8 @@
 	"sequoiasail.example/types"
 )
 
-// refusalRetryAfter is the Retry-After of requests that are refused before admission: no configuration is known, the VM is
-// stopping or the admission ring is full.
+// refusalRetryAfter is the Retry-After of requests that are refused before admission: no configuration is known or the
+// admission ring is full.
 const refusalRetryAfter = 200 * time.Millisecond
 
 // frontend is the HTTP handler for callers. It decodes requests, passes them to admission and encodes the answers. It runs
@@ -34,8 +33,6 @@
 	lastID         atomic.Uint64
 	// closing is set when the VM begins to stop: each response then closes its connection.
 	closing atomic.Bool
-	// refusing is set late in the stop time, when a new request on an open connection could no longer be finished.
-	refusing atomic.Bool
 	// inFlight counts the requests that have no answer yet.
 	inFlight atomic.Int64
 }
@@ -59,10 +56,6 @@
 		f.reject(w, call, fault)
 		return
 	}
-	if f.refusing.Load() {
-		f.refuse(w, call, types.CodeShuttingDown)
-		return
-	}
 	v := f.storeCache.published.Load()
 	if v.table == nil {
 		f.refuse(w, call, types.CodeNotFound)
@@ -81,21 +74,6 @@
 	f.submit(w, r, route, &pending{call: call, body: body})
 }
 
-// drain waits until no request has been in flight for drainQuietTime, or until ctx ends.
-func (f *frontend) drain(ctx context.Context) {
-	idleSince := time.Now()
-	for ctx.Err() == nil && time.Since(idleSince) < drainQuietTime {
-		if f.inFlight.Load() > 0 {
-			idleSince = time.Now()
-		}
-		duty.Pause(ctx, drainQuietTime/10)
-	}
-}
-
-// drainQuietTime is how long the server must be without in-flight requests before the remaining connections are closed. A
-// request whose packet was lost arrives up to 0.3 s after its connection.
-const drainQuietTime = 400 * time.Millisecond
-
 // reject answers a request that is invalid or has no route, with the status of the fault's code.
 func (f *frontend) reject(w http.ResponseWriter, c platform.CallerRequest, fault *types.Fault) {
 	f.log.LogDecision(telemetry.Decision{
