--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -40,12 +40,12 @@
 // Timing of a planned stop, which begins at SIGTERM. Shares are of the platform's stop grace period, after which the process is
 // killed.
 const (
-	// serveShare is the share during which new connections are still accepted, 3.4 of 6 s: the load balancer needs two failed
-	// readiness probes, a second apart, and lost packets are retransmitted up to a second later.
+	// serveShare is the share during which the process goes on even if no caller is connected, 3.4 of 6 s: the load balancer
+	// needs two failed readiness probes, a second apart, and lost packets are retransmitted up to a second later.
 	serveShare = 0.57
 	// acceptShare is the share during which a request is sent to a target although its deadline is later than the end of the
 	// stop. Callers that the load balancer has connected before its probes failed depend on it.
-	acceptShare = 0.4
+	acceptShare = 0.45
 	// answerMargin is the end of the grace period in which no request is in flight any more. It covers late timers and the last
 	// answers on a busy VM.
 	answerMargin = 500 * time.Millisecond
@@ -132,8 +132,9 @@
 }
 
 // stop reports the VM as not ready, so that the load balancer removes it, finishes the in-flight requests and stops the
-// duties. Open connections are served until no request could be finished any more, because their callers may use them at any
-// time: a request that is read gets an answer, and later ones are not read.
+// duties. Connections are accepted and served while any is open, until no request could be finished any more: their callers may
+// use them at any time, and the load balancer goes on using stopping VMs if it has too few others. A request that is read gets an
+// answer; later ones are not read.
 func (e *Edge) stop() error {
 	began := telemetry.Now()
 	end := began.Add(e.settings.StopGracePeriod)
@@ -145,8 +146,6 @@
 		AcceptUntil: began.Add(share(e.settings.StopGracePeriod, acceptShare)), End: end.Add(-answerMargin),
 	})
 	duty.Pause(context.Background(), share(e.settings.StopGracePeriod, serveShare))
-	e.server.StopAccepting()
-	e.log.Info("no longer accepting connections", e.stopFields(began))
 	// An error means that connections remain, which are closed next.
 	_ = e.waitUntil(end.Add(-answerMargin), e.server.WaitClosed)
 	e.log.Info("closing the connections of callers", e.stopFields(began))
