admission: one final action for each request, and none that denies an attempt that may have run

Callers saw 503, which promises that a request has not run and will not, for idempotent requests whose first attempt was lost or answered with a failure, and whose retry waited until the deadline or was not run. Cause: the refusal looked at the last attempt only. A request now notes that it may have run, and every way of ending it without an answer goes through reject, which fails it then.

Requests also ended in ways that left state behind or made callers wait: - A request whose caller left got no final action. It gets one now, after Abort if an attempt is in flight, and is not sent again. - Fail came before Abort, so the daemon had to keep the request after its final action. No action follows the final one now. - A service that left the configuration without waiting requests was dropped while attempts were in flight. Their retries waited in a queue that nobody served until the deadline.

Ruled out by tests that passed before the change: routes whose weights are all zero (refused at once); waiting requests of a removed service without targets (answered at once, not at the deadline).

--- a/admission/choose.go
+++ b/admission/choose.go
@@ -20,13 +20,17 @@
 func (c *Core) chooseFastest(now types.Instant, req *request) (*target, types.Code) {
 	var best *target
 	var bestTime time.Duration
-	usable := false
+	usable, untried := false, false
 	for _, t := range req.service.targets {
 		if t.leavingSince != 0 || now.Before(t.unreachable) {
 			continue
 		}
 		usable = true
-		if !c.hasRoom(now, t, t.Slots+queuedBeyondSlots) || slices.Contains(req.tried, t.Target) {
+		if slices.Contains(req.tried, t.Target) {
+			continue
+		}
+		untried = true
+		if !c.hasRoom(now, t, t.Slots+queuedBeyondSlots) {
 			continue
 		}
 		estimate := t.expectedTime(now) + c.remotePenalty(t)
@@ -39,6 +43,9 @@
 	if best != nil {
 		return best, ""
 	}
+	if usable && !untried {
+		return nil, types.CodeTargetRefused
+	}
 	if usable && c.wouldFinishTooLate(now, req, nil) {
 		return nil, types.CodeOverloaded
 	}
--- a/admission/core.go
+++ b/admission/core.go
@@ -8,7 +8,7 @@
 	"sequoiasail.example/types"
 )
 
-// request is a caller's request that has no final answer yet, or whose aborted attempt has not ended yet.
+// request is a caller's request that has no final action yet, or whose aborted attempt has not ended yet.
 type request struct {
 	id       LocalRequestID
 	route    *catalog.Route
@@ -23,8 +23,13 @@
 	sentAt   types.Instant
 	// tried lists the targets of all attempts.
 	tried []types.Target
-	// callerDone is true once the caller has its final answer or has disconnected.
-	callerDone bool
+	// mayHaveRun is true once an attempt has ended after which the request may have run. It is then never refused as not
+	// run.
+	mayHaveRun bool
+	// callerLeft is true once the caller has disconnected. The request is then not sent again.
+	callerLeft bool
+	// finished is true once the request has its final action.
+	finished bool
 	// notBefore delays the next attempt at a keyed service.
 	notBefore types.Instant
 	// waiting is true while the request is in the queue of its service.
@@ -83,7 +88,7 @@
 	case RequestArrived:
 		c.handleArrival(now, m)
 	case CallerLeft:
-		c.handleCallerLeft(m)
+		c.handleCallerLeft(now, m)
 	case AttemptFinished:
 		c.handleAttemptFinished(now, m)
 	case Services:
@@ -133,13 +138,13 @@
 		req.deadline = limit
 	}
 	req.service = c.pickService(m.Route)
+	c.requests[req.id] = req
 	if req.service == nil {
-		c.requests[req.id] = req
-		c.refuse(now, req, types.CodeNoRoute)
+		c.reject(now, req, types.CodeNoRoute)
 		return
 	}
+	req.service.open++
 	req.service.retryBudget.addRequest(now)
-	c.requests[req.id] = req
 	c.sendOrQueue(now, req)
 }
 
@@ -162,8 +167,13 @@
 	return nil
 }
 
-// sendOrQueue sends a request, queues it or refuses it.
+// sendOrQueue sends a request, queues it or rejects it. A request whose attempt would have to end at once is rejected: the
+// end of such an attempt would count against its target.
 func (c *Core) sendOrQueue(now types.Instant, req *request) {
+	if !now.Before(req.deadline.Add(-replyMargin)) {
+		c.reject(now, req, types.CodeDeadlineExceeded)
+		return
+	}
 	t, code := c.chooseTarget(now, req)
 	switch {
 	case t != nil:
@@ -171,8 +181,7 @@
 	case code == "":
 		c.enqueue(req)
 	default:
-		req.service.dequeue(req)
-		c.refuse(now, req, code)
+		c.reject(now, req, code)
 	}
 }
 
@@ -203,44 +212,73 @@
 	})
 }
 
-// expire ends a request at its deadline: with a refusal when no attempt is in flight, otherwise with a failure, because
-// the target may run it.
+// expire ends a request at its deadline.
 func (c *Core) expire(now types.Instant, req *request) {
-	if req.callerDone || now.Before(req.deadline.Add(-replyMargin/2)) {
-		return
-	}
-	if req.sentTo == nil {
-		req.service.dequeue(req)
-		c.refuse(now, req, types.CodeDeadlineExceeded)
-		return
+	switch {
+	case req.finished || now.Before(req.deadline.Add(-replyMargin/2)):
+	case req.sentTo == nil:
+		c.reject(now, req, types.CodeDeadlineExceeded)
+	default:
+		c.abort(req, types.CodeDeadlineExceeded)
 	}
-	c.actions = append(c.actions, Fail{ID: req.id, Code: types.CodeDeadlineExceeded}, Abort{ID: req.id, Attempt: req.attempts})
-	req.callerDone = true
 }
 
-// handleCallerLeft drops a request whose caller has disconnected. An attempt that is not idempotent is left to finish,
+// handleCallerLeft ends a request whose caller has disconnected. An attempt that is not idempotent is left to finish,
 // because its caller may ask for the result later.
-func (c *Core) handleCallerLeft(m CallerLeft) {
+func (c *Core) handleCallerLeft(now types.Instant, m CallerLeft) {
 	req := c.requests[m.ID]
-	if req == nil || req.callerDone {
+	if req == nil || req.finished {
 		return
 	}
-	req.callerDone = true
-	if req.sentTo == nil {
-		req.service.dequeue(req)
-		delete(c.requests, req.id)
+	req.callerLeft = true
+	switch {
+	case req.sentTo == nil:
+		c.reject(now, req, types.CodeCancelled)
+	case req.route.Idempotent:
+		c.abort(req, types.CodeCancelled)
+	}
+}
+
+// reject ends a request that has no attempt in flight: with a refusal when it has not run, otherwise with a failure.
+func (c *Core) reject(now types.Instant, req *request, code types.Code) {
+	if req.mayHaveRun {
+		c.finish(req, Fail{ID: req.id, Code: code})
 		return
 	}
-	if req.route.Idempotent {
-		c.actions = append(c.actions, Abort{ID: req.id, Attempt: req.attempts})
+	after := minRetryAfter + time.Duration(c.random.Int64N(int64(retryAfterJitter)))
+	c.finish(req, Refuse{ID: req.id, Code: code, RetryAfter: after, Reason: c.refusalReason(now, req)})
+}
+
+// abort ends a request that has an attempt in flight, with a failure because the target may run it.
+func (c *Core) abort(req *request, code types.Code) {
+	c.actions = append(c.actions, Abort{ID: req.id, Attempt: req.attempts})
+	c.finish(req, Fail{ID: req.id, Code: code})
+}
+
+// finish appends the final action of a request. No other action follows it. The request is kept while its attempt is in
+// flight.
+func (c *Core) finish(req *request, final Action) {
+	c.actions = append(c.actions, final)
+	req.finished = true
+	if req.service != nil {
+		req.service.dequeue(req)
+	}
+	if req.sentTo == nil {
+		c.remove(req)
 	}
 }
 
-// refuse ends a request that has no attempt in flight.
-func (c *Core) refuse(now types.Instant, req *request, code types.Code) {
-	after := minRetryAfter + time.Duration(c.random.Int64N(int64(retryAfterJitter)))
-	c.actions = append(c.actions, Refuse{ID: req.id, Code: code, RetryAfter: after, Reason: c.refusalReason(now, req)})
+// remove forgets a request, and its service when that has left the configuration and has no other request.
+func (c *Core) remove(req *request) {
 	delete(c.requests, req.id)
+	s := req.service
+	if s == nil {
+		return
+	}
+	s.open--
+	if s.removed && s.open == 0 {
+		delete(c.services, s.Name)
+	}
 }
 
 // handleAttemptFinished updates the target's statistics, completes or retries the request, and sends requests that
@@ -255,34 +293,34 @@
 	t.ownInFlight--
 	c.changedTargets[t.Target] = true
 	c.recordOutcome(now, req, t, m)
-	if req.callerDone {
-		delete(c.requests, req.id)
+	req.mayHaveRun = req.mayHaveRun || m.Result == ResultLost || m.Result == ResultAnswered
+	if req.finished {
+		c.remove(req)
 	} else {
 		c.completeOrRetry(now, req, t, m)
 	}
 	c.sendWaiting(now, req.service)
 }
 
-// completeOrRetry replies, retries, refuses or fails, in that order of preference.
+// completeOrRetry replies, retries or rejects, in that order of preference.
 func (c *Core) completeOrRetry(now types.Instant, req *request, t *target, m AttemptFinished) {
 	notRun := m.Result == ResultNotRun || m.Result == ResultMisdirected
 	switch {
 	case m.Result == ResultAnswered && (!m.Failed || !c.mayRetry(now, req, req.route.Idempotent)):
-		c.actions = append(c.actions, Reply{ID: req.id, Answer: m.Answer})
-		delete(c.requests, req.id)
+		c.finish(req, Reply{ID: req.id, Answer: m.Answer})
 	case c.mayRetry(now, req, notRun || req.route.Idempotent):
 		c.retry(now, req, t, m)
 	case notRun:
-		c.refuse(now, req, types.CodeTargetRefused)
+		c.reject(now, req, types.CodeTargetRefused)
 	default:
-		c.actions = append(c.actions, Fail{ID: req.id, Code: types.CodeTargetFailed})
-		delete(c.requests, req.id)
+		c.reject(now, req, types.CodeTargetFailed)
 	}
 }
 
-// mayRetry reports whether a retry is safe and within the route's attempts, the retry budget and the deadline.
+// mayRetry reports whether a retry is safe, still wanted, and within the route's attempts, the retry budget and the
+// deadline.
 func (c *Core) mayRetry(now types.Instant, req *request, safe bool) bool {
-	return safe && req.attempts < req.route.MaxAttempts && req.service.retryBudget.allows(now, c.fleetSize()) &&
+	return safe && !req.callerLeft && req.attempts < req.route.MaxAttempts && req.service.retryBudget.allows(now, c.fleetSize()) &&
 		now.Before(req.deadline.Add(-minSendTime))
 }
 
--- a/admission/message.go
+++ b/admission/message.go
@@ -25,7 +25,7 @@
 		// Deadline is when the caller stops waiting.
 		Deadline types.Instant
 	}
-	// CallerLeft reports that the caller has closed its connection.
+	// CallerLeft reports that the caller has closed its connection. The request still gets its final action.
 	CallerLeft struct{ ID LocalRequestID }
 	// AttemptFinished reports the end of one attempt.
 	AttemptFinished struct {
@@ -127,7 +127,8 @@
 	Failed bool
 }
 
-// Action is an output of a Core.
+// Action is an output of a Core. Each request gets exactly one final action, which is a Reply, a Refuse or a Fail, at the
+// latest at its deadline. No other action for the request follows it.
 type Action interface{ action() }
 
 type (
@@ -141,7 +142,8 @@
 		// Reason describes the load that the choice is based on, for the log.
 		Reason string
 	}
-	// Abort ends an attempt whose result nobody waits for. AttemptFinished still reports its end.
+	// Abort ends an attempt whose result nobody waits for. The final action of its request follows. AttemptFinished still
+	// reports the end of the attempt.
 	Abort struct {
 		ID      LocalRequestID
 		Attempt int
--- a/admission/service.go
+++ b/admission/service.go
@@ -20,6 +20,10 @@
 	// waiting holds the queued requests, the most urgent first, then by arrival.
 	waiting     []*request
 	retryBudget retryBudget
+	// open counts the requests that the core holds. removed is true once the service has left the configuration: it is kept
+	// while it has open requests, so that its targets can still answer them.
+	open    int
+	removed bool
 }
 
 // movingRange is a range of keys whose requests wait until the given time.
@@ -38,7 +42,9 @@
 		s.Service = conf
 	}
 	for name, s := range c.services {
-		if _, ok := m.Services[name]; !ok && len(s.waiting) == 0 {
+		_, configured := m.Services[name]
+		s.removed = !configured
+		if s.removed && s.open == 0 {
 			delete(c.services, name)
 		}
 	}
@@ -66,7 +72,7 @@
 		return
 	}
 	s.owners = m.Table
-	s.moving = slices.DeleteFunc(s.moving, func(r movingRange) bool { return !now.Before(r.until) })
+	s.dropMoved(now)
 	for n := range s.moving {
 		r := &s.moving[n]
 		if i := s.owners.Index(r.From); i >= 0 && s.owners.Ranges[i].Fence != r.Fence {
@@ -77,11 +83,17 @@
 	c.sendWaiting(now, s)
 }
 
+// dropMoved drops the ranges whose wait has ended.
+func (s *service) dropMoved(now types.Instant) {
+	s.moving = slices.DeleteFunc(s.moving, func(r movingRange) bool { return !now.Before(r.until) })
+}
+
 func (c *Core) setMoving(now types.Instant, m KeysMoving) {
 	s := c.services[m.Service]
 	if s == nil {
 		return
 	}
+	s.dropMoved(now)
 	for _, r := range m.Ranges {
 		i := s.owners.Index(r.From)
 		if i >= 0 && s.owners.Ranges[i].Fence <= r.Fence {
--- a/admission/target.go
+++ b/admission/target.go
@@ -92,7 +92,7 @@
 	if m.Unreachable {
 		t.unreachable = now.Add(unreachableDelay)
 	}
-	if req.callerDone && m.Result == ResultLost {
+	if req.finished && m.Result == ResultLost {
 		// The attempt was aborted: its duration is only a lower bound of the target's time.
 		s.Failed = false
 		if s.ResponseTime = now.Sub(req.sentAt); s.ResponseTime < abortedTimeFactor*t.unqueuedTime() {
