edge: each request that was read ends with one answer, one final log line and one count

What callers saw: - A caller that closes its side of the connection after its request got an empty 200 without a signature: net/http ends the request's context, the handler returned, and net/http wrote its default answer. The final action of the core is written now. - A panic while an answer was written (a target's status below 100) closed the connection without an answer. Such a request is answered 502; the connection is closed only when the answer had begun. - HEAD was answered with Content-Length 0 instead of the target's length. What operators saw: - Requests that failed or whose callers left stayed in admissionDuty.flights with their bodies, until the process was killed at its memory limit. A flight ends with the final action of the core now, which each request gets. - Panics and failed writes had no final line, rejected and left requests no count, requests refused before admission neither. The frontend writes the final line and counts the outcome in one deferred place; the gauge sail_requests_unanswered shows the rest. perform handles attempts for which the senders have no room in its loop; it called itself before, once for each waiting request.

Ruled out by tests that pass with both versions: statuses 204 and 304 with a body, unassigned statuses, chunked bodies, Expect: 100-continue and HTTP/1.0 keep-alive (each twice on one connection).

--- a/daemon/edge/admission.go
+++ b/daemon/edge/admission.go
@@ -57,7 +57,8 @@
 	body   []byte
 }
 
-// flight is a request that has been passed to the admission core. cancel ends its latest attempt and is nil before the first.
+// flight is a request that has no final action of the admission core yet. cancel ends its latest attempt and is nil before the
+// first.
 type flight struct {
 	pending *pending
 	cancel  context.CancelFunc
@@ -73,12 +74,11 @@
 // admissionDuty runs the admission core: it performs the core's actions and sends its load reports.
 type admissionDuty struct {
 	// The rings: in is the duty's own, attempts is that of the senders, peers that of the peer sender.
-	in             *ring.Ring[any]
-	attempts       *ring.Ring[attempt]
-	peers          *ring.Ring[report]
-	log            *telemetry.Log
-	core           *admission.Core
-	requestMetrics *requestMetrics
+	in       *ring.Ring[any]
+	attempts *ring.Ring[attempt]
+	peers    *ring.Ring[report]
+	log      *telemetry.Log
+	core     *admission.Core
 
 	flights map[admission.LocalRequestID]*flight
 	hosts   map[hostKey]*forward.Host
@@ -162,12 +162,17 @@
 	}
 }
 
-// perform executes the actions of the core.
+// perform executes the actions of the core, and those that follow from attempts for which the senders have no room.
 func (a *admissionDuty) perform(ctx context.Context, actions []admission.Action) {
-	for _, action := range actions {
+	for len(actions) > 0 {
+		action := actions[0]
+		actions = actions[1:]
 		switch m := action.(type) {
 		case admission.Send:
-			a.send(ctx, m)
+			if !a.send(ctx, m) {
+				notRun := admission.AttemptFinished{ID: m.ID, Attempt: m.Attempt, Result: admission.ResultNotRun}
+				actions = append(actions, a.core.Step(telemetry.Now(), notRun)...)
+			}
 		case admission.Abort:
 			if f := a.flights[m.ID]; f != nil && f.cancel != nil {
 				f.cancel()
@@ -191,11 +196,11 @@
 	return ""
 }
 
-// send queues an attempt for the senders. If their ring is full, the attempt counts as not run.
-func (a *admissionDuty) send(ctx context.Context, m admission.Send) {
+// send queues an attempt for the senders. It returns false if their ring is full.
+func (a *admissionDuty) send(ctx context.Context, m admission.Send) bool {
 	f := a.flights[m.ID]
 	if f == nil {
-		return
+		return false
 	}
 	key := hostKey{target: m.Target.Target, incarnation: m.Target.Incarnation, address: m.Target.Address}
 	host := a.hosts[key]
@@ -213,41 +218,20 @@
 	next := attempt{ctx: attemptCtx, cancel: cancel, send: m, host: host, call: f.pending.call, body: f.pending.body}
 	if err := a.attempts.TryPut(next); err != nil {
 		cancel()
-		a.perform(ctx, a.core.Step(telemetry.Now(), admission.AttemptFinished{ID: m.ID, Attempt: m.Attempt, Result: admission.ResultNotRun}))
+		return false
 	}
+	return true
 }
 
-// respond passes the final action to the waiting frontend. The reply channel holds one response; another is dropped. A
-// flight stays listed after Fail, so that an Abort that follows finds its cancel function.
+// respond passes the final action of a request to the waiting frontend, which logs it, and forgets the request.
 func (a *admissionDuty) respond(id admission.LocalRequestID, action admission.Action) {
 	f := a.flights[id]
 	if f == nil {
 		return
 	}
-	select {
-	case f.pending.reply <- response{action: action}:
-	default:
-	}
-	if _, failed := action.(admission.Fail); !failed {
-		delete(a.flights, id)
-	}
-	a.logAnswer(f.pending, action)
-}
-
-func (a *admissionDuty) logAnswer(p *pending, action admission.Action) {
-	d := telemetry.Decision{Kind: "answer", RequestID: string(p.call.ID)}
-	switch m := action.(type) {
-	case admission.Reply:
-		d.Outcome = "answered"
-		a.requestMetrics.answered.Inc()
-	case admission.Refuse:
-		d.Outcome, d.Code, d.Detail = "refused, not run", string(m.Code), "retry after "+m.RetryAfter.String()+", "+m.Reason
-		a.requestMetrics.refused.Inc()
-	case admission.Fail:
-		d.Outcome, d.Code = "failed, may have run", string(m.Code)
-		a.requestMetrics.failed.Inc()
-	}
-	a.log.LogDecision(d)
+	delete(a.flights, id)
+	// The channel has room: a request has one final action.
+	f.pending.reply <- response{action: action}
 }
 
 // report sends the load to the VMs of the data centre when it has changed or reportRefresh has passed, and the collected
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -176,7 +176,7 @@
 	e.group.Add(mirror.Duty())
 	e.addSession()
 	e.addCoordinator(reports)
-	e.addAdmission(attempts, reports, m)
+	e.addAdmission(attempts, reports)
 	e.addServers(m)
 	return nil
 }
@@ -256,9 +256,9 @@
 }
 
 // addAdmission adds the admission duty and the senders.
-func (e *Edge) addAdmission(attempts *ring.Ring[attempt], reports *ring.Ring[report], m *requestMetrics) {
+func (e *Edge) addAdmission(attempts *ring.Ring[attempt], reports *ring.Ring[report]) {
 	a := &admissionDuty{
-		in: e.admission, attempts: attempts, peers: reports, log: e.log, requestMetrics: m,
+		in: e.admission, attempts: attempts, peers: reports, log: e.log,
 		core: admission.New(admission.Settings{
 			DataCentre: string(e.settings.DataCentre), VM: string(e.settings.VM), RemotePenalty: remotePenalty,
 			RetryRatio: e.settings.RetryRatio, RetrySlack: e.settings.RetrySlack, RetryWindow: e.settings.RetryWindow,
--- a/daemon/edge/frontend.go
+++ b/daemon/edge/frontend.go
@@ -16,7 +16,6 @@
 	"sequoiasail.example/platform"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
-	"sequoiasail.example/transport/forward"
 	"sequoiasail.example/types"
 )
 
@@ -51,34 +50,42 @@
 	f.requestMetrics.requests.Inc()
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
+	a := &answerWriter{ResponseWriter: w, line: telemetry.Decision{Kind: "answer"}}
+	defer f.finish(a)
 	if f.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	f.handle(a, r)
+}
+
+// handle decodes a request and answers it, by itself or after a decision of admission.
+func (f *frontend) handle(a *answerWriter, r *http.Request) {
 	call, fault := platform.DecodeCallerRequest(r)
+	a.line.RequestID = string(call.ID)
 	if fault != nil {
-		f.reject(w, call, fault)
+		a.reject(call, fault)
 		return
 	}
 	if f.refusing.Load() {
-		f.refuse(w, call, types.CodeShuttingDown)
+		a.refuse(call, types.CodeShuttingDown)
 		return
 	}
 	v := f.storeCache.published.Load()
 	if v.table == nil {
-		f.refuse(w, call, types.CodeNotFound)
+		a.refuse(call, types.CodeNotFound)
 		return
 	}
 	route, ok := v.table.Lookup(r.Host, r.URL.Path)
 	if !ok {
-		f.reject(w, call, types.NotRun(types.CodeNoRoute, "no route in version %d", v.table.Version()))
+		a.reject(call, types.NotRun(types.CodeNoRoute, "no route in version %d", v.table.Version()))
 		return
 	}
-	body, fault := readBody(w, r, v.table.Limits())
+	body, fault := readBody(a.ResponseWriter, r, v.table.Limits())
 	if fault != nil {
-		f.reject(w, call, fault)
+		a.reject(call, fault)
 		return
 	}
-	f.submit(w, r, route, &pending{call: call, body: body})
+	f.submit(a, r, route, &pending{call: call, body: body})
 }
 
 // drain waits until no request has been in flight for drainQuietTime, or until ctx ends.
@@ -96,21 +103,8 @@
 // request whose packet was lost arrives up to 0.3 s after its connection.
 const drainQuietTime = 400 * time.Millisecond
 
-// reject answers a request that is invalid or has no route, with the status of the fault's code.
-func (f *frontend) reject(w http.ResponseWriter, c platform.CallerRequest, fault *types.Fault) {
-	f.log.LogDecision(telemetry.Decision{
-		Kind: "answer", RequestID: string(c.ID), Outcome: "rejected", Code: string(fault.Code), Reason: fault.Message,
-	})
-	platform.WriteClientError(w, c.ID, fault.Code)
-}
-
-// refuse answers a valid request that this VM can't run now. The caller may retry it.
-func (f *frontend) refuse(w http.ResponseWriter, c platform.CallerRequest, code types.Code) {
-	f.log.LogDecision(telemetry.Decision{Kind: "answer", RequestID: string(c.ID), Outcome: "refused, not run", Code: string(code)})
-	platform.WriteUnavailable(w, c.ID, refusalRetryAfter)
-}
-
-// readBody reads the whole body, so that no incomplete request is sent to a target.
+// readBody reads the whole body, so that no incomplete request is sent to a target. w is the writer of net/http, which closes
+// the connection after a body that is too large.
 func readBody(w http.ResponseWriter, r *http.Request, l catalog.Limits) ([]byte, *types.Fault) {
 	if r.ContentLength == 0 {
 		return nil, nil
@@ -126,8 +120,10 @@
 	return body, nil
 }
 
-// submit puts the request into the admission ring and waits for its answer or for the caller to disconnect.
-func (f *frontend) submit(w http.ResponseWriter, r *http.Request, route *catalog.Route, p *pending) {
+// submit puts the request into the admission ring and answers it with the final action of the admission core. That action
+// comes also after the caller has left. It is written then, too: net/http ends the context of a request when the caller closes
+// its side of the connection, and the caller may still read.
+func (f *frontend) submit(a *answerWriter, r *http.Request, route *catalog.Route, p *pending) {
 	now := telemetry.Now()
 	p.id = admission.LocalRequestID(f.lastID.Add(1))
 	p.reply = make(chan response, 1)
@@ -135,32 +131,25 @@
 		ID: p.id, Route: route, Keyed: p.call.Keyed, Key: p.call.Key, Deadline: now.Add(p.call.Timeout),
 	}
 	if err := f.admission.TryPut(p); err != nil {
-		f.refuse(w, p.call, types.CodeOf(err))
+		a.refuse(p.call, types.CodeOf(err))
 		return
 	}
 	select {
 	case v := <-p.reply:
-		f.answer(w, p, v)
+		f.answer(a, p, v)
 		f.requestMetrics.duration.Update(telemetry.Now().Sub(now).Seconds())
 	case <-r.Context().Done():
+		a.markCallerLeft()
 		// Put fails only when the process ends, and the request ends with it.
 		_ = f.admission.Put(context.WithoutCancel(r.Context()), admission.CallerLeft{ID: p.id})
-		f.log.LogDecision(telemetry.Decision{Kind: "caller left", RequestID: string(p.call.ID)})
+		f.answer(a, p, <-p.reply)
 	}
 }
 
 // answer writes the action of the admission core as the HTTP response.
-func (f *frontend) answer(w http.ResponseWriter, p *pending, v response) {
+func (f *frontend) answer(a *answerWriter, p *pending, v response) {
 	if f.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	switch m := v.action.(type) {
-	case admission.Reply:
-		platform.WriteResponse(w, m.Answer.(forward.Answer))
-		return
-	case admission.Refuse:
-		platform.WriteUnavailable(w, p.call.ID, m.RetryAfter)
-	case admission.Fail:
-		platform.WriteGatewayError(w, p.call.ID, m.Code)
+		a.Header().Set("Connection", "close")
 	}
+	a.answer(p, v.action)
 }
--- a/daemon/edge/meter.go
+++ b/daemon/edge/meter.go
@@ -9,18 +9,30 @@
 // requestMetrics holds the metrics of callers' requests.
 type requestMetrics struct {
 	requests *metrics.Counter
-	answered *metrics.Counter
-	refused  *metrics.Counter
-	failed   *metrics.Counter
+	// answers counts the requests that have ended, by outcome.
+	answers  map[outcome]*metrics.Counter
 	duration *metrics.Histogram
 }
 
 func newRequestMetrics(m *telemetry.Metrics) *requestMetrics {
-	return &requestMetrics{
+	r := &requestMetrics{
 		requests: m.Counter("sail_requests_total"),
-		answered: m.Counter(`sail_answers_total{outcome="answered"}`),
-		refused:  m.Counter(`sail_answers_total{outcome="refused"}`),
-		failed:   m.Counter(`sail_answers_total{outcome="failed"}`),
+		answers:  make(map[outcome]*metrics.Counter),
 		duration: m.Histogram("sail_request_duration_seconds"),
 	}
+	for _, o := range outcomes {
+		r.answers[o] = m.Counter(`sail_answers_total{outcome="` + string(o) + `"}`)
+	}
+	m.Gauge("sail_requests_unanswered", r.unanswered)
+	return r
+}
+
+// unanswered returns the number of requests that have been received and have not ended.
+func (r *requestMetrics) unanswered() float64 {
+	// The requests are read last: a request that ends in between must not make the difference negative.
+	ended := uint64(0)
+	for _, c := range r.answers {
+		ended += c.Get()
+	}
+	return float64(r.requests.Get() - ended)
 }
