--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -49,6 +49,9 @@
 
 // Do performs one exchange. It returns when the context ends. Every error is an *Error.
 func (h *Host) Do(ctx context.Context, r Request) (Answer, error) {
+	if err := ctx.Err(); err != nil {
+		return Answer{}, &Error{TimedOut: timedOut(ctx, err), Cause: err}
+	}
 	c, err := h.acquire(ctx, r.Connection)
 	if err != nil {
 		return Answer{}, &Error{Refused: errors.Is(err, syscall.ECONNREFUSED), TimedOut: timedOut(ctx, err), Cause: err}
@@ -130,6 +133,9 @@
 		if err != nil {
 			return Answer{}, 0, err
 		}
+		if res.StatusCode < http.StatusContinue || res.StatusCode == http.StatusSwitchingProtocols {
+			return Answer{}, 0, errInvalidStatus
+		}
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
--- a/transport/forward/exchange_test.go
+++ b/transport/forward/exchange_test.go
@@ -79,6 +79,42 @@
 	return h.Do(ctx, Request{Method: "POST", URI: "/x", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte("b"), ID: id})
 }
 
+// Guards against a request that reaches its target although the exchange was cancelled before it was written.
+func TestCancelledRequestIsNotWritten(t *testing.T) {
+	is := is.New(t)
+	reached := make(chan string, 200)
+	h := serve(t, func(_ int, r *http.Request) (string, bool) {
+		reached <- r.Header.Get("X-Id")
+		return response(r.Header.Get("X-Id"), ""), true
+	})
+	for range 100 {
+		_, err := do(t, h, "live") // leaves an idle connection
+		is.NoErr(err)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err = h.Do(ctx, Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{"X-Id": {"cancelled"}}, ID: "cancelled"})
+		is.True(!AsError(err).Written)
+	}
+	h.Close()
+	for len(reached) > 0 {
+		is.Equal(<-reached, "live")
+	}
+}
+
+// Guards against a caller that waits until its deadline after a status that is no final answer and that HTTP does not allow
+// here: nothing follows it.
+func TestInvalidStatusFailsAtOnce(t *testing.T) {
+	for _, status := range []string{"000 Zero", "099 Low", "101 Switching Protocols"} {
+		is := is.New(t)
+		h := serve(t, func(_ int, r *http.Request) (string, bool) {
+			return "HTTP/1.1 " + status + "\r\nX-Id: " + r.Header.Get("X-Id") + "\r\n\r\n", true
+		})
+		_, err := do(t, h, "1")
+		is.True(AsError(err).Written)
+		is.True(!AsError(err).TimedOut)
+	}
+}
+
 // Guards against taking the duplicate of a response for the response to the next request.
 func TestDuplicateResponseIsDropped(t *testing.T) {
 	is := is.New(t)
