edge, keyspace: state of ended targets is dropped

Callers see nothing at first: memory and descriptors of a VM grow with each release of a service, until the process is killed at its limit and every request in flight ends without an answer. Cause: the coordinator kept the address and the connection of each target that it had ever granted keys to, the store cache kept encoded registrations that only a complete list shows as gone, and the keyspace core kept the measured speed of each incarnation.

Ruled out by reading: hosts of the admission duty (closed with the list of targets), peer reports (trimmed with the list of VMs and by age), samples and reported keys (bounded, and emptied by each report), prefix caches (deletions are applied), mirror connections (one per query), metrics (none per target or VM). Not changed: keyspace.Core.ended holds about 100 bytes for each incarnation whose address was taken over; a new coordinator needs it.

--- a/daemon/edge/coordinator.go
+++ b/daemon/edge/coordinator.go
@@ -10,7 +10,6 @@
 	"sequoiasail.example/catalog"
 	"sequoiasail.example/duty"
 	"sequoiasail.example/keyspace"
-	"sequoiasail.example/platform"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
 	"sequoiasail.example/transport/forward"
@@ -98,10 +97,7 @@
 
 	keyedServices map[types.Service]*keyedService
 	targets       []catalog.Listing
-	// addresses includes those of targets that are gone from the store but may still hold keys.
-	addresses map[keyspace.Owner]string
-	// hosts holds the connections for grant and release calls by address.
-	hosts map[string]*forward.Host
+	addresses     *targetAddresses
 	// election is the latest message about this VM's role, which it has while elected is true.
 	election keyspace.Elected
 	elected  bool
@@ -211,9 +207,7 @@
 
 func (c *coordinator) setTargets(ctx context.Context, m targetList) {
 	c.targets = m.targets
-	for _, t := range m.targets {
-		c.addresses[ownerOf(t.Registration)] = t.Address
-	}
+	c.addresses.update(telemetry.Now(), m.targets)
 	for s := range c.keyedServices {
 		c.updateMembers(ctx, s)
 	}
@@ -335,14 +329,8 @@
 	_ = c.peers.Put(ctx, report{to: toAll, moving: map[types.Service][]keyspace.Range{s: m.Ranges}})
 }
 
-// queueBatch queues a batch for the grant callers. The address of an owner is not known if it was never registered while this
-// process runs; its calls then fail without being sent.
+// queueBatch queues a batch for the grant callers. The address of an owner is not known if it was not registered while this
+// process ran, or left more than addressRetention ago; its calls then fail without being sent.
 func (c *coordinator) queueBatch(ctx context.Context, s types.Service, b keyspace.CallBatch) {
-	address := c.addresses[b.Owner]
-	host := c.hosts[address]
-	if host == nil && address != "" {
-		host = platform.NewOrderHost(address)
-		c.hosts[address] = host
-	}
-	_ = c.batches.Put(ctx, callBatch{service: s, batch: b, host: host, roleEnd: c.election.Until})
+	_ = c.batches.Put(ctx, callBatch{service: s, batch: b, host: c.addresses.host(b.Owner), roleEnd: c.election.Until})
 }
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -237,8 +237,7 @@
 		in:       e.coordinator, tableJobs: tableJobs, batches: batches, peers: reports, admission: e.admission, log: e.log,
 		storeCache:    e.storeCache.in,
 		keyedServices: make(map[types.Service]*keyedService),
-		addresses:     make(map[keyspace.Owner]string),
-		hosts:         make(map[string]*forward.Host),
+		addresses:     newTargetAddresses(),
 	}
 	e.group.Add(c.duty())
 	e.group.Add((&tableStore{in: tableJobs, out: e.coordinator, store: e.store}).duty())
--- a/daemon/edge/storecache.go
+++ b/daemon/edge/storecache.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -226,6 +227,7 @@
 func (sc *storeCache) applyTargets(ctx context.Context, now types.Instant, u update) {
 	if u.snapshot {
 		var list []catalog.Registration
+		sc.dropUnlistedRegistrations(u.entries)
 		for _, e := range u.entries {
 			if r, ok := sc.decodeRegistration(e); ok {
 				list = append(list, r)
@@ -257,6 +259,17 @@
 	sc.publishTargets(ctx)
 }
 
+// dropUnlistedRegistrations forgets the encoded registrations that a complete list does not have.
+func (sc *storeCache) dropUnlistedRegistrations(entries []store.Entry) {
+	listed := make(map[types.Target]bool, len(entries))
+	for _, e := range entries {
+		if t, ok := platform.RegisteredTarget(e.Key); ok {
+			listed[t] = true
+		}
+	}
+	maps.DeleteFunc(sc.rawRegistrations, func(t types.Target, _ []byte) bool { return !listed[t] })
+}
+
 // decodeRegistration decodes a registration and logs it if it has changed. It returns false for an invalid one, whose target
 // must not be used.
 func (sc *storeCache) decodeRegistration(e store.Entry) (catalog.Registration, bool) {
--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -1,6 +1,8 @@
 package keyspace
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -221,6 +223,12 @@
 	for _, t := range m.Members {
 		c.members[t.Owner.Target] = t
 	}
+	maps.DeleteFunc(c.speeds, func(o Owner, _ *speed) bool { return c.members[o.Target].Owner != o && !c.ownsKeys(o) })
+}
+
+// ownsKeys reports whether an owner has keys in the table.
+func (c *Core) ownsKeys(o Owner) bool {
+	return slices.ContainsFunc(c.table.Ranges, func(r Range) bool { return r.Owner == o })
 }
 
 // adoptTable replaces the table by the one loaded from the store. It keeps the state of ranges whose grant is
