admission: figures that targets and VMs report are bounded

What callers would see: a target that reports a slowness of 9e16 in its load header was expected to answer first and got all requests; with a remote target the estimate overflowed to a negative number and the core panicked ("invalid argument to Int64N"), which ends the admission duty and every request in flight on the VM without an answer. The report travels to the VMs of the data centre, so all of them were concerned. A peer report with a count near the largest integer kept the core in a loop that appended that many times. Cause: products and sums of reported figures were not bounded.

Found with extreme reports in random order (TestExtremeReportsDoNotPanic), on arm64; conversions that overflow give other values on x86-64, where the negative estimate comes without a remote target.

--- a/admission/finality_test.go
+++ b/admission/finality_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -370,3 +371,54 @@
 		}
 	}
 }
+
+// Guards against a panic of the core on a load report of one target, and against such a target getting all requests.
+func TestOverflowingLoadReportOfOneTarget(t *testing.T) {
+	for _, dataCentre := range []string{"a", "b"} {
+		is := is.New(t)
+		c := newTestCore("vm1", listing("orders", "o1", dataCentre), listing("orders", "o2", "b"))
+		for range 20 {
+			id, a := c.arrive(orders, 1)
+			is.Equal(len(find[Send](a)), 1)
+			m := AttemptFinished{ID: id, Attempt: 1, Result: ResultAnswered, Report: &LoadReport{Running: 1, Slots: 2, Slowness: 1}}
+			if find[Send](a)[0].Target.Target == "o1" {
+				m.Report = &LoadReport{Slots: 2, Slowness: 9e16}
+			}
+			c.advance(50 * time.Millisecond)
+			c.step(m)
+		}
+		_, a := c.arrive(orders, 1)
+		is.Equal(string(find[Send](a)[0].Target.Target), "o2")
+	}
+}
+
+// Guards against a panic of the core on numbers that targets or VMs state about themselves: it would end the admission duty, and
+// with it every request of the VM.
+func TestExtremeReportsDoNotPanic(t *testing.T) {
+	extremes := []float64{-1e300, -1e18, -1, 0, 1, 1e6, 1e18, 1e300, math.Inf(1), math.NaN()}
+	counts := []int{math.MinInt, -1, 0, 1, math.MaxInt32, math.MaxInt}
+	random := rand.New(rand.NewPCG(5, 6))
+	for range 300 {
+		m1, o1, o2 := listing("maps", "m1", "a"), listing("orders", "o1", "a"), listing("orders", "o2", "b")
+		c := newTestCore("vm1", m1, o1, o2)
+		c.step(ownedBy("m1"))
+		for range 30 {
+			n := func() int { return counts[random.IntN(len(counts))] }
+			slowness := extremes[random.IntN(len(extremes))]
+			report := &LoadReport{Running: n(), Waiting: n(), Slots: n(), Slowness: slowness}
+			for _, r := range []*catalog.Route{lookups, orders} {
+				id, a := c.arrive(r, 7)
+				if len(find[Send](a)) == 1 {
+					c.advance(time.Duration(random.IntN(300)) * time.Millisecond)
+					c.step(AttemptFinished{ID: id, Attempt: 1, Result: Result(random.IntN(4)), Report: report})
+				}
+			}
+			target := []types.Target{"m1", "o1", "o2"}[random.IntN(3)]
+			c.step(PeerReport{
+				VM: "vm2", InFlight: map[types.Target]int{target: n()}, Waiting: map[types.Target]int{target: n()},
+				Samples: []Sample{{Target: target, ResponseTime: time.Duration(n()), Slowness: slowness, Load: n(), Failed: random.IntN(2) == 0}},
+			})
+			c.advance(20 * time.Millisecond)
+		}
+	}
+}
--- a/admission/limits.go
+++ b/admission/limits.go
@@ -8,7 +8,7 @@
 }
 
 func (w *sendWindow) add(now types.Instant, n int) {
-	for range n {
+	for range min(n, maxTrackedSends) {
 		w.sentAt = append(w.sentAt, now)
 	}
 	if len(w.sentAt) > maxTrackedSends {
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -82,6 +82,11 @@
 	// abortedTimeFactor is how many times its expected time an aborted attempt must have lasted to count against its
 	// target.
 	abortedTimeFactor = 3
+	// maxReportedCount, maxSlowness and maxResponseTime bound the figures that targets and other VMs report: requests at a
+	// target, its slowness, and response times. They are far above real values, and keep the estimates from overflowing.
+	maxReportedCount = 100_000
+	maxSlowness      = 1000.0
+	maxResponseTime  = time.Hour
 	// tickInterval is how often waiting requests are checked when nothing else triggers it.
 	tickInterval = 10 * time.Millisecond
 	// minRetryAfter and retryAfterJitter set when refused callers try again. Callers wait for at most a third of the
--- a/admission/target.go
+++ b/admission/target.go
@@ -99,6 +99,7 @@
 			return
 		}
 	}
+	s = s.bounded()
 	t.applySample(now, s)
 	if len(c.samples) < maxSamples {
 		c.samples = append(c.samples, s)
@@ -108,6 +109,17 @@
 // maxSamples bounds the observations kept for one report.
 const maxSamples = 64
 
+// bounded returns the sample with its figures within maxReportedCount, maxSlowness and maxResponseTime. Targets and other VMs
+// state them, and a product of larger ones overflows.
+func (s Sample) bounded() Sample {
+	s.Load = min(s.Load, maxReportedCount)
+	s.ResponseTime = min(s.ResponseTime, maxResponseTime)
+	if s.Slowness = min(s.Slowness, maxSlowness); !(s.Slowness > 0) {
+		s.Slowness = 0
+	}
+	return s
+}
+
 // applySample updates the target's load estimate and averages with one observation.
 func (t *target) applySample(now types.Instant, s Sample) {
 	if s.Slowness > 0 {
@@ -128,7 +140,7 @@
 	}
 	duration := s.ResponseTime
 	if s.Slowness > 0 {
-		duration = time.Duration(float64(duration) / s.Slowness)
+		duration = time.Duration(min(float64(duration)/s.Slowness, float64(maxResponseTime)))
 	}
 	if t.workTime == 0 {
 		t.workTime = defaultWorkTime
@@ -143,7 +155,7 @@
 		workTime = defaultWorkTime
 	}
 	if t.slowness > 0 {
-		workTime = time.Duration(float64(workTime) * t.slowness)
+		workTime = time.Duration(min(float64(workTime)*t.slowness, float64(maxResponseTime)))
 	}
 	return max(workTime, time.Millisecond)
 }
@@ -160,5 +172,5 @@
 		slow = t.slowness
 	}
 	queue := 1 + max(0, t.load(now)+1-float64(t.Slots))/float64(max(t.Slots, 1))
-	return time.Duration(float64(workTime) * slow * queue * (1 + 3*t.failureRate))
+	return time.Duration(min(float64(workTime)*slow*queue*(1+3*t.failureRate), float64(maxResponseTime)))
 }
