forward: a response without the request's ID is never its answer

Callers saw 503 "not run" for requests that the target was running, or the request ran at a second target. Cause: a response without an ID and with a status of 300 or more was taken as the answer to the current request, so a refusal that a target repeated without its ID on a kept connection refused the next request. A response without an ID and with a lower status broke off the exchange although the answer followed.

The protocol says that targets echo the ID. A response that does not have it is now dropped and the exchange waits for the answer until its deadline; it then counts as "may have run". A connection on which a response was dropped is closed after the exchange.

Ruled out: repeated responses with the earlier ID, in the idle time, in one segment with the answer before, or cut in the body; they were dropped or their connection was closed before.

--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -4,26 +4,16 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
 	"sequoiasail.example/types"
 )
 
-const (
-	// maxResponseBytes bounds the body of a response, in bytes.
-	maxResponseBytes = 32 << 20
-	// maxResponses bounds the responses that are read in one exchange. All but the last may be informational or belong to
-	// other requests.
-	maxResponses = 4
-)
-
 // Request is one HTTP request. Header must contain neither hop-by-hop headers nor Host and Content-Length.
 type Request struct {
 	Method string
@@ -45,6 +35,8 @@
 	Body   []byte
 	// Connection is the ID of the connection that carried the exchange.
 	Connection uint64
+	// Dropped is the number of responses to other requests that were read before this one.
+	Dropped int
 }
 
 // Do performs one exchange. It returns when the context ends. Every error is an *Error.
@@ -122,86 +114,6 @@
 	return b.Bytes()
 }
 
-// readResponse reads the response to r. The duration is how long the connection may stay idle; if it is not positive,
-// the connection must be closed.
-func (h *Host) readResponse(c *conn, r Request) (Answer, time.Duration, error) {
-	for range maxResponses {
-		res, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		if err != nil {
-			return Answer{}, 0, err
-		}
-		if res.StatusCode < http.StatusOK {
-			continue
-		}
-		body, err := readBody(res)
-		if err != nil {
-			return Answer{}, 0, err
-		}
-		if matched, err := h.matches(r, res); err != nil {
-			return Answer{}, 0, err
-		} else if !matched {
-			continue
-		}
-		a := Answer{Status: res.StatusCode, Header: res.Header, Body: body, Connection: c.id}
-		return a, h.idleTimeout(c, res), nil
-	}
-	return Answer{}, 0, errMismatchedResponse
-}
-
-// matches reports whether res is the response to r. A response without an ID and with a status below 300 cannot be
-// attributed to a request and is an error. One with a higher status is taken as the response to r, unless the
-// connection closes after it.
-func (h *Host) matches(r Request, res *http.Response) (bool, error) {
-	if r.ID == "" {
-		return true, nil
-	}
-	switch res.Header.Get(h.options.IDHeader) {
-	case r.ID:
-		return true, nil
-	case "":
-		if res.StatusCode < http.StatusMultipleChoices || res.Close {
-			return false, errMismatchedResponse
-		}
-		return true, nil
-	}
-	if res.Close {
-		return false, errMismatchedResponse
-	}
-	return false, nil
-}
-
-func readBody(res *http.Response) ([]byte, error) {
-	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxResponseBytes {
-		return nil, errResponseTooLong
-	}
-	return body, nil
-}
-
-// idleTimeout returns how long the connection may stay idle. It is 0 when the connection cannot be reused, also when
-// bytes follow the response, because they belong to no request.
-func (h *Host) idleTimeout(c *conn, res *http.Response) time.Duration {
-	if res.Close || c.reader.Buffered() > 0 || (res.ContentLength < 0 && len(res.TransferEncoding) == 0) {
-		return 0
-	}
-	for _, p := range strings.Split(res.Header.Get("Keep-Alive"), ",") {
-		text, ok := strings.CutPrefix(strings.TrimSpace(p), "timeout=")
-		if !ok {
-			continue
-		}
-		seconds, err := strconv.Atoi(text)
-		if err != nil || seconds < 0 {
-			return 0
-		}
-		return time.Duration(seconds)*time.Second - idleTimeoutMargin
-	}
-	return h.options.IdleTimeout
-}
-
 // AsError returns err as an *Error.
 func AsError(err error) *Error {
 	var e *Error
--- /dev/null
+++ b/transport/forward/response.go
@@ -0,0 +1,97 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"sequoiasail.example/types"
+)
+
+const (
+	// maxResponseBytes bounds the body of a response, in bytes.
+	maxResponseBytes = 32 << 20
+	// maxResponses bounds the responses that are read in one exchange. All but the last may be informational or belong to
+	// other requests.
+	maxResponses = 4
+)
+
+// readResponse reads the response to r. The duration is how long the connection may stay idle; if it is not positive,
+// the connection must be closed.
+func (h *Host) readResponse(c *conn, r Request) (Answer, time.Duration, error) {
+	dropped := 0
+	for range maxResponses {
+		res, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		if err != nil {
+			return Answer{}, 0, afterDropped(dropped, err)
+		}
+		if res.StatusCode < http.StatusOK {
+			continue
+		}
+		body, err := readBody(res)
+		if err != nil {
+			return Answer{}, 0, afterDropped(dropped, err)
+		}
+		if h.answers(res, r) {
+			a := Answer{Status: res.StatusCode, Header: res.Header, Body: body, Connection: c.id, Dropped: dropped}
+			return a, h.idleTimeout(c, a, res), nil
+		}
+		if res.Close {
+			return Answer{}, 0, errMismatchedResponse
+		}
+		dropped++
+	}
+	return Answer{}, 0, errMismatchedResponse
+}
+
+// answers reports whether res is the response to r. A target may repeat an earlier response at any time, so a response
+// without the ID of r proves nothing about r, whatever its status.
+func (h *Host) answers(res *http.Response, r Request) bool {
+	if r.ID == "" {
+		return true
+	}
+	ids := res.Header.Values(h.options.IDHeader)
+	return len(ids) == 1 && ids[0] == r.ID
+}
+
+// afterDropped adds to err the number of responses to other requests that were read before.
+func afterDropped(n int, err error) error {
+	if n == 0 {
+		return err
+	}
+	return types.WrapFault(types.CodeTargetFailed, err, "after %d answers to other requests", n)
+}
+
+func readBody(res *http.Response) ([]byte, error) {
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxResponseBytes {
+		return nil, errResponseTooLong
+	}
+	return body, nil
+}
+
+// idleTimeout returns how long the connection may stay idle. It is 0 when the connection cannot be reused, also when
+// responses to other requests came before or bytes follow, because more may come.
+func (h *Host) idleTimeout(c *conn, a Answer, res *http.Response) time.Duration {
+	if res.Close || a.Dropped > 0 || c.reader.Buffered() > 0 || (res.ContentLength < 0 && len(res.TransferEncoding) == 0) {
+		return 0
+	}
+	for _, p := range strings.Split(res.Header.Get("Keep-Alive"), ",") {
+		text, ok := strings.CutPrefix(strings.TrimSpace(p), "timeout=")
+		if !ok {
+			continue
+		}
+		seconds, err := strconv.Atoi(text)
+		if err != nil || seconds < 0 {
+			return 0
+		}
+		return time.Duration(seconds)*time.Second - idleTimeoutMargin
+	}
+	return h.options.IdleTimeout
+}
