forward: a head with two status lines is no answer

Callers could see 503 for a request that the target was running, or a success for one that failed. Cause: when a repeated refusal is cut within its head, the answer that follows completes it. http.ReadResponse then returns the status and the first headers of the refusal with the ID of the answer, which passes the check of the ID.

Ruled out: cuts in a header name, between two headers, in a line end, in the ID and in the body; net/http refuses the head, or the ID differs.

Before: attribution_test.go:110: 503 != 200 --- FAIL: TestSplicedHeadIsNoResponse/cut_after_the_status --- FAIL: TestSplicedHeadIsNoResponse/cut_in_the_status_line --- FAIL: TestSplicedHeadIsNoResponse/cut_in_a_header_value After: ok sequoiasail.example/transport/forward

--- a/transport/forward/attribution_test.go
+++ b/transport/forward/attribution_test.go
@@ -169,3 +169,20 @@
 		})
 	}
 }
+
+// Guards against the rest of a refusal and the response to this request being read as one head, which has the status of the
+// first and the ID of the second.
+func TestSplicedHeadIsNoResponse(t *testing.T) {
+	cut := strings.Split(refusal(""), "Content")[0]
+	checkSecondExchanges(t, map[string]secondExchange{
+		"cut in the status line":   {[]segment{{0, "HTTP/1.1 503 Serv"}, own}, false},
+		"cut after the status":     {[]segment{{0, "HTTP/1.1 503 "}, own}, false},
+		"cut in a header name":     {[]segment{{0, cut + "X-Ser"}, own}, false},
+		"cut in a header value":    {[]segment{{0, cut + "Retry-After: 1"}, own}, false},
+		"cut in a line end":        {[]segment{{0, cut + "Retry-After: 1\r"}, own}, false},
+		"cut between two headers":  {[]segment{{0, cut}, own}, false},
+		"cut in the earlier ID":    {[]segment{{0, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Id: "}, own}, false},
+		"cut after the earlier ID": {[]segment{{0, "HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Not-Executed: 1"}, own}, false},
+		"cut in the body":          {[]segment{{0, refusal("1")[:len(refusal("1"))-2]}, own}, false},
+	})
+}
--- a/transport/forward/response.go
+++ b/transport/forward/response.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -27,6 +29,9 @@
 		if err != nil {
 			return Answer{}, 0, afterDropped(dropped, err)
 		}
+		if spliced(res) {
+			return Answer{}, 0, afterDropped(dropped, errSplicedHead)
+		}
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
@@ -56,6 +61,39 @@
 	return len(ids) == 1 && ids[0] == r.ID
 }
 
+// spliced reports whether the head of res contains a second status line: an earlier response that was cut in its head is
+// followed by another response, and the first line and the headers of res come from both.
+func spliced(res *http.Response) bool {
+	if containsStatusLine(res.Status) {
+		return true
+	}
+	for _, values := range res.Header {
+		if slices.ContainsFunc(values, containsStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
+// containsStatusLine reports whether text contains an HTTP version followed by a status code. The version alone is valid
+// in headers such as Via.
+func containsStatusLine(text string) bool {
+	const version = "HTTP/1."
+	for {
+		_, rest, found := strings.Cut(text, version)
+		if !found {
+			return false
+		}
+		if statusCodePattern.MatchString(rest) {
+			return true
+		}
+		text = rest
+	}
+}
+
+// statusCodePattern matches the rest of a status line after "HTTP/1.".
+var statusCodePattern = regexp.MustCompile(`^[0-9] [0-9]{3}`)
+
 // afterDropped adds to err the number of responses to other requests that were read before.
 func afterDropped(n int, err error) error {
 	if n == 0 {
