forward: send a refused request again on another connection

Callers of services with keys could see 503 for a request that the owner was running. Cause: after a refusal (421 while a key moves, 503 of a full owner) the request goes to the owner again under the same ID, over the connection with the refusal if that is idle. A repeat of the refusal there has the ID of the second attempt and was taken as its answer.

A connection remembers hashes of the IDs that were not answered with success, and carries no request with such an ID again. It is closed after 32 of them, which bounds the list.

Ruled out: services without keys, where admission chooses a target once for each request; a request ID of a caller's own retry, which is new.

Before: attribution_test.go:209: 1 != 2 --- FAIL: TestRefusedRequestIsRetriedOnAnotherConnection After: ok sequoiasail.example/transport/forward

--- a/transport/forward/attribution_test.go
+++ b/transport/forward/attribution_test.go
@@ -186,3 +186,28 @@
 		"cut in the body":          {[]segment{{0, refusal("1")[:len(refusal("1"))-2]}, own}, false},
 	})
 }
+
+// Guards against a repeated refusal being taken for the response to another attempt of the same request: the ID of both is
+// the same, so an attempt must not use a connection on which an earlier one was refused.
+func TestRefusedRequestIsRetriedOnAnotherConnection(t *testing.T) {
+	is := is.New(t)
+	h := serveConnections(t, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, refusal(r.Header.Get("X-Id")))
+		}
+	})
+	_, err := do(t, h, "1")
+	is.NoErr(err)
+	_, err = do(t, h, "1")
+	is.NoErr(err)
+	is.Equal(h.Opened(), uint64(2))
+	_, err = do(t, h, "2")
+	is.NoErr(err)
+	is.Equal(h.Opened(), uint64(2)) // other requests keep using the connection
+}
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -41,7 +41,7 @@
 
 // Do performs one exchange. It returns when the context ends. Every error is an *Error.
 func (h *Host) Do(ctx context.Context, r Request) (Answer, error) {
-	c, err := h.acquire(ctx, r.Connection)
+	c, err := h.acquire(ctx, r)
 	if err != nil {
 		return Answer{}, &Error{Refused: errors.Is(err, syscall.ECONNREFUSED), TimedOut: timedOut(ctx, err), Cause: err}
 	}
--- a/transport/forward/host.go
+++ b/transport/forward/host.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -63,6 +65,24 @@
 	expires time.Time
 	// used is true once the connection has carried an exchange.
 	used bool
+	// refused holds the hashes of the request IDs that were answered with another status than success. Such a request
+	// may be sent again under its ID. On the same connection, a repeat of the first response could not be told from the
+	// response to the second attempt.
+	refused []uint64
+}
+
+// maxRefused is the number of entries of conn.refused at which a connection is closed.
+const maxRefused = 32
+
+// idSeed is the seed of the hashes of request IDs.
+var idSeed = maphash.MakeSeed()
+
+// recordRefusal notes that the request with the given ID was not answered with success.
+func (c *conn) recordRefusal(id string) { c.refused = append(c.refused, maphash.String(idSeed, id)) }
+
+// hasRefused reports whether a request with the given ID was refused on this connection.
+func (c *conn) hasRefused(id string) bool {
+	return len(c.refused) > 0 && slices.Contains(c.refused, maphash.String(idSeed, id))
 }
 
 // reset closes a connection whose exchange has failed with a TCP RST. This discards bytes that are not delivered yet: a
@@ -97,24 +117,29 @@
 	h.CloseIdle()
 }
 
-// acquire returns a usable idle connection or a new one. If id is not 0, it returns only the connection with that ID,
-// or ErrReconnect when that one is closed.
-func (h *Host) acquire(ctx context.Context, id uint64) (*conn, error) {
+// acquire returns a usable idle connection for r or a new one. If r is bound to a connection, it returns only that one, or
+// ErrReconnect when that one is closed.
+func (h *Host) acquire(ctx context.Context, r Request) (*conn, error) {
 	for {
 		c, ok := h.idle.TryGet()
-		if !ok && id != 0 {
+		if !ok && r.Connection != 0 {
 			return nil, ErrReconnect
 		}
 		if !ok {
 			return h.dial(ctx)
 		}
-		if time.Now().Before(c.expires) && openAndEmpty(c) && (id == 0 || c.id == id) {
+		if r.mayUse(c) && time.Now().Before(c.expires) && openAndEmpty(c) {
 			return c, nil
 		}
 		_ = c.Close()
 	}
 }
 
+// mayUse reports whether r may be sent over the idle connection c.
+func (r Request) mayUse(c *conn) bool {
+	return (r.Connection == 0 || c.id == r.Connection) && !c.hasRefused(r.ID)
+}
+
 func (h *Host) dial(ctx context.Context) (*conn, error) {
 	d := net.Dialer{Timeout: h.options.DialTimeout}
 	n, err := d.DialContext(ctx, "tcp", h.options.Address)
--- a/transport/forward/response.go
+++ b/transport/forward/response.go
@@ -40,6 +40,9 @@
 			return Answer{}, 0, afterDropped(dropped, err)
 		}
 		if h.answers(res, r) {
+			if res.StatusCode >= http.StatusMultipleChoices {
+				c.recordRefusal(r.ID)
+			}
 			a := Answer{Status: res.StatusCode, Header: res.Header, Body: body, Connection: c.id, Dropped: dropped}
 			return a, h.idleTimeout(c, a, res), nil
 		}
@@ -117,7 +120,7 @@
 // idleTimeout returns how long the connection may stay idle. It is 0 when the connection cannot be reused, also when
 // responses to other requests came before or bytes follow, because more may come.
 func (h *Host) idleTimeout(c *conn, a Answer, res *http.Response) time.Duration {
-	if res.Close || a.Dropped > 0 || c.reader.Buffered() > 0 || (res.ContentLength < 0 && len(res.TransferEncoding) == 0) {
+	if res.Close || a.Dropped > 0 || len(c.refused) >= maxRefused || c.reader.Buffered() > 0 || (res.ContentLength < 0 && len(res.TransferEncoding) == 0) {
 		return 0
 	}
 	for _, p := range strings.Split(res.Header.Get("Keep-Alive"), ",") {
