platform: grants and releases have IDs, probes their own connection

The coordinator could give keys to a second owner while the first still worked on them. Cause: grants, releases and probes had no ID, and every response on their kept connection was taken as the answer. A repeated 200 to a grant confirmed the next release at once and without a handover; a repeated 409 or 421 rejected a grant that the target applied.

A request without an ID, such as a probe or one of a caller that sent none, is sent on a new connection, which is closed afterwards. The protocol does not show IDs in responses to grants, so a target whose first response on a new connection has none is accepted as one that omits them: its releases get new connections, and its other calls accept only a 200 without an ID. The log line "order" then has "unidentified".

Ruled out: sending each grant on a new connection, because a renewal must use the connection of its grant.

--- a/daemon/edge/grantcalls.go
+++ b/daemon/edge/grantcalls.go
@@ -74,6 +74,9 @@
 		"service": b.service, "target": c.Owner.Target, "from": c.From, "to": c.To, "fence": c.Fence,
 		"release": c.Kind == keyspace.CallRelease, "result": callResults[completed.Result],
 	}
+	if b.host != nil && b.host.OmitsID() {
+		fields["unidentified"] = true
+	}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -22,7 +22,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ID is the value of the ID header that the response must repeat. Empty when responses are not checked.
+	// ID is the value of the ID header that the response must repeat. A request without an ID gets a connection of its
+	// own, on which no other response can arrive.
 	ID string
 	// Connection is the ID of the only connection that may carry the request; 0 for any.
 	Connection uint64
@@ -64,6 +65,7 @@
 		}
 		return Answer{}, &Error{Written: true, Reused: c.used, TimedOut: timedOut(ctx, err), Cause: err}
 	}
+	c.used = true
 	if !detach() {
 		return a, nil
 	}
@@ -73,7 +75,7 @@
 		return a, nil
 	}
 	_ = c.Close()
-	if h.options.ReopenOnClose {
+	if h.options.ReopenOnClose && r.ID != "" {
 		h.reopen(ctx, c.id)
 	}
 	return a, nil
--- a/transport/forward/host.go
+++ b/transport/forward/host.go
@@ -32,6 +32,9 @@
 	Address string
 	// IDHeader is the name of the ID header, which a target copies from the request to the response.
 	IDHeader string
+	// IDOptional allows a target that does not echo IDs at all: the first response on a new connection may lack the ID,
+	// and then also later ones with status 200.
+	IDOptional bool
 	// MaxIdle is the maximum number of idle connections.
 	MaxIdle int
 	// IdleTimeout is the idle timeout when the target sends no Keep-Alive timeout. The default is 4 s.
@@ -51,6 +54,8 @@
 	// targetIdleTimeout is the idle timeout of the last connection that was kept after an exchange, in nanoseconds. It is
 	// used for connections that replace closed ones.
 	targetIdleTimeout atomic.Int64
+	// omitsID is true when the first response on the last new connection had no ID.
+	omitsID atomic.Bool
 }
 
 // lastConnectionID is the ID of the newest connection. IDs are unique in the process.
@@ -108,6 +113,9 @@
 // Opened returns the number of connections opened so far.
 func (h *Host) Opened() uint64 { return h.opened.Load() }
 
+// OmitsID reports whether the target is known not to echo IDs. It is always false without Options.IDOptional.
+func (h *Host) OmitsID() bool { return h.omitsID.Load() }
+
 // CloseIdle closes the idle connections.
 func (h *Host) CloseIdle() { h.idle.Drain(func(c *conn) { _ = c.Close() }) }
 
@@ -117,9 +125,12 @@
 	h.CloseIdle()
 }
 
-// acquire returns a usable idle connection for r or a new one. If r is bound to a connection, it returns only that one, or
+// acquire returns a usable idle connection for r or a new one. A request without an ID gets a new one. If r is bound to a connection, it returns only that one, or
 // ErrReconnect when that one is closed.
 func (h *Host) acquire(ctx context.Context, r Request) (*conn, error) {
+	if r.ID == "" && r.Connection == 0 {
+		return h.dial(ctx)
+	}
 	for {
 		c, ok := h.idle.TryGet()
 		if !ok && r.Connection != 0 {
@@ -152,7 +163,6 @@
 
 // release makes a connection available for the next exchange. It closes the connection when MaxIdle is reached.
 func (h *Host) release(c *conn, idle time.Duration) {
-	c.used = true
 	// A deadline in the past would make the check of openAndEmpty fail.
 	_ = c.SetDeadline(time.Time{})
 	c.expires = time.Now().Add(idle)
--- a/transport/forward/response.go
+++ b/transport/forward/response.go
@@ -39,12 +39,12 @@
 		if err != nil {
 			return Answer{}, 0, afterDropped(dropped, err)
 		}
-		if h.answers(res, r) {
+		if h.answers(c, r, res, dropped == 0) {
 			if res.StatusCode >= http.StatusMultipleChoices {
 				c.recordRefusal(r.ID)
 			}
 			a := Answer{Status: res.StatusCode, Header: res.Header, Body: body, Connection: c.id, Dropped: dropped}
-			return a, h.idleTimeout(c, a, res), nil
+			return a, h.idleTimeout(c, r, a, res), nil
 		}
 		if res.Close {
 			return Answer{}, 0, errMismatchedResponse
@@ -55,13 +55,25 @@
 }
 
 // answers reports whether res is the response to r. A target may repeat an earlier response at any time, so a response
-// without the ID of r proves nothing about r, whatever its status.
-func (h *Host) answers(res *http.Response, r Request) bool {
+// without the ID of r proves nothing about r, whatever its status. first is true when no other response was read before in
+// this exchange.
+func (h *Host) answers(c *conn, r Request, res *http.Response, first bool) bool {
 	if r.ID == "" {
 		return true
 	}
 	ids := res.Header.Values(h.options.IDHeader)
-	return len(ids) == 1 && ids[0] == r.ID
+	switch {
+	case len(ids) == 1 && ids[0] == r.ID:
+		h.omitsID.Store(false)
+		return true
+	case len(ids) > 0 || !h.options.IDOptional:
+		return false
+	case first && !c.used:
+		// There is no earlier response that the target could repeat.
+		h.omitsID.Store(true)
+		return true
+	}
+	return h.omitsID.Load() && res.StatusCode == http.StatusOK
 }
 
 // spliced reports whether the head of res contains a second status line: an earlier response that was cut in its head is
@@ -117,10 +129,10 @@
 	return body, nil
 }
 
-// idleTimeout returns how long the connection may stay idle. It is 0 when the connection cannot be reused, also when
-// responses to other requests came before or bytes follow, because more may come.
-func (h *Host) idleTimeout(c *conn, a Answer, res *http.Response) time.Duration {
-	if res.Close || a.Dropped > 0 || len(c.refused) >= maxRefused || c.reader.Buffered() > 0 || (res.ContentLength < 0 && len(res.TransferEncoding) == 0) {
+// idleTimeout returns how long the connection may stay idle after answer a to r. It is 0 when the connection cannot be
+// reused.
+func (h *Host) idleTimeout(c *conn, r Request, a Answer, res *http.Response) time.Duration {
+	if !reusable(c, r, a, res) {
 		return 0
 	}
 	for _, p := range strings.Split(res.Header.Get("Keep-Alive"), ",") {
@@ -136,3 +148,10 @@
 	}
 	return h.options.IdleTimeout
 }
+
+// reusable reports whether another request may follow on the connection. Bytes after the response, or responses to other
+// requests before it, mean that more may come.
+func reusable(c *conn, r Request, a Answer, res *http.Response) bool {
+	untilClosed := res.ContentLength < 0 && len(res.TransferEncoding) == 0
+	return !res.Close && !untilClosed && c.reader.Buffered() == 0 && a.Dropped == 0 && r.ID != "" && len(c.refused) < maxRefused
+}
