forward: a connection is not reused after a HEAD request

A repeated response to HEAD has a length and no body, so the next response would be read as its body, and under a HEAD request the body of another response would be read as a response. Connections are closed after HEAD, and a response to another request ends a HEAD exchange as "may have run".

--- a/transport/forward/attribution_test.go
+++ b/transport/forward/attribution_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -211,3 +212,31 @@
 	is.NoErr(err)
 	is.Equal(h.Opened(), uint64(2)) // other requests keep using the connection
 }
+
+// Guards against a request without an ID being answered with the response to another request.
+func TestRequestWithoutIDHasItsOwnConnection(t *testing.T) {
+	is := is.New(t)
+	h := serveSegments(t, []segment{{0, response("1", "first")}}, []segment{{0, refusal("")}})
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	for n := range uint64(3) {
+		a, err := h.Do(ctx, Request{Method: "GET", URI: "/", Host: "h"})
+		is.NoErr(err)
+		is.Equal(string(a.Body), "first")
+		is.Equal(h.Opened(), n+1)
+	}
+}
+
+// Guards against the body of a repeated response being read as a response: a response to HEAD has a length and no body.
+func TestConnectionIsNotReusedAfterHead(t *testing.T) {
+	is := is.New(t)
+	h := serve(t, func(_ int, r *http.Request) (string, bool) {
+		return "HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nContent-Length: 90\r\n\r\n", true
+	})
+	for n, id := range []string{"1", "2"} {
+		a, err := h.Do(t.Context(), Request{Method: "HEAD", URI: "/", Host: "h", Header: http.Header{"X-Id": {id}}, ID: id})
+		is.NoErr(err)
+		is.Equal(a.Status, http.StatusOK)
+		is.Equal(h.Opened(), uint64(n+1))
+	}
+}
--- a/transport/forward/response.go
+++ b/transport/forward/response.go
@@ -46,7 +46,7 @@
 			a := Answer{Status: res.StatusCode, Header: res.Header, Body: body, Connection: c.id, Dropped: dropped}
 			return a, h.idleTimeout(c, r, a, res), nil
 		}
-		if res.Close {
+		if res.Close || r.Method == http.MethodHead {
 			return Answer{}, 0, errMismatchedResponse
 		}
 		dropped++
@@ -150,8 +150,10 @@
 }
 
 // reusable reports whether another request may follow on the connection. Bytes after the response, or responses to other
-// requests before it, mean that more may come.
+// requests before it, mean that more may come. A repeat of a response to HEAD could not be separated from what follows it,
+// because its length is that of a body which is not sent.
 func reusable(c *conn, r Request, a Answer, res *http.Response) bool {
 	untilClosed := res.ContentLength < 0 && len(res.TransferEncoding) == 0
-	return !res.Close && !untilClosed && c.reader.Buffered() == 0 && a.Dropped == 0 && r.ID != "" && len(c.refused) < maxRefused
+	return !res.Close && !untilClosed && c.reader.Buffered() == 0 && a.Dropped == 0 && r.ID != "" && r.Method != http.MethodHead &&
+		len(c.refused) < maxRefused
 }
