forward: bound the memory of responses that never end

A target that sent bytes without end made the VM run out of memory: four such responses took 1.5 GB in one second. Cause: the head of a response had no limit, and each of 64 exchanges could hold a body of 32 MiB, in a buffer that is copied as it grows.

A head is read up to 16 KiB. A body is read in chunks of 64 KiB up to 4 MiB. The first chunk is free, the others count against a budget of 16 MiB that all senders of a VM share, so that small answers are served while large ones use it up. A response to another request is read without being kept.

Ruled out: chunk extensions, trailers, chunk sizes, informational responses and repeated responses without end; net/http or the limit of four responses already ended them within 15 ms.

--- a/daemon/edge/admission.go
+++ b/daemon/edge/admission.go
@@ -27,6 +27,9 @@
 	coordinatorFullRateVMs = 60
 	// coordinatorReportInterval is the shortest time between two reports of keys and samples to the coordinator.
 	coordinatorReportInterval = 300 * time.Millisecond
+	// answerBudgetBytes bounds the memory of the answers that all senders are reading, beyond the first 64 KiB of each. With
+	// these, 64 senders use at most 20 MiB for answers, of the 184 MB of a small VM.
+	answerBudgetBytes = 16 << 20
 	// maxIdleConnections is the number of idle connections kept to a target; the core bounds those in use.
 	maxIdleConnections = 16
 )
@@ -82,6 +85,8 @@
 
 	flights map[admission.LocalRequestID]*flight
 	hosts   map[hostKey]*forward.Host
+	// answerBudget is shared by all hosts.
+	answerBudget *forward.Budget
 	// keys and coordinatorSamples are collected for the next report to the coordinator.
 	keys               map[types.Service][]keyspace.Key
 	coordinatorSamples []admission.Sample
@@ -200,7 +205,7 @@
 	key := hostKey{target: m.Target.Target, incarnation: m.Target.Incarnation, address: m.Target.Address}
 	host := a.hosts[key]
 	if host == nil {
-		host = platform.NewHost(m.Target.Address, maxIdleConnections)
+		host = platform.NewHost(m.Target.Address, maxIdleConnections, a.answerBudget)
 		a.hosts[key] = host
 	}
 	left := m.Deadline.Sub(telemetry.Now())
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -264,9 +264,10 @@
 			RetryRatio: e.settings.RetryRatio, RetrySlack: e.settings.RetrySlack, RetryWindow: e.settings.RetryWindow,
 			ColdOvershoot: e.settings.ColdOvershoot, ColdSlack: e.settings.ColdSlack, DataCentres: len(e.settings.DataCentres),
 		}, e.random),
-		flights: make(map[admission.LocalRequestID]*flight),
-		hosts:   make(map[hostKey]*forward.Host),
-		keys:    make(map[types.Service][]keyspace.Key),
+		flights:      make(map[admission.LocalRequestID]*flight),
+		hosts:        make(map[hostKey]*forward.Host),
+		answerBudget: forward.NewBudget(answerBudgetBytes),
+		keys:         make(map[types.Service][]keyspace.Key),
 	}
 	e.group.Add(a.duty())
 	for i := range senderCount {
--- /dev/null
+++ b/transport/forward/body.go
@@ -0,0 +1,151 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+const (
+	// unknownBodyBytes is the size of the first buffer for a body of unknown length, in bytes.
+	unknownBodyBytes = 2 << 10
+	// chunkBytes is the size of the chunks of a large body, in bytes. The first chunk takes nothing from the Budget, so that
+	// small bodies can be read while a few large ones use it up.
+	chunkBytes = 64 << 10
+)
+
+// chunk is a part of a large body.
+type chunk [chunkBytes]byte
+
+// chunkPool keeps chunks for reuse. Without it, the chunks of failed exchanges would exceed the Budget until the garbage
+// collector runs.
+var chunkPool = sync.Pool{New: func() any { return new(chunk) }}
+
+// Budget bounds the memory of the response bodies that are being read at the same time. It is safe for concurrent use. A nil
+// Budget has no bound.
+type Budget struct{ left atomic.Int64 }
+
+// NewBudget returns a budget of the given number of bytes.
+func NewBudget(bytes int64) *Budget {
+	b := &Budget{}
+	b.left.Store(bytes)
+	return b
+}
+
+// take reports whether n bytes were left, and takes them.
+func (b *Budget) take(n int64) bool {
+	if b == nil || b.left.Add(-n) >= 0 {
+		return true
+	}
+	b.left.Add(n)
+	return false
+}
+
+// giveBack returns n bytes that take has taken.
+func (b *Budget) giveBack(n int64) {
+	if b != nil {
+		b.left.Add(n)
+	}
+}
+
+// bodyReader reads the body of one response into memory.
+type bodyReader struct {
+	// limit bounds the body, in bytes.
+	limit  int64
+	budget *Budget
+	// chunks hold the bytes after the first chunkBytes.
+	chunks []*chunk
+}
+
+// read returns the whole body. length is its declared length, -1 if it is unknown. The memory grows with the bytes that
+// arrive, because a target may declare more than it sends.
+func (b *bodyReader) read(r io.Reader, length int64) ([]byte, error) {
+	if length > b.limit {
+		return nil, errResponseTooLong
+	}
+	size := int64(unknownBodyBytes)
+	if length >= 0 {
+		size = min(length+1, chunkBytes)
+	}
+	first := make([]byte, size)
+	n, ended, err := fill(r, first)
+	if !ended && err == nil && size < chunkBytes {
+		first = append(make([]byte, 0, chunkBytes), first...)[:chunkBytes]
+		var m int
+		m, ended, err = fill(r, first[n:])
+		n += m
+	}
+	switch {
+	case err != nil:
+		return nil, err
+	case int64(n) > b.limit:
+		return nil, errResponseTooLong
+	case ended:
+		return first[:n], nil
+	}
+	return b.readChunks(r, first)
+}
+
+// readChunks reads the rest of a body that starts with first.
+func (b *bodyReader) readChunks(r io.Reader, first []byte) ([]byte, error) {
+	defer b.release()
+	for total := int64(len(first)); ; {
+		if !b.budget.take(chunkBytes) {
+			return nil, errBudgetExceeded
+		}
+		c := chunkPool.Get().(*chunk)
+		b.chunks = append(b.chunks, c)
+		n, ended, err := fill(r, c[:])
+		total += int64(n)
+		switch {
+		case err != nil:
+			return nil, err
+		case total > b.limit:
+			return nil, errResponseTooLong
+		case ended:
+			return b.join(first, total), nil
+		}
+	}
+}
+
+// join returns first and the chunks in one slice of n bytes.
+func (b *bodyReader) join(first []byte, n int64) []byte {
+	body := append(make([]byte, 0, n), first...)
+	for _, c := range b.chunks {
+		body = append(body, c[:min(chunkBytes, n-int64(len(body)))]...)
+	}
+	return body
+}
+
+// release returns the chunks and what they took from the budget.
+func (b *bodyReader) release() {
+	for _, c := range b.chunks {
+		chunkPool.Put(c)
+		b.budget.giveBack(chunkBytes)
+	}
+}
+
+// fill reads until buffer is full or r has ended.
+func fill(r io.Reader, buffer []byte) (n int, ended bool, err error) {
+	for n < len(buffer) {
+		m, err := r.Read(buffer[n:])
+		n += m
+		if errors.Is(err, io.EOF) {
+			return n, true, nil
+		}
+		if err != nil {
+			return n, false, err
+		}
+	}
+	return n, false, nil
+}
+
+// discard reads a body without keeping it. It fails when the body exceeds the limit.
+func discard(body io.Reader, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
+	if err == nil && n > limit {
+		return errResponseTooLong
+	}
+	return err
+}
--- a/transport/forward/host.go
+++ b/transport/forward/host.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"hash/maphash"
+	"io"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -44,8 +45,15 @@
 	ReopenOnClose bool
 	// DialTimeout bounds the opening of a connection. The default is DefaultDialTimeout.
 	DialTimeout time.Duration
+	// MaxResponseBytes bounds the body of a response, in bytes. The default is DefaultMaxResponseBytes.
+	MaxResponseBytes int64
+	// Budget bounds the bodies that are being read at all hosts that share it. There is no bound without one.
+	Budget *Budget
 }
 
+// DefaultMaxResponseBytes bounds the body of a response, in bytes.
+const DefaultMaxResponseBytes = 4 << 20
+
 // Host is one target address with its pool of idle connections.
 type Host struct {
 	options Options
@@ -64,8 +72,10 @@
 // conn is one connection to the target.
 type conn struct {
 	net.Conn
-	id     uint64
+	id uint64
+	// reader reads the connection through limit.
 	reader *bufio.Reader
+	limit  *limitedReader
 	// expires is the end of the idle timeout, after which the connection must not be reused.
 	expires time.Time
 	// used is true once the connection has carried an exchange.
@@ -76,6 +86,22 @@
 	refused []uint64
 }
 
+// limitedReader fails once left bytes have been read.
+type limitedReader struct {
+	io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(b []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.Reader.Read(b[:min(int64(len(b)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
 // maxRefused is the number of entries of conn.refused at which a connection is closed.
 const maxRefused = 32
 
@@ -107,6 +133,9 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = defaultIdleTimeout
 	}
+	if o.MaxResponseBytes == 0 {
+		o.MaxResponseBytes = DefaultMaxResponseBytes
+	}
 	return &Host{options: o, idle: ring.New[*conn](max(o.MaxIdle, 1))}
 }
 
@@ -158,7 +187,12 @@
 		return nil, err
 	}
 	h.opened.Add(1)
-	return &conn{Conn: n, id: lastConnectionID.Add(1), reader: bufio.NewReader(n)}, nil
+	return newConn(n), nil
+}
+
+func newConn(n net.Conn) *conn {
+	limit := &limitedReader{Reader: n}
+	return &conn{Conn: n, id: lastConnectionID.Add(1), reader: bufio.NewReader(limit), limit: limit}
 }
 
 // release makes a connection available for the next exchange. It closes the connection when MaxIdle is reached.
@@ -217,6 +251,8 @@
 // Causes of an Error other than network errors.
 var (
 	errResponseTooLong = types.NewFault(types.CodeBodyTooLarge, "answer is too long")
+	errHeadTooLong     = types.NewFault(types.CodeBodyTooLarge, "head of the answer is too long")
+	errBudgetExceeded  = types.NewFault(types.CodeBodyTooLarge, "no memory left for the answer beside other long answers")
 	// ErrReconnect is the cause when Request.Connection names a connection that is closed. Nothing was sent.
 	ErrReconnect = types.NewFault(types.CodePeerUnavailable, "the connection is gone")
 
--- a/transport/forward/response.go
+++ b/transport/forward/response.go
@@ -1,7 +1,7 @@
 package forward
 
 import (
-	"io"
+	"math"
 	"net/http"
 	"regexp"
 	"slices"
@@ -13,8 +13,8 @@
 )
 
 const (
-	// maxResponseBytes bounds the body of a response, in bytes.
-	maxResponseBytes = 32 << 20
+	// maxHeadBytes bounds the status line and the headers of a response, in bytes. Those of a target are a few short lines.
+	maxHeadBytes = 16 << 10
 	// maxResponses bounds the responses that are read in one exchange. All but the last may be informational or belong to
 	// other requests.
 	maxResponses = 4
@@ -25,7 +25,7 @@
 func (h *Host) readResponse(c *conn, r Request) (Answer, time.Duration, error) {
 	dropped := 0
 	for range maxResponses {
-		res, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		res, err := c.readHead(r.Method)
 		if err != nil {
 			return Answer{}, 0, afterDropped(dropped, err)
 		}
@@ -35,25 +35,42 @@
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := readBody(res)
-		if err != nil {
-			return Answer{}, 0, afterDropped(dropped, err)
-		}
 		if h.answers(c, r, res, dropped == 0) {
-			if res.StatusCode >= http.StatusMultipleChoices {
-				c.recordRefusal(r.ID)
-			}
-			a := Answer{Status: res.StatusCode, Header: res.Header, Body: body, Connection: c.id, Dropped: dropped}
-			return a, h.idleTimeout(c, r, a, res), nil
+			return h.readAnswer(c, r, res, dropped)
 		}
 		if res.Close || r.Method == http.MethodHead {
 			return Answer{}, 0, errMismatchedResponse
 		}
+		if err := discard(res.Body, h.options.MaxResponseBytes); err != nil {
+			return Answer{}, 0, afterDropped(dropped, err)
+		}
 		dropped++
 	}
 	return Answer{}, 0, errMismatchedResponse
 }
 
+// readHead reads the status line and the headers of a response.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.limit.left = maxHeadBytes
+	res, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	c.limit.left = math.MaxInt64
+	return res, err
+}
+
+// readAnswer reads the body of res, the response to r, after the given number of responses to other requests.
+func (h *Host) readAnswer(c *conn, r Request, res *http.Response, dropped int) (Answer, time.Duration, error) {
+	body := bodyReader{limit: h.options.MaxResponseBytes, budget: h.options.Budget}
+	data, err := body.read(res.Body, res.ContentLength)
+	if err != nil {
+		return Answer{}, 0, afterDropped(dropped, err)
+	}
+	if res.StatusCode >= http.StatusMultipleChoices {
+		c.recordRefusal(r.ID)
+	}
+	a := Answer{Status: res.StatusCode, Header: res.Header, Body: data, Connection: c.id, Dropped: dropped}
+	return a, h.idleTimeout(c, r, a, res), nil
+}
+
 // answers reports whether res is the response to r. A target may repeat an earlier response at any time, so a response
 // without the ID of r proves nothing about r, whatever its status. first is true when no other response was read before in
 // this exchange.
@@ -117,18 +134,6 @@
 	return types.WrapFault(types.CodeTargetFailed, err, "after %d answers to other requests", n)
 }
 
-func readBody(res *http.Response) ([]byte, error) {
-	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxResponseBytes {
-		return nil, errResponseTooLong
-	}
-	return body, nil
-}
-
 // idleTimeout returns how long the connection may stay idle after answer a to r. It is 0 when the connection cannot be
 // reused.
 func (h *Host) idleTimeout(c *conn, r Request, a Answer, res *http.Response) time.Duration {
