--- a/daemon/edge/sender.go
+++ b/daemon/edge/sender.go
@@ -53,6 +53,9 @@
 		Detail: "attempt " + strconv.Itoa(a.send.Attempt) + " took " + took.Round(time.Millisecond).String() +
 			" status " + strconv.Itoa(o.Answer.Status),
 	}
+	if o.Answer.Dropped > 0 {
+		d.Detail += " after " + strconv.Itoa(o.Answer.Dropped) + " dropped answers of other requests"
+	}
 	if o.Err != nil {
 		d.Reason = o.Err.Error()
 	}
--- a/transport/forward/host.go
+++ b/transport/forward/host.go
@@ -256,7 +256,7 @@
 	// ErrReconnect is the cause when Request.Connection names a connection that is closed. Nothing was sent.
 	ErrReconnect = types.NewFault(types.CodePeerUnavailable, "the connection is gone")
 
-	errSplicedHead = types.NewFault(types.CodeTargetFailed, "answer contains the start of another one")
-
 	errMismatchedResponse = types.NewFault(types.CodeTargetFailed, "answer belongs to another request")
+	errTooManyResponses   = types.NewFault(types.CodeTargetFailed, "too many answers that do not belong to the request")
+	errSplicedHead        = types.NewFault(types.CodeTargetFailed, "answer contains the start of another one")
 )
--- a/transport/forward/response.go
+++ b/transport/forward/response.go
@@ -39,14 +39,14 @@
 			return h.readAnswer(c, r, res, dropped)
 		}
 		if res.Close || r.Method == http.MethodHead {
-			return Answer{}, 0, errMismatchedResponse
+			return Answer{}, 0, afterDropped(dropped, errMismatchedResponse)
 		}
 		if err := discard(res.Body, h.options.MaxResponseBytes); err != nil {
 			return Answer{}, 0, afterDropped(dropped, err)
 		}
 		dropped++
 	}
-	return Answer{}, 0, errMismatchedResponse
+	return Answer{}, 0, afterDropped(dropped, errTooManyResponses)
 }
 
 // readHead reads the status line and the headers of a response.
@@ -131,7 +131,7 @@
 	if n == 0 {
 		return err
 	}
-	return types.WrapFault(types.CodeTargetFailed, err, "after %d answers to other requests", n)
+	return types.WrapFault(types.CodeTargetFailed, err, "after %d dropped answers of other requests", n)
 }
 
 // idleTimeout returns how long the connection may stay idle after answer a to r. It is 0 when the connection cannot be
