transport/target: a response without the request's ID proves nothing

Callers of the two-process path could be told "not run" for a request that its target ran. Cause: a refusal without an ID was taken as the answer to the current request, although a target may repeat an earlier one. A response without exactly the ID of the request is now unusable, its outcome unknown, and its connection is closed, as it was before for one with another ID.

--- a/transport/target/failure.go
+++ b/transport/target/failure.go
@@ -86,10 +86,11 @@
 	return KindWritten, types.CodeTargetFailed
 }
 
-// checkResponse returns the failure when the response is a refusal or belongs to another request, otherwise nil.
+// checkResponse returns the failure when the response is a refusal or does not have the ID of the request, otherwise nil. A
+// target may repeat an earlier response, so one without an ID proves nothing about this request.
 func checkResponse(r Request, a exchange.Answer) *Failure {
-	if id := a.Header.Get(HeaderRequestID); id != "" && id != string(r.RequestID) {
-		return newFailure(KindBadResponse, true, types.NewFault(types.CodeTargetFailed, "answer to request %s", id))
+	if ids := a.Header.Values(HeaderRequestID); len(ids) != 1 || ids[0] != string(r.RequestID) {
+		return newFailure(KindBadResponse, true, types.NewFault(types.CodeTargetFailed, "answer to request %q", ids))
 	}
 	if a.Status != http.StatusServiceUnavailable || a.Header.Get(HeaderNotRun) != "true" {
 		return nil
