forward: search the bytes of a head for a second status line

Callers could still see the status of an earlier response with the ID of their own. Cause: net/http drops some headers while it parses a head, such as Transfer-Encoding under HTTP/1.0, and with them the status line of the answer that a cut response ran into.

A head is now searched in the read buffer before it is parsed. A response must start with "HTTP/1.".

ReadBody is exported for the client of the store.

--- a/transport/forward/attribution_test.go
+++ b/transport/forward/attribution_test.go
@@ -184,6 +184,7 @@
 		"cut between two headers":  {[]segment{{0, cut}, own}, false},
 		"cut in the earlier ID":    {[]segment{{0, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Id: "}, own}, false},
 		"cut after the earlier ID": {[]segment{{0, "HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Not-Executed: 1"}, own}, false},
+		"cut in a dropped header":  {[]segment{{0, "HTTP/1.0 503 Full\r\nX-Not-Executed: 1\r\nTransfer-Encoding: "}, own}, false},
 		"cut in the body":          {[]segment{{0, refusal("1")[:len(refusal("1"))-2]}, own}, false},
 	})
 }
--- a/transport/forward/body.go
+++ b/transport/forward/body.go
@@ -49,6 +49,13 @@
 	}
 }
 
+// ReadBody returns the whole body of a response. length is its declared length, -1 if it is unknown. It fails when the body
+// exceeds limit, in bytes, or when the budget is used up.
+func ReadBody(r io.Reader, length, limit int64, budget *Budget) ([]byte, error) {
+	b := bodyReader{limit: limit, budget: budget}
+	return b.read(r, length)
+}
+
 // bodyReader reads the body of one response into memory.
 type bodyReader struct {
 	// limit bounds the body, in bytes.
@@ -58,8 +65,7 @@
 	chunks []*chunk
 }
 
-// read returns the whole body. length is its declared length, -1 if it is unknown. The memory grows with the bytes that
-// arrive, because a target may declare more than it sends.
+// read returns the whole body. The memory grows with the bytes that arrive, because a target may declare more than it sends.
 func (b *bodyReader) read(r io.Reader, length int64) ([]byte, error) {
 	if length > b.limit {
 		return nil, errResponseTooLong
--- a/transport/forward/fuzz_test.go
+++ b/transport/forward/fuzz_test.go
@@ -36,7 +36,8 @@
 		"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 503 Serv", "HTTP/1.1 503 ", "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Id: ", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Long: a", response("1", "first"),
 		chunked + "\r\n", chunked + "X-T: ", chunked[:len(chunked)-7], "HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n",
-		"HTTP/1.1 503 Full\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n ", "\r\n\r\n", "garbage",
+		"HTTP/1.1 503 Full\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n ", "\r\n\r\n", "garbage", "H",
+		"HTTP/1.0 210 \nTransfer-Encoding:", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: ",
 		"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX: HTTP/1.", strings.Repeat("a", 300), refusal("1") + refusal("1") + refusal("1") + refusal("1"),
 	} {
 		f.Add([]byte(prefix), uint64(1), false, true)
--- a/transport/forward/host.go
+++ b/transport/forward/host.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"hash/maphash"
-	"io"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -72,10 +71,8 @@
 // conn is one connection to the target.
 type conn struct {
 	net.Conn
-	id uint64
-	// reader reads the connection through limit.
+	id     uint64
 	reader *bufio.Reader
-	limit  *limitedReader
 	// expires is the end of the idle timeout, after which the connection must not be reused.
 	expires time.Time
 	// used is true once the connection has carried an exchange.
@@ -86,22 +83,6 @@
 	refused []uint64
 }
 
-// limitedReader fails once left bytes have been read.
-type limitedReader struct {
-	io.Reader
-	left int64
-}
-
-// Read implements io.Reader.
-func (l *limitedReader) Read(b []byte) (int, error) {
-	if l.left <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := l.Reader.Read(b[:min(int64(len(b)), l.left)])
-	l.left -= int64(n)
-	return n, err
-}
-
 // maxRefused is the number of entries of conn.refused at which a connection is closed.
 const maxRefused = 32
 
@@ -191,8 +172,7 @@
 }
 
 func newConn(n net.Conn) *conn {
-	limit := &limitedReader{Reader: n}
-	return &conn{Conn: n, id: lastConnectionID.Add(1), reader: bufio.NewReader(limit), limit: limit}
+	return &conn{Conn: n, id: lastConnectionID.Add(1), reader: bufio.NewReaderSize(n, maxHeadBytes)}
 }
 
 // release makes a connection available for the next exchange. It closes the connection when MaxIdle is reached.
@@ -256,6 +236,7 @@
 	// ErrReconnect is the cause when Request.Connection names a connection that is closed. Nothing was sent.
 	ErrReconnect = types.NewFault(types.CodePeerUnavailable, "the connection is gone")
 
+	errNoResponse         = types.NewFault(types.CodeTargetFailed, "answer is not HTTP/1")
 	errMismatchedResponse = types.NewFault(types.CodeTargetFailed, "answer belongs to another request")
 	errTooManyResponses   = types.NewFault(types.CodeTargetFailed, "too many answers that do not belong to the request")
 	errSplicedHead        = types.NewFault(types.CodeTargetFailed, "answer contains the start of another one")
--- a/transport/forward/response.go
+++ b/transport/forward/response.go
@@ -1,10 +1,7 @@
 package forward
 
 import (
-	"math"
 	"net/http"
-	"regexp"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -12,13 +9,9 @@
 	"sequoiasail.example/types"
 )
 
-const (
-	// maxHeadBytes bounds the status line and the headers of a response, in bytes. Those of a target are a few short lines.
-	maxHeadBytes = 16 << 10
-	// maxResponses bounds the responses that are read in one exchange. All but the last may be informational or belong to
-	// other requests.
-	maxResponses = 4
-)
+// maxResponses bounds the responses that are read in one exchange. All but the last may be informational or belong to
+// other requests.
+const maxResponses = 4
 
 // readResponse reads the response to r. The duration is how long the connection may stay idle; if it is not positive,
 // the connection must be closed.
@@ -29,9 +22,6 @@
 		if err != nil {
 			return Answer{}, 0, afterDropped(dropped, err)
 		}
-		if spliced(res) {
-			return Answer{}, 0, afterDropped(dropped, errSplicedHead)
-		}
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
@@ -49,25 +39,16 @@
 	return Answer{}, 0, afterDropped(dropped, errTooManyResponses)
 }
 
-// readHead reads the status line and the headers of a response.
-func (c *conn) readHead(method string) (*http.Response, error) {
-	c.limit.left = maxHeadBytes
-	res, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	c.limit.left = math.MaxInt64
-	return res, err
-}
-
 // readAnswer reads the body of res, the response to r, after the given number of responses to other requests.
 func (h *Host) readAnswer(c *conn, r Request, res *http.Response, dropped int) (Answer, time.Duration, error) {
-	body := bodyReader{limit: h.options.MaxResponseBytes, budget: h.options.Budget}
-	data, err := body.read(res.Body, res.ContentLength)
+	body, err := ReadBody(res.Body, res.ContentLength, h.options.MaxResponseBytes, h.options.Budget)
 	if err != nil {
 		return Answer{}, 0, afterDropped(dropped, err)
 	}
 	if res.StatusCode >= http.StatusMultipleChoices {
 		c.recordRefusal(r.ID)
 	}
-	a := Answer{Status: res.StatusCode, Header: res.Header, Body: data, Connection: c.id, Dropped: dropped}
+	a := Answer{Status: res.StatusCode, Header: res.Header, Body: body, Connection: c.id, Dropped: dropped}
 	return a, h.idleTimeout(c, r, a, res), nil
 }
 
@@ -93,39 +74,6 @@
 	return h.omitsID.Load() && res.StatusCode == http.StatusOK
 }
 
-// spliced reports whether the head of res contains a second status line: an earlier response that was cut in its head is
-// followed by another response, and the first line and the headers of res come from both.
-func spliced(res *http.Response) bool {
-	if containsStatusLine(res.Status) {
-		return true
-	}
-	for _, values := range res.Header {
-		if slices.ContainsFunc(values, containsStatusLine) {
-			return true
-		}
-	}
-	return false
-}
-
-// containsStatusLine reports whether text contains an HTTP version followed by a status code. The version alone is valid
-// in headers such as Via.
-func containsStatusLine(text string) bool {
-	const version = "HTTP/1."
-	for {
-		_, rest, found := strings.Cut(text, version)
-		if !found {
-			return false
-		}
-		if statusCodePattern.MatchString(rest) {
-			return true
-		}
-		text = rest
-	}
-}
-
-// statusCodePattern matches the rest of a status line after "HTTP/1.".
-var statusCodePattern = regexp.MustCompile(`^[0-9] [0-9]{3}`)
-
 // afterDropped adds to err the number of responses to other requests that were read before.
 func afterDropped(n int, err error) error {
 	if n == 0 {
