soak: every other target writes stray refusals

The soak could not show responses that belong to no request. Every other stand-in target now writes a refusal before the response to about every eighth request of a connection, in turn without an ID and with that of another request.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -234,6 +234,7 @@
 		s := standin.TargetSettings{
 			Service: spareService, DataCentre: dataCentres[i%len(dataCentres)], Slots: targetSlots, QueueLimit: targetQueue,
 			ServiceTime: targetServiceTime, ClockDrift: clockDrift, ColdFor: warmupTime,
+			StrayRefusals: i%2 == 1,
 		}
 		switch share := float64(i) / float64(tb.options.Targets); {
 		case share < mapsShare:
