edge: bound the answer to a mirror query

A VM that queries an address where bytes come without end allocated 813 MB within the 400 ms of a query. Cause: net/rpc reads a message of up to the length that it declares. At most 8 MiB are read now. The addresses are those of VMs, so a target reaches this only if it gets the address of a VM that is gone.

Before: faulty_target_test.go:280: allocated 813415 KiB --- FAIL: TestEndlessMirrorAnswer After: allocated 10348 KiB; ok

--- a/daemon/edge/faulty_target_test.go
+++ b/daemon/edge/faulty_target_test.go
@@ -250,3 +250,33 @@
 		is.True(max(peak, before)-before < maxHeapGrowth)
 	}
 }
+
+// Guards against a VM that runs out of memory when whatever has the address of another VM answers a mirror query with bytes
+// without end.
+func TestEndlessMirrorAnswer(t *testing.T) {
+	is := is.New(t)
+	const maxAllocated = 4 * maxMirrorAnswerBytes
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		// A message of gob starts with its length, here 1 GB less one byte in four bytes.
+		_, err = c.Write([]byte{0xfc, 0x3f, 0xff, 0xff, 0xff})
+		zeros := make([]byte, 64<<10)
+		for err == nil {
+			_, err = c.Write(zeros)
+		}
+	}()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err = (&mirrorClient{}).call(t.Context(), mirrorRequest{address: l.Addr().String()})
+	runtime.ReadMemStats(&after)
+	is.True(err != nil)
+	t.Logf("allocated %d KiB: %v", (after.TotalAlloc-before.TotalAlloc)>>10, err)
+	is.True(after.TotalAlloc-before.TotalAlloc < maxAllocated)
+}
--- a/daemon/edge/mirror.go
+++ b/daemon/edge/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/rpc"
 	"time"
@@ -22,6 +23,8 @@
 	mirrorSpacing = 100 * time.Millisecond
 	// unavailableSpacing is the time between two queries for one prefix while the store is unavailable to this VM.
 	unavailableSpacing = 600 * time.Millisecond
+	// maxMirrorAnswerBytes bounds the answer to a query. The configuration has at most 1 MB, a registration about 400 bytes.
+	maxMirrorAnswerBytes = 8 << 20
 	// mirrorMethod is the net/rpc method of a query.
 	mirrorMethod = "Mirror.Read"
 )
@@ -116,7 +119,7 @@
 		return a, types.WrapFault(types.CodePeerUnavailable, err, "connect to %s", q.address)
 	}
 	_ = conn.SetDeadline(time.Now().Add(mirrorCallTimeout))
-	client := rpc.NewClient(conn)
+	client := rpc.NewClient(boundedConn{Conn: conn, in: io.LimitReader(conn, maxMirrorAnswerBytes)})
 	defer client.Close()
 	if err := client.Call(mirrorMethod, q.question, &a); err != nil {
 		return a, types.WrapFault(types.CodePeerUnavailable, err, "query the mirror at %s", q.address)
@@ -124,6 +127,15 @@
 	return a, nil
 }
 
+// boundedConn is a connection of which only the bytes of in are read. net/rpc has no limit for a message.
+type boundedConn struct {
+	net.Conn
+	in io.Reader
+}
+
+// Read implements net.Conn.
+func (b boundedConn) Read(p []byte) (int, error) { return b.in.Read(p) }
+
 // answerMirrorQuery returns the entries of a prefix if this VM watches the store, has recent answers from it and knows more
 // than the caller. A caller that knows nothing gets this VM's copy, however old.
 func (sc *storeCache) answerMirrorQuery(now types.Instant, m mirrorQuery) {
