--- a/soak/soak.go
+++ b/soak/soak.go
@@ -260,6 +260,7 @@
 		s := standin.TargetSettings{
 			Service: spareService, DataCentre: dataCentres[i%len(dataCentres)], Slots: targetSlots, QueueLimit: targetQueue,
 			ServiceTime: targetServiceTime, ClockDrift: clockDrift, ColdFor: warmupTime,
+			StrayRefusals: i%2 == 1,
 		}
 		if tb.options.PlannedWork {
 			s.SlowServiceTime, s.SlowPeriod = slowServiceTime, slowPeriod
--- a/transport/forward/host.go
+++ b/transport/forward/host.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -30,6 +32,9 @@
 	Address string
 	// IDHeader is the name of the ID header, which a target copies from the request to the response.
 	IDHeader string
+	// IDOptional allows a target that does not echo IDs at all: the first response on a new connection may lack the ID,
+	// and then also later ones with status 200.
+	IDOptional bool
 	// MaxIdle is the maximum number of idle connections.
 	MaxIdle int
 	// IdleTimeout is the idle timeout when the target sends no Keep-Alive timeout. The default is 4 s.
@@ -39,8 +44,15 @@
 	ReopenOnClose bool
 	// DialTimeout bounds the opening of a connection. The default is DefaultDialTimeout.
 	DialTimeout time.Duration
+	// MaxResponseBytes bounds the body of a response, in bytes. The default is DefaultMaxResponseBytes.
+	MaxResponseBytes int64
+	// Budget bounds the bodies that are being read at all hosts that share it. There is no bound without one.
+	Budget *Budget
 }
 
+// DefaultMaxResponseBytes bounds the body of a response, in bytes.
+const DefaultMaxResponseBytes = 4 << 20
+
 // Host is one target address with its pool of idle connections.
 type Host struct {
 	options Options
@@ -49,6 +61,8 @@
 	// targetIdleTimeout is the idle timeout of the last connection that was kept after an exchange, in nanoseconds. It is
 	// used for connections that replace closed ones.
 	targetIdleTimeout atomic.Int64
+	// omitsID is true when the first response on the last new connection had no ID.
+	omitsID atomic.Bool
 }
 
 // lastConnectionID is the ID of the newest connection. IDs are unique in the process.
@@ -63,6 +77,24 @@
 	expires time.Time
 	// used is true once the connection has carried an exchange.
 	used bool
+	// refused holds the hashes of the request IDs that were answered with another status than success. Such a request
+	// may be sent again under its ID. On the same connection, a repeat of the first response could not be told from the
+	// response to the second attempt.
+	refused []uint64
+}
+
+// maxRefused is the number of entries of conn.refused at which a connection is closed.
+const maxRefused = 32
+
+// idSeed is the seed of the hashes of request IDs.
+var idSeed = maphash.MakeSeed()
+
+// recordRefusal notes that the request with the given ID was not answered with success.
+func (c *conn) recordRefusal(id string) { c.refused = append(c.refused, maphash.String(idSeed, id)) }
+
+// hasRefused reports whether a request with the given ID was refused on this connection.
+func (c *conn) hasRefused(id string) bool {
+	return len(c.refused) > 0 && slices.Contains(c.refused, maphash.String(idSeed, id))
 }
 
 // reset closes a connection whose exchange has failed with a TCP RST. This discards bytes that are not delivered yet: a
@@ -82,12 +114,18 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = defaultIdleTimeout
 	}
+	if o.MaxResponseBytes == 0 {
+		o.MaxResponseBytes = DefaultMaxResponseBytes
+	}
 	return &Host{options: o, idle: ring.New[*conn](max(o.MaxIdle, 1))}
 }
 
 // Opened returns the number of connections opened so far.
 func (h *Host) Opened() uint64 { return h.opened.Load() }
 
+// OmitsID reports whether the target is known not to echo IDs. It is always false without Options.IDOptional.
+func (h *Host) OmitsID() bool { return h.omitsID.Load() }
+
 // CloseIdle closes the idle connections.
 func (h *Host) CloseIdle() { h.idle.Drain(func(c *conn) { _ = c.Close() }) }
 
@@ -97,24 +135,32 @@
 	h.CloseIdle()
 }
 
-// acquire returns a usable idle connection or a new one. If id is not 0, it returns only the connection with that ID,
-// or ErrReconnect when that one is closed.
-func (h *Host) acquire(ctx context.Context, id uint64) (*conn, error) {
+// acquire returns a usable idle connection for r or a new one. A request without an ID gets a new one. If r is bound to a connection, it returns only that one, or
+// ErrReconnect when that one is closed.
+func (h *Host) acquire(ctx context.Context, r Request) (*conn, error) {
+	if r.ID == "" && r.Connection == 0 {
+		return h.dial(ctx)
+	}
 	for {
 		c, ok := h.idle.TryGet()
-		if !ok && id != 0 {
+		if !ok && r.Connection != 0 {
 			return nil, ErrReconnect
 		}
 		if !ok {
 			return h.dial(ctx)
 		}
-		if time.Now().Before(c.expires) && openAndEmpty(c) && (id == 0 || c.id == id) {
+		if r.mayUse(c) && time.Now().Before(c.expires) && openAndEmpty(c) {
 			return c, nil
 		}
 		_ = c.Close()
 	}
 }
 
+// mayUse reports whether r may be sent over the idle connection c.
+func (r Request) mayUse(c *conn) bool {
+	return (r.Connection == 0 || c.id == r.Connection) && !c.hasRefused(r.ID)
+}
+
 func (h *Host) dial(ctx context.Context) (*conn, error) {
 	d := net.Dialer{Timeout: h.options.DialTimeout}
 	n, err := d.DialContext(ctx, "tcp", h.options.Address)
@@ -122,12 +168,15 @@
 		return nil, err
 	}
 	h.opened.Add(1)
-	return &conn{Conn: n, id: lastConnectionID.Add(1), reader: bufio.NewReader(n)}, nil
+	return newConn(n), nil
+}
+
+func newConn(n net.Conn) *conn {
+	return &conn{Conn: n, id: lastConnectionID.Add(1), reader: bufio.NewReaderSize(n, maxHeadBytes)}
 }
 
 // release makes a connection available for the next exchange. It closes the connection when MaxIdle is reached.
 func (h *Host) release(c *conn, idle time.Duration) {
-	c.used = true
 	// A deadline in the past would make the check of openAndEmpty fail.
 	_ = c.SetDeadline(time.Time{})
 	c.expires = time.Now().Add(idle)
@@ -182,10 +231,15 @@
 // Causes of an Error other than network errors.
 var (
 	errResponseTooLong = types.NewFault(types.CodeBodyTooLarge, "answer is too long")
+	errHeadTooLong     = types.NewFault(types.CodeBodyTooLarge, "head of the answer is too long")
+	errBudgetExceeded  = types.NewFault(types.CodeBodyTooLarge, "no memory left for the answer beside other long answers")
 	// ErrReconnect is the cause when Request.Connection names a connection that is closed. Nothing was sent.
 	ErrReconnect = types.NewFault(types.CodePeerUnavailable, "the connection is gone")
 
 	// errInvalidStatus is the cause when a status is below 100, or announces another protocol, which no request asks for.
 	errInvalidStatus      = types.NewFault(types.CodeTargetFailed, "invalid status")
+	errNoResponse         = types.NewFault(types.CodeTargetFailed, "answer is not HTTP/1")
 	errMismatchedResponse = types.NewFault(types.CodeTargetFailed, "answer belongs to another request")
+	errTooManyResponses   = types.NewFault(types.CodeTargetFailed, "too many answers that do not belong to the request")
+	errSplicedHead        = types.NewFault(types.CodeTargetFailed, "answer contains the start of another one")
 )
