admission: bound the memory of sends reported by another VM

A VM that received a load report with a huge count of requests in flight appended one time stamp per request before it cut the list to maxTrackedSends: a count of 2^63-1 ended the process for lack of memory.

Cause: sendWindow.add looped over the reported count. Ruled out: the decoder of the report, whose CBOR limits bound lengths but not values.

Before: a trial with a count of 2^63-1 ended with "runtime: out of memory: cannot allocate-byte block ( in use)" in sendWindow.add; the test with 20,000,000 failed with "not true: cap(...sentAt) <= 4*maxTrackedSends". After: passes.

--- a/admission/core_test.go
+++ b/admission/core_test.go
@@ -355,3 +355,12 @@
 		t.Fatalf("%d of 40 refused, %d left waiting behind 3 in progress", refused, kept)
 	}
 }
+
+// Guards against memory use that follows a number in another VM's report.
+func TestReportedSendsUseBoundedMemory(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore("vm1", listing("orders", "o1", "a"))
+	c.step(PeerReport{VM: "vm2", InFlight: map[types.Target]int{"o1": 20_000_000}})
+	is.True(cap(c.targets["o1"].dataCentreSends.sentAt) <= 4*maxTrackedSends)
+	is.Equal(c.targets["o1"].dataCentreSends.count(c.now), maxTrackedSends)
+}
--- a/admission/limits.go
+++ b/admission/limits.go
@@ -7,8 +7,9 @@
 	sentAt []types.Instant
 }
 
+// add records n requests. It keeps at most maxTrackedSends of them, however large n is: n may come from a report.
 func (w *sendWindow) add(now types.Instant, n int) {
-	for range n {
+	for range min(n, maxTrackedSends) {
 		w.sentAt = append(w.sentAt, now)
 	}
 	if len(w.sentAt) > maxTrackedSends {
