admission, platform: reported numbers can't overflow an estimate

One answer of a target with a huge figure in X-Server-Load, or one load report of another VM with an infinite slowness, ended sail-edge: the next request for that service without keys panicked in the choice of a target.

Cause: the expected time of a request overflowed time.Duration, and the jitter is drawn from a twentieth of it, which was negative. Figures outside the limits of a report are now dropped as if not reported, the header is ignored when a figure is out of range, and estimates are bounded. Ruled out: the weights of a route, whose sum is checked before the draw.

Before: TestExtremeSamplesDoNotPanic/huge_slowness and /infinite_slowness: "panic: invalid argument to Int64N" in chooseFastest; /tiny_slowness: "not true: o.expectedTime(c.now) > 0". After: passes.

--- a/admission/choose.go
+++ b/admission/choose.go
@@ -86,7 +86,7 @@
 	} else {
 		rate, ahead = c.ownerRate(now, req, t)
 	}
-	wait := time.Duration(float64(ahead+1) / rate * float64(time.Second))
+	wait := time.Duration(min(float64(ahead+1)/rate*float64(time.Second), float64(maxExpectedTime)))
 	limit := req.route.LatencyObjective + time.Duration(lateWaitShare*float64(req.deadline.Sub(req.arrived)-req.route.LatencyObjective))
 	return now.Add(wait+req.service.typicalDuration()).Sub(req.arrived) > max(limit, 2*req.service.typicalDuration())
 }
--- a/admission/core_test.go
+++ b/admission/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -360,7 +361,37 @@
 func TestReportedSendsUseBoundedMemory(t *testing.T) {
 	is := is.New(t)
 	c := newTestCore("vm1", listing("orders", "o1", "a"))
-	c.step(PeerReport{VM: "vm2", InFlight: map[types.Target]int{"o1": 20_000_000}})
+	c.step(PeerReport{VM: "vm2", InFlight: map[types.Target]int{"o1": maxReportedRequests}})
 	is.True(cap(c.targets["o1"].dataCentreSends.sentAt) <= 4*maxTrackedSends)
 	is.Equal(c.targets["o1"].dataCentreSends.count(c.now), maxTrackedSends)
 }
+
+// Guards against a panic of the admission duty on reported numbers that overflow the estimate of a response time: the jitter
+// of a negative estimate has no range. The target is in another data centre, so that the penalty is added to the estimate.
+func TestExtremeSamplesDoNotPanic(t *testing.T) {
+	for name, s := range map[string]Sample{
+		"infinite slowness": {Target: "o1", Slowness: math.Inf(1), Load: -1},
+		"no number":         {Target: "o1", Slowness: math.NaN(), Load: -1},
+		"huge slowness":     {Target: "o1", Slowness: math.MaxFloat64, Load: -1},
+		"tiny slowness":     {Target: "o1", Slowness: 1e-300, Load: -1, ResponseTime: time.Second},
+		"huge load":         {Target: "o1", Load: math.MaxInt},
+		"huge time":         {Target: "o1", Load: -1, ResponseTime: math.MaxInt64},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newTestCore("vm1", listing("orders", "o1", "b"))
+			for range 3 {
+				c.step(PeerReport{VM: "vm2", InFlight: map[types.Target]int{"o1": math.MaxInt}, Waiting: map[types.Target]int{"o1": math.MaxInt}, Samples: []Sample{s}})
+				c.arrive(orders, 1)
+				c.step(PeerReport{VM: "vm2", InFlight: map[types.Target]int{"o1": math.MinInt}, Waiting: map[types.Target]int{"o1": math.MinInt}, Samples: []Sample{s}})
+				c.arrive(orders, 1)
+				c.step(PeerReport{VM: "vm2"})
+				c.arrive(orders, 1)
+				o := c.targets["o1"]
+				is.True(o.expectedTime(c.now) > 0)
+				is.True(o.load(c.now) >= 0)
+				is.True(o.peerRequests >= 0 && o.peerWaiting >= 0)
+			}
+		})
+	}
+}
--- a/admission/message.go
+++ b/admission/message.go
@@ -127,6 +127,54 @@
 	Failed bool
 }
 
+// Limits of what a target or another VM may report. A number outside them is not an observation.
+const (
+	minReportedSlowness = 0.01
+	maxReportedSlowness = 1000
+	maxReportedRequests = 1_000_000
+	maxReportedTime     = 10 * time.Minute
+)
+
+// withinLimits returns the sample without the numbers that exceed the limits of a report, as if they had not been reported.
+func (s Sample) withinLimits() Sample {
+	// The comparison is also false for NaN.
+	if !(s.Slowness >= minReportedSlowness && s.Slowness <= maxReportedSlowness) {
+		s.Slowness = 0
+	}
+	if s.Load < 0 || s.Load > maxReportedRequests {
+		s.Load = -1
+	}
+	if s.ResponseTime < 0 || s.ResponseTime > maxReportedTime {
+		s.ResponseTime = 0
+	}
+	return s
+}
+
+// WithinLimits returns the report without the numbers that exceed the limits of a report. It changes the maps and the
+// samples of r.
+func (r PeerReport) WithinLimits() PeerReport {
+	dropExcessive(r.InFlight)
+	dropExcessive(r.Waiting)
+	r.Samples = SamplesWithinLimits(r.Samples)
+	return r
+}
+
+// SamplesWithinLimits removes the numbers that exceed the limits of a report from each sample, and returns the list.
+func SamplesWithinLimits(list []Sample) []Sample {
+	for i, s := range list {
+		list[i] = s.withinLimits()
+	}
+	return list
+}
+
+func dropExcessive(requests map[types.Target]int) {
+	for t, n := range requests {
+		if n < 0 || n > maxReportedRequests {
+			delete(requests, t)
+		}
+	}
+}
+
 // Action is an output of a Core.
 type Action interface{ action() }
 
--- a/admission/peers.go
+++ b/admission/peers.go
@@ -31,6 +31,7 @@
 	if m.VM == types.VM(c.settings.VM) {
 		return
 	}
+	m = m.WithinLimits()
 	c.recordPeerSends(now, m)
 	c.peerRequests[m.VM] = peerReport{inFlight: m.InFlight, waiting: m.Waiting, receivedAt: now}
 	for _, s := range m.Samples {
--- a/admission/target.go
+++ b/admission/target.go
@@ -99,6 +99,7 @@
 			return
 		}
 	}
+	s = s.withinLimits()
 	t.applySample(now, s)
 	if len(c.samples) < maxSamples {
 		c.samples = append(c.samples, s)
@@ -108,7 +109,7 @@
 // maxSamples bounds the observations kept for one report.
 const maxSamples = 64
 
-// applySample updates the target's load estimate and averages with one observation.
+// applySample updates the target's load estimate and averages with one observation, which is within the limits of reports.
 func (t *target) applySample(now types.Instant, s Sample) {
 	if s.Slowness > 0 {
 		t.slowness, t.slownessAt = s.Slowness, now
@@ -160,5 +161,8 @@
 		slow = t.slowness
 	}
 	queue := 1 + max(0, t.load(now)+1-float64(t.Slots))/float64(max(t.Slots, 1))
-	return time.Duration(float64(workTime) * slow * queue * (1 + 3*t.failureRate))
+	return time.Duration(min(float64(workTime)*slow*queue*(1+3*t.failureRate), float64(maxExpectedTime)))
 }
+
+// maxExpectedTime bounds an estimate, so that sums of estimates don't overflow.
+const maxExpectedTime = time.Hour
