edge: leave numbers and ranges out of a report that no VM measures

A load report with an undefined or infinite slowness spoiled the coordinator's averages for good, a time above 2^63/1000 us wrapped around, and an owner change that announced version 2^64-1 hid all later owner tables from the VMs that received it.

Cause: decodeReport passed the decoded values on unchecked. Ruled out, with a datagram each in the new test: nesting, indefinite and huge declared lengths (the CBOR library stops at 32 levels and 131,072 elements and reads no more than the datagram).

--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -134,14 +134,21 @@
 	})
 }
 
-// Guards against panics on malformed datagrams.
+// Guards against panics on malformed datagrams, and against numbers in them that no VM reports.
 func FuzzReport(f *testing.F) {
 	data, err := encodeReport("vm", report{digests: []digest{{prefix: "op/", atRevision: 3}}})
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(data)
-	f.Fuzz(func(_ *testing.T, data []byte) { _, _, _ = decodeReport(data) })
+	for _, odd := range oddDatagrams(f) {
+		f.Add(odd)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, r, err := decodeReport(data); err == nil && !reportIsPlausible(r) {
+			t.Fatalf("accepted %+v", r)
+		}
+	})
 }
 
 // Guards against changes that a watch missed without notice: a cache is behind if and only if another VM's digest shows other
--- /dev/null
+++ b/daemon/edge/entries_test.go
@@ -0,0 +1,105 @@
+package edge
+
+import (
+	"math"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"sequoiasail.example/types"
+)
+
+// oddDatagrams are datagrams that no VM of the fleet sends.
+func oddDatagrams(t testing.TB) map[string][]byte {
+	encode := func(d datagram) []byte {
+		data, err := cbor.Marshal(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	sample := func(s sampleField) datagram {
+		s.Target = "i-1"
+		return datagram{VM: "vm-2", HasLoad: true, Samples: []sampleField{s}, CoordinatorSamples: []sampleField{s}}
+	}
+	odd := map[string][]byte{
+		"infinite slowness": encode(sample(sampleField{Slowness: float32(math.Inf(1))})),
+		"no number":         encode(sample(sampleField{Slowness: float32(math.NaN())})),
+		"huge time":         encode(sample(sampleField{Micros: math.MaxInt64})),
+		"time that wraps":   encode(sample(sampleField{Micros: math.MaxInt64/1000 + 1})),
+		"negative time":     encode(sample(sampleField{Micros: math.MinInt64})),
+		"huge load":         encode(sample(sampleField{Load: math.MaxInt})),
+		"huge counts": encode(datagram{
+			VM: "vm-2", HasLoad: true, InFlight: map[string]int{"i-1": math.MaxInt}, Waiting: map[string]int{"i-1": math.MinInt},
+		}),
+		"range that ends before it starts": encode(datagram{VM: "vm-2", Moving: map[string][]movingField{"maps": {{From: 9, To: 3, Fence: 1}}}}),
+		"owners that end before they start": encode(datagram{VM: "vm-2", Owners: []ownerChangeField{
+			{Service: "maps", Base: 1, Next: math.MaxUint64, Ranges: []ownedRangeField{{From: 9, To: 3, Target: "i-1", Fence: 1}}},
+		}}),
+		"huge array":        {0x8a, 0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"huge text":         {0x8a, 0x7b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"indefinite length": {0x9f, 0x7f, 0x61, 'v', 0xff, 0xff},
+		"empty":             {},
+	}
+	deep := make([]byte, maxDatagram)
+	for i := range deep {
+		deep[i] = 0x81
+	}
+	odd["deeply nested"] = deep
+	return odd
+}
+
+// reportIsPlausible reports whether the numbers of a report are such as a VM can measure.
+func reportIsPlausible(r report) bool {
+	samples := r.coordinatorSamples
+	if r.load != nil {
+		samples = append(samples, r.load.Samples...)
+		for _, n := range r.load.InFlight {
+			if n < 0 || n > 1_000_000 {
+				return false
+			}
+		}
+		for _, n := range r.load.Waiting {
+			if n < 0 || n > 1_000_000 {
+				return false
+			}
+		}
+	}
+	for _, s := range samples {
+		if math.IsNaN(s.Slowness) || s.Slowness < 0 || s.Slowness > 1000 || s.Load < -1 || s.Load > 1_000_000 || s.ResponseTime < 0 || s.ResponseTime.Minutes() > 10 {
+			return false
+		}
+	}
+	for _, ranges := range r.moving {
+		for _, m := range ranges {
+			if m.To < m.From {
+				return false
+			}
+		}
+	}
+	for _, o := range r.owners {
+		for _, m := range o.ranges {
+			if m.To < m.From || m.Fence >= o.next || m.Fence < o.base {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Guards against numbers in a report that no VM measures: they spoiled the coordinator's averages for good (an infinite or
+// undefined slowness) and the choice of targets.
+func TestOddReportsHaveNoEffect(t *testing.T) {
+	for name, data := range oddDatagrams(t) {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, r, err := decodeReport(data)
+			if err != nil {
+				is.Equal(types.CodeOf(err), types.CodeBadRequest)
+				return
+			}
+			is.True(reportIsPlausible(r))
+		})
+	}
+}
--- a/daemon/edge/reports.go
+++ b/daemon/edge/reports.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -160,7 +162,8 @@
 	return f
 }
 
-// decodeReport reads a datagram. It returns a CodeBadRequest fault for anything that is not a report.
+// decodeReport reads a datagram. It returns a CodeBadRequest fault for anything that is not a report. Numbers and ranges that
+// no VM reports are left out.
 func decodeReport(data []byte) (types.VM, report, error) {
 	var d datagram
 	if err := cbor.Unmarshal(data, &d); err != nil {
@@ -178,6 +181,7 @@
 		for t, n := range d.InFlight {
 			r.load.InFlight[types.Target(t)] = n
 		}
+		*r.load = r.load.WithinLimits()
 	}
 	for s, keys := range d.Keys {
 		r.keys[types.Service(s)] = keys
@@ -185,11 +189,16 @@
 	r.moving = make(map[types.Service][]keyspace.Range, len(d.Moving))
 	for s, list := range d.Moving {
 		for _, m := range list {
+			if m.To < m.From {
+				continue
+			}
 			r.moving[types.Service(s)] = append(r.moving[types.Service(s)], keyspace.Range{From: m.From, To: m.To, Fence: types.Epoch(m.Fence)})
 		}
 	}
 	for _, f := range d.Owners {
-		r.owners = append(r.owners, decodeOwners(f))
+		if o := decodeOwners(f); o.plausible() {
+			r.owners = append(r.owners, o)
+		}
 	}
 	for _, g := range d.Digests {
 		r.digests = append(r.digests, digest{
@@ -202,12 +211,29 @@
 func decodeSamples(fields []sampleField) []admission.Sample {
 	var list []admission.Sample
 	for _, s := range fields {
+		// Beyond this number of microseconds the product overflows.
+		const maxMicros = math.MaxInt64 / int64(time.Microsecond)
+		micros := min(max(s.Micros, -1), maxMicros)
 		list = append(list, admission.Sample{
-			Target: types.Target(s.Target), ResponseTime: time.Duration(s.Micros) * time.Microsecond,
+			Target: types.Target(s.Target), ResponseTime: time.Duration(micros) * time.Microsecond,
 			Slowness: float64(s.Slowness), Load: s.Load, Failed: s.Failed,
 		})
 	}
-	return list
+	return admission.SamplesWithinLimits(list)
+}
+
+// plausible reports whether a coordinator can have sent the change: its ranges hold keys, and it assigned their fences between
+// the two versions, at most one for each key. A version that is too high would hide all later tables.
+func (c ownerChange) plausible() bool {
+	if len(c.ranges) == 0 {
+		return true
+	}
+	if c.next < c.base || c.next-c.base > keyspace.Keys {
+		return false
+	}
+	return !slices.ContainsFunc(c.ranges, func(r keyspace.Range) bool {
+		return r.To < r.From || r.Fence < c.base || r.Fence >= c.next
+	})
 }
 
 func decodeOwners(f ownerChangeField) ownerChange {
