edge: an entry that becomes unreadable is not used any more, and one of no service hides no target

Callers' requests still went to a target for up to 2.2 s after its registration had become unreadable, and for as long as the store did not answer after that: the entry was treated as one that had expired during a store outage. An entry for a service that is not configured, with the address of a good target and a later start, hid that target, and its owner counted as ended, so that its keys were assigned again while it held them. A registration that returned unchanged after a list without it was skipped until it changed.

Cause: Registry.Remove does not tell a missing entry from an odd one; List and Superseded compared entries of all services; the cache kept the bytes of targets that had left a list. Ruled out: an entry that is odd from the start, which is never put into the registry.

--- a/catalog/registry.go
+++ b/catalog/registry.go
@@ -22,6 +22,8 @@
 	// there was none.
 	recoveredAt types.Instant
 	storeDown   bool
+	// services holds the configured services, nil until they are known.
+	services map[types.Service]Service
 }
 
 type registryEntry struct {
@@ -93,6 +95,20 @@
 	r.entries[t] = e
 }
 
+// Discard removes the registration of a target whose entry no longer names it. Unlike one that has expired, it is removed at
+// once.
+func (r *Registry) Discard(t types.Target) { delete(r.entries, t) }
+
+// SetServices sets the configured services. The map must not change afterwards.
+func (r *Registry) SetServices(services map[types.Service]Service) { r.services = services }
+
+// holdsAddress reports whether an entry shows that no older target has its address. An entry for a service that is not
+// configured names no target, so it shows nothing.
+func (r *Registry) holdsAddress(e registryEntry) bool {
+	_, ok := r.services[e.Service]
+	return ok || r.services == nil
+}
+
 // Replace applies a complete list: registrations that are not in it are removed.
 func (r *Registry) Replace(now types.Instant, list []Registration) {
 	present := make(map[types.Target]bool, len(list))
@@ -143,7 +159,9 @@
 func (r *Registry) List() []Listing {
 	newest := make(map[string]int64, len(r.entries))
 	for _, e := range r.entries {
-		newest[e.Address] = max(newest[e.Address], e.Incarnation)
+		if r.holdsAddress(e) {
+			newest[e.Address] = max(newest[e.Address], e.Incarnation)
+		}
 	}
 	var list []Listing
 	for _, e := range r.entries {
@@ -161,7 +179,7 @@
 	var list []Registration
 	for _, e := range r.entries {
 		for _, o := range r.entries {
-			if o.Address == e.Address && o.Incarnation > e.Incarnation {
+			if o.Address == e.Address && o.Incarnation > e.Incarnation && r.holdsAddress(o) {
 				list = append(list, e.Registration)
 				break
 			}
--- a/catalog/registry_test.go
+++ b/catalog/registry_test.go
@@ -88,3 +88,34 @@
 	r.ReplaceEvacuations(nil)
 	is.True(!r.List()[0].Evacuated)
 }
+
+// Fails if a target is still listed after its registration was replaced by one that can't be read, also while missing
+// registrations are kept after a store outage: the target has not expired, its entry names no target.
+func TestDiscardedRegistrationIsNotKept(t *testing.T) {
+	is := is.New(t)
+	now := types.Instant(time.Hour)
+	r := NewRegistry()
+	r.Replace(now, []Registration{{Target: "a", Address: "a"}, {Target: "b", Address: "b"}})
+	r.StoreUnavailable()
+	r.StoreRecovered(now)
+	r.Discard("a")
+	is.Equal(names(r), []types.Target{"b"})
+	r.Replace(now, nil)
+	r.Discard("b")
+	is.Equal(len(names(r)), 0)
+}
+
+// Fails if an entry for a service that is not configured hides the target at the same address, or reports it as ended: its
+// keys would be assigned to another target while it still holds them.
+func TestEntryOfUnknownServiceSupersedesNoTarget(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry()
+	r.Put(1, Registration{Target: "good", Service: "maps", Address: "x", Incarnation: 1})
+	r.Put(1, Registration{Target: "odd", Service: "none", Address: "x", Incarnation: 2})
+	r.SetServices(map[types.Service]Service{"maps": {Name: "maps"}, "orders": {Name: "orders"}})
+	is.Equal(names(r), []types.Target{"good", "odd"}) // no route leads to the service of the odd one
+	is.Equal(len(r.Superseded()), 0)
+	r.Put(1, Registration{Target: "new", Service: "orders", Address: "x", Incarnation: 3})
+	is.Equal(names(r), []types.Target{"new"})
+	is.Equal(r.Superseded()[0].Target, types.Target("good"))
+}
--- a/daemon/edge/entries_test.go
+++ b/daemon/edge/entries_test.go
@@ -7,6 +7,10 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
+	"sequoiasail.example/platform/standin"
+	"sequoiasail.example/ring"
+	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
 )
 
@@ -103,3 +107,51 @@
 		})
 	}
 }
+
+// goodRegistration returns the store entry of a target of the service maps.
+func goodRegistration(t types.Target, revision types.Revision) store.Entry {
+	settings := standin.TargetSettings{Target: t, Incarnation: 1, Service: "maps", DataCentre: "north", Slots: 4}
+	key, value := standin.Registration(settings, "127.0.0.9:80", false, 0)
+	return store.Entry{Key: key, Value: value, Revision: revision}
+}
+
+// newRegistryCache returns the store cache of a VM whose rings take all messages.
+func newRegistryCache(now types.Instant) *storeCache {
+	sc, _ := newTestCache(now)
+	sc.admission, sc.coordinator = ring.New[any](64), ring.New[any](64)
+	sc.memberships = ring.New[membership](1)
+	sc.watchState.storeAnsweredAt = now
+	return sc
+}
+
+// Guards against requests to a target whose registration was good and then became unreadable, within the time for which
+// missing registrations are kept after a store outage.
+func TestRegistrationThatBecomesOddIsNotUsed(t *testing.T) {
+	odd := store.Entry{Key: "servers/i-1", Value: []byte("\x00"), Revision: 9}
+	for name, u := range map[string]update{
+		"event":    {prefix: "servers/", events: []store.Event{{Entry: odd}}},
+		"snapshot": {prefix: "servers/", snapshot: true, revision: 9, entries: []store.Entry{odd}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := telemetry.Now()
+			sc := newRegistryCache(now)
+			sc.apply(t.Context(), update{prefix: "servers/", snapshot: true, revision: 6, entries: []store.Entry{goodRegistration("i-1", 6)}})
+			is.Equal(len(sc.registry.List()), 1)
+			sc.registry.StoreRecovered(now)
+			sc.apply(t.Context(), u)
+			is.Equal(len(sc.registry.List()), 0)
+		})
+	}
+}
+
+// Guards against a target that stays unused because its registration is written again unchanged after a list without it.
+func TestUnchangedRegistrationReturns(t *testing.T) {
+	is := is.New(t)
+	sc := newRegistryCache(telemetry.Now())
+	sc.apply(t.Context(), update{prefix: "servers/", snapshot: true, revision: 6, entries: []store.Entry{goodRegistration("i-1", 6)}})
+	sc.apply(t.Context(), update{prefix: "servers/", snapshot: true, revision: 7})
+	is.Equal(len(sc.registry.List()), 0)
+	sc.apply(t.Context(), update{prefix: "servers/", events: []store.Event{{Entry: goodRegistration("i-1", 8)}}})
+	is.Equal(len(sc.registry.List()), 1)
+}
--- a/daemon/edge/storecache.go
+++ b/daemon/edge/storecache.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -225,14 +226,7 @@
 // applyTargets takes changes of the registrations of targets.
 func (sc *storeCache) applyTargets(ctx context.Context, now types.Instant, u update) {
 	if u.snapshot {
-		var list []catalog.Registration
-		for _, e := range u.entries {
-			if r, ok := sc.decodeRegistration(e); ok {
-				list = append(list, r)
-			}
-		}
-		sc.registry.Replace(now, list)
-		sc.registrationsRead = true
+		sc.applyTargetList(now, u.entries)
 	}
 	for _, e := range u.events {
 		t, ok := platform.RegisteredTarget(e.Key)
@@ -245,25 +239,46 @@
 			sc.registry.Remove(now, t)
 			continue
 		}
-		if bytes.Equal(sc.rawRegistrations[t], e.Value) {
+		if raw, known := sc.rawRegistrations[t]; known && bytes.Equal(raw, e.Value) {
 			continue
 		}
-		if r, ok := sc.decodeRegistration(e.Entry); ok {
+		if r, ok := sc.decodeRegistration(t, e.Entry); ok {
 			sc.registry.Put(now, r)
 		} else {
-			sc.registry.Remove(now, t)
+			sc.registry.Discard(t)
 		}
 	}
 	sc.publishTargets(ctx)
 }
 
-// decodeRegistration decodes a registration and logs it if it has changed. It returns false for an invalid one, whose target
-// must not be used.
-func (sc *storeCache) decodeRegistration(e store.Entry) (catalog.Registration, bool) {
-	t, ok := platform.RegisteredTarget(e.Key)
-	if !ok {
-		return catalog.Registration{}, false
+// applyTargetList takes the complete list of the registrations.
+func (sc *storeCache) applyTargetList(now types.Instant, entries []store.Entry) {
+	var list []catalog.Registration
+	var invalid []types.Target
+	present := make(map[types.Target]bool, len(entries))
+	for _, e := range entries {
+		t, ok := platform.RegisteredTarget(e.Key)
+		if !ok {
+			continue
+		}
+		present[t] = true
+		if r, ok := sc.decodeRegistration(t, e); ok {
+			list = append(list, r)
+		} else {
+			invalid = append(invalid, t)
+		}
 	}
+	maps.DeleteFunc(sc.rawRegistrations, func(t types.Target, _ []byte) bool { return !present[t] })
+	sc.registry.Replace(now, list)
+	for _, t := range invalid {
+		sc.registry.Discard(t)
+	}
+	sc.registrationsRead = true
+}
+
+// decodeRegistration decodes the registration of a target and logs it if it has changed. It returns false for an invalid one,
+// whose target must not be used.
+func (sc *storeCache) decodeRegistration(t types.Target, e store.Entry) (catalog.Registration, bool) {
 	unchanged := bytes.Equal(sc.rawRegistrations[t], e.Value)
 	sc.rawRegistrations[t] = e.Value
 	r, err := platform.DecodeRegistration(t, e.Value)
@@ -331,6 +346,7 @@
 		return
 	}
 	sc.configuration = catalog.NewRouteTable(c)
+	sc.registry.SetServices(c.Services)
 	sc.log.Info("configuration in force", log.Fields{"version": c.Version, "routes": len(c.Routes), "revision": e.Revision})
 	sc.deliver(ctx, sc.admission, admission.Services{Services: c.Services})
 	sc.deliver(ctx, sc.coordinator, serviceList{services: c.Services})
