edge: a VM entry of another writer names no VM unless its values are in range

VMs took any entry under sail/vm/ that is JSON. A peer address by name made the duty that sends the reports wait for its resolution at each change of the list, so that the neighbours got no load and no digests; an entry at one key could replace the addresses of another VM; an entry without a name, with 1e300 cores or with a mirror at port 0 was listed as a neighbour; and an entry that became odd left the earlier one in use. The fault of a number of 1 MB repeated it in the log.

Cause: no check after json.Unmarshal, and the name was taken from the value. Ruled out: nesting of a million levels (rejected before too, but the earlier entry stayed in use).

--- a/daemon/edge/documents.go
+++ b/daemon/edge/documents.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"sequoiasail.example/keyspace"
+	"sequoiasail.example/platform"
 	"sequoiasail.example/types"
 )
 
@@ -48,13 +49,57 @@
 	return data
 }
 
-func decodeJSON[T any](key string, value []byte) (v T, err error) {
+// Limits of the entries of VMs.
+const (
+	// maxEntryBytes bounds an entry of a VM and the coordinator entry.
+	maxEntryBytes = 4 << 10
+	// maxCores is far above the cores of any VM.
+	maxCores = 4096
+)
+
+// decodeJSON decodes an entry that this daemon writes. The text of its CodeBadConfiguration fault quotes only the beginning
+// of the decoder's error, which repeats numbers of any length.
+func decodeJSON[T any](value []byte) (v T, err error) {
+	if len(value) > maxEntryBytes {
+		return v, types.NewFault(types.CodeBadConfiguration, "%d bytes", len(value))
+	}
 	if err := json.Unmarshal(value, &v); err != nil {
-		return v, types.WrapFault(types.CodeBadConfiguration, err, "decode %s", key)
+		return v, types.NewFault(types.CodeBadConfiguration, "not an entry: %.200s", err.Error())
 	}
 	return v, nil
 }
 
+// decodeVMEntry decodes the entry of the VM with the given name. It returns a CodeBadConfiguration fault when the entry names
+// another VM or when a value is out of range.
+func decodeVMEntry(name types.VM, value []byte) (vmEntry, error) {
+	m, err := decodeJSON[vmEntry](value)
+	if err != nil {
+		return vmEntry{}, err
+	}
+	if m.VM != name || !platform.IsName(string(m.DataCentre)) || m.Cores < 0 || m.Cores > maxCores {
+		return vmEntry{}, types.NewFault(types.CodeBadConfiguration, "names another VM or has values out of range")
+	}
+	for _, address := range []string{m.PeerAddress, m.MirrorAddress} {
+		if _, ok := platform.ParseAddress(address); !ok {
+			return vmEntry{}, types.NewFault(types.CodeBadConfiguration, "has address %.40q", address)
+		}
+	}
+	return m, nil
+}
+
+// decodeCoordinatorEntry decodes the entry that names the coordinator. It returns a CodeBadConfiguration fault when it names
+// nobody.
+func decodeCoordinatorEntry(value []byte) (coordinatorEntry, error) {
+	c, err := decodeJSON[coordinatorEntry](value)
+	if err == nil && !platform.IsName(string(c.VM)) {
+		err = types.NewFault(types.CodeBadConfiguration, "names no VM")
+	}
+	if err != nil {
+		return coordinatorEntry{}, err
+	}
+	return c, nil
+}
+
 // tableDocument is the encoding of a keyspace.Table in the store. Owners are listed once because each has many ranges.
 // Ranges are in key order and cover all keys, so only their ends are stored.
 type tableDocument struct {
--- a/daemon/edge/entries_test.go
+++ b/daemon/edge/entries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -155,3 +156,48 @@
 	sc.apply(t.Context(), update{prefix: "servers/", events: []store.Event{{Entry: goodRegistration("i-1", 8)}}})
 	is.Equal(len(sc.registry.List()), 1)
 }
+
+// oddVMEntries are entries at sail/vm/vm-2 that name no VM to talk to.
+func oddVMEntries() map[string]string {
+	const good = `{"vm":"vm-2","incarnation":5,"dataCentre":"north","cores":1,"peerAddress":"127.0.0.2:7540","mirrorAddress":"127.0.0.2:8544"}`
+	with := func(old, changed string) string { return strings.Replace(good, old, changed, 1) }
+	return map[string]string{
+		"empty":                   ``,
+		"null":                    `null`,
+		"deeply nested":           strings.Repeat("[", 1_000_000),
+		"no VM":                   with(`"vm-2"`, `""`),
+		"another VM":              with(`"vm-2"`, `"vm-3"`),
+		"VM of 1 MB":              with(`"vm-2"`, `"`+strings.Repeat("v", 1<<20)+`"`),
+		"huge cores":              with(`"cores":1`, `"cores":1e300`),
+		"negative cores":          with(`"cores":1`, `"cores":-1`),
+		"cores above 64 bits":     with(`"cores":1`, `"cores":1e999`),
+		"number of 1 MB":          with(`"incarnation":5`, `"incarnation":`+strings.Repeat("9", 1<<20)),
+		"peer address by name":    with(`127.0.0.2:7540`, `vm-2.example:7540`),
+		"peer port 0":             with(`:7540`, `:0`),
+		"mirror port 65536":       with(`:8544`, `:65536`),
+		"empty mirror address":    with(`127.0.0.2:8544`, ``),
+		"unspecified address":     with(`127.0.0.2:8544`, `0.0.0.0:8544`),
+		"no data centre":          with(`"north"`, `""`),
+		"data centre of 1 MB":     with(`"north"`, `"`+strings.Repeat("n", 1<<20)+`"`),
+		"negative incarnation":    with(`"incarnation":5`, `"incarnation":-5`),
+		"field of another type":   with(`"incarnation":5`, `"incarnation":"5"`),
+		"null in place of the VM": with(`"vm-2"`, `null`),
+	}
+}
+
+// Guards against a VM entry of another writer that is used: an address by name made the sender of reports wait for its
+// resolution, an entry at another key replaced the addresses of a good VM, and one that had been good stayed in use.
+func TestOddVMEntriesNameNoVM(t *testing.T) {
+	for name, value := range oddVMEntries() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sc := newRegistryCache(telemetry.Now())
+			sc.vms["vm-3"] = vmEntry{VM: "vm-3", DataCentre: "north", MirrorAddress: "127.0.0.3:8544"}
+			sc.apply(t.Context(), update{prefix: "sail/", events: []store.Event{{Entry: store.Entry{Key: "sail/vm/vm-2", Value: []byte(value), Revision: 9}}}})
+			is.Equal(sc.vmNames(), []types.VM{"vm-1", "vm-3"})
+			is.Equal(sc.vms["vm-3"].MirrorAddress, "127.0.0.3:8544")
+			sc.apply(t.Context(), update{prefix: "sail/", events: []store.Event{{Entry: store.Entry{Key: "sail/vm/" + strings.Repeat("\n", 3), Value: []byte(value), Revision: 10}}}})
+			is.Equal(sc.vmNames(), []types.VM{"vm-1", "vm-3"})
+		})
+	}
+}
--- a/daemon/edge/peers.go
+++ b/daemon/edge/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"strconv"
 
 	"github.com/apex/log"
@@ -69,12 +70,13 @@
 		if m.VM == p.vm {
 			continue
 		}
-		a, err := net.ResolveUDPAddr("udp4", m.PeerAddress)
-		if err != nil {
-			p.log.Warn("invalid peer address, no reports are sent to this VM", log.Fields{"vm": m.VM, "address": m.PeerAddress, "error": err.Error()})
+		// The address is an IP, so that no name has to be resolved here.
+		a, err := netip.ParseAddrPort(m.PeerAddress)
+		if err != nil || !a.Addr().Is4() {
+			p.log.Warn("invalid peer address, no reports are sent to this VM", log.Fields{"vm": m.VM, "address": m.PeerAddress})
 			continue
 		}
-		p.remotes = append(p.remotes, remoteVM{vmEntry: m, address: a})
+		p.remotes = append(p.remotes, remoteVM{vmEntry: m, address: net.UDPAddrFromAddrPort(a)})
 	}
 }
 
--- a/daemon/edge/vmlist.go
+++ b/daemon/edge/vmlist.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"sequoiasail.example/admission"
+	"sequoiasail.example/platform"
 	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
 )
@@ -63,20 +64,23 @@
 
 // decodeCoordinator decodes the coordinator entry. An invalid one counts as none.
 func (sc *storeCache) decodeCoordinator(e store.Entry) coordinatorState {
-	entry, err := decodeJSON[coordinatorEntry](e.Key, e.Value)
+	entry, err := decodeCoordinatorEntry(e.Value)
 	if err != nil {
 		sc.log.Warn("entry ignored", log.Fields{"key": e.Key, "error": err.Error()})
 	}
 	return coordinatorState{entry: entry, present: err == nil, revision: e.Revision}
 }
 
+// applyVMEntry takes the entry of a VM. An invalid one removes the VM: its earlier entry no longer holds.
 func (sc *storeCache) applyVMEntry(e store.Entry) {
-	if !strings.HasPrefix(e.Key, vmPrefix) {
+	name, ok := strings.CutPrefix(e.Key, vmPrefix)
+	if !ok || !platform.IsName(name) {
 		return
 	}
-	m, err := decodeJSON[vmEntry](e.Key, e.Value)
+	m, err := decodeVMEntry(types.VM(name), e.Value)
 	if err != nil {
 		sc.log.Warn("entry ignored", log.Fields{"key": e.Key, "error": err.Error()})
+		delete(sc.vms, types.VM(name))
 		return
 	}
 	sc.vms[m.VM] = m
