edge: a coordinator entry that names nobody is replaced

While the coordinator entry could not be read, or named no VM, no VM became coordinator: keys had no owner, so that requests for keys were refused with no-owner until somebody removed it.

Cause: an entry with an empty VM counted as a coordinator, and a candidate for an entry that can't be read wrote it as if there were none, which the store refuses. The candidate now replaces the revision it has seen, and waits for the term of an earlier coordinator as after any election. Ruled out: an entry that names a VM without an entry of its own. It can't be told from a coordinator whose own entry has expired, and stays (open).

--- a/daemon/edge/entries_test.go
+++ b/daemon/edge/entries_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"math"
 	"strings"
 	"testing"
@@ -8,8 +9,11 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
+	"sequoiasail.example/duty"
+	"sequoiasail.example/keyspace"
 	"sequoiasail.example/platform/standin"
 	"sequoiasail.example/ring"
+	backend "sequoiasail.example/standin/store"
 	"sequoiasail.example/telemetry"
 	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
@@ -201,3 +205,53 @@
 		})
 	}
 }
+
+// oddCoordinatorEntries are values of the coordinator entry that name nobody.
+func oddCoordinatorEntries() map[string]string {
+	return map[string]string{
+		"empty":                 ``,
+		"null":                  `null`,
+		"empty object":          `{}`,
+		"no VM":                 `{"vm":"","incarnation":3}`,
+		"null VM":               `{"vm":null,"incarnation":3}`,
+		"VM with a line break":  `{"vm":"a\nb","incarnation":3}`,
+		"VM of 1 MB":            `{"vm":"` + strings.Repeat("v", 1<<19) + `"}`,
+		"incarnation too large": `{"vm":"vm-2","incarnation":99999999999999999999}`,
+		"deeply nested":         strings.Repeat(`{"vm":`, 100_000),
+		"bytes":                 "\x00\xff",
+	}
+}
+
+// Guards against a fleet without a coordinator, whose keys have no owner: an entry that names nobody held the role, or kept
+// every VM from writing its own.
+func TestOddCoordinatorEntryIsReplaced(t *testing.T) {
+	for name, value := range oddCoordinatorEntries() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := t.Context()
+			group, backendStore := duty.NewGroup(), backend.New(backend.DefaultHistory)
+			group.Add(backendStore.Duty())
+			is.NoErr(group.Start(ctx))
+			defer func() { is.NoErr(group.Abort(context.Background())) }()
+			client := backendStore.Client("vm-1")
+			is.NoErr(standin.Replace(ctx, client, store.Write{Key: coordinatorKey, Value: []byte(value)}))
+			odd, err := client.Get(ctx, coordinatorKey)
+			is.NoErr(err)
+			sc := newRegistryCache(telemetry.Now())
+			sc.apply(ctx, update{prefix: "sail/", snapshot: true, revision: odd.Revision, entries: []store.Entry{odd}})
+			state, ok := sc.session.TryGet()
+			is.True(ok)
+			s := &session{
+				store: client, entry: sc.entry, coordinator: ring.New[any](8), storeCache: sc.in, log: sc.log, jitter: jitter,
+				entryTTL: sessionTTL, roleTTL: roleTTL,
+			}
+			s.updateState(ctx, state)
+			is.True(s.mayCampaign())
+			s.campaign(ctx)
+			is.True(s.elected)
+			m, ok := s.coordinator.TryGet()
+			is.True(ok)
+			is.True(!m.(keyspace.Elected).NoPredecessor) // the odd entry may have replaced that of a coordinator
+		})
+	}
+}
--- a/daemon/edge/session.go
+++ b/daemon/edge/session.go
@@ -293,9 +293,10 @@
 	s.extendRole(ctx, sent)
 	own := coordinatorEntry{VM: s.entry.VM, Incarnation: s.entry.Incarnation}
 	w := store.Write{Key: coordinatorKey, Value: encodeJSON(own), Lease: s.roleLease}
-	// A present entry is that of an earlier process of this VM, which has ended; see mayCampaign. Without an entry, the previous
-	// coordinator may still be active.
+	// A present entry is that of an earlier process of this VM, which has ended; see mayCampaign. Without an entry, or with one
+	// that names nobody, the previous coordinator may still be active.
 	replacesOwnEntry := s.state.present
+	w.Expected = s.state.invalidRevision
 	if replacesOwnEntry {
 		w.Expected = s.state.revision
 	}
--- a/daemon/edge/storecache.go
+++ b/daemon/edge/storecache.go
@@ -88,6 +88,8 @@
 	entry coordinatorEntry
 	// present is false if there is no coordinator.
 	present bool
+	// invalidRevision is the revision of an entry that names nobody, 0 if there is none. A candidate replaces it.
+	invalidRevision types.Revision
 	// revision is the store revision of this state.
 	revision types.Revision
 	// rank is the position of this VM among all VMs, the largest first. VMs stand for election in this order.
--- a/daemon/edge/vmlist.go
+++ b/daemon/edge/vmlist.go
@@ -62,13 +62,14 @@
 	_ = sc.session.Replace(*sc.lastCoordinator)
 }
 
-// decodeCoordinator decodes the coordinator entry. An invalid one counts as none.
+// decodeCoordinator decodes the coordinator entry. An invalid one counts as none, and candidates replace it.
 func (sc *storeCache) decodeCoordinator(e store.Entry) coordinatorState {
 	entry, err := decodeCoordinatorEntry(e.Value)
 	if err != nil {
 		sc.log.Warn("entry ignored", log.Fields{"key": e.Key, "error": err.Error()})
+		return coordinatorState{invalidRevision: e.Revision, revision: e.Revision}
 	}
-	return coordinatorState{entry: entry, present: err == nil, revision: e.Revision}
+	return coordinatorState{entry: entry, present: true, revision: e.Revision}
 }
 
 // applyVMEntry takes the entry of a VM. An invalid one removes the VM: its earlier entry no longer holds.
