edge: log and count each invalid entry of the store once per change of its fault

Operators could not see odd entries of VMs apart from other changes: VM entries, the coordinator entry and the configuration were logged again with each change of any other entry of the list, a key that names no target was not logged at all, and a line could repeat a value or a key of any length.

Faults of entries that are gone are forgotten, so the memory follows the list.

Before: TestOddEntryIsLoggedOncePerChange "not true: len(line) < 1000". After: passes.

--- a/daemon/edge/documents.go
+++ b/daemon/edge/documents.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return vmEntry{}, err
 	}
-	if m.VM != name || !platform.IsName(string(m.DataCentre)) || m.Cores < 0 || m.Cores > maxCores {
+	if m.VM != name || !platform.IsName(string(name)) || !platform.IsName(string(m.DataCentre)) || m.Cores < 0 || m.Cores > maxCores {
 		return vmEntry{}, types.NewFault(types.CodeBadConfiguration, "names another VM or has values out of range")
 	}
 	for _, address := range []string{m.PeerAddress, m.MirrorAddress} {
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -188,6 +188,7 @@
 	e.storeCache.in, e.storeCache.admission, e.storeCache.coordinator = updates, e.admission, e.coordinator
 	e.storeCache.session = ring.New[coordinatorState](1)
 	e.storeCache.memberships, e.storeCache.log = members, e.log
+	e.storeCache.invalid = newInvalidEntries(e.log, e.metrics)
 	e.storeCache.ownersRequests = ring.New[ownersRequest](storeReadCapacity)
 	e.storeCache.auditRequests = ring.New[auditRequest](storeReadCapacity)
 	e.storeCache.reports, e.storeCache.vm = reports, e.settings.VM
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -190,6 +190,7 @@
 func newTestCache(now types.Instant) (*storeCache, *ring.Ring[report]) {
 	sc := newStoreCache()
 	sc.log = telemetry.NewLog(io.Discard, nil)
+	sc.invalid = newInvalidEntries(sc.log, telemetry.NewMetrics())
 	sc.vm = "vm-1"
 	sc.entry = vmEntry{VM: "vm-1", DataCentre: "north", Cores: 1}
 	sc.reports = ring.New[report](8)
--- a/daemon/edge/entries_test.go
+++ b/daemon/edge/entries_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"math"
 	"strings"
@@ -255,3 +256,61 @@
 		})
 	}
 }
+
+// Guards against an odd entry that the operator doesn't see, that is logged again with each change of another entry, or that
+// fills the log with its content.
+func TestOddEntryIsLoggedOncePerChange(t *testing.T) {
+	is := is.New(t)
+	var output bytes.Buffer
+	sc := newRegistryCache(telemetry.Now())
+	sc.log = telemetry.NewLog(&output, nil)
+	sc.invalid = newInvalidEntries(sc.log, telemetry.NewMetrics())
+	huge := strings.Repeat("9", 200_000)
+	odd := []store.Entry{
+		{Key: "servers/i-1", Value: []byte(`{"slots":` + huge + `}`), Revision: 3},
+		{Key: "servers/i\n2", Value: goodRegistration("i-2", 4).Value, Revision: 4},
+		{Key: "sail/vm/vm-2", Value: []byte(`{"incarnation":` + huge + `}`), Revision: 5},
+		{Key: "sail/vm/" + strings.Repeat("v", 100_000), Value: []byte(`{}`), Revision: 6},
+		{Key: "sail/keeper", Value: []byte(`{"vm":` + huge + `}`), Revision: 7},
+		{Key: "op/config", Value: []byte(`{"version":"` + huge + `"}`), Revision: 8},
+	}
+	revision := types.Revision(20)
+	for round := range 3 {
+		for _, prefix := range watchedPrefixes {
+			revision++
+			u := update{prefix: prefix, snapshot: true, revision: revision}
+			for _, e := range odd {
+				if strings.HasPrefix(e.Key, prefix) {
+					u.entries = append(u.entries, e)
+				}
+			}
+			u.entries = append(u.entries, store.Entry{Key: prefix + "other", Revision: types.Revision(10 + round)})
+			sc.apply(t.Context(), u)
+		}
+	}
+	odd[0].Revision, odd[0].Value = 30, []byte(`{}`)
+	sc.apply(t.Context(), update{prefix: "servers/", events: []store.Event{{Entry: odd[0]}}})
+	is.NoErr(sc.log.Duty().Stop(t.Context()))
+	is.NoErr(sc.log.Duty().Run(t.Context()))
+	lines := strings.Split(output.String(), "\n")
+	ignored := 0
+	for _, line := range lines {
+		is.True(len(line) < 1000)
+		if strings.Contains(line, "ignored") && !strings.Contains(line, `other"`) {
+			ignored++
+		}
+	}
+	is.Equal(ignored, len(odd)+1)
+	count := func(entry string) int { return int(sc.invalid.counters[entry].Get()) }
+	is.Equal(count(vmKind), 2)
+	is.Equal(count(coordinatorKind), 1)
+	is.Equal(count(configurationKind), 1)
+	is.Equal(count(registrationKind), 4) // one of them is the other entry, whose fault stays the same
+	sc.apply(t.Context(), update{prefix: "servers/", events: []store.Event{{Entry: store.Entry{Key: "servers/i-1", Revision: 31}, Deleted: true}}})
+	sc.apply(t.Context(), update{prefix: "servers/", events: []store.Event{{Entry: store.Entry{Key: "servers/i-1", Revision: 32, Value: odd[0].Value}}}})
+	is.Equal(count(registrationKind), 5) // written again
+	sc.apply(t.Context(), update{prefix: "servers/", snapshot: true, revision: 99})
+	for key := range sc.invalid.faults {
+		is.True(!strings.HasPrefix(key, "servers/")) // the faults of entries that are gone are forgotten
+	}
+}
--- a/daemon/edge/storecache.go
+++ b/daemon/edge/storecache.go
@@ -45,6 +45,7 @@
 	session        *ring.Ring[coordinatorState]
 	memberships    *ring.Ring[membership]
 	log            *telemetry.Log
+	invalid        *invalidEntries
 	// published is read by the HTTP handlers.
 	published atomic.Pointer[view]
 
@@ -202,6 +203,7 @@
 			return
 		}
 	}
+	sc.forgetRemoved(u)
 	switch u.prefix {
 	case platform.TargetPrefix:
 		sc.applyTargets(ctx, now, u)
@@ -214,6 +216,18 @@
 	sc.sendDigests(now, !u.mirrored)
 }
 
+// forgetRemoved forgets the faults of entries that an update shows as removed.
+func (sc *storeCache) forgetRemoved(u update) {
+	if u.snapshot {
+		sc.invalid.retain(u.prefix, u.entries)
+	}
+	for _, e := range u.events {
+		if e.Deleted {
+			sc.invalid.remove(e.Key)
+		}
+	}
+}
+
 // publish makes the current state visible to the frontend and the readiness page.
 func (sc *storeCache) publish() {
 	v := &view{table: sc.configuration, complete: sc.configuration != nil && sc.registrationsRead}
@@ -231,7 +245,7 @@
 		sc.applyTargetList(now, u.entries)
 	}
 	for _, e := range u.events {
-		t, ok := platform.RegisteredTarget(e.Key)
+		t, ok := sc.registeredTarget(e.Entry, e.Deleted)
 		if !ok {
 			continue
 		}
@@ -259,7 +273,7 @@
 	var invalid []types.Target
 	present := make(map[types.Target]bool, len(entries))
 	for _, e := range entries {
-		t, ok := platform.RegisteredTarget(e.Key)
+		t, ok := sc.registeredTarget(e, false)
 		if !ok {
 			continue
 		}
@@ -278,6 +292,15 @@
 	sc.registrationsRead = true
 }
 
+// registeredTarget returns the target that an entry belongs to. ok is false when its key can't name one.
+func (sc *storeCache) registeredTarget(e store.Entry, deleted bool) (t types.Target, ok bool) {
+	t, ok = platform.RegisteredTarget(e.Key)
+	if !ok && !deleted {
+		sc.invalid.add(registrationKind, e, types.NewFault(types.CodeBadConfiguration, "the key names no target"))
+	}
+	return t, ok
+}
+
 // decodeRegistration decodes the registration of a target and logs it if it has changed. It returns false for an invalid one,
 // whose target must not be used.
 func (sc *storeCache) decodeRegistration(t types.Target, e store.Entry) (catalog.Registration, bool) {
@@ -285,11 +308,10 @@
 	sc.rawRegistrations[t] = e.Value
 	r, err := platform.DecodeRegistration(t, e.Value)
 	if err != nil {
-		if !unchanged {
-			sc.log.Warn("registration ignored", log.Fields{"target": t, "revision": e.Revision, "error": err.Error()})
-		}
+		sc.invalid.add(registrationKind, e, err)
 		return r, false
 	}
+	sc.invalid.remove(e.Key)
 	if !unchanged {
 		sc.log.Info("target registered", log.Fields{
 			"target": t, "life": r.Incarnation, "service": r.Service, "address": r.Address, "dataCentre": r.DataCentre,
@@ -341,9 +363,10 @@
 	}
 	c, err := platform.DecodeConfiguration(e.Value)
 	if err != nil {
-		sc.log.Warn("configuration ignored", log.Fields{"revision": e.Revision, "error": err.Error()})
+		sc.invalid.add(configurationKind, e, err)
 		return
 	}
+	sc.invalid.remove(e.Key)
 	if sc.configuration != nil && c.Version <= sc.configuration.Version() {
 		return
 	}
--- a/daemon/edge/vmlist.go
+++ b/daemon/edge/vmlist.go
@@ -6,10 +6,7 @@
 	"slices"
 	"strings"
 
-	"github.com/apex/log"
-
 	"sequoiasail.example/admission"
-	"sequoiasail.example/platform"
 	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
 )
@@ -66,24 +63,26 @@
 func (sc *storeCache) decodeCoordinator(e store.Entry) coordinatorState {
 	entry, err := decodeCoordinatorEntry(e.Value)
 	if err != nil {
-		sc.log.Warn("entry ignored", log.Fields{"key": e.Key, "error": err.Error()})
+		sc.invalid.add(coordinatorKind, e, err)
 		return coordinatorState{invalidRevision: e.Revision, revision: e.Revision}
 	}
+	sc.invalid.remove(e.Key)
 	return coordinatorState{entry: entry, present: true, revision: e.Revision}
 }
 
 // applyVMEntry takes the entry of a VM. An invalid one removes the VM: its earlier entry no longer holds.
 func (sc *storeCache) applyVMEntry(e store.Entry) {
 	name, ok := strings.CutPrefix(e.Key, vmPrefix)
-	if !ok || !platform.IsName(name) {
+	if !ok {
 		return
 	}
 	m, err := decodeVMEntry(types.VM(name), e.Value)
 	if err != nil {
-		sc.log.Warn("entry ignored", log.Fields{"key": e.Key, "error": err.Error()})
+		sc.invalid.add(vmKind, e, err)
 		delete(sc.vms, types.VM(name))
 		return
 	}
+	sc.invalid.remove(e.Key)
 	sc.vms[m.VM] = m
 }
 
