platform: one value can't keep a list of the store from being read, nor fill the memory

A VM stopped following the registrations while one value in the list or in a batch of changes was not base64 text: the whole response was unreadable, and the watch listed and failed again. It also kept every byte of every value, so that some hundred values of 1 MiB under servers/ exceed the memory of a VM (284 MB) at each start. A list whose pages take more than 2 s together never got through, and pages that repeat were read until the call timed out, with all their items in memory.

Cause: encoding/json fails as a whole on a bad []byte; values were kept unbounded; one time limit for all pages; no check that pages advance. Ruled out: a watch response above 8 MiB, which fails once and is followed by a list; nesting inside a value, which is opaque in the response.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -88,7 +88,8 @@
 		admission:   ring.New[any](admissionCapacity),
 		coordinator: ring.New[any](coordinatorCapacity),
 	}
-	e.store = &meteredStore{Store: platform.NewStore(s.StoreAddress), metrics: e.metrics, log: e.log}
+	client := platform.NewStore(s.StoreAddress, platform.ValueLimit{Prefix: daemonPrefix, Bytes: maxEntryBytes})
+	e.store = &meteredStore{Store: client, metrics: e.metrics, log: e.log}
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(libraryLog{log: e.log})
 	e.metrics.Gauge("sail_log_dropped_total", func() float64 { return float64(e.log.Dropped()) })
--- a/daemon/edge/entries_test.go
+++ b/daemon/edge/entries_test.go
@@ -3,15 +3,21 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"math"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"sequoiasail.example/duty"
 	"sequoiasail.example/keyspace"
+	"sequoiasail.example/platform"
 	"sequoiasail.example/platform/standin"
 	"sequoiasail.example/ring"
 	backend "sequoiasail.example/standin/store"
@@ -314,3 +320,31 @@
 		is.True(!strings.HasPrefix(key, "servers/")) // the faults of entries that are gone are forgotten
 	}
 }
+
+// Guards against a watch that never gets past the list of its prefix, because the list has more pages than can be read within
+// a time limit for all of them.
+func TestListOfManyPagesIsFollowed(t *testing.T) {
+	is := is.New(t)
+	const pages, pageTime = 12, 200 * time.Millisecond
+	page := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/api/kv-range" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		time.Sleep(pageTime)
+		page++
+		fmt.Fprintf(w, `{"items":[{"key":"servers/%02d","value":"","revision":3}],"more_pages":%t,"current_rev":6}`, page, page < pages)
+	}))
+	defer server.Close()
+	out := ring.New[any](1)
+	w := &watch{
+		prefix: "servers/", store: platform.NewStore(strings.TrimPrefix(server.URL, "http://")), out: out,
+		log: telemetry.NewLog(io.Discard, nil), jitter: jitter, toggle: ring.New[bool](1), enabled: true,
+	}
+	unavailable := false
+	_ = w.follow(t.Context(), &unavailable)
+	m, ok := out.TryGet()
+	is.True(ok)
+	is.Equal(len(m.(update).entries), pages)
+}
--- a/daemon/edge/watch.go
+++ b/daemon/edge/watch.go
@@ -20,8 +20,6 @@
 	storeRetry = 250 * time.Millisecond
 	// storeRetryJitter keeps VMs from retrying at the same time.
 	storeRetryJitter = 250 * time.Millisecond
-	// listTimeout bounds the read of a prefix.
-	listTimeout = 2 * time.Second
 )
 
 // update is a message to the store cache with entries or changes of a prefix. It comes from a watch, the auditor or the
@@ -102,9 +100,8 @@
 // follow lists the prefix and watches it from that revision until a call fails or the watch is disabled. unavailable tells
 // whether the previous call failed; follow resets it.
 func (w *watch) follow(ctx context.Context, unavailable *bool) error {
-	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
-	entries, revision, err := w.store.List(listCtx, w.prefix)
-	cancel()
+	// The store client limits the time of each page; a limit for all pages would keep a long list from ever being read.
+	entries, revision, err := w.store.List(ctx, w.prefix)
 	if err != nil {
 		return err
 	}
