edge: forget the addresses of former owners of keys

The coordinator duty kept the address of each start of a target ever listed, and a connection pool for each address that it had called, until the process ended.

An address is kept for twice the longest time to live of a grant after its target was last listed: grants of targets that are not listed are not renewed, so they have expired by then. Ruled out as a cause: admission, which drops targets and hosts with the list. Still growing with each start, at about a hundred bytes each: the speeds and ended owners of the keyspace core (open).

Before (without the call of forgetAddresses): TestAddressesOfFormerTargetsAreForgotten "not true: len(c.addresses) <= kept". After: passes.

--- a/daemon/edge/coordinator.go
+++ b/daemon/edge/coordinator.go
@@ -76,6 +76,12 @@
 	revision types.Revision
 }
 
+// ownerAddress is the address of an owner of keys, and when its target was last listed.
+type ownerAddress struct {
+	address  string
+	listedAt types.Instant
+}
+
 // coordinator runs the keyspace cores, one for each keyed service, and performs their actions. The cores only act while this
 // VM has the coordinator role.
 type coordinator struct {
@@ -99,7 +105,7 @@
 	keyedServices map[types.Service]*keyedService
 	targets       []catalog.Listing
 	// addresses includes those of targets that are gone from the store but may still hold keys.
-	addresses map[keyspace.Owner]string
+	addresses map[keyspace.Owner]ownerAddress
 	// hosts holds the connections for grant and release calls by address.
 	hosts map[string]*forward.Host
 	// election is the latest message about this VM's role, which it has while elected is true.
@@ -147,7 +153,7 @@
 	case serviceList:
 		c.setServices(ctx, m)
 	case targetList:
-		c.setTargets(ctx, m)
+		c.setTargets(ctx, telemetry.Now(), m)
 	case requestedKeys:
 		c.step(ctx, m.service, keyspace.KeysRequested{Keys: m.keys})
 	case admission.Sample:
@@ -209,11 +215,16 @@
 	}
 }
 
-func (c *coordinator) setTargets(ctx context.Context, m targetList) {
+func (c *coordinator) setTargets(ctx context.Context, now types.Instant, m targetList) {
+	for _, t := range c.targets {
+		// The target was listed until now.
+		c.addresses[ownerOf(t.Registration)] = ownerAddress{address: t.Address, listedAt: now}
+	}
 	c.targets = m.targets
 	for _, t := range m.targets {
-		c.addresses[ownerOf(t.Registration)] = t.Address
+		c.addresses[ownerOf(t.Registration)] = ownerAddress{address: t.Address, listedAt: now}
 	}
+	c.forgetAddresses(now)
 	for s := range c.keyedServices {
 		c.updateMembers(ctx, s)
 	}
@@ -222,6 +233,25 @@
 	}
 }
 
+// forgetAddresses removes the addresses of owners that can hold no more keys, and their connections. The grants of a target that
+// is not listed are not renewed, so they have expired after twice their longest time to live.
+func (c *coordinator) forgetAddresses(now types.Instant) {
+	used := make(map[string]bool, len(c.addresses))
+	for o, a := range c.addresses {
+		if now.Sub(a.listedAt) > 2*c.settings.LongGrantTTL {
+			delete(c.addresses, o)
+			continue
+		}
+		used[a.address] = true
+	}
+	for address, h := range c.hosts {
+		if !used[address] {
+			h.Close()
+			delete(c.hosts, address)
+		}
+	}
+}
+
 // ownerOf returns the owner of keys that a registration stands for.
 func ownerOf(r catalog.Registration) keyspace.Owner {
 	return keyspace.Owner{Target: r.Target, Incarnation: r.Incarnation}
@@ -338,7 +368,7 @@
 // queueBatch queues a batch for the grant callers. The address of an owner is not known if it was never registered while this
 // process runs; its calls then fail without being sent.
 func (c *coordinator) queueBatch(ctx context.Context, s types.Service, b keyspace.CallBatch) {
-	address := c.addresses[b.Owner]
+	address := c.addresses[b.Owner].address
 	host := c.hosts[address]
 	if host == nil && address != "" {
 		host = platform.NewOrderHost(address)
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -239,7 +239,7 @@
 		in:       e.coordinator, tableJobs: tableJobs, batches: batches, peers: reports, admission: e.admission, log: e.log,
 		storeCache:    e.storeCache.in,
 		keyedServices: make(map[types.Service]*keyedService),
-		addresses:     make(map[keyspace.Owner]string),
+		addresses:     make(map[keyspace.Owner]ownerAddress),
 		hosts:         make(map[string]*forward.Host),
 	}
 	e.group.Add(c.duty())
--- a/daemon/edge/entries_test.go
+++ b/daemon/edge/entries_test.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
+	"sequoiasail.example/catalog"
 	"sequoiasail.example/duty"
 	"sequoiasail.example/keyspace"
 	"sequoiasail.example/platform"
@@ -22,6 +23,7 @@
 	"sequoiasail.example/ring"
 	backend "sequoiasail.example/standin/store"
 	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/forward"
 	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
 )
@@ -348,3 +350,27 @@
 	is.True(ok)
 	is.Equal(len(m.(update).entries), pages)
 }
+
+// Guards against memory of the coordinator duty that grows with each start of a target ever seen: another writer can announce a
+// start with each change.
+func TestAddressesOfFormerTargetsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	c := &coordinator{
+		addresses: make(map[keyspace.Owner]ownerAddress), hosts: make(map[string]*forward.Host), batches: ring.New[callBatch](1),
+		keyedServices: make(map[types.Service]*keyedService), settings: keyspace.Defaults(10 * time.Second),
+	}
+	now := types.Instant(time.Hour)
+	for n := range int64(1000) {
+		listed := catalog.Listing{Registration: catalog.Registration{Target: "i-1", Incarnation: n, Address: fmt.Sprintf("127.0.0.1:%d", n+1)}}
+		c.setTargets(t.Context(), now, targetList{targets: []catalog.Listing{listed}})
+		c.queueBatch(t.Context(), "maps", keyspace.CallBatch{Owner: ownerOf(listed.Registration)})
+		c.batches.Drain(func(callBatch) {})
+		now = now.Add(time.Second)
+	}
+	kept := int(2*c.settings.LongGrantTTL/time.Second) + 2
+	is.True(len(c.addresses) <= kept)
+	is.True(len(c.hosts) <= kept)
+	// A target that has just left may still hold keys, which are released at its address.
+	c.setTargets(t.Context(), now, targetList{})
+	is.True(c.addresses[keyspace.Owner{Target: "i-1", Incarnation: 999}].address != "")
+}
