--- a/daemon/edge/addresses.go
+++ b/daemon/edge/addresses.go
@@ -10,13 +10,15 @@
 	"sequoiasail.example/types"
 )
 
-// addressRetention is how long the address of a target is kept after it has left the list of targets. It may still hold keys
-// then; the longest time to live of a grant is a small part of this time.
-const addressRetention = 10 * time.Minute
+// addressRetention returns how long the address of a target is kept after it has left the list of targets. It may still hold keys
+// then; grants of targets that are not listed are not renewed.
+func addressRetention(s keyspace.Settings) time.Duration { return 2 * s.LongGrantTTL }
 
 // targetAddresses holds the addresses of targets and the connections for grant and release calls to them.
 type targetAddresses struct {
-	known map[keyspace.Owner]*targetAddress
+	// retention is how long an address is kept after its target has left the list of targets, which may still hold keys then.
+	retention time.Duration
+	known     map[keyspace.Owner]*targetAddress
 	// hosts holds the connections by address.
 	hosts map[string]*forward.Host
 }
@@ -27,11 +29,11 @@
 	unlistedSince types.Instant
 }
 
-func newTargetAddresses() *targetAddresses {
-	return &targetAddresses{known: make(map[keyspace.Owner]*targetAddress), hosts: make(map[string]*forward.Host)}
+func newTargetAddresses(retention time.Duration) *targetAddresses {
+	return &targetAddresses{retention: retention, known: make(map[keyspace.Owner]*targetAddress), hosts: make(map[string]*forward.Host)}
 }
 
-// update takes the list of targets and drops addresses and connections of targets that left it addressRetention ago.
+// update takes the list of targets and drops addresses and connections of targets that left it longer ago than the retention.
 func (a *targetAddresses) update(now types.Instant, list []catalog.Listing) {
 	for _, k := range a.known {
 		if k.unlistedSince == 0 {
@@ -43,7 +45,7 @@
 	}
 	used := make(map[string]bool, len(a.known))
 	for o, k := range a.known {
-		if k.unlistedSince != 0 && now.Sub(k.unlistedSince) > addressRetention {
+		if k.unlistedSince != 0 && now.Sub(k.unlistedSince) > a.retention {
 			delete(a.known, o)
 			continue
 		}
--- a/daemon/edge/coordinator.go
+++ b/daemon/edge/coordinator.go
@@ -143,7 +143,7 @@
 	case serviceList:
 		c.setServices(ctx, m)
 	case targetList:
-		c.setTargets(ctx, m)
+		c.setTargets(ctx, telemetry.Now(), m)
 	case requestedKeys:
 		c.step(ctx, m.service, keyspace.KeysRequested{Keys: m.keys})
 	case admission.Sample:
@@ -205,9 +205,9 @@
 	}
 }
 
-func (c *coordinator) setTargets(ctx context.Context, m targetList) {
+func (c *coordinator) setTargets(ctx context.Context, now types.Instant, m targetList) {
 	c.targets = m.targets
-	c.addresses.update(telemetry.Now(), m.targets)
+	c.addresses.update(now, m.targets)
 	for s := range c.keyedServices {
 		c.updateMembers(ctx, s)
 	}
@@ -330,7 +330,7 @@
 }
 
 // queueBatch queues a batch for the grant callers. The address of an owner is not known if it was not registered while this
-// process ran, or left more than addressRetention ago; its calls then fail without being sent.
+// process ran, or left too long ago; its calls then fail without being sent.
 func (c *coordinator) queueBatch(ctx context.Context, s types.Service, b keyspace.CallBatch) {
 	_ = c.batches.Put(ctx, callBatch{service: s, batch: b, host: c.addresses.host(b.Owner), roleEnd: c.election.Until})
 }
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -92,7 +92,8 @@
 		admission:   ring.New[any](admissionCapacity),
 		coordinator: ring.New[any](coordinatorCapacity),
 	}
-	e.store = &meteredStore{Store: platform.NewStore(s.StoreAddress), metrics: e.metrics, log: e.log}
+	client := platform.NewStore(s.StoreAddress, platform.ValueLimit{Prefix: daemonPrefix, Bytes: maxEntryBytes})
+	e.store = &meteredStore{Store: client, metrics: e.metrics, log: e.log}
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(libraryLog{log: e.log})
 	e.metrics.Gauge("sail_log_dropped_total", func() float64 { return float64(e.log.Dropped()) })
@@ -212,6 +213,7 @@
 	e.storeCache.in, e.storeCache.admission, e.storeCache.coordinator = updates, e.admission, e.coordinator
 	e.storeCache.session = ring.New[coordinatorState](1)
 	e.storeCache.memberships, e.storeCache.log = members, e.log
+	e.storeCache.invalid = newInvalidEntries(e.log, e.metrics)
 	e.storeCache.ownersRequests = ring.New[ownersRequest](storeReadCapacity)
 	e.storeCache.auditRequests = ring.New[auditRequest](storeReadCapacity)
 	e.storeCache.reports, e.storeCache.vm = reports, e.settings.VM
@@ -255,13 +257,14 @@
 func (e *Edge) addCoordinator(reports *ring.Ring[report]) {
 	tableJobs := ring.New[tableJob](updateCapacity)
 	batches := ring.New[callBatch](callBatchCapacity)
+	settings := e.keyspaceSettings()
 	c := &coordinator{
 		name:     string(e.settings.VM) + "/" + strconv.FormatUint(uint64(e.session.entry.Incarnation), 10),
-		settings: e.keyspaceSettings(),
+		settings: settings,
 		in:       e.coordinator, tableJobs: tableJobs, batches: batches, peers: reports, admission: e.admission, log: e.log,
 		storeCache:    e.storeCache.in,
 		keyedServices: make(map[types.Service]*keyedService),
-		addresses:     newTargetAddresses(),
+		addresses:     newTargetAddresses(addressRetention(settings)),
 	}
 	e.group.Add(c.duty())
 	e.group.Add((&tableStore{in: tableJobs, out: e.coordinator, store: e.store}).duty())
--- a/daemon/edge/growth_test.go
+++ b/daemon/edge/growth_test.go
@@ -14,11 +14,14 @@
 	"sequoiasail.example/types"
 )
 
+// testRetention is how long the addresses of these tests are kept.
+const testRetention = 10 * time.Minute
+
 // Guards against connections and addresses of ended targets that a VM keeps for ever: each release of a service leaves some, and
 // a VM has few descriptors.
 func TestEndedTargetsLeaveNoConnections(t *testing.T) {
 	is := is.New(t)
-	a := newTargetAddresses()
+	a := newTargetAddresses(testRetention)
 	now := types.Instant(time.Hour)
 	var first, last catalog.Listing
 	for n := range 500 {
@@ -34,7 +37,7 @@
 	}
 	is.True(a.host(ownerOf(first.Registration)) == nil)
 	is.True(a.host(ownerOf(last.Registration)) != nil)
-	limit := int(addressRetention/time.Minute) + 2
+	limit := int(testRetention/time.Minute) + 2
 	is.True(len(a.hosts) <= limit)
 	is.True(len(a.known) <= limit)
 }
@@ -42,14 +45,14 @@
 // Guards against the host of an address being closed while a newer target uses the address.
 func TestReusedAddressKeepsItsConnection(t *testing.T) {
 	is := is.New(t)
-	a := newTargetAddresses()
+	a := newTargetAddresses(testRetention)
 	old := catalog.Listing{Registration: catalog.Registration{Target: "t1", Incarnation: 1, Address: "127.0.0.1:1"}}
 	next := catalog.Listing{Registration: catalog.Registration{Target: "t2", Incarnation: 2, Address: "127.0.0.1:1"}}
 	now := types.Instant(time.Hour)
 	a.update(now, []catalog.Listing{old})
 	host := a.host(ownerOf(old.Registration))
 	a.update(now, []catalog.Listing{next})
-	a.update(now.Add(2*addressRetention), []catalog.Listing{next})
+	a.update(now.Add(2*testRetention), []catalog.Listing{next})
 	is.Equal(a.host(ownerOf(next.Registration)), host)
 }
 
--- a/daemon/edge/storecache.go
+++ b/daemon/edge/storecache.go
@@ -45,6 +45,7 @@
 	session        *ring.Ring[coordinatorState]
 	memberships    *ring.Ring[membership]
 	log            *telemetry.Log
+	invalid        *invalidEntries
 	// published is read by the HTTP handlers.
 	published atomic.Pointer[view]
 
@@ -88,6 +89,8 @@
 	entry coordinatorEntry
 	// present is false if there is no coordinator.
 	present bool
+	// invalidRevision is the revision of an entry that names nobody, 0 if there is none. A candidate replaces it.
+	invalidRevision types.Revision
 	// revision is the store revision of this state.
 	revision types.Revision
 	// rank is the position of this VM among all VMs, the largest first. VMs stand for election in this order.
@@ -200,6 +203,7 @@
 			return
 		}
 	}
+	sc.forgetRemoved(u)
 	switch u.prefix {
 	case platform.TargetPrefix:
 		sc.applyTargets(ctx, now, u)
@@ -212,6 +216,18 @@
 	sc.sendDigests(now, !u.mirrored)
 }
 
+// forgetRemoved forgets the faults of entries that an update shows as removed.
+func (sc *storeCache) forgetRemoved(u update) {
+	if u.snapshot {
+		sc.invalid.retain(u.prefix, u.entries)
+	}
+	for _, e := range u.events {
+		if e.Deleted {
+			sc.invalid.remove(e.Key)
+		}
+	}
+}
+
 // publish makes the current state visible to the frontend and the readiness page.
 func (sc *storeCache) publish() {
 	v := &view{table: sc.configuration, complete: sc.configuration != nil && sc.registrationsRead}
@@ -226,18 +242,10 @@
 // applyTargets takes changes of the registrations of targets.
 func (sc *storeCache) applyTargets(ctx context.Context, now types.Instant, u update) {
 	if u.snapshot {
-		var list []catalog.Registration
-		sc.dropUnlistedRegistrations(u.entries)
-		for _, e := range u.entries {
-			if r, ok := sc.decodeRegistration(e); ok {
-				list = append(list, r)
-			}
-		}
-		sc.registry.Replace(now, list)
-		sc.registrationsRead = true
+		sc.applyTargetList(now, u.entries)
 	}
 	for _, e := range u.events {
-		t, ok := platform.RegisteredTarget(e.Key)
+		t, ok := sc.registeredTarget(e.Entry, e.Deleted)
 		if !ok {
 			continue
 		}
@@ -247,45 +255,63 @@
 			sc.registry.Remove(now, t)
 			continue
 		}
-		if bytes.Equal(sc.rawRegistrations[t], e.Value) {
+		if raw, known := sc.rawRegistrations[t]; known && bytes.Equal(raw, e.Value) {
 			continue
 		}
-		if r, ok := sc.decodeRegistration(e.Entry); ok {
+		if r, ok := sc.decodeRegistration(t, e.Entry); ok {
 			sc.registry.Put(now, r)
 		} else {
-			sc.registry.Remove(now, t)
+			sc.registry.Discard(t)
 		}
 	}
 	sc.publishTargets(ctx)
 }
 
-// dropUnlistedRegistrations forgets the encoded registrations that a complete list does not have.
-func (sc *storeCache) dropUnlistedRegistrations(entries []store.Entry) {
-	listed := make(map[types.Target]bool, len(entries))
+// applyTargetList takes the complete list of the registrations.
+func (sc *storeCache) applyTargetList(now types.Instant, entries []store.Entry) {
+	var list []catalog.Registration
+	var invalid []types.Target
+	present := make(map[types.Target]bool, len(entries))
 	for _, e := range entries {
-		if t, ok := platform.RegisteredTarget(e.Key); ok {
-			listed[t] = true
+		t, ok := sc.registeredTarget(e, false)
+		if !ok {
+			continue
+		}
+		present[t] = true
+		if r, ok := sc.decodeRegistration(t, e); ok {
+			list = append(list, r)
+		} else {
+			invalid = append(invalid, t)
 		}
 	}
-	maps.DeleteFunc(sc.rawRegistrations, func(t types.Target, _ []byte) bool { return !listed[t] })
+	maps.DeleteFunc(sc.rawRegistrations, func(t types.Target, _ []byte) bool { return !present[t] })
+	sc.registry.Replace(now, list)
+	for _, t := range invalid {
+		sc.registry.Discard(t)
+	}
+	sc.registrationsRead = true
 }
 
-// decodeRegistration decodes a registration and logs it if it has changed. It returns false for an invalid one, whose target
-// must not be used.
-func (sc *storeCache) decodeRegistration(e store.Entry) (catalog.Registration, bool) {
-	t, ok := platform.RegisteredTarget(e.Key)
-	if !ok {
-		return catalog.Registration{}, false
+// registeredTarget returns the target that an entry belongs to. ok is false when its key can't name one.
+func (sc *storeCache) registeredTarget(e store.Entry, deleted bool) (t types.Target, ok bool) {
+	t, ok = platform.RegisteredTarget(e.Key)
+	if !ok && !deleted {
+		sc.invalid.add(registrationKind, e, types.NewFault(types.CodeBadConfiguration, "the key names no target"))
 	}
+	return t, ok
+}
+
+// decodeRegistration decodes the registration of a target and logs it if it has changed. It returns false for an invalid one,
+// whose target must not be used.
+func (sc *storeCache) decodeRegistration(t types.Target, e store.Entry) (catalog.Registration, bool) {
 	unchanged := bytes.Equal(sc.rawRegistrations[t], e.Value)
 	sc.rawRegistrations[t] = e.Value
 	r, err := platform.DecodeRegistration(t, e.Value)
 	if err != nil {
-		if !unchanged {
-			sc.log.Warn("registration ignored", log.Fields{"target": t, "revision": e.Revision, "error": err.Error()})
-		}
+		sc.invalid.add(registrationKind, e, err)
 		return r, false
 	}
+	sc.invalid.remove(e.Key)
 	if !unchanged {
 		sc.log.Info("target registered", log.Fields{
 			"target": t, "life": r.Incarnation, "service": r.Service, "address": r.Address, "dataCentre": r.DataCentre,
@@ -337,13 +363,15 @@
 	}
 	c, err := platform.DecodeConfiguration(e.Value)
 	if err != nil {
-		sc.log.Warn("configuration ignored", log.Fields{"revision": e.Revision, "error": err.Error()})
+		sc.invalid.add(configurationKind, e, err)
 		return
 	}
+	sc.invalid.remove(e.Key)
 	if sc.configuration != nil && c.Version <= sc.configuration.Version() {
 		return
 	}
 	sc.configuration = catalog.NewRouteTable(c)
+	sc.registry.SetServices(c.Services)
 	sc.log.Info("configuration in force", log.Fields{"version": c.Version, "routes": len(c.Routes), "revision": e.Revision})
 	sc.deliver(ctx, sc.admission, admission.Services{Services: c.Services})
 	sc.deliver(ctx, sc.coordinator, serviceList{services: c.Services})
