edge: requests are answered when the admission duty ends by itself

What callers saw: after a panic in the admission duty the VM serves its connections for the time of a planned stop, 3.4 of 6 s, and neither the requests in flight nor new ones got an answer; their connections were closed at the end. Cause: the frontend waited for a final action that could not come any more. The duty closes its ring now when it ends. Requests in flight are answered 502, because they may have run, and new ones 503. At a planned stop the same holds for requests that are still in flight when admission stops.

Before: panic: test timed out after 30s (TestEndOfAdmissionAnswersEachRequest: no answer) After, with the race detector: ok sequoiasail.example/daemon/edge 35.537s

--- a/daemon/edge/admission.go
+++ b/daemon/edge/admission.go
@@ -94,7 +94,9 @@
 
 func (a *admissionDuty) duty() duty.Duty { return duty.Duty{Name: "admission", Run: a.run} }
 
+// run closes its ring at the end, also after a panic: the frontend then answers the requests that wait and refuses new ones.
 func (a *admissionDuty) run(ctx context.Context) error {
+	defer a.in.Close()
 	timer := time.NewTimer(reportRefresh)
 	defer timer.Stop()
 	for {
--- a/daemon/edge/answer_test.go
+++ b/daemon/edge/answer_test.go
@@ -32,7 +32,8 @@
 	server  *httptest.Server
 }
 
-// newTestFrontend returns a frontend that passes each message for admission to decide, in the order of their arrival.
+// newTestFrontend returns a frontend that passes each message for admission to decide, in the order of their arrival. Without
+// decide, the messages stay in the ring.
 func newTestFrontend(t *testing.T, decide func(f *testFrontend, m any)) *testFrontend {
 	t.Helper()
 	f := &testFrontend{t: t, metrics: telemetry.NewMetrics(), output: &bytes.Buffer{}}
@@ -48,7 +49,9 @@
 	t.Cleanup(f.server.Close)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	go f.admission.Serve(ctx, func(m any) error { decide(f, m); return nil })
+	if decide != nil {
+		go f.admission.Serve(ctx, func(m any) error { decide(f, m); return nil })
+	}
 	return f
 }
 
--- a/daemon/edge/flights_test.go
+++ b/daemon/edge/flights_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"runtime"
 	"strconv"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"sequoiasail.example/admission"
 	"sequoiasail.example/catalog"
+	"sequoiasail.example/duty"
 	"sequoiasail.example/keyspace"
 	"sequoiasail.example/platform"
 	"sequoiasail.example/ring"
@@ -116,3 +118,25 @@
 	}
 	is.Equal(len(a.flights), 0)
 }
+
+// Guards against requests without an answer after the admission duty has ended by itself, for example by a panic: the VM then
+// still serves its connections for the time of a planned stop.
+func TestEndOfAdmissionAnswersEachRequest(t *testing.T) {
+	is := is.New(t)
+	f := newTestFrontend(t, nil)
+	a := newTestAdmission(1)
+	a.in, a.core = f.admission, nil // panics at the first request
+	waiting, r := f.dial()
+	_, err := io.WriteString(waiting, getRequest)
+	is.NoErr(err)
+	eventually(t, "the request in the ring", time.Second, func() bool { return f.admission.Depth() == 1 })
+	group := duty.NewGroup()
+	group.Add(a.duty())
+	is.NoErr(group.Start(t.Context()))
+	eventually(t, "the end of the duty", time.Second, func() bool { return len(group.Failed()) == 1 })
+	res, _ := f.exchange(waiting, r, "GET", "")
+	is.Equal(res.StatusCode, http.StatusBadGateway) // it may have run
+	res, _ = f.exchange(waiting, r, "GET", getRequest)
+	is.Equal(res.StatusCode, http.StatusServiceUnavailable) // the next one has not
+	is.NoErr(group.Abort(context.Background()))
+}
--- a/daemon/edge/frontend.go
+++ b/daemon/edge/frontend.go
@@ -138,11 +138,29 @@
 	case v := <-p.reply:
 		f.answer(a, p, v)
 		f.requestMetrics.duration.Update(telemetry.Now().Sub(now).Seconds())
+		return
+	case <-f.admission.Done():
 	case <-r.Context().Done():
 		a.markCallerLeft()
-		// Put fails only when the process ends, and the request ends with it.
+		// Put fails only when admission has ended.
 		_ = f.admission.Put(context.WithoutCancel(r.Context()), admission.CallerLeft{ID: p.id})
-		f.answer(a, p, <-p.reply)
+	}
+	f.answer(a, p, f.awaitReply(p))
+}
+
+// awaitReply returns the final action of the admission core, or a failure when admission has ended without one: the request may
+// have run.
+func (f *frontend) awaitReply(p *pending) response {
+	select {
+	case v := <-p.reply:
+		return v
+	case <-f.admission.Done():
+	}
+	select {
+	case v := <-p.reply:
+		return v
+	default:
+		return response{action: admission.Fail{ID: p.id, Code: types.CodeShuttingDown}}
 	}
 }
 
