edge: test that the metrics account for callers that leave; admission: bound peer reports in place

The loopback test closes half of the connections, and one side of the others: those get their answers, and no request stays unanswered in the metrics. Peer reports are bounded without copies, because each VM of a data centre sends them many times a second.

--- a/admission/message.go
+++ b/admission/message.go
@@ -68,7 +68,7 @@
 		VMs        []types.VM
 		Neighbours []types.VM
 	}
-	// PeerReport is what another VM reports about its requests in flight and its answers.
+	// PeerReport is what another VM reports about its requests in flight and its answers. The core owns its maps and slices.
 	PeerReport struct {
 		VM       types.VM
 		InFlight map[types.Target]int
--- a/admission/peers.go
+++ b/admission/peers.go
@@ -31,7 +31,7 @@
 	if m.VM == types.VM(c.settings.VM) {
 		return
 	}
-	m = m.bounded()
+	m.bound()
 	c.recordPeerSends(now, m)
 	c.peerRequests[m.VM] = peerReport{inFlight: m.InFlight, waiting: m.Waiting, receivedAt: now}
 	for _, s := range m.Samples {
@@ -45,22 +45,22 @@
 	}
 }
 
-// bounded returns the report with its counts from 0 to maxReportedCount and its samples bounded.
-func (m PeerReport) bounded() PeerReport {
-	m.InFlight, m.Waiting = boundedCounts(m.InFlight), boundedCounts(m.Waiting)
-	m.Samples = slices.Clone(m.Samples)
+// bound limits the counts and samples of a report in place: reports are frequent, and the core owns its messages.
+func (m PeerReport) bound() {
+	boundCounts(m.InFlight)
+	boundCounts(m.Waiting)
 	for i, s := range m.Samples {
 		m.Samples[i] = s.bounded()
 	}
-	return m
 }
 
-func boundedCounts(counts map[types.Target]int) map[types.Target]int {
-	list := make(map[types.Target]int, len(counts))
+// boundCounts limits counts to the range from 0 to maxReportedCount.
+func boundCounts(counts map[types.Target]int) {
 	for name, n := range counts {
-		list[name] = min(max(n, 0), maxReportedCount)
+		if n < 0 || n > maxReportedCount {
+			counts[name] = min(max(n, 0), maxReportedCount)
+		}
 	}
-	return list
 }
 
 // recordPeerSends records what another VM has sent since its last report: the increase of its requests in flight, and
--- a/daemon/edge/cluster_test.go
+++ b/daemon/edge/cluster_test.go
@@ -190,3 +190,19 @@
 	data, err := io.ReadAll(res.Body)
 	return res, string(data), err
 }
+
+// metric returns the value of a metric of the VM, or "" if it has none.
+func (v *vm) metric(name string) string {
+	res, err := http.Get(strings.Replace(v.readyURL, platform.ReadyPath, "/metrics", 1))
+	if err != nil {
+		return ""
+	}
+	defer res.Body.Close()
+	page, _ := io.ReadAll(res.Body)
+	for line := range strings.Lines(string(page)) {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			return strings.TrimSpace(value)
+		}
+	}
+	return ""
+}
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -359,3 +360,35 @@
 	sc.requestOwners("maps", 0)
 	is.Equal(sc.ownersRequests.Depth(), 1)
 }
+
+// Guards against requests that the metrics of a VM lose: some callers wait, some close their connection, some only their side of
+// it. Those get an answer, and orders are left to finish.
+func TestMetricsAccountForCallersThatLeave(t *testing.T) {
+	is := is.New(t)
+	cl, orders := newServingCluster(t, 300*time.Millisecond)
+	v := cl.start("vm-1")
+	eventually(t, "readiness", 8*time.Second, v.isReady)
+	const rounds = 8
+	for n := range rounds {
+		c, err := net.Dial("tcp", strings.TrimPrefix(v.frontURL, "http://"))
+		is.NoErr(err)
+		defer c.Close()
+		is.NoErr(c.SetDeadline(time.Now().Add(3 * time.Second)))
+		_, err = fmt.Fprintf(c, "POST /orders/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r%d\r\nX-Deadline-Ms: 1400\r\nContent-Length: 1\r\n\r\nb", n)
+		is.NoErr(err)
+		eventually(t, "the order at its target", time.Second, func() bool { return orders.count() == n+1 })
+		if n%2 == 0 {
+			c.Close()
+			continue
+		}
+		is.NoErr(c.(*net.TCPConn).CloseWrite())
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		is.Equal(res.StatusCode, http.StatusOK)
+		is.True(res.Header.Get("X-Response-Signature") != "")
+	}
+	eventually(t, "the end of all requests", 2*time.Second, func() bool { return v.metric("sail_requests_unanswered") == "0" })
+	is.Equal(v.metric("sail_requests_total"), strconv.Itoa(rounds))
+	is.Equal(v.metric(`sail_answers_total{outcome="caller_left"}`), strconv.Itoa(rounds))
+	is.Equal(orders.count(), rounds)
+}
