edge: a caller's time counts from the header of its request

What callers saw: a request whose body came slowly was kept, and worked on by its target, for longer than its caller waits, by the time that the body took. Cause: the deadline was counted from the end of the body; platform.CallerRequest says that it counts from the decoding.

--- a/daemon/edge/admission.go
+++ b/daemon/edge/admission.go
@@ -38,6 +38,8 @@
 	call  platform.CallerRequest
 	body  []byte
 	reply chan response
+	// headerReadAt is when the header had been read, from which the caller's time counts.
+	headerReadAt types.Instant
 	// arrival is the message to the admission core about the request.
 	arrival admission.RequestArrived
 }
--- a/daemon/edge/answer_test.go
+++ b/daemon/edge/answer_test.go
@@ -292,3 +292,25 @@
 	is.Equal(f.requestMetrics.answers[outcomeFailed].Get(), uint64(1))
 	is.Equal(f.inFlight.Load(), int64(0))
 }
+
+// Guards against a deadline that is later than the caller's because its body came slowly: targets would then work for callers that
+// have given up.
+func TestDeadlineCountsFromTheHeader(t *testing.T) {
+	is := is.New(t)
+	f := newTestFrontend(t, nil)
+	c, _ := f.dial()
+	sentAt := telemetry.Now()
+	_, err := io.WriteString(c, "POST /r/ HTTP/1.1\r\nHost: a.example\r\nX-Deadline-Ms: 1000\r\nContent-Length: 1\r\n\r\n")
+	is.NoErr(err)
+	eventually(t, "the header", time.Second, func() bool { return f.inFlight.Load() == 1 })
+	headerRead := telemetry.Now()
+	time.Sleep(100 * time.Millisecond)
+	_, err = io.WriteString(c, "b")
+	is.NoErr(err)
+	eventually(t, "the request", time.Second, func() bool { return f.admission.Depth() == 1 })
+	m, _ := f.admission.TryGet()
+	p := m.(*pending)
+	p.reply <- response{action: admission.Fail{Code: "target-failed"}}
+	is.True(!p.arrival.Deadline.Before(sentAt.Add(time.Second)))
+	is.True(!headerRead.Add(time.Second).Before(p.arrival.Deadline))
+}
--- a/daemon/edge/frontend.go
+++ b/daemon/edge/frontend.go
@@ -60,6 +60,7 @@
 
 // handle decodes a request and answers it, by itself or after a decision of admission.
 func (f *frontend) handle(a *answerWriter, r *http.Request) {
+	headerReadAt := telemetry.Now()
 	call, fault := platform.DecodeCallerRequest(r)
 	a.line.RequestID = string(call.ID)
 	if fault != nil {
@@ -85,7 +86,7 @@
 		a.reject(call, fault)
 		return
 	}
-	f.submit(a, r, route, &pending{call: call, body: body})
+	f.submit(a, r, route, &pending{call: call, body: body, headerReadAt: headerReadAt})
 }
 
 // drain waits until no request has been in flight for drainQuietTime, or until ctx ends.
@@ -124,11 +125,10 @@
 // comes also after the caller has left. It is written then, too: net/http ends the context of a request when the caller closes
 // its side of the connection, and the caller may still read.
 func (f *frontend) submit(a *answerWriter, r *http.Request, route *catalog.Route, p *pending) {
-	now := telemetry.Now()
 	p.id = admission.LocalRequestID(f.lastID.Add(1))
 	p.reply = make(chan response, 1)
 	p.arrival = admission.RequestArrived{
-		ID: p.id, Route: route, Keyed: p.call.Keyed, Key: p.call.Key, Deadline: now.Add(p.call.Timeout),
+		ID: p.id, Route: route, Keyed: p.call.Keyed, Key: p.call.Key, Deadline: p.headerReadAt.Add(p.call.Timeout),
 	}
 	if err := f.admission.TryPut(p); err != nil {
 		a.refuse(p.call, types.CodeOf(err))
@@ -137,7 +137,7 @@
 	select {
 	case v := <-p.reply:
 		f.answer(a, p, v)
-		f.requestMetrics.duration.Update(telemetry.Now().Sub(now).Seconds())
+		f.requestMetrics.duration.Update(telemetry.Now().Sub(p.headerReadAt).Seconds())
 		return
 	case <-f.admission.Done():
 	case <-r.Context().Done():
