--- a/daemon/edge/admission.go
+++ b/daemon/edge/admission.go
@@ -41,6 +41,8 @@
 	call  platform.CallerRequest
 	body  []byte
 	reply chan response
+	// headerReadAt is when the header had been read, from which the caller's time counts.
+	headerReadAt types.Instant
 	// arrival is the message to the admission core about the request.
 	arrival admission.RequestArrived
 }
@@ -99,7 +101,9 @@
 
 func (a *admissionDuty) duty() duty.Duty { return duty.Duty{Name: "admission", Run: a.run} }
 
+// run closes its ring at the end, also after a panic: the frontend then answers the requests that wait and refuses new ones.
 func (a *admissionDuty) run(ctx context.Context) error {
+	defer a.in.Close()
 	timer := time.NewTimer(reportRefresh)
 	defer timer.Stop()
 	for {
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -315,8 +315,7 @@
 		},
 	}
 	e.metrics.Gauge("sail_caller_connections", func() float64 { return float64(e.server.Connections()) })
-	e.metrics.Gauge("sail_caller_requests_in_flight", func() float64 { return float64(e.frontend.inFlight.Load()) })
-	e.metrics.Gauge("sail_caller_requests_unanswered_total", func() float64 { return float64(e.server.UnansweredRequests()) })
+	e.metrics.Gauge("sail_connections_unanswered_total", func() float64 { return float64(e.server.UnansweredRequests()) })
 	e.group.Add(ready.Duty())
 	e.group.Add(e.server.Duty())
 }
