edge: do not send queued attempts to targets that have begun to leave

Seen by callers: nothing yet; found while the delays behind a target's leaving were added up. An attempt may wait for a sender as long as its request, so the wait inside the VM had no bound.

Senders now check the target against the published registrations right before they send. An attempt whose target leaves counts as not run.

Before: TestQueuedAttemptsAreNotSentToLeavingTargets: 0 != 2 (sent, no answer).

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -276,7 +276,7 @@
 	}
 	e.group.Add(a.duty())
 	for i := range senderCount {
-		e.group.Add((&sender{index: i, attempts: attempts, out: e.admission, log: e.log}).duty())
+		e.group.Add((&sender{index: i, attempts: attempts, out: e.admission, mayGetRequests: e.storeCache.mayGetRequests, log: e.log}).duty())
 	}
 }
 
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,8 +14,10 @@
 
 	"github.com/matryer/is"
 
+	"sequoiasail.example/admission"
 	"sequoiasail.example/catalog"
 	"sequoiasail.example/keyspace"
+	"sequoiasail.example/platform"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
 	"sequoiasail.example/transport/store"
@@ -303,6 +306,52 @@
 	is.Equal(f.admission.Depth(), 0)
 }
 
+// Guards against requests to a leaving target that waited for a sender: the wait has no bound of its own, and the platform's
+// bound for leaving targets counts until the request arrives.
+func TestQueuedAttemptsAreNotSentToLeavingTargets(t *testing.T) {
+	is := is.New(t)
+	sc, _ := newTestCache(types.Instant(time.Hour))
+	sc.admission, sc.coordinator = ring.New[any](8), ring.New[any](8)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	accepted := make(chan struct{}, 1)
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			accepted <- struct{}{}
+			c.Close()
+		}
+	}()
+	target := catalog.Registration{Target: "i-1", Incarnation: 4, Address: l.Addr().String()}
+	s := &sender{out: ring.New[any](1), mayGetRequests: sc.mayGetRequests, log: telemetry.NewLog(io.Discard, nil)}
+	send := func() admission.AttemptFinished {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		r := httptest.NewRequest(http.MethodGet, "http://a.example/", nil)
+		r.Header.Set("X-Request-Id", "r1")
+		call, _ := platform.DecodeCallerRequest(r)
+		return s.send(attempt{
+			ctx: ctx, cancel: cancel, call: call, host: platform.NewHost(target.Address, 1),
+			send: admission.Send{ID: 1, Attempt: 1, Target: target},
+		})
+	}
+	sc.registry.Put(0, target)
+	target.Draining = true
+	sc.registry.Put(0, target)
+	sc.publishTargets(t.Context())
+	is.Equal(send().Result, admission.ResultNotRun)
+	is.Equal(len(accepted), 0)
+	target.Draining = false
+	sc.registry.Put(0, target)
+	sc.publishTargets(t.Context())
+	is.Equal(send().Result, admission.ResultLost)
+	<-accepted
+	target.Incarnation = 5
+	sc.registry.Put(0, target)
+	sc.publishTargets(t.Context())
+	target.Incarnation = 4
+	is.Equal(send().Result, admission.ResultNotRun)
+}
+
 // Guards against a VM that keeps an old configuration because the mirror answer of its neighbour was lost.
 func TestLostMirrorAnswerFallsBackToTheStore(t *testing.T) {
 	is := is.New(t)
--- a/daemon/edge/propagation.go
+++ b/daemon/edge/propagation.go
@@ -11,8 +11,8 @@
 	hedgeDelay = 200 * time.Millisecond
 	// readReserve is the time of that second read: the call, the decoding and the wait for the read before it.
 	readReserve = 300 * time.Millisecond
-	// forwardingReserve is the time of a request from the caller to its target: the rings of admission and of the senders, a new
-	// connection, and the network.
+	// forwardingReserve is the time of a request from the last check of its target by a sender to its arrival: a new connection
+	// and the network.
 	forwardingReserve = 250 * time.Millisecond
 	// minReliance keeps VMs from watching the store all the time where the platform's bound is very short.
 	minReliance = 400 * time.Millisecond
--- a/daemon/edge/sender.go
+++ b/daemon/edge/sender.go
@@ -10,6 +10,7 @@
 	"sequoiasail.example/platform"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
+	"sequoiasail.example/types"
 )
 
 // sender sends requests to targets, one attempt at a time.
@@ -17,7 +18,9 @@
 	index    int
 	attempts *ring.Ring[attempt]
 	out      *ring.Ring[any]
-	log      *telemetry.Log
+	// mayGetRequests reports whether an incarnation of a target may get requests.
+	mayGetRequests func(types.Target, int64) bool
+	log            *telemetry.Log
 }
 
 func (s *sender) duty() duty.Duty {
@@ -29,8 +32,14 @@
 	return nil
 }
 
-// send performs one attempt and returns its result for the admission core.
+// send performs one attempt and returns its result for the admission core. An attempt whose target has begun to leave while it
+// waited for a sender is not sent.
 func (s *sender) send(a attempt) admission.AttemptFinished {
+	if !s.mayGetRequests(a.send.Target.Target, a.send.Target.Incarnation) {
+		a.cancel()
+		s.logAttempt(a, platform.Outcome{Result: admission.ResultNotRun, Err: errTargetLeft}, 0)
+		return admission.AttemptFinished{ID: a.send.ID, Attempt: a.send.Attempt, Result: admission.ResultNotRun}
+	}
 	began := time.Now()
 	o := platform.Forward(a.ctx, a.host, a.call, a.body, a.send.Target.Target)
 	a.cancel()
@@ -41,6 +50,9 @@
 	}
 }
 
+// errTargetLeft is the fault of an attempt that is not sent because its target leaves.
+var errTargetLeft = types.NewFault(types.CodeTargetRefused, "the target leaves")
+
 var resultNames = map[admission.Result]string{
 	admission.ResultLost: "no whole answer", admission.ResultAnswered: "answered",
 	admission.ResultNotRun: "not run", admission.ResultMisdirected: "not the owner",
--- a/daemon/edge/storecache.go
+++ b/daemon/edge/storecache.go
@@ -22,12 +22,21 @@
 // maintenanceInterval is how often the store cache checks for expired registrations, missed changes and silent peers.
 const maintenanceInterval = 200 * time.Millisecond
 
-// view is the state that the store cache publishes to the frontend and the readiness page.
+// view is the state that the store cache publishes to the frontend, the readiness page and the senders.
 type view struct {
 	// table is the configuration, or nil if none is known.
 	table *catalog.RouteTable
 	// complete is true once the configuration, the registrations and the owners of all keyed services are known.
 	complete bool
+	// usable holds the incarnations of the targets that may get requests.
+	usable map[types.Target]int64
+}
+
+// mayGetRequests reports whether an incarnation of a target may get requests: it is registered, does not leave, and its data
+// centre is not evacuated.
+func (v *view) mayGetRequests(t types.Target, incarnation int64) bool {
+	current, ok := v.usable[t]
+	return ok && current == incarnation
 }
 
 // storeCache holds this VM's copy of the store: configuration, registrations, VMs and owners of keys. It passes changes to
@@ -45,13 +54,15 @@
 	memberships    *ring.Ring[membership]
 	log            *telemetry.Log
 	now            func() types.Instant
-	// published is read by the HTTP handlers.
+	// published is read by the HTTP handlers and the senders.
 	published atomic.Pointer[view]
 
 	registry      *catalog.Registry
 	configuration *catalog.RouteTable
 	vms           map[types.VM]vmEntry
 	owners        map[types.Service]keyspace.Table
+	// usable holds the incarnations of the targets that may get requests. It is replaced, not changed.
+	usable map[types.Target]int64
 	// rawRegistrations holds the encoded registrations, to recognize unchanged ones.
 	rawRegistrations map[types.Target][]byte
 	// registrationsRead is true once the registrations have been read.
@@ -232,9 +243,14 @@
 	sc.sendDigests(now, !u.mirrored)
 }
 
+// mayGetRequests is view.mayGetRequests of the published view.
+func (sc *storeCache) mayGetRequests(t types.Target, incarnation int64) bool {
+	return sc.published.Load().mayGetRequests(t, incarnation)
+}
+
 // publish makes the current state visible to the frontend and the readiness page.
 func (sc *storeCache) publish() {
-	v := &view{table: sc.configuration, complete: sc.configuration != nil && sc.registrationsRead}
+	v := &view{usable: sc.usable, table: sc.configuration, complete: sc.configuration != nil && sc.registrationsRead}
 	if v.table != nil {
 		for name, s := range v.table.Services() {
 			v.complete = v.complete && (!s.Keyed || len(sc.owners[name].Ranges) > 0)
@@ -306,6 +322,13 @@
 // publishTargets passes the list of targets to admission and the coordinator.
 func (sc *storeCache) publishTargets(ctx context.Context) {
 	list := sc.registry.List()
+	sc.usable = make(map[types.Target]int64, len(list))
+	for _, l := range list {
+		if !l.Draining && !l.Evacuated {
+			sc.usable[l.Target] = l.Incarnation
+		}
+	}
+	sc.publish()
 	sc.deliver(ctx, sc.admission, admission.Targets{Targets: list})
 	sc.deliver(ctx, sc.coordinator, targetList{targets: list, superseded: sc.registry.Superseded()})
 }
