edge: compare copies by digest in mirror queries

The revisions that two VMs know differ without a change of the prefix, so an equal copy was rarely recognized: in a trial VMs that were cut off began to read the store in vain about once a second.

--- a/daemon/edge/mirror.go
+++ b/daemon/edge/mirror.go
@@ -31,12 +31,15 @@
 	Prefix string
 	// Known is the store revision up to which the caller knows the prefix, 0 if it knows nothing.
 	Known types.Revision
+	// NewestRevision and Count are those of the caller's digest of the prefix.
+	NewestRevision types.Revision
+	Count          int
 }
 
 // MirrorAnswer is the result of Mirror.Read: the entries of the prefix if they are newer than the caller's.
 type MirrorAnswer struct {
 	Newer bool
-	// Same is true if the caller knows the prefix up to the same revision as this VM.
+	// Same is true if the caller's copy has the same keys and revisions as this VM's, which was current Age ago.
 	Same     bool
 	Revision types.Revision
 	Entries  []store.Entry
@@ -110,7 +113,7 @@
 		return nil
 	}
 	if a.Same {
-		return m.out.Put(ctx, update{prefix: q.question.Prefix, mirrored: true, same: true, revision: a.Revision, age: a.Age})
+		return m.out.Put(ctx, update{prefix: q.question.Prefix, mirrored: true, same: true, revision: q.question.Known, age: a.Age})
 	}
 	if !a.Newer {
 		m.log.Info("another VM has nothing newer", log.Fields{"prefix": q.question.Prefix, "known": q.question.Known, "address": q.address})
@@ -147,9 +150,10 @@
 	switch {
 	case q.Prefix == ownerPrefix:
 		a = sc.mirroredOwners()
-	case c == nil || c.knownRevision < q.Known:
-	case c.knownRevision == q.Known:
-		a = MirrorAnswer{Same: q.Known > 0 && now.Sub(c.confirmedAt) <= sc.reliance, Revision: q.Known, Age: now.Sub(c.confirmedAt)}
+	case c == nil || c.knownRevision == 0:
+	case q.Known > 0 && c.matches(digest{prefix: q.Prefix, newestRevision: q.NewestRevision, count: q.Count}):
+		a = MirrorAnswer{Same: now.Sub(c.confirmedAt) <= sc.reliance, Age: now.Sub(c.confirmedAt)}
+	case c.knownRevision <= q.Known:
 	case q.Known == 0 || now.Sub(c.confirmedAt) <= sc.reliance:
 		a = MirrorAnswer{
 			Newer: true, Revision: c.knownRevision, Age: now.Sub(c.confirmedAt), GraceLeft: sc.registry.GraceLeft(now),
@@ -190,10 +194,10 @@
 			continue
 		}
 		c.nextMirrorAt = now.Add(unavailableSpacing)
-		sc.queueMirrorRequest(prefix, c.knownRevision, addresses[sc.nextMirror%len(addresses)])
+		sc.queueMirrorRequest(prefix, addresses[sc.nextMirror%len(addresses)])
 	}
 	if sc.configuration != nil && len(sc.owners) == 0 && !sc.storeReachable(now) {
-		sc.queueMirrorRequest(ownerPrefix, 0, addresses[sc.nextMirror%len(addresses)])
+		sc.queueMirrorRequest(ownerPrefix, addresses[sc.nextMirror%len(addresses)])
 	}
 	sc.nextMirror++
 }
--- a/daemon/edge/owners.go
+++ b/daemon/edge/owners.go
@@ -160,7 +160,7 @@
 	sc.ownersRequestedAt[s] = now
 	if address, ok := sc.ownersMirror(now); ok && now.Sub(sc.ownersMirroredAt) > ownersMirrorSpacing {
 		sc.ownersMirroredAt = now
-		sc.queueMirrorRequest(ownerPrefix, 0, address)
+		sc.queueMirrorRequest(ownerPrefix, address)
 		return
 	}
 	_ = sc.ownersRequests.Replace(ownersRequest{service: s})
--- a/daemon/edge/watch.go
+++ b/daemon/edge/watch.go
@@ -37,7 +37,7 @@
 	audit bool
 	// mirrored is true if the entries come from another VM and not from the store.
 	mirrored bool
-	// same is true if the other VM's copy has the given revision like the one it was compared with, and no entries are sent.
+	// same is true if the other VM's copy is the same as this VM's was at the given revision. No entries are sent then.
 	same bool
 	// age is how long ago the other VM's copy was proved to be current, graceLeft how long it still keeps missing registrations.
 	age       time.Duration
--- a/daemon/edge/watchers.go
+++ b/daemon/edge/watchers.go
@@ -286,7 +286,7 @@
 	// start is not waited for, because VMs that do not know the coordinator stand for election, with two calls each.
 	if fromNeighbour && !(sc.watchState.active && c.following) && !now.Before(c.nextMirrorAt) {
 		c.nextMirrorAt = now.Add(mirrorSpacing)
-		sc.queueMirrorRequest(d.prefix, c.knownRevision, sc.vms[from].MirrorAddress)
+		sc.queueMirrorRequest(d.prefix, sc.vms[from].MirrorAddress)
 	}
 }
 
@@ -322,7 +322,12 @@
 	}
 }
 
-// queueMirrorRequest queues a query to the VM at address for the entries of a prefix after a known revision.
-func (sc *storeCache) queueMirrorRequest(prefix string, known types.Revision, address string) {
-	_ = sc.mirrorRequests.Replace(mirrorRequest{question: MirrorQuestion{Prefix: prefix, Known: known}, address: address})
+// queueMirrorRequest queues a query to the VM at address for the entries of a prefix if they differ from this VM's.
+func (sc *storeCache) queueMirrorRequest(prefix, address string) {
+	q := MirrorQuestion{Prefix: prefix}
+	if c := sc.prefixCache[prefix]; c != nil {
+		d := c.digest(prefix)
+		q.Known, q.NewestRevision, q.Count = c.knownRevision, d.newestRevision, d.count
+	}
+	_ = sc.mirrorRequests.Replace(mirrorRequest{question: q, address: address})
 }
