keyspace: a grant in flight counts as a hold after its range gets a new fencing token

Two targets could hold the same keys for up to the time to live of a grant: a grant was in flight while its range got a higher fencing token for the same owner; it reached the restarted target, its result no longer matched the range, and the keys were then released and granted to another target without waiting for it.

Cause: afterCommit carried the confirmed and the unanswered grants over to the new token, but not the one in flight. Ruled out: a later incarnation counted as the end of the former one (hasEnded does not).

--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -301,11 +301,12 @@
 }
 
 // afterCommit returns the state of a range after the commit of its next owner. If that is the same target, its
-// earlier grants still count.
+// earlier grants still count, also one whose call is in flight: its result no longer matches the range.
 func (s rangeState) afterCommit(now types.Instant, sameTarget bool) rangeState {
 	n := rangeState{fenceCommitted: true, renewAt: now, cooldownUntil: now.Add(moveCooldown)}
 	if sameTarget {
-		n.confirmedUntil, n.lowerFenceUntil, n.cooldownUntil = s.confirmedUntil, s.unconfirmedUntil(), s.cooldownUntil
+		n.confirmedUntil, n.cooldownUntil = s.confirmedUntil, s.cooldownUntil
+		n.lowerFenceUntil = max(s.unconfirmedUntil(), s.inFlightUntil)
 	}
 	return n
 }
--- a/keyspace/sim_test.go
+++ b/keyspace/sim_test.go
@@ -386,6 +386,12 @@
 	}
 }
 
+// Fails if a grant that is in flight while its range gets a new fencing token is not counted as a hold of the range: with seed
+// 1001 it reached the restarted target, and the keys were granted to another one meanwhile.
+func TestGrantInFlightCountsAfterNewFence(t *testing.T) {
+	newSim(t, 1001).run(25 * time.Second)
+}
+
 // Fails if two targets hold the same key or if a fencing token does not rise after another writer has damaged the stored
 // table, while coordinators change, targets crash and calls are lost or applied late.
 func TestDamagedTableGivesNoKeyTwoHolders(t *testing.T) {
