edge: requests are answered after the admission duty has failed

What callers saw: after a panic in the admission duty the VM accepts requests until the end of its stop, 5.5 of 6 s, and answers none of them. Callers wait until their own deadline or until their connection is closed.

Cause: the duty no longer empties its ring, but the frontend goes on putting requests into it and waits for replies. The stop also waits without a limit for room in this ring, so that a process whose ring was full when the duty failed never ends; nothing kills it, because the platform has not asked it to stop.

Ruled out: the rings of the other duties; a request needs no other duty to be answered than admission (a failed sender is one of 64).

--- a/daemon/edge/admission.go
+++ b/daemon/edge/admission.go
@@ -92,7 +92,10 @@
 	vmCount int
 }
 
-func (a *admissionDuty) duty() duty.Duty { return duty.Duty{Name: "admission", Run: a.run} }
+// admissionName is the name of the admission duty.
+const admissionName = "admission"
+
+func (a *admissionDuty) duty() duty.Duty { return duty.Duty{Name: admissionName, Run: a.run} }
 
 func (a *admissionDuty) run(ctx context.Context) error {
 	timer := time.NewTimer(reportRefresh)
--- a/daemon/edge/cluster_test.go
+++ b/daemon/edge/cluster_test.go
@@ -124,6 +124,7 @@
 // vm is an edge daemon running on loopback.
 type vm struct {
 	frontURL, readyURL string
+	edge               *Edge
 	stop               context.CancelFunc
 	done               chan error
 }
@@ -147,6 +148,7 @@
 	}
 	c.seeds = append(c.seeds, description.ControlAddress())
 	e := New(s, "", io.Discard)
+	v.edge = e
 	go func() { v.done <- e.Run(ctx) }()
 	c.t.Cleanup(func() {
 		cancel()
--- a/daemon/edge/frontend.go
+++ b/daemon/edge/frontend.go
@@ -104,7 +104,8 @@
 	return body, nil
 }
 
-// submit puts the request into the admission ring and waits for its answer or for the caller to disconnect.
+// submit puts the request into the admission ring and waits for its answer, for the caller to disconnect or for the failure of
+// the admission duty.
 func (f *frontend) submit(w http.ResponseWriter, r *http.Request, route *catalog.Route, p *pending) {
 	now := telemetry.Now()
 	p.id = admission.LocalRequestID(f.lastID.Add(1))
@@ -124,6 +125,9 @@
 		// Put fails only when the process ends, and the request ends with it.
 		_ = f.admission.Put(context.WithoutCancel(r.Context()), admission.CallerLeft{ID: p.id})
 		f.log.LogDecision(telemetry.Decision{Kind: "caller left", RequestID: string(p.call.ID)})
+	case <-f.admission.Done():
+		// The admission duty has failed. A target may run the request.
+		f.answer(w, p, response{action: admission.Fail{ID: p.id, Code: types.CodeInternal}})
 	}
 }
 
