httpserver: a shutdown interrupts no request that was sent with the one before

What callers saw: a request that was sent together with the one before it was read by a server that begins its shutdown, and failed: its context ended, so that its handler took the caller for gone, or its body could not be read.

Cause: refuseRequests claims a connection between two requests and then sets a read deadline in the past. net/http goes on with a request that is already in its buffer. When the deadline is set only after that, it ends the read that net/http has started meanwhile for this request.

Change: the deadline is set only if a read waits for the first bytes of a request. Such a read ends without data, so that no request follows on the connection. Otherwise the next read sees that requests are refused.

Ruled out: connections without pipelining. There net/http has no bytes between two requests, and its next read returns io.EOF.

--- a/daemon/httpserver/connection.go
+++ b/daemon/httpserver/connection.go
@@ -18,6 +18,8 @@
 	awaitingRequest uint32 = iota
 	// readingRequest: a read is in progress that may return the first bytes of a request.
 	readingRequest
+	// waitingForRequest: a read is waiting for the first bytes of a request. A deadline ends the wait.
+	waitingForRequest
 	// requestRead: a byte of a request has been read, and none of its answer has been written.
 	requestRead
 	// answering: a byte of the answer has been written.
@@ -47,7 +49,7 @@
 	switch c.state.Load() {
 	case refusingRequests:
 		return 0, io.EOF
-	case awaitingRequest:
+	case awaitingRequest, waitingForRequest:
 		n, err = c.readFirst(p)
 	default:
 		n, err = c.Conn.Read(p)
@@ -61,14 +63,17 @@
 // readFirst reads the first bytes of a request. refuseRequests may end it at any time but while it is reading them.
 func (c *connection) readFirst(p []byte) (n int, err error) {
 	if c.raw == nil {
+		if !c.claim(waitingForRequest) {
+			return 0, io.EOF
+		}
 		n, err = c.Conn.Read(p)
-		if n > 0 && !c.state.CompareAndSwap(awaitingRequest, requestRead) {
+		if n > 0 && !c.claim(requestRead) {
 			return 0, io.EOF
 		}
 		return n, err
 	}
 	waitErr := c.raw.Read(func(fd uintptr) bool {
-		if !c.state.CompareAndSwap(awaitingRequest, readingRequest) {
+		if !c.claim(readingRequest) {
 			n, err = 0, io.EOF
 			return true
 		}
@@ -77,7 +82,7 @@
 			c.state.Store(requestRead)
 			return true
 		}
-		c.state.Store(awaitingRequest)
+		c.state.Store(waitingForRequest)
 		if c.server.shuttingDown.Load() {
 			c.state.Store(refusingRequests)
 			n, err = 0, io.EOF
@@ -93,6 +98,11 @@
 	return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
 }
 
+// claim changes the state of a connection on which no byte of a request has been read. It fails if requests are refused.
+func (c *connection) claim(state uint32) bool {
+	return c.state.CompareAndSwap(awaitingRequest, state) || c.state.CompareAndSwap(waitingForRequest, state)
+}
+
 // readSocket reads from a non-blocking socket. The end of the stream is io.EOF.
 func readSocket(fd int, p []byte) (int, error) {
 	for {
@@ -109,9 +119,13 @@
 	}
 }
 
-// refuseRequests makes the connection read no further request. net/http then closes it, unless it has a request to answer.
+// refuseRequests makes the connection read no further request. net/http then closes it, unless it has a request to answer. The
+// deadline is set only if a read waits: it would else end a later read for a request that was read together with the one before.
 func (c *connection) refuseRequests() {
 	if c.state.CompareAndSwap(awaitingRequest, refusingRequests) {
+		return
+	}
+	if c.state.CompareAndSwap(waitingForRequest, refusingRequests) {
 		_ = c.Conn.SetReadDeadline(expired)
 	}
 }
@@ -148,9 +162,7 @@
 	case http.StateActive:
 		// A request that was read together with the one before has changed no state yet. It is answered also if the
 		// connection refuses further ones.
-		if !c.state.CompareAndSwap(awaitingRequest, requestRead) {
-			c.state.CompareAndSwap(refusingRequests, requestRead)
-		}
+		c.state.Store(requestRead)
 	case http.StateIdle:
 		c.state.Store(awaitingRequest)
 		if c.server.shuttingDown.Load() {
--- a/daemon/httpserver/server_test.go
+++ b/daemon/httpserver/server_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -15,13 +17,13 @@
 	"github.com/matryer/is"
 
 	"sequoiasail.example/duty"
+	"sequoiasail.example/transport/peer"
 	"sequoiasail.example/types"
 )
 
-// startServer runs a server that answers each request with its path after the given time.
-func startServer(t *testing.T, work time.Duration) *Server {
-	t.Helper()
-	s := &Server{Name: "test", Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+// newServer returns a server that answers each request with its path after the given time.
+func newServer(work time.Duration) *Server {
+	return &Server{Name: "test", Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case <-time.After(work):
 			_, _ = io.WriteString(w, r.URL.Path)
@@ -29,13 +31,24 @@
 			_, _ = io.WriteString(w, "the caller has left")
 		}
 	})}
+}
+
+// startServer runs a server that answers each request with its path after the given time.
+func startServer(t *testing.T, work time.Duration) *Server {
+	t.Helper()
+	s := newServer(work)
+	run(t, s)
+	return s
+}
+
+func run(t *testing.T, s *Server) {
+	t.Helper()
 	g := duty.NewGroup()
 	g.Add(s.Duty())
 	if err := g.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = g.Abort(context.Background()) })
-	return s
 }
 
 // client is a connection to a server.
@@ -195,3 +208,77 @@
 	}
 	is.NoErr(<-done)
 }
+
+// delayedDeadlines is a socket on which the end of a pending read at the beginning of a shutdown takes effect late, and falls
+// between two requests.
+type delayedDeadlines struct {
+	*net.TCPConn
+	idle, refused chan struct{}
+	isIdle        atomic.Bool
+	idleOnce      sync.Once
+	releaseOnce   sync.Once
+}
+
+// release lets net/http go on to the next request.
+func (c *delayedDeadlines) release() { c.releaseOnce.Do(func() { close(c.refused) }) }
+
+func (c *delayedDeadlines) SetReadDeadline(t time.Time) error {
+	switch {
+	case t.After(time.Now()): // net/http begins to wait for the next request
+		c.idleOnce.Do(func() {
+			c.isIdle.Store(true)
+			close(c.idle)
+			<-c.refused
+		})
+	case t.Equal(expired) && c.isIdle.CompareAndSwap(true, false):
+		c.release()
+		time.Sleep(50 * time.Millisecond)
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// delayedListener accepts one connection with delayedDeadlines.
+type delayedListener struct {
+	net.Listener
+	conn delayedDeadlines
+}
+
+func (l *delayedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.conn.TCPConn = c.(*net.TCPConn)
+	return &l.conn, nil
+}
+
+// Guards against a shutdown that ends the wait for a further request late, when that request, sent together with the one before,
+// is already being handled: its context would end and its answer be lost.
+func TestShutdownDoesNotInterruptAPipelinedRequest(t *testing.T) {
+	is := is.New(t)
+	var l delayedListener
+	l.conn.idle, l.conn.refused = make(chan struct{}), make(chan struct{})
+	s := newServer(200 * time.Millisecond)
+	s.Limits.IdleTime = time.Minute
+	s.Listen = func(ctx context.Context, address string) (net.Listener, error) {
+		inner, err := peer.ListenTCP(ctx, address)
+		l.Listener = inner
+		return &l, err
+	}
+	run(t, s)
+	c := dial(t, s)
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-l.conn.idle
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(t.Context()) }()
+	time.AfterFunc(20*time.Millisecond, l.conn.release)
+	for _, path := range []string{"/1", "/2"} {
+		res, err := http.ReadResponse(c.reader, nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(res.Body)
+		is.NoErr(err)
+		is.Equal(string(body), path)
+	}
+	is.NoErr(<-done)
+}
