peer: a stopping server answers the calls that it has read

What callers saw: an order that a dispatcher was running when its planned stop closed the net/rpc listener ended as "unknown peer-unavailable" at the gateway, although the target answered it.

Cause: the stop closed all connections 100 ms after the listener. The time stood for the end of the running calls, which last as long as the work of a target. The dispatch duty waits for its requests in flight, but stops after the server, when their replies have no connection left.

Change: the stop ends the reading on all connections. net/rpc then writes the replies of the calls that it has read and closes the connection; the stop waits for that up to 4.5 s. Idle connections close at once, so that the mirror service of an edge VM stops 100 ms sooner.

Ruled out: a call that the server has not read when it stops still ends with outcome unknown, as before.

Before, go test -race -run TestStopDelivers ./transport/peer: server_test.go:34: not true: c.Err == nil // the call was running when the stop began --- FAIL: TestStopDeliversTheRepliesOfRunningCalls (0.15s) After: ok, with the rest of the package 3 of 3 runs.

--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -5,14 +5,19 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sequoiasail.example/duty"
 	"sequoiasail.example/types"
 )
 
-// closeDelay is the time that net/rpc gets to write the last replies before connections are closed.
-const closeDelay = 100 * time.Millisecond
+// replyTimeout bounds the wait of a stop for the replies of running calls. It leaves time to close the connections within
+// duty.DefaultStopTimeout.
+const replyTimeout = duty.DefaultStopTimeout - 500*time.Millisecond
+
+// expired is a deadline in the past, which ends a pending read.
+var expired = time.Unix(1, 0)
 
 // Listen is a function that opens a listener on address, which is host:port.
 type Listen func(ctx context.Context, address string) (net.Listener, error)
@@ -71,11 +76,11 @@
 	if err != nil {
 		return types.WrapFault(types.CodeBadSettings, err, "listen on %s", s.address)
 	}
-	s.listener = &trackingListener{Listener: s.wrapListener(l)}
+	s.listener = &trackingListener{Listener: s.wrapListener(l), removed: make(chan struct{}, 1)}
 	return nil
 }
 
-// run serves until the listener is closed. When ctx ends it closes the connections without the delay of stop.
+// run serves until the listener is closed. When ctx ends it closes the connections without waiting for replies.
 func (s *Server) run(ctx context.Context) error {
 	detach := context.AfterFunc(ctx, func() {
 		_ = s.listener.Close()
@@ -86,22 +91,27 @@
 	return nil
 }
 
+// stop closes the listener, reads no further calls and waits until the replies of those that were read have been written:
+// net/rpc then closes the connection.
 func (s *Server) stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
+	defer cancel()
 	_ = s.listener.Close()
-	linger := time.NewTimer(closeDelay)
-	defer linger.Stop()
-	select {
-	case <-linger.C:
-	case <-ctx.Done():
-	}
+	s.listener.endReading()
+	s.listener.waitClosed(ctx)
 	s.listener.closeConnections()
 	return nil
 }
 
-// trackingListener tracks its open connections so that stop can close them.
+// trackingListener tracks its open connections, so that stop can end and close them.
 type trackingListener struct {
 	net.Listener
-	open sync.Map
+	open  sync.Map
+	count atomic.Int64
+	// removed holds a wake-up for waitClosed.
+	removed chan struct{}
+	// stopping is true once endReading has been called.
+	stopping atomic.Bool
 }
 
 func (l *trackingListener) Accept() (net.Conn, error) {
@@ -109,11 +119,35 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: conn, open: &l.open}
+	tracked := &trackedConn{Conn: conn, listener: l}
+	l.count.Add(1)
 	l.open.Store(tracked, struct{}{})
+	if l.stopping.Load() {
+		_ = tracked.SetReadDeadline(expired)
+	}
 	return tracked, nil
 }
 
+// endReading makes all connections read nothing more.
+func (l *trackingListener) endReading() {
+	l.stopping.Store(true)
+	l.open.Range(func(conn, _ any) bool {
+		_ = conn.(*trackedConn).SetReadDeadline(expired)
+		return true
+	})
+}
+
+// waitClosed waits until no connection is open or ctx ends.
+func (l *trackingListener) waitClosed(ctx context.Context) {
+	for l.count.Load() > 0 {
+		select {
+		case <-l.removed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (l *trackingListener) closeConnections() {
 	l.open.Range(func(conn, _ any) bool {
 		_ = conn.(*trackedConn).Close()
@@ -124,10 +158,17 @@
 // trackedConn removes itself from the open connections of its listener when it is closed.
 type trackedConn struct {
 	net.Conn
-	open *sync.Map
+	listener *trackingListener
 }
 
 func (c *trackedConn) Close() error {
-	c.open.Delete(c)
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	if _, open := c.listener.open.LoadAndDelete(c); open {
+		c.listener.count.Add(-1)
+		select {
+		case c.listener.removed <- struct{}{}:
+		default:
+		}
+	}
+	return err
 }
