edge: the steps of a stop fit grace periods of any length

What callers saw: with a stop grace period below 3 s a stopping VM breaks off requests in flight that their targets are still working on, at 500 ms and less all of them at once, with 504. With a long one (8 s and more) it takes requests that may outlive it up to 45% of the period, long after the 3 s for which callers can't know of the stop.

Cause: the margins at the end were fixed times, the times at the beginning only shares. The last sixth of the period, in which requests may be broken off, is shorter than answerMargin below 3 s. (1 s: answers until 0.5 s, the last sixth begins at 0.83 s; 60 s: requests are taken until 27 s.)

Change: each step is a time that is also bounded by a share of the period. For 4 s and 6 s the steps are the same as before.

Before, go test -race -count=3 -run TestShortStop ./daemon/edge, period 600 ms, an order of 250 ms sent 50 ms before the stop: stop_test.go:191: 504 != 200 --- FAIL: TestShortStopFinishesRequestsInFlight (2.34s) After: ok, 3 of 3 runs; the other stop tests of the package pass.

--- a/daemon/edge/cluster_test.go
+++ b/daemon/edge/cluster_test.go
@@ -134,10 +134,16 @@
 
 // start runs an edge daemon. Its seeds are the VMs started before.
 func (c *cluster) start(name types.VM) *vm {
+	c.t.Helper()
+	return c.startWithGracePeriod(name, stopGracePeriod)
+}
+
+// startWithGracePeriod is start with another stop grace period.
+func (c *cluster) startWithGracePeriod(name types.VM, grace time.Duration) *vm {
 	c.t.Helper()
 	description := standin.VM{
 		Name: name, DataCentre: "north", DataCentres: []types.DataCentre{"north"}, IP: standin.LoopbackIP(c.index, len(c.seeds)),
-		Seeds: c.seeds, StoreAddress: c.storeAddress, StopGracePeriod: stopGracePeriod, MaxGrantTTL: 5 * time.Second,
+		Seeds: c.seeds, StoreAddress: c.storeAddress, StopGracePeriod: grace, MaxGrantTTL: 5 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, ColdOvershoot: 1.5, ColdSlack: 5,
 	}
 	s, err := platform.DecodeSettings(description.SettingsFile())
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -37,24 +37,6 @@
 	storeReadCapacity   = 8
 )
 
-// Timing of a planned stop, which begins at SIGTERM. Shares are of the platform's stop grace period, after which the process is
-// killed.
-const (
-	// serveShare is the share during which the process goes on even if no caller is connected, 3.4 of 6 s: the load balancer
-	// needs two failed readiness probes, a second apart, and lost packets are retransmitted up to a second later.
-	serveShare = 0.57
-	// acceptShare is the share during which a request is sent to a target although its deadline is later than the end of the
-	// stop. Callers that the load balancer has connected before its probes failed depend on it.
-	acceptShare = 0.45
-	// answerMargin is the end of the grace period in which no request is in flight any more. It covers late timers and the last
-	// answers on a busy VM.
-	answerMargin = 500 * time.Millisecond
-	// closeMargin is the end of the grace period that is left for the duties once the connections are closed.
-	closeMargin = 250 * time.Millisecond
-	// lingerTime gives the kernel time to send the last responses before the process ends.
-	lingerTime = 50 * time.Millisecond
-)
-
 // initialHTTPLimits are the limits of both HTTP servers. They apply before a configuration is known, and are wider than
 // those of any configuration.
 var initialHTTPLimits = httpserver.Limits{HeaderBytes: 64 << 10, HeaderTime: 10 * time.Second, IdleTime: 60 * time.Second}
@@ -141,19 +123,19 @@
 // answer; later ones are not read.
 func (e *Edge) stop() error {
 	began := telemetry.Now()
-	end := began.Add(e.settings.StopGracePeriod)
+	schedule := newStopSchedule(e.settings.StopGracePeriod)
 	e.log.Info("stopping", e.stopFields(began))
 	e.readiness.stopping.Store(true)
 	e.frontend.closing.Store(true)
 	close(e.session.stopRequested)
 	_ = e.admission.Put(context.Background(), admission.Stopping{
-		AcceptUntil: began.Add(share(e.settings.StopGracePeriod, acceptShare)), End: end.Add(-answerMargin),
+		AcceptUntil: began.Add(schedule.accept), End: began.Add(schedule.answer),
 	})
-	duty.Pause(context.Background(), share(e.settings.StopGracePeriod, serveShare))
+	duty.Pause(context.Background(), schedule.serve)
 	// An error means that connections remain, which are closed next.
-	_ = e.waitUntil(end.Add(-answerMargin), e.server.WaitClosed)
+	_ = e.waitUntil(began.Add(schedule.answer), e.server.WaitClosed)
 	e.log.Info("closing the connections of callers", e.stopFields(began))
-	if err := e.waitUntil(end.Add(-closeMargin), e.server.Shutdown); err != nil {
+	if err := e.waitUntil(began.Add(schedule.close), e.server.Shutdown); err != nil {
 		e.log.Warn("requests still in flight at the end of the stop time", log.Fields{"error": err.Error()})
 	}
 	duty.Pause(context.Background(), lingerTime)
@@ -161,9 +143,6 @@
 	return e.group.Stop(context.Background())
 }
 
-// share returns the given share of d.
-func share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
-
 // waitUntil calls wait with a context that ends at the given time.
 func (e *Edge) waitUntil(end types.Instant, wait func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(telemetry.Now()))
--- a/daemon/edge/stop_test.go
+++ b/daemon/edge/stop_test.go
@@ -170,3 +170,23 @@
 		}
 	}
 }
+
+// Guards against a request in flight that a VM with a short stop grace period fails at once, although it can finish.
+func TestShortStopFinishesRequestsInFlight(t *testing.T) {
+	is := is.New(t)
+	cl, _ := newServingCluster(t, 250*time.Millisecond)
+	v := cl.startWithGracePeriod("vm-1", 600*time.Millisecond)
+	eventually(t, "readiness", 8*time.Second, v.isReady)
+	c := dialCaller(t, v)
+	ended := make(chan stopOutcome, 1)
+	go func() {
+		var o stopOutcome
+		o.status, _, o.err = order(c, "r1", callTimeout)
+		ended <- o
+	}()
+	time.Sleep(50 * time.Millisecond)
+	v.stop()
+	o := <-ended
+	is.NoErr(o.err)
+	is.Equal(o.status, http.StatusOK)
+}
