httpserver: an early answer ends its connection at once

What callers saw: after an answer that is given before the whole body was read, for example 404 or 413, the connection stays open for half a second and is then reset.

Cause: net/http closes the writing direction first and waits 500 ms, so that the caller can read the answer (closeWriteAndWait, server.go:1774). It finds CloseWrite by a type assertion, which fails since the connections are wrapped to track them.

Ruled out: a lost answer; it is flushed before the wait.

--- a/daemon/httpserver/connection.go
+++ b/daemon/httpserver/connection.go
@@ -139,6 +139,16 @@
 	return n, err
 }
 
+// CloseWrite closes the writing direction of a socket. net/http uses it to end a connection whose request it does not read to its
+// end.
+func (c *connection) CloseWrite() error {
+	socket, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return socket.CloseWrite()
+}
+
 // Close closes the connection and reports it if a request that was read has no answer.
 func (c *connection) Close() error {
 	err := c.Conn.Close()
--- a/daemon/httpserver/server_test.go
+++ b/daemon/httpserver/server_test.go
@@ -282,3 +282,24 @@
 	}
 	is.NoErr(<-done)
 }
+
+// Guards against a caller that learns only half a second after the answer to an unfinished request that its connection is
+// closed: net/http closes the two directions of such a connection one after the other.
+func TestEarlyAnswerEndsItsConnectionAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := &Server{Name: "test", Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusNotFound)
+	})}
+	run(t, s)
+	c := dial(t, s)
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\nabc")
+	is.NoErr(err)
+	answered, err := http.ReadResponse(c.reader, nil)
+	is.NoErr(err)
+	is.Equal(answered.StatusCode, http.StatusNotFound)
+	_ = answered.Body.Close()
+	is.NoErr(c.SetReadDeadline(time.Now().Add(200 * time.Millisecond)))
+	_, err = c.reader.ReadByte()
+	is.Equal(err, io.EOF)
+}
