edge: an unfinished readiness probe does not delay a stop

What callers saw: nothing. A stopping VM does not end in its grace period and is killed, with its leases in the store and its last log lines not written, if a caller of the readiness page has sent a part of a request.

Change: the readiness server is shut down right after that of the callers, with 50 ms for its answers, which need no other component.

Ruled out: the callers' server, which has a limit of its own.

Before, go test -race -run UnfinishedReadiness ./daemon/edge: stop_test.go:222: the VM has not stopped after 4s --- FAIL: TestUnfinishedReadinessProbeDoesNotDelayTheStop (4.09s) After: ok, 2 of 2 runs.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -62,6 +62,7 @@
 	readiness   *readiness
 	frontend    *frontend
 	server      *httpserver.Server
+	ready       *httpserver.Server
 }
 
 // New builds the daemon from s, the decoded content of settingsFile. The file is read again when it changes. Run starts the
@@ -138,6 +139,8 @@
 	if err := e.waitUntil(began.Add(schedule.close), e.server.Shutdown); err != nil {
 		e.log.Warn("requests still in flight at the end of the stop time", log.Fields{"error": err.Error()})
 	}
+	// An error means that probes or metrics readers remain, which are cut off.
+	_ = e.waitUntil(telemetry.Now().Add(readyCloseTime), e.ready.Shutdown)
 	duty.Pause(context.Background(), lingerTime)
 	e.log.Info("stopping the duties", e.stopFields(began))
 	return e.group.Stop(context.Background())
@@ -285,7 +288,7 @@
 func (e *Edge) addServers(m *requestMetrics) {
 	e.frontend = &frontend{storeCache: e.storeCache, admission: e.admission, log: e.log, requestMetrics: m}
 	e.readiness = &readiness{storeCache: e.storeCache}
-	ready := &httpserver.Server{
+	e.ready = &httpserver.Server{
 		Name: "ready", Address: e.settings.ReadyAddress, Handler: e.readiness.handler(e.metrics), Limits: initialHTTPLimits,
 	}
 	e.server = &httpserver.Server{
@@ -297,6 +300,6 @@
 	e.metrics.Gauge("sail_caller_connections", func() float64 { return float64(e.server.Connections()) })
 	e.metrics.Gauge("sail_caller_requests_in_flight", func() float64 { return float64(e.frontend.inFlight.Load()) })
 	e.metrics.Gauge("sail_caller_requests_unanswered_total", func() float64 { return float64(e.server.UnansweredRequests()) })
-	e.group.Add(ready.Duty())
+	e.group.Add(e.ready.Duty())
 	e.group.Add(e.server.Duty())
 }
--- a/daemon/edge/stop_test.go
+++ b/daemon/edge/stop_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -190,3 +191,34 @@
 	is.NoErr(o.err)
 	is.Equal(o.status, http.StatusOK)
 }
+
+// Guards against a caller of the readiness page that never finishes its request and so keeps a stopping VM from ending before
+// it is killed, with its leases not revoked.
+func TestUnfinishedReadinessProbeDoesNotDelayTheStop(t *testing.T) {
+	is := is.New(t)
+	cl := newCluster(t)
+	v := cl.start("vm-1")
+	eventually(t, "an answer to a readiness probe", 8*time.Second, func() bool {
+		res, err := http.Get(v.readyURL)
+		if err == nil {
+			_ = res.Body.Close()
+		}
+		return err == nil
+	})
+	ready, err := url.Parse(v.readyURL)
+	is.NoErr(err)
+	c, err := net.Dial("tcp", ready.Host)
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET "+ready.Path+" HTTP/1.1\r\nHo")
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	v.stop()
+	select {
+	case err := <-v.done:
+		is.NoErr(err)
+		v.done <- nil
+	case <-time.After(stopGracePeriod):
+		t.Errorf("the VM has not stopped after %v", stopGracePeriod)
+	}
+}
--- a/daemon/edge/stopschedule.go
+++ b/daemon/edge/stopschedule.go
@@ -21,6 +21,9 @@
 	// closeMargin is the end of the grace period that is left for the duties once the connections are closed.
 	closeMargin      = 250 * time.Millisecond
 	closeMarginShare = 0.0625
+	// readyCloseTime is how long the readiness page may take to answer the requests that it has read. Its answers need no other
+	// component, and the leases must be revoked before the process is killed.
+	readyCloseTime = 50 * time.Millisecond
 	// lingerTime gives the kernel time to send the last responses before the process ends.
 	lingerTime = 50 * time.Millisecond
 )
