httpserver: a request on a TLS connection is answered if a shutdown begins as it is read

What callers saw: a request on a connection that is no socket (TLS, or a wrapped listener) was read by a server that begins its shutdown, and its connection closed without an answer. UnansweredRequests did not count it. In the product this concerns the operators' pages with TLS only; the callers' servers have plain sockets.

Cause: only the result of a read shows there whether it has taken data. The shutdown claims the connection while the read waits, and the read then dropped what it had taken.

Change: the request is answered. The read waits until the deadline that should have ended it is set and clears it.

Before, go test -race -run RequestReadAsThe ./daemon/httpserver: --- FAIL: TestRequestReadAsTheShutdownBeginsIsAnswered (0.10s) After: ok, 3 of 3 runs.

--- a/daemon/httpserver/connection.go
+++ b/daemon/httpserver/connection.go
@@ -39,6 +39,8 @@
 	raw    syscall.RawConn
 	server *Server
 	state  atomic.Uint32
+	// refused is closed once the deadline is set that ends a waiting read. It is nil if the connection is a socket.
+	refused chan struct{}
 	// callerClosed is true once a read has shown that the caller closed the connection.
 	callerClosed atomic.Bool
 	closed       atomic.Bool
@@ -63,14 +65,7 @@
 // readFirst reads the first bytes of a request. refuseRequests may end it at any time but while it is reading them.
 func (c *connection) readFirst(p []byte) (n int, err error) {
 	if c.raw == nil {
-		if !c.claim(waitingForRequest) {
-			return 0, io.EOF
-		}
-		n, err = c.Conn.Read(p)
-		if n > 0 && !c.claim(requestRead) {
-			return 0, io.EOF
-		}
-		return n, err
+		return c.readFirstWithoutSocket(p)
 	}
 	waitErr := c.raw.Read(func(fd uintptr) bool {
 		if !c.claim(readingRequest) {
@@ -98,6 +93,21 @@
 	return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
 }
 
+// readFirstWithoutSocket is readFirst for a connection of which only the result of a read shows whether it has taken data. A
+// request that was read as the shutdown began is answered.
+func (c *connection) readFirstWithoutSocket(p []byte) (int, error) {
+	if !c.claim(waitingForRequest) {
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.claim(requestRead) {
+		<-c.refused
+		_ = c.Conn.SetReadDeadline(time.Time{})
+		c.state.Store(requestRead)
+	}
+	return n, err
+}
+
 // claim changes the state of a connection on which no byte of a request has been read. It fails if requests are refused.
 func (c *connection) claim(state uint32) bool {
 	return c.state.CompareAndSwap(awaitingRequest, state) || c.state.CompareAndSwap(waitingForRequest, state)
@@ -125,8 +135,12 @@
 	if c.state.CompareAndSwap(awaitingRequest, refusingRequests) {
 		return
 	}
+	// A connection gets here only once: it waits for no further request during a shutdown.
 	if c.state.CompareAndSwap(waitingForRequest, refusingRequests) {
 		_ = c.Conn.SetReadDeadline(expired)
+		if c.refused != nil {
+			close(c.refused)
+		}
 	}
 }
 
@@ -228,6 +242,8 @@
 			_ = inner.Close()
 			return nil, err
 		}
+	} else {
+		c.refused = make(chan struct{})
 	}
 	l.server.connections.add(c)
 	if l.server.shuttingDown.Load() {
--- a/daemon/httpserver/server_test.go
+++ b/daemon/httpserver/server_test.go
@@ -303,3 +303,37 @@
 	_, err = c.reader.ReadByte()
 	is.Equal(err, io.EOF)
 }
+
+// slowReader is a connection that is no socket. Its reads return a while after they have taken their data.
+type slowReader struct{ net.Conn }
+
+func (c slowReader) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	time.Sleep(100 * time.Millisecond)
+	return n, err
+}
+
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return slowReader{c}, err
+}
+
+// Guards against a request that is read and dropped at the beginning of a shutdown on a connection that is no socket, for
+// example with TLS: it can't be checked there whether a read has taken data.
+func TestRequestReadAsTheShutdownBeginsIsAnswered(t *testing.T) {
+	is := is.New(t)
+	s := newServer(200 * time.Millisecond)
+	s.Secure = func(l net.Listener) net.Listener { return slowListener{l} }
+	run(t, s)
+	c := dial(t, s)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := c.get("/1")
+		answered <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	is.NoErr(s.Shutdown(t.Context()))
+	is.NoErr(<-answered)
+}
