httpserver: a request whose first byte was read with the one before is answered

What callers saw: a request sent before the answer to the one before was dropped by a shutdown, and its connection reset with the answer before possibly still under way.

Cause: net/http reads one byte while a handler runs, to detect that the caller has gone. That byte belongs to the next request, but the connection counted as waiting for one, so that the shutdown refused the rest.

Change: a connection on which such a byte was read counts as having read a request when it becomes idle.

Ruled out: loss in the sense that a whole request was read; the rest stayed unread. On the callers' server of an edge VM each answer of a stopping VM closes its connection, so that only the gateway can meet this.

--- a/daemon/httpserver/connection.go
+++ b/daemon/httpserver/connection.go
@@ -39,6 +39,8 @@
 	raw    syscall.RawConn
 	server *Server
 	state  atomic.Uint32
+	// readAhead is true if the first byte of the next request has been read before the answer to the current one was complete.
+	readAhead atomic.Bool
 	// refused is closed once the deadline is set that ends a waiting read. It is nil if the connection is a socket.
 	refused chan struct{}
 	// callerClosed is true once a read has shown that the caller closed the connection.
@@ -55,6 +57,10 @@
 		n, err = c.readFirst(p)
 	default:
 		n, err = c.Conn.Read(p)
+		if n == 1 && len(p) == 1 {
+			// net/http reads a single byte while a handler runs, to detect that the caller has gone.
+			c.readAhead.Store(true)
+		}
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) && c.state.Load() != refusingRequests {
 		c.callerClosed.Store(true)
@@ -188,6 +194,10 @@
 		// connection refuses further ones.
 		c.state.Store(requestRead)
 	case http.StateIdle:
+		if c.readAhead.Swap(false) {
+			c.state.Store(requestRead)
+			return
+		}
 		c.state.Store(awaitingRequest)
 		if c.server.shuttingDown.Load() {
 			c.refuseRequests()
--- a/daemon/httpserver/server_test.go
+++ b/daemon/httpserver/server_test.go
@@ -337,3 +337,26 @@
 	is.NoErr(s.Shutdown(t.Context()))
 	is.NoErr(<-answered)
 }
+
+// Guards against a request of which net/http has read the first byte while the one before was answered, and that a shutdown then
+// drops; the reset of its connection can also take the answer before with it.
+func TestRequestSentBeforeTheAnswerIsAnsweredDuringShutdown(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, 150*time.Millisecond)
+	c := dial(t, s)
+	for _, path := range []string{"/1", "/2"} {
+		_, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		is.NoErr(err)
+		time.Sleep(30 * time.Millisecond)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(t.Context()) }()
+	for _, path := range []string{"/1", "/2"} {
+		res, err := http.ReadResponse(c.reader, nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(res.Body)
+		is.NoErr(err)
+		is.Equal(string(body), path)
+	}
+	is.NoErr(<-done)
+}
