edge: a queued request does not reach a target that was removed meanwhile

What callers saw: nothing; the target gets a request after its registration has ended, at worst as late as the deadline of the request (DRAIN: 2 s after the end).

Cause: when all 64 senders of a VM are busy, for example with a frozen target, an attempt waits in their ring. The pool of a target is closed when its registration ends, but a sender still opens a new connection for an attempt queued before.

Change: the sender reports the attempt as not run, so that the admission core chooses another target. Grants and releases have pools of their own and are not affected.

Ruled out: attempts that a target which starts to drain while they are queued still gets; it stays registered. The ring is to be shorter, or its attempts decided again, for that.

--- a/daemon/edge/sender.go
+++ b/daemon/edge/sender.go
@@ -10,6 +10,7 @@
 	"sequoiasail.example/platform"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
+	"sequoiasail.example/types"
 )
 
 // sender sends requests to targets, one attempt at a time.
@@ -32,7 +33,7 @@
 // send performs one attempt and returns its result for the admission core.
 func (s *sender) send(a attempt) admission.AttemptFinished {
 	began := time.Now()
-	o := platform.Forward(a.ctx, a.host, a.call, a.body, a.send.Target.Target)
+	o := forwardToListed(a)
 	a.cancel()
 	s.logAttempt(a, o, time.Since(began))
 	return admission.AttemptFinished{
@@ -41,6 +42,17 @@
 	}
 }
 
+// forwardToListed sends an attempt unless the registration of its target ended while the attempt was queued.
+func forwardToListed(a attempt) platform.Outcome {
+	if a.host.Closed() {
+		return platform.Outcome{Result: admission.ResultNotRun, Err: errRemoved}
+	}
+	return platform.Forward(a.ctx, a.host, a.call, a.body, a.send.Target.Target)
+}
+
+// errRemoved is the cause of an attempt whose target is no longer registered.
+var errRemoved = types.NotRun(types.CodeNotFound, "the target is no longer registered")
+
 var resultNames = map[admission.Result]string{
 	admission.ResultLost: "no whole answer", admission.ResultAnswered: "answered",
 	admission.ResultNotRun: "not run", admission.ResultMisdirected: "not the owner",
--- a/transport/forward/host.go
+++ b/transport/forward/host.go
@@ -97,6 +97,16 @@
 	h.CloseIdle()
 }
 
+// Closed reports whether Close has been called.
+func (h *Host) Closed() bool {
+	select {
+	case <-h.idle.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // acquire returns a usable idle connection or a new one. If id is not 0, it returns only the connection with that ID,
 // or ErrReconnect when that one is closed.
 func (h *Host) acquire(ctx context.Context, id uint64) (*conn, error) {
