--- a/admission/core.go
+++ b/admission/core.go
@@ -218,7 +218,7 @@
 	t.ownSends.add(now, 1)
 	c.changedTargets[t.Target] = true
 	c.actions = append(c.actions, Send{
-		ID: req.id, Attempt: req.attempts, Target: t.Registration, Deadline: req.deadline.Add(-replyMargin),
+		ID: req.id, Attempt: req.attempts, Target: t.Registration, Leaving: t.leavingSince != 0, Deadline: req.deadline.Add(-replyMargin),
 		Reason: t.describeLoad(now),
 	})
 }
--- a/admission/message.go
+++ b/admission/message.go
@@ -186,6 +186,8 @@
 		ID      LocalRequestID
 		Attempt int
 		Target  catalog.Registration
+		// Leaving is true if the target is known to leave. It gets the request because it still owns its key.
+		Leaving bool
 		// Deadline is when the attempt must have ended.
 		Deadline types.Instant
 		// Reason describes the load that the choice is based on, for the log.
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -37,24 +37,6 @@
 	storeReadCapacity   = 8
 )
 
-// Timing of a planned stop, which begins at SIGTERM. Shares are of the platform's stop grace period, after which the process is
-// killed.
-const (
-	// serveShare is the share during which the process goes on even if no caller is connected, 3.4 of 6 s: the load balancer
-	// needs two failed readiness probes, a second apart, and lost packets are retransmitted up to a second later.
-	serveShare = 0.57
-	// acceptShare is the share during which a request is sent to a target although its deadline is later than the end of the
-	// stop. Callers that the load balancer has connected before its probes failed depend on it.
-	acceptShare = 0.45
-	// answerMargin is the end of the grace period in which no request is in flight any more. It covers late timers and the last
-	// answers on a busy VM.
-	answerMargin = 500 * time.Millisecond
-	// closeMargin is the end of the grace period that is left for the duties once the connections are closed.
-	closeMargin = 250 * time.Millisecond
-	// lingerTime gives the kernel time to send the last responses before the process ends.
-	lingerTime = 50 * time.Millisecond
-)
-
 // initialHTTPLimits are the limits of both HTTP servers. They apply before a configuration is known, and are wider than
 // those of any configuration.
 var initialHTTPLimits = httpserver.Limits{HeaderBytes: 64 << 10, HeaderTime: 10 * time.Second, IdleTime: 60 * time.Second}
@@ -83,6 +65,7 @@
 	readiness   *readiness
 	frontend    *frontend
 	server      *httpserver.Server
+	ready       *httpserver.Server
 }
 
 // New builds the daemon from s, the decoded content of settingsFile. The file is read again when it changes. Run starts the
@@ -132,6 +115,10 @@
 		return e.stop()
 	case f := <-e.group.Failed():
 		e.log.Warn("duty failed, stopping", log.Fields{"duty": f.Duty, "error": f.Err.Error()})
+		if f.Duty == admissionName {
+			// Nothing answers requests any more: those in flight fail, and later ones are refused.
+			e.admission.Close()
+		}
 		_ = e.stop()
 		return f.Err
 	}
@@ -143,29 +130,28 @@
 // answer; later ones are not read.
 func (e *Edge) stop() error {
 	began := telemetry.Now()
-	end := began.Add(e.settings.StopGracePeriod)
+	schedule := newStopSchedule(e.settings.StopGracePeriod)
 	e.log.Info("stopping", e.stopFields(began))
 	e.readiness.stopping.Store(true)
 	e.frontend.closing.Store(true)
 	close(e.session.stopRequested)
 	_ = e.admission.Put(context.Background(), admission.Stopping{
-		AcceptUntil: began.Add(share(e.settings.StopGracePeriod, acceptShare)), End: end.Add(-answerMargin),
+		AcceptUntil: began.Add(schedule.accept), End: began.Add(schedule.answer),
 	})
-	duty.Pause(context.Background(), share(e.settings.StopGracePeriod, serveShare))
+	duty.Pause(context.Background(), schedule.serve)
 	// An error means that connections remain, which are closed next.
-	_ = e.waitUntil(end.Add(-answerMargin), e.server.WaitClosed)
+	_ = e.waitUntil(began.Add(schedule.answer), e.server.WaitClosed)
 	e.log.Info("closing the connections of callers", e.stopFields(began))
-	if err := e.waitUntil(end.Add(-closeMargin), e.server.Shutdown); err != nil {
+	if err := e.waitUntil(began.Add(schedule.close), e.server.Shutdown); err != nil {
 		e.log.Warn("requests still in flight at the end of the stop time", log.Fields{"error": err.Error()})
 	}
+	// An error means that probes or metrics readers remain, which are cut off.
+	_ = e.waitUntil(telemetry.Now().Add(readyCloseTime), e.ready.Shutdown)
 	duty.Pause(context.Background(), lingerTime)
 	e.log.Info("stopping the duties", e.stopFields(began))
 	return e.group.Stop(context.Background())
 }
 
-// share returns the given share of d.
-func share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
-
 // waitUntil calls wait with a context that ends at the given time.
 func (e *Edge) waitUntil(end types.Instant, wait func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(telemetry.Now()))
@@ -311,7 +297,7 @@
 func (e *Edge) addServers(m *requestMetrics) {
 	e.frontend = &frontend{storeCache: e.storeCache, admission: e.admission, log: e.log, requestMetrics: m}
 	e.readiness = &readiness{storeCache: e.storeCache}
-	ready := &httpserver.Server{
+	e.ready = &httpserver.Server{
 		Name: "ready", Address: e.settings.ReadyAddress, Handler: e.readiness.handler(e.metrics), Limits: initialHTTPLimits,
 	}
 	e.server = &httpserver.Server{
@@ -322,6 +308,6 @@
 	}
 	e.metrics.Gauge("sail_caller_connections", func() float64 { return float64(e.server.Connections()) })
 	e.metrics.Gauge("sail_connections_unanswered_total", func() float64 { return float64(e.server.UnansweredRequests()) })
-	e.group.Add(ready.Duty())
+	e.group.Add(e.ready.Duty())
 	e.group.Add(e.server.Duty())
 }
--- a/daemon/edge/sender.go
+++ b/daemon/edge/sender.go
@@ -18,8 +18,8 @@
 	index    int
 	attempts *ring.Ring[attempt]
 	out      *ring.Ring[any]
-	// mayGetRequests reports whether an incarnation of a target may get requests.
-	mayGetRequests func(types.Target, int64) bool
+	// mayGetRequests reports whether a request may still be sent to the target that was chosen for it.
+	mayGetRequests func(admission.Send) bool
 	log            *telemetry.Log
 }
 
@@ -35,7 +35,7 @@
 // send performs one attempt and returns its result for the admission core. An attempt whose target has begun to leave while it
 // waited for a sender is not sent.
 func (s *sender) send(a attempt) admission.AttemptFinished {
-	if !s.mayGetRequests(a.send.Target.Target, a.send.Target.Incarnation) {
+	if !s.mayGetRequests(a.send) {
 		a.cancel()
 		s.logAttempt(a, platform.Outcome{Result: admission.ResultNotRun, Err: errTargetLeft}, 0)
 		return admission.AttemptFinished{ID: a.send.ID, Attempt: a.send.Attempt, Result: admission.ResultNotRun}
--- a/daemon/edge/storecache.go
+++ b/daemon/edge/storecache.go
@@ -29,15 +29,22 @@
 	table *catalog.RouteTable
 	// complete is true once the configuration, the registrations and the owners of all keyed services are known.
 	complete bool
-	// usable holds the incarnations of the targets that may get requests.
-	usable map[types.Target]int64
+	// targets holds the registered targets.
+	targets map[types.Target]listedTarget
 }
 
-// mayGetRequests reports whether an incarnation of a target may get requests: it is registered, does not leave, and its data
-// centre is not evacuated.
-func (v *view) mayGetRequests(t types.Target, incarnation int64) bool {
-	current, ok := v.usable[t]
-	return ok && current == incarnation
+// listedTarget is what the senders check of a target right before they send. leaving is true if it drains or its data centre is
+// evacuated.
+type listedTarget struct {
+	incarnation int64
+	leaving     bool
+}
+
+// mayGetRequests reports whether a request may still be sent to the target that was chosen for it: the same incarnation is
+// registered, and it has not begun to leave since.
+func (v *view) mayGetRequests(m admission.Send) bool {
+	t, ok := v.targets[m.Target.Target]
+	return ok && t.incarnation == m.Target.Incarnation && (m.Leaving || !t.leaving)
 }
 
 // storeCache holds this VM's copy of the store: configuration, registrations, VMs and owners of keys. It passes changes to
@@ -63,8 +70,8 @@
 	configuration *catalog.RouteTable
 	vms           map[types.VM]vmEntry
 	owners        map[types.Service]keyspace.Table
-	// usable holds the incarnations of the targets that may get requests. It is replaced, not changed.
-	usable map[types.Target]int64
+	// targets holds the registered targets. It is replaced, not changed.
+	targets map[types.Target]listedTarget
 	// rawRegistrations holds the encoded registrations, to recognize unchanged ones.
 	rawRegistrations map[types.Target][]byte
 	// registrationsRead is true once the registrations have been read.
@@ -269,13 +276,13 @@
 }
 
 // mayGetRequests is view.mayGetRequests of the published view.
-func (sc *storeCache) mayGetRequests(t types.Target, incarnation int64) bool {
-	return sc.published.Load().mayGetRequests(t, incarnation)
+func (sc *storeCache) mayGetRequests(m admission.Send) bool {
+	return sc.published.Load().mayGetRequests(m)
 }
 
 // publish makes the current state visible to the frontend and the readiness page.
 func (sc *storeCache) publish() {
-	v := &view{usable: sc.usable, table: sc.configuration, complete: sc.configuration != nil && sc.registrationsRead}
+	v := &view{targets: sc.targets, table: sc.configuration, complete: sc.configuration != nil && sc.registrationsRead}
 	if v.table != nil {
 		for name, s := range v.table.Services() {
 			v.complete = v.complete && (!s.Keyed || len(sc.owners[name].Ranges) > 0)
@@ -369,11 +376,9 @@
 // publishTargets passes the list of targets to admission and the coordinator.
 func (sc *storeCache) publishTargets(ctx context.Context) {
 	list := sc.registry.List()
-	sc.usable = make(map[types.Target]int64, len(list))
+	sc.targets = make(map[types.Target]listedTarget, len(list))
 	for _, l := range list {
-		if !l.Draining && !l.Evacuated {
-			sc.usable[l.Target] = l.Incarnation
-		}
+		sc.targets[l.Target] = listedTarget{incarnation: l.Incarnation, leaving: l.Draining || l.Evacuated}
 	}
 	sc.publish()
 	sc.deliver(ctx, sc.admission, admission.Targets{Targets: list})
--- a/daemon/httpserver/connection.go
+++ b/daemon/httpserver/connection.go
@@ -18,6 +18,8 @@
 	awaitingRequest uint32 = iota
 	// readingRequest: a read is in progress that may return the first bytes of a request.
 	readingRequest
+	// waitingForRequest: a read is waiting for the first bytes of a request. A deadline ends the wait.
+	waitingForRequest
 	// requestRead: a byte of a request has been read, and none of its answer has been written.
 	requestRead
 	// answering: a byte of the answer has been written.
@@ -37,6 +39,10 @@
 	raw    syscall.RawConn
 	server *Server
 	state  atomic.Uint32
+	// readAhead is true if the first byte of the next request has been read before the answer to the current one was complete.
+	readAhead atomic.Bool
+	// refused is closed once the deadline is set that ends a waiting read. It is nil if the connection is a socket.
+	refused chan struct{}
 	// callerClosed is true once a read has shown that the caller closed the connection.
 	callerClosed atomic.Bool
 	closed       atomic.Bool
@@ -47,10 +53,14 @@
 	switch c.state.Load() {
 	case refusingRequests:
 		return 0, io.EOF
-	case awaitingRequest:
+	case awaitingRequest, waitingForRequest:
 		n, err = c.readFirst(p)
 	default:
 		n, err = c.Conn.Read(p)
+		if n == 1 && len(p) == 1 {
+			// net/http reads a single byte while a handler runs, to detect that the caller has gone.
+			c.readAhead.Store(true)
+		}
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) && c.state.Load() != refusingRequests {
 		c.callerClosed.Store(true)
@@ -61,14 +71,10 @@
 // readFirst reads the first bytes of a request. refuseRequests may end it at any time but while it is reading them.
 func (c *connection) readFirst(p []byte) (n int, err error) {
 	if c.raw == nil {
-		n, err = c.Conn.Read(p)
-		if n > 0 && !c.state.CompareAndSwap(awaitingRequest, requestRead) {
-			return 0, io.EOF
-		}
-		return n, err
+		return c.readFirstWithoutSocket(p)
 	}
 	waitErr := c.raw.Read(func(fd uintptr) bool {
-		if !c.state.CompareAndSwap(awaitingRequest, readingRequest) {
+		if !c.claim(readingRequest) {
 			n, err = 0, io.EOF
 			return true
 		}
@@ -77,7 +83,7 @@
 			c.state.Store(requestRead)
 			return true
 		}
-		c.state.Store(awaitingRequest)
+		c.state.Store(waitingForRequest)
 		if c.server.shuttingDown.Load() {
 			c.state.Store(refusingRequests)
 			n, err = 0, io.EOF
@@ -93,6 +99,26 @@
 	return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}
 }
 
+// readFirstWithoutSocket is readFirst for a connection of which only the result of a read shows whether it has taken data. A
+// request that was read as the shutdown began is answered.
+func (c *connection) readFirstWithoutSocket(p []byte) (int, error) {
+	if !c.claim(waitingForRequest) {
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.claim(requestRead) {
+		<-c.refused
+		_ = c.Conn.SetReadDeadline(time.Time{})
+		c.state.Store(requestRead)
+	}
+	return n, err
+}
+
+// claim changes the state of a connection on which no byte of a request has been read. It fails if requests are refused.
+func (c *connection) claim(state uint32) bool {
+	return c.state.CompareAndSwap(awaitingRequest, state) || c.state.CompareAndSwap(waitingForRequest, state)
+}
+
 // readSocket reads from a non-blocking socket. The end of the stream is io.EOF.
 func readSocket(fd int, p []byte) (int, error) {
 	for {
@@ -109,10 +135,18 @@
 	}
 }
 
-// refuseRequests makes the connection read no further request. net/http then closes it, unless it has a request to answer.
+// refuseRequests makes the connection read no further request. net/http then closes it, unless it has a request to answer. The
+// deadline is set only if a read waits: it would else end a later read for a request that was read together with the one before.
 func (c *connection) refuseRequests() {
 	if c.state.CompareAndSwap(awaitingRequest, refusingRequests) {
+		return
+	}
+	// A connection gets here only once: it waits for no further request during a shutdown.
+	if c.state.CompareAndSwap(waitingForRequest, refusingRequests) {
 		_ = c.Conn.SetReadDeadline(expired)
+		if c.refused != nil {
+			close(c.refused)
+		}
 	}
 }
 
@@ -125,6 +159,16 @@
 	return n, err
 }
 
+// CloseWrite closes the writing direction of a socket. net/http uses it to end a connection whose request it does not read to its
+// end.
+func (c *connection) CloseWrite() error {
+	socket, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return socket.CloseWrite()
+}
+
 // Close closes the connection and reports it if a request that was read has no answer.
 func (c *connection) Close() error {
 	err := c.Conn.Close()
@@ -148,10 +192,12 @@
 	case http.StateActive:
 		// A request that was read together with the one before has changed no state yet. It is answered also if the
 		// connection refuses further ones.
-		if !c.state.CompareAndSwap(awaitingRequest, requestRead) {
-			c.state.CompareAndSwap(refusingRequests, requestRead)
-		}
+		c.state.Store(requestRead)
 	case http.StateIdle:
+		if c.readAhead.Swap(false) {
+			c.state.Store(requestRead)
+			return
+		}
 		c.state.Store(awaitingRequest)
 		if c.server.shuttingDown.Load() {
 			c.refuseRequests()
@@ -206,6 +252,8 @@
 			_ = inner.Close()
 			return nil, err
 		}
+	} else {
+		c.refused = make(chan struct{})
 	}
 	l.server.connections.add(c)
 	if l.server.shuttingDown.Load() {
