--- a/soak/caller.go
+++ b/soak/caller.go
@@ -60,6 +60,9 @@
 
 func (c *caller) run(ctx context.Context) error {
 	defer c.disconnect()
+	// A VM that has not started yet closes connections without an answer.
+	for c.rotation.Load() == 0 && duty.Pause(ctx, readyInterval/10) {
+	}
 	for ctx.Err() == nil {
 		if c.conn != nil || c.connect(ctx) {
 			c.send(ctx)
