admission, edge: the time of a leaving owner of keys counts from the store

A draining owner of keys got their requests for 0.7 s from when its VM learned of the draining. A VM may learn of it up to the reliance time and a read later, 1.75 of 2 s in the worst case, so that requests could reach the target 2.45 s after the acknowledgement.

The list of targets now carries the time until which a target that begins to drain with it may get requests: the platform's bound, counted from when the copy before was last proved to be current, less the spacing of watch calls and the time of a request on its way.

Before (check disabled): core_test.go:178: 1 != 0 (TestDrainingOwnerGetsNoRequestsAfterThePlatformsBound). After: passes, like TestLeavingCountsFromTheLastProofOfTheCopy.

--- a/admission/choose.go
+++ b/admission/choose.go
@@ -157,11 +157,10 @@
 	if t.leavingSince == 0 {
 		return false
 	}
-	limit := ownerEvacuationTime
-	if t.Draining {
-		limit = ownerDrainTime
+	if !t.Draining {
+		return now.Sub(t.leavingSince) > ownerEvacuationTime
 	}
-	return now.Sub(t.leavingSince) > limit
+	return now.Sub(t.leavingSince) > ownerDrainTime || (t.leavingUntil != 0 && !now.Before(t.leavingUntil))
 }
 
 // hasRoom reports whether a target with fewer than depth requests can take another one. A cold target takes requests
--- a/admission/core_test.go
+++ b/admission/core_test.go
@@ -162,6 +162,22 @@
 	is.Equal(string(find[Send](a)[0].Target.Target), "m2")
 }
 
+// Guards against requests that reach a draining owner of keys after the platform's bound, because its VM learned late that the
+// owner drains.
+func TestDrainingOwnerGetsNoRequestsAfterThePlatformsBound(t *testing.T) {
+	is := is.New(t)
+	m := listing("maps", "m1", "a")
+	c := newTestCore("v", m)
+	c.step(ownedBy("m1"))
+	m.Draining = true
+	c.step(Targets{Targets: []catalog.Listing{m}, LeavingUntil: c.now.Add(ownerDrainTime / 4)})
+	_, a := c.arrive(lookups, 5)
+	is.Equal(len(find[Send](a)), 1)
+	c.advance(ownerDrainTime / 3)
+	_, a = c.arrive(lookups, 5)
+	is.Equal(len(find[Send](a)), 0)
+}
+
 // Guards against requests to a draining target: at once where other targets can serve them, after ownerDrainTime where
 // it owns the key.
 func TestDrainingTargetGetsNoRequests(t *testing.T) {
--- a/admission/message.go
+++ b/admission/message.go
@@ -46,7 +46,12 @@
 		Services map[types.Service]catalog.Service
 	}
 	// Targets replaces the targets that may get requests.
-	Targets struct{ Targets []catalog.Listing }
+	Targets struct {
+		Targets []catalog.Listing
+		// LeavingUntil is when a target that begins to drain with this list must get no more requests, also as the owner of
+		// their keys; 0 for no bound.
+		LeavingUntil types.Instant
+	}
 	// Owners replaces the table that assigns the keys of a service to targets.
 	Owners struct {
 		Service types.Service
--- a/admission/target.go
+++ b/admission/target.go
@@ -31,6 +31,8 @@
 	unreachable types.Instant
 	// leavingSince is when the target was first seen to drain or its data centre to be evacuated; 0 when neither.
 	leavingSince types.Instant
+	// leavingUntil is Targets.LeavingUntil of the list with which it began to leave.
+	leavingUntil types.Instant
 	// dataCentreSends holds the requests that the VMs of this data centre sent to the target.
 	dataCentreSends sendWindow
 	// ownSends holds the requests that this VM sent.
@@ -52,7 +54,7 @@
 		case !leaving:
 			t.leavingSince = 0
 		case t.leavingSince == 0:
-			t.leavingSince = now
+			t.leavingSince, t.leavingUntil = now, m.LeavingUntil
 		}
 	}
 	for name := range c.targets {
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -202,6 +202,7 @@
 	updates := ring.New[any](updateCapacity)
 	e.storeCache = newStoreCache()
 	e.storeCache.now, e.storeCache.reliance = e.clock, relianceTime(e.settings.ChangeDeadline)
+	e.storeCache.changeDeadline = e.settings.ChangeDeadline
 	e.storeCache.in, e.storeCache.admission, e.storeCache.coordinator = updates, e.admission, e.coordinator
 	e.storeCache.session = ring.New[coordinatorState](1)
 	e.storeCache.memberships, e.storeCache.log = members, e.log
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -19,6 +19,7 @@
 	"sequoiasail.example/catalog"
 	"sequoiasail.example/keyspace"
 	"sequoiasail.example/platform"
+	"sequoiasail.example/platform/standin"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
 	"sequoiasail.example/transport/store"
@@ -316,6 +317,24 @@
 	is.Equal(send().Result, admission.ResultNotRun)
 }
 
+// Guards against a VM that counts the time of a target's leaving from when it learned of it: the store may have acknowledged the
+// leaving right after the VM's copy was last known to be current.
+func TestLeavingCountsFromTheLastProofOfTheCopy(t *testing.T) {
+	is := is.New(t)
+	now := types.Instant(time.Hour)
+	sc, _ := newTestCache(now)
+	sc.now = func() types.Instant { return now }
+	sc.admission, sc.coordinator = ring.New[any](8), ring.New[any](8)
+	sc.changeDeadline = 2 * time.Second
+	key, value := standin.Registration(standin.TargetSettings{Target: "i-1", Incarnation: 1, Service: "maps", DataCentre: "north", Slots: 1}, "127.0.0.1:9", true, 0)
+	sc.prefixCache[platform.TargetPrefix].confirmedAt = now.Add(-900 * time.Millisecond)
+	sc.apply(t.Context(), update{prefix: platform.TargetPrefix, snapshot: true, revision: 7, entries: []store.Entry{{Key: key, Value: value, Revision: 7}}})
+	m, ok := sc.admission.TryGet()
+	is.True(ok)
+	is.Equal(len(m.(admission.Targets).Targets), 1)
+	is.Equal(m.(admission.Targets).LeavingUntil, now.Add(-900*time.Millisecond+2*time.Second-watchSpacing-forwardingReserve))
+}
+
 // Guards against requests that are withheld from a leaving target that still owns their keys: no other target can run them.
 func TestLeavingOwnerOfKeysStillGetsRequests(t *testing.T) {
 	is := is.New(t)
--- a/daemon/edge/propagation.go
+++ b/daemon/edge/propagation.go
@@ -1,6 +1,10 @@
 package edge
 
-import "time"
+import (
+	"time"
+
+	"sequoiasail.example/types"
+)
 
 // The time between the store's acknowledgement of a change and the last request that is handled by the state before it is
 // bounded by the platform, see platform.Settings.ChangeDeadline. If the watching neighbours of a VM are cut off from the store,
@@ -24,6 +28,12 @@
 	return max(minReliance, changeDeadline-watchSpacing-hedgeDelay-readReserve-forwardingReserve)
 }
 
+// leavingUntil returns when a target must get no more requests whose leaving was not known at currentAt, the last time for which the
+// copy of the registrations was proved to be current. It may have begun up to watchSpacing before that.
+func leavingUntil(currentAt types.Instant, changeDeadline time.Duration) types.Instant {
+	return currentAt.Add(changeDeadline - watchSpacing - forwardingReserve)
+}
+
 // watcherRenewal returns the time between two renewals of a watching VM's lease. The answers prove that it is not cut off. One
 // lost proof must not make the neighbours watch.
 func watcherRenewal(reliance time.Duration) time.Duration {
--- a/daemon/edge/storecache.go
+++ b/daemon/edge/storecache.go
@@ -70,6 +70,10 @@
 	configuration *catalog.RouteTable
 	vms           map[types.VM]vmEntry
 	owners        map[types.Service]keyspace.Table
+	// changeDeadline is platform.Settings.ChangeDeadline.
+	changeDeadline time.Duration
+	// leavingUntil is when a target that begins to drain with the current update must get no more requests.
+	leavingUntil types.Instant
 	// targets holds the registered targets. It is replaced, not changed.
 	targets map[types.Target]listedTarget
 	// rawRegistrations holds the encoded registrations, to recognize unchanged ones.
@@ -211,6 +215,9 @@
 		return
 	}
 	c := sc.prefixCache[u.prefix]
+	if c != nil && u.prefix == platform.TargetPrefix {
+		sc.leavingUntil = leavingUntil(c.confirmedAt, sc.changeDeadline)
+	}
 	if u.same {
 		if c != nil && c.knownRevision == u.revision {
 			c.confirm(now.Add(-u.age))
@@ -381,7 +388,7 @@
 		sc.targets[l.Target] = listedTarget{incarnation: l.Incarnation, leaving: l.Draining || l.Evacuated}
 	}
 	sc.publish()
-	sc.deliver(ctx, sc.admission, admission.Targets{Targets: list})
+	sc.deliver(ctx, sc.admission, admission.Targets{Targets: list, LeavingUntil: sc.leavingUntil})
 	sc.deliver(ctx, sc.coordinator, targetList{targets: list, superseded: sc.registry.Superseded()})
 }
 
