--- a/daemon/edge/session.go
+++ b/daemon/edge/session.go
@@ -33,8 +33,9 @@
 	sessionRetryDelay = 300 * time.Millisecond
 	// storeCallTimeout bounds a call to the store.
 	storeCallTimeout = 800 * time.Millisecond
-	// revokeTimeout bounds the revocation of the leases, within the stop time of the process.
-	revokeTimeout = 300 * time.Millisecond
+	// revokeTimeout bounds the revocation of the leases. It fits into closeMargin, so that a silent store does not keep the
+	// process until it is killed.
+	revokeTimeout = 150 * time.Millisecond
 	// clockMargin is subtracted from the validity of the role to allow for clock differences.
 	clockMargin = 200 * time.Millisecond
 	// electionStep is the time between the candidacies of two VMs of consecutive rank, electionMaxDelay the longest delay.
