--- a/daemon/edge/admission.go
+++ b/daemon/edge/admission.go
@@ -99,10 +99,7 @@
 	vmCount int
 }
 
-// admissionName is the name of the admission duty.
-const admissionName = "admission"
-
-func (a *admissionDuty) duty() duty.Duty { return duty.Duty{Name: admissionName, Run: a.run} }
+func (a *admissionDuty) duty() duty.Duty { return duty.Duty{Name: "admission", Run: a.run} }
 
 // run closes its ring at the end, also after a panic: the frontend then answers the requests that wait and refuses new ones.
 func (a *admissionDuty) run(ctx context.Context) error {
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -115,10 +115,6 @@
 		return e.stop()
 	case f := <-e.group.Failed():
 		e.log.Warn("duty failed, stopping", log.Fields{"duty": f.Duty, "error": f.Err.Error()})
-		if f.Duty == admissionName {
-			// Nothing answers requests any more: those in flight fail, and later ones are refused.
-			e.admission.Close()
-		}
 		_ = e.stop()
 		return f.Err
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -110,7 +110,8 @@
 	return list
 }
 
-// routes returns the routes of a configuration with the given timeout. The route move goes to the spare service if moved is true, else to orders.
+// routes returns the routes of a configuration with the given timeout. The route move goes to the spare service if moved is
+// true, else to orders.
 func routes(moved bool, timeout time.Duration) []standin.Route {
 	to := ordersService
 	if moved {
--- a/transport/forward/host.go
+++ b/transport/forward/host.go
@@ -135,8 +135,8 @@
 	h.CloseIdle()
 }
 
-// acquire returns a usable idle connection for r or a new one. A request without an ID gets a new one. If r is bound to a connection, it returns only that one, or
-// ErrReconnect when that one is closed.
+// acquire returns a usable idle connection for r or a new one. A request without an ID gets a new one. If r is bound to a
+// connection, acquire returns only that one, or ErrReconnect when that one is closed.
 func (h *Host) acquire(ctx context.Context, r Request) (*conn, error) {
 	if r.ID == "" && r.Connection == 0 {
 		return h.dial(ctx)
