--- /dev/null
+++ b/admission/coldstart_test.go
@@ -0,0 +1,169 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiasail.example/catalog"
+	"sequoiasail.example/types"
+)
+
+// coldVM is a VM of coldStartSimulation. It starts at startsAt; from listsAll on it lists the other VMs of its data
+// centre, before that none.
+type coldVM struct {
+	name, dataCentre   string
+	startsAt, listsAll time.Duration
+
+	core    *Core
+	listed  []types.VM
+	reports types.Instant
+	next    LocalRequestID
+}
+
+// coldStartSimulation runs the cores of VMs that start at different times and learn of each other late, with requests for one
+// cold target at each of them, and returns the times of the sends.
+func coldStartSimulation(d time.Duration, vms []*coldVM) []types.Instant {
+	const (
+		step           = 5 * time.Millisecond
+		workTime       = 25 * time.Millisecond
+		reportInterval = 25 * time.Millisecond
+		reportRefresh  = 500 * time.Millisecond
+	)
+	cold := listing("orders", "t1", "a")
+	cold.ColdUntil, cold.Slots = start.Add(time.Minute), 4
+	random := rand.New(rand.NewPCG(5, 6))
+	var sends []types.Instant
+	type answer struct {
+		at   types.Instant
+		vm   *coldVM
+		send Send
+	}
+	var answers []answer
+	for now := start; now.Before(start.Add(d)); now = now.Add(step) {
+		perform := func(v *coldVM, actions []Action) {
+			for _, a := range find[Send](actions) {
+				sends = append(sends, now)
+				answers = append(answers, answer{at: now.Add(workTime), vm: v, send: a})
+			}
+		}
+		due := answers
+		answers = nil
+		for _, a := range due {
+			if now.Before(a.at) {
+				answers = append(answers, a)
+				continue
+			}
+			perform(a.vm, a.vm.core.Step(now, AttemptFinished{ID: a.send.ID, Attempt: a.send.Attempt, Result: ResultAnswered}))
+		}
+		for _, v := range vms {
+			age := now.Sub(start) - v.startsAt
+			if age < 0 {
+				continue
+			}
+			if v.core == nil {
+				s := testSettings(v.name)
+				s.DataCentre, s.DataCentres = v.dataCentre, 2
+				v.core = New(s, random)
+				v.core.Step(now, Services{Services: map[types.Service]catalog.Service{"orders": {Name: "orders", MaxConnections: 100, MaxColdRate: 6}}})
+				v.core.Step(now, Targets{Targets: []catalog.Listing{cold}})
+			}
+			var list []types.VM
+			if now.Sub(start) >= v.listsAll {
+				for _, o := range vms {
+					if o != v && o.dataCentre == v.dataCentre {
+						list = append(list, types.VM(o.name))
+					}
+				}
+			}
+			if age == 0 || !slices.Equal(list, v.listed) {
+				v.listed = list
+				perform(v, v.core.Step(now, Peers{VMs: append(slices.Clone(list), types.VM(v.name)), Neighbours: list}))
+			}
+			v.next++
+			perform(v, v.core.Step(now, RequestArrived{ID: v.next, Route: orders, Deadline: now.Add(1500 * time.Millisecond)}))
+			perform(v, v.core.Tick(now))
+		}
+		for _, v := range vms {
+			since := now.Sub(v.reports)
+			if v.core == nil || since < reportInterval || (since < reportRefresh && !v.core.ReportPending()) {
+				continue
+			}
+			v.reports = now
+			r := v.core.Report()
+			for _, o := range vms {
+				if o.core != nil && slices.Contains(v.listed, types.VM(o.name)) {
+					perform(o, o.core.Step(now, r))
+				}
+			}
+		}
+	}
+	return sends
+}
+
+// mostWithinSecond returns the largest number of times within a second.
+func mostWithinSecond(times []types.Instant) int {
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Guards against a starting VM that sends to a cold target although it does not know what its neighbours have sent: they report
+// only to the VMs that they know. In each data centre a VM joins that takes over the warm-up of the target from its neighbour,
+// which learns of it later: 400 ms is the pause between two calls of its watch. Reproduces the picture of the soak's FAILBACK, in
+// which targets that had started with the VMs received 15 requests within a second; 14 are allowed.
+func TestStartingVMWaitsForReportsOfNeighbours(t *testing.T) {
+	for _, joined := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 3 * time.Second} {
+		for _, lag := range []time.Duration{100 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
+			var vms []*coldVM
+			for _, dc := range []string{"a", "b"} {
+				first, second := "vm-1-"+dc, "vm-2-"+dc
+				if types.RendezvousScore("t1", first) > types.RendezvousScore("t1", second) {
+					first, second = second, first
+				}
+				vms = append(vms,
+					&coldVM{name: first, dataCentre: dc, listsAll: joined + lag},
+					&coldVM{name: second, dataCentre: dc, startsAt: joined, listsAll: joined},
+				)
+			}
+			sends := coldStartSimulation(8*time.Second, vms)
+			if n := mostWithinSecond(sends); n > 14 {
+				t.Errorf("joined after %v, known after %v: %d requests within a second, 14 are allowed", joined, lag, n)
+			}
+			// The two VMs that warm the target send 5 requests each in coldWindow, except while a new VM waits.
+			if len(sends) < 40 {
+				t.Errorf("joined after %v, known after %v: only %d requests in 8 s", joined, lag, len(sends))
+			}
+			t.Logf("joined after %v, known after %v: %d requests in 8 s", joined, lag, len(sends))
+		}
+	}
+}
+
+// Guards against a VM that waits without end for the report of a neighbour that is down but still listed.
+func TestStartingVMDoesNotWaitForSilentNeighbour(t *testing.T) {
+	is := is.New(t)
+	cold := listing("orders", "t1", "a")
+	cold.ColdUntil = start.Add(time.Minute)
+	own, other := "vm-1", "vm-2"
+	if types.RendezvousScore("t1", own) < types.RendezvousScore("t1", other) {
+		own, other = other, own
+	}
+	c := &testCore{Core: New(testSettings(own), rand.New(rand.NewPCG(1, 2))), now: start}
+	c.step(Services{Services: map[types.Service]catalog.Service{"orders": {Name: "orders", MaxConnections: 100, MaxColdRate: 4}}})
+	c.step(Targets{Targets: []catalog.Listing{cold}})
+	c.step(Peers{VMs: []types.VM{types.VM(own), types.VM(other)}, Neighbours: []types.VM{types.VM(other)}})
+	c.now = start.Add(silentNeighbourDelay - time.Millisecond)
+	_, actions := c.arrive(orders, 0)
+	is.Equal(len(find[Send](actions)), 0)
+	c.now = start.Add(silentNeighbourDelay)
+	_, actions = c.arrive(orders, 0)
+	is.Equal(len(find[Send](actions)), 1)
+}
