--- a/admission/coldstart_test.go
+++ b/admission/coldstart_test.go
@@ -6,8 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/matryer/is"
-
 	"sequoiasail.example/catalog"
 	"sequoiasail.example/types"
 )
