keyspace: first grants are sent within 500 ms of the commit of their fencing token

Cause: the terms of two coordinators overlap by up to 2 s. The new one, k1, commits fence 21 for t0 at 5.06 s and sends the first 4 of its grants; key 1014 is in a later batch. The old one, k0, loads that table, commits fence 59 at 5.13 s and grants it to t0. t0 crashes at 5.53 s; k1's third grant gets no answer, so the others wait. The store refuses all calls from 6.1 s on, so k1 does not learn of fence 59. t0 starts again at 8.27 s, with no memory of fence 59, and k1 sends its first grant with fence 21. Renewals are bound to a connection, but a first grant may open one, and so reach a later life of the target. A token that waits longer than 500 ms for its first grant is now replaced by a new one, whose commit fails if the table has changed. Calls carry that limit as SendBefore, which the grant callers check at the time of sending. A first grant that was not sent stays a first grant: it was taken for a renewal without a connection, which gave all ranges of the owner new tokens.

Ruled out: a fault of the simulation. Grants to both lives go over the same host when the address is the same (targetAddresses.host), X-Expected-Instance has the id, which a target keeps when it starts again, and the connection is new, so nothing on the wire refuses the grant. A grant in flight from the time before the crash: fence 21 was sent once, at 8.27 s.

The simulated coordinators check SendBefore as the grant callers do. What the simulation checks is unchanged.

Keys whose first grant is late wait for a commit, and for the store if it is down.

--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -45,6 +45,8 @@
 	fenceCommitted bool
 	// sent is true once a grant with the present fencing token has been sent in this term.
 	sent bool
+	// firstGrantBefore is when the range needs a new fencing token if no grant with the present one has been sent.
+	firstGrantBefore types.Instant
 	// connection identifies the connection that carried the last grant; 0 when that connection is lost.
 	connection uint64
 	// renewAt is when the next call to the owner is due.
@@ -66,6 +68,11 @@
 	return max(s.confirmedUntil, s.inFlightUntil, s.unconfirmedUntil())
 }
 
+// firstGrantLate reports whether no grant with the present fencing token was sent in time.
+func (s *rangeState) firstGrantLate(now types.Instant) bool {
+	return s.phase == phaseHeld && !s.sent && !now.Before(s.firstGrantBefore)
+}
+
 // unconfirmedUntil is the latest time at which a grant whose result is unknown may be valid.
 func (s *rangeState) unconfirmedUntil() types.Instant {
 	return max(s.unansweredUntil, s.lowerFenceUntil)
--- a/keyspace/core_test.go
+++ b/keyspace/core_test.go
@@ -203,3 +203,94 @@
 	}
 	is.Equal(probes, maxSuspectProbes)
 }
+
+// Fails if a first grant carries a fencing token that was committed long before. Another coordinator may have committed and
+// granted a higher one since, and a target that has restarted would accept the lower one. In the simulation with seed 1079,
+// first grants waited for a target without answers and reached its next incarnation while the store was unavailable.
+func TestOldFenceIsNotSentInFirstGrant(t *testing.T) {
+	is := is.New(t)
+	const ranges, start = 6, types.Instant(time.Hour)
+	now := start
+	table := Table{NextFence: ranges + 1, Writer: "other/1"}
+	for i := range ranges {
+		table.Ranges = append(table.Ranges, Range{
+			From: Key(i * Keys / ranges), To: Key((i+1)*Keys/ranges - 1), Owner: Owner{Target: "t1", Incarnation: 1}, Fence: types.Epoch(i + 1),
+		})
+	}
+	member := func(incarnation int64) Members {
+		return Members{Members: []Member{{Owner: Owner{Target: "t1", Incarnation: incarnation}, Slots: 2, Usable: true}}}
+	}
+	committed, answered := make(map[types.Epoch]types.Instant), make(map[types.Epoch]types.Instant)
+	c := New("vm", "/health", Defaults(10*time.Second))
+	storeDown, targetDown := false, false
+	perform := func(queue []Action) {
+		for len(queue) > 0 {
+			a := queue[0]
+			queue = queue[1:]
+			switch a := a.(type) {
+			case LoadTable:
+				if storeDown {
+					queue = append(queue, c.Step(now, LoadFailed{})...)
+				} else {
+					queue = append(queue, c.Step(now, Loaded{Table: table.Clone(), Found: true})...)
+				}
+			case CommitTable:
+				if storeDown {
+					queue = append(queue, c.Step(now, Committed{Err: types.NewFault(types.CodeStoreUnavailable, "store unavailable")})...)
+					continue
+				}
+				for _, r := range a.Table.Ranges {
+					if r.Fence >= table.NextFence {
+						committed[r.Fence] = now
+					}
+				}
+				table = a.Table.Clone()
+				queue = append(queue, c.Step(now, Committed{})...)
+			case CallBatch:
+				broken := false
+				for _, call := range a.Calls {
+					// The target fails once, at the third grant.
+					targetDown = targetDown || (now == start && len(answered) == 2)
+					result := CallDone
+					switch {
+					case broken:
+						result = CallNotSent
+					case targetDown:
+						broken, result = true, CallUnanswered
+					case call.Renewal && call.Connection == 0:
+						result = CallConnectionLost
+					case call.Kind == CallGrant:
+						if age := now.Sub(committed[call.Fence]); !call.Renewal && age >= time.Second {
+							t.Fatalf("first grant with fence %d was sent %v after its commit", call.Fence, age)
+						}
+						answered[call.Fence] = now
+					}
+					queue = append(queue, c.Step(now, CallCompleted{Call: call, Result: result, Slowness: 1, Connection: 1})...)
+				}
+				queue = append(queue, c.BatchDone(now, a.Owner)...)
+			}
+		}
+	}
+	run := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(50 * time.Millisecond) {
+			perform(c.Tick(now))
+		}
+	}
+	perform(c.Step(now, member(1)))
+	perform(c.Step(now, Elected{Until: now.Add(time.Hour), Acquired: true}))
+	run(200 * time.Millisecond)
+	is.Equal(len(answered), 2)
+	is.True(targetDown)
+	storeDown = true
+	c.tableUncertain = true
+	run(3 * time.Second)
+	targetDown = false
+	perform(c.Step(now, member(2)))
+	run(time.Second)
+	// Once the store is available, the keys get new tokens and are granted again.
+	storeDown = false
+	run(15 * time.Second)
+	for _, r := range table.Ranges {
+		is.True(answered[r.Fence] > 0)
+	}
+}
--- a/keyspace/settings.go
+++ b/keyspace/settings.go
@@ -38,6 +38,10 @@
 	holdMargin = 200 * time.Millisecond
 	// maxBatchCalls bounds the calls in one batch, so that an urgent grant waits for only a few round trips.
 	maxBatchCalls = 4
+	// firstGrantWindow is how long after the commit of a fencing token its first grant may be sent. Later, another
+	// coordinator may have granted a higher token to the target, and the target may have restarted and forgotten it.
+	// The window is as long as the shortest restart of a target.
+	firstGrantWindow = 500 * time.Millisecond
 	// maxMoves bounds the ranges that move at once for balance; in a large fleet the bound is movesShare of the
 	// number of targets.
 	maxMoves   = 24
--- a/keyspace/sim_test.go
+++ b/keyspace/sim_test.go
@@ -194,7 +194,7 @@
 			done(r)
 		})
 	}
-	if !s.now.Before(coord.until) {
+	if !s.now.Before(coord.until) || (c.SendBefore != 0 && !s.now.Before(c.SendBefore)) {
 		answer(simStep, CallNotSent, "")
 		return
 	}
@@ -392,6 +392,12 @@
 	newSim(t, 1001).run(25 * time.Second)
 }
 
+// Fails if a first grant is sent so long after the commit of its fencing token that another coordinator has granted a higher one
+// and the target has restarted: with seed 1079 the restarted target got keys with fence 21, which it had held with 59 before.
+func TestFirstGrantDoesNotReachRestartedTargetLate(t *testing.T) {
+	newSim(t, 1079).run(25 * time.Second)
+}
+
 // Fails if two targets hold the same key or if a fencing token does not rise after another writer has damaged the stored
 // table, while coordinators change, targets crash and calls are lost or applied late.
 func TestDamagedTableGivesNoKeyTwoHolders(t *testing.T) {
