keyspace: the table that replaces a damaged one has higher fencing tokens than the table known before

Seen in review of: the replacement of a damaged table takes its fencing tokens from the wall clock of the coordinator's VM alone. After an earlier replacement, the tokens in use come from such a clock as well. If the clock was set back since, or the coordinator's VM has a clock that is behind, a second replacement assigns lower tokens than those granted: targets that have seen higher ones refuse the grants, and others take the keys with a lower token.

Cause: replaceDamagedTable dropped the next token of the table that the core had worked with. It is now a lower bound. Not covered: a coordinator that has never read a valid table, and whose clock is behind that of the first replacement.

Before: TestReplacedTableKeepsFencesRising "lowest fence of the new table is 1, the next one of the old table 9".

--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -303,7 +303,8 @@
 	}
 	c.tableLoaded, c.tableUncertain = false, false
 	c.pendingCommit = nil
-	c.table, c.states = Table{NextFence: m.FenceFloor}, nil
+	// The floor comes from a clock, which may be behind the one that set the floor of an earlier replacement.
+	c.table, c.states = Table{NextFence: max(m.FenceFloor, c.table.NextFence)}, nil
 	if now.Before(c.replaceAt) {
 		c.retryLoadAt = now.Add(damagedRetryDelay)
 		return
--- a/keyspace/core_test.go
+++ b/keyspace/core_test.go
@@ -1,6 +1,7 @@
 package keyspace
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -294,3 +295,26 @@
 		is.True(answered[r.Fence] > 0)
 	}
 }
+
+// Fails if a table that replaces a damaged one has lower fencing tokens than an earlier one, because the floor comes from a
+// clock that was set back or from a VM whose clock is behind.
+func TestReplacedTableKeepsFencesRising(t *testing.T) {
+	c, now := readyCore(t, "t1", "t2")
+	next := c.table.NextFence
+	c.tableUncertain = true
+	lowest := types.Epoch(0)
+	for end := now.Add(30 * time.Second); now.Before(end) && lowest == 0; now = now.Add(50 * time.Millisecond) {
+		actions := c.Tick(now)
+		for i := 0; i < len(actions); i++ {
+			switch a := actions[i].(type) {
+			case LoadTable:
+				actions = append(slices.Clone(actions), c.Step(now, TableDamaged{FenceFloor: 1})...)
+			case CommitTable:
+				lowest = a.Table.Ranges[0].Fence
+			}
+		}
+	}
+	if lowest < next {
+		t.Fatalf("lowest fence of the new table is %d, the next one of the old table %d", lowest, next)
+	}
+}
