admission: a VM warms targets only after it lists itself

Cause found: coldStartDelay counted from the start of the process, on the assumption that the list of VMs is complete 1.2 s later. VMs that start together and get their lists later each take themselves for the one that warms the target, and use the whole part of their data centre.

The delay now counts from the first list that contains the VM itself. Of two VMs, the one that registers later lists the other by then, and awaits its reports.

Cost: a VM that starts while the store is away is not listed and sends nothing to cold targets until the store is back. Otherwise the delay begins with the registration instead of the start.

The tests gave VMs lists without themselves, which the store never shows: newTestCore and TestNewVMSendsNothingToColdTargets now list the VM. The latter also checks that an unlisted VM sends nothing, and the last instant before the end of the delay.

--- a/admission/coldstart_test.go
+++ b/admission/coldstart_test.go
@@ -12,14 +12,16 @@
 	"sequoiasail.example/types"
 )
 
-// coldVM is a VM of coldStartSimulation. It starts at startsAt; from listsAll on it lists the other VMs of its data
-// centre, before that none.
+// coldVM is a VM of coldStartSimulation. It starts at startsAt, lists itself from listsSelf on, and the other VMs of its data
+// centre from listsAll on.
 type coldVM struct {
-	name, dataCentre   string
-	startsAt, listsAll time.Duration
+	name, dataCentre    string
+	startsAt            time.Duration
+	listsSelf, listsAll time.Duration
 
 	core    *Core
 	listed  []types.VM
+	all     []types.VM
 	reports types.Instant
 	next    LocalRequestID
 }
@@ -79,9 +81,13 @@
 					}
 				}
 			}
-			if age == 0 || !slices.Equal(list, v.listed) {
-				v.listed = list
-				perform(v, v.core.Step(now, Peers{VMs: append(slices.Clone(list), types.VM(v.name)), Neighbours: list}))
+			all := slices.Clone(list)
+			if now.Sub(start) >= v.listsSelf {
+				all = append(all, types.VM(v.name))
+			}
+			if !slices.Equal(all, v.all) {
+				v.listed, v.all = list, all
+				perform(v, v.core.Step(now, Peers{VMs: all, Neighbours: list}))
 			}
 			v.next++
 			perform(v, v.core.Step(now, RequestArrived{ID: v.next, Route: orders, Deadline: now.Add(1500 * time.Millisecond)}))
@@ -131,7 +137,7 @@
 				}
 				vms = append(vms,
 					&coldVM{name: first, dataCentre: dc, listsAll: joined + lag},
-					&coldVM{name: second, dataCentre: dc, startsAt: joined, listsAll: joined},
+					&coldVM{name: second, dataCentre: dc, startsAt: joined, listsSelf: joined, listsAll: joined},
 				)
 			}
 			sends := coldStartSimulation(8*time.Second, vms)
@@ -147,6 +153,26 @@
 	}
 }
 
+// Guards against VMs that start together and each use the whole part of their data centre, because their lists of VMs come late:
+// an earlier version counted coldStartDelay from the start of the process.
+func TestVMsListedLateDoNotWarmTargetTogether(t *testing.T) {
+	var vms []*coldVM
+	for _, dc := range []string{"a", "b"} {
+		vms = append(vms,
+			&coldVM{name: "vm-1-" + dc, dataCentre: dc, listsSelf: 1500 * time.Millisecond, listsAll: 2000 * time.Millisecond},
+			&coldVM{name: "vm-2-" + dc, dataCentre: dc, listsSelf: 1600 * time.Millisecond, listsAll: 1600 * time.Millisecond},
+		)
+	}
+	sends := coldStartSimulation(8*time.Second, vms)
+	if n := mostWithinSecond(sends); n > 14 {
+		t.Errorf("%d requests within a second, 14 are allowed", n)
+	}
+	if len(sends) < 30 {
+		t.Errorf("only %d requests in 8 s", len(sends))
+	}
+	t.Logf("%d requests in 8 s", len(sends))
+}
+
 // Guards against a VM that waits without end for the report of a neighbour that is down but still listed.
 func TestStartingVMDoesNotWaitForSilentNeighbour(t *testing.T) {
 	is := is.New(t)
--- a/admission/core.go
+++ b/admission/core.go
@@ -62,8 +62,8 @@
 	changedTargets map[types.Target]bool
 	samples        []Sample
 	actions        []Action
-	// startedAt is the time of the first message.
-	startedAt types.Instant
+	// listedAt is when this VM was first in the list of VMs, 0 before.
+	listedAt types.Instant
 	// awaitedNeighbours holds the neighbours that were listed while this VM started and have not reported yet, with the time of
 	// the listing. reportsCompleteAt is when the reports of the others cover coldWindow.
 	awaitedNeighbours map[types.VM]types.Instant
@@ -91,9 +91,6 @@
 // Step applies a message and returns the resulting actions.
 func (c *Core) Step(now types.Instant, m Message) []Action {
 	c.actions = nil
-	if c.startedAt == 0 {
-		c.startedAt = now
-	}
 	switch m := m.(type) {
 	case RequestArrived:
 		c.handleArrival(now, m)
--- a/admission/core_test.go
+++ b/admission/core_test.go
@@ -54,7 +54,8 @@
 		"orders": {Name: "orders", MaxConnections: 100, MaxColdRate: 4},
 	}})
 	c.step(Targets{Targets: targets})
-	// The VM has been running for coldStartDelay.
+	// The VM has been listed for coldStartDelay.
+	c.step(Peers{VMs: []types.VM{types.VM(vm)}})
 	c.now = c.now.Add(coldStartDelay)
 	return c
 }
@@ -273,9 +274,14 @@
 	c := &testCore{Core: New(testSettings("vm-1"), rand.New(rand.NewPCG(1, 2))), now: start}
 	c.step(Services{Services: map[types.Service]catalog.Service{"orders": {Name: "orders", MaxConnections: 100, MaxColdRate: 4}}})
 	c.step(Targets{Targets: []catalog.Listing{cold}})
+	c.now = c.now.Add(coldStartDelay)
 	_, actions := c.arrive(orders, 0)
 	is.Equal(len(find[Send](actions)), 0)
-	c.now = c.now.Add(coldStartDelay)
+	c.step(Peers{VMs: []types.VM{"vm-1"}})
+	c.now = c.now.Add(coldStartDelay - time.Millisecond)
+	_, actions = c.arrive(orders, 0)
+	is.Equal(len(find[Send](actions)), 0)
+	c.now = c.now.Add(time.Millisecond)
 	_, actions = c.arrive(orders, 0)
 	is.Equal(len(find[Send](actions)), 1)
 }
--- a/admission/peers.go
+++ b/admission/peers.go
@@ -19,6 +19,9 @@
 func (c *Core) fleetSize() int { return max(len(c.vms), minFleetSize) }
 
 func (c *Core) setPeers(now types.Instant, m Peers) {
+	if c.listedAt == 0 && slices.Contains(m.VMs, types.VM(c.settings.VM)) {
+		c.listedAt = now
+	}
 	if c.isStarting(now) {
 		for _, vm := range m.Neighbours {
 			if _, reported := c.peerRequests[vm]; !reported && !slices.Contains(c.neighbours, vm) {
@@ -39,8 +42,11 @@
 	}
 }
 
-// isStarting reports whether this VM has started less than coldStartDelay ago.
-func (c *Core) isStarting(now types.Instant) bool { return now.Before(c.startedAt.Add(coldStartDelay)) }
+// isStarting reports whether this VM has listed itself for less than coldStartDelay. Of two VMs, the one that registers later
+// lists the other by the time it lists itself, however late the lists are.
+func (c *Core) isStarting(now types.Instant) bool {
+	return c.listedAt == 0 || now.Before(c.listedAt.Add(coldStartDelay))
+}
 
 // recordFirstReport notes that a neighbour reports to this VM from now on, if it did not before. A neighbour reports only to
 // the VMs that it knows, so that its earlier requests are unknown here.
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -67,7 +67,7 @@
 	// coldBudgetShare is the share of that limit that is used. The rest covers requests that VMs send before they learn
 	// of each other's.
 	coldBudgetShare = 0.75
-	// coldStartDelay is how long after its start a VM sends nothing to cold targets: it does not know yet which
+	// coldStartDelay is how long after it lists itself a VM sends nothing to cold targets: before, it does not know which
 	// neighbours it has and what they have sent within coldWindow.
 	coldStartDelay = coldWindow + 100*time.Millisecond
 	// silentNeighbourDelay is how long a VM that has started waits for the first report of a neighbour before it sends to cold
