--- a/admission/choose.go
+++ b/admission/choose.go
@@ -173,7 +173,7 @@
 		return true
 	}
 	s := c.services[t.Service]
-	if s == nil || (!s.Keyed && !c.isWarmingVM(t)) || now.Before(c.startedAt.Add(coldStartDelay)) {
+	if s == nil || (!s.Keyed && !c.isWarmingVM(t)) || !c.knowsColdSends(now) {
 		return false
 	}
 	return t.dataCentreSends.count(now) < c.coldAllowance(now, s)
--- a/admission/coldstart_test.go
+++ b/admission/coldstart_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"sequoiasail.example/catalog"
 	"sequoiasail.example/types"
 )
@@ -144,3 +146,24 @@
 		}
 	}
 }
+
+// Guards against a VM that waits without end for the report of a neighbour that is down but still listed.
+func TestStartingVMDoesNotWaitForSilentNeighbour(t *testing.T) {
+	is := is.New(t)
+	cold := listing("orders", "t1", "a")
+	cold.ColdUntil = start.Add(time.Minute)
+	own, other := "vm-1", "vm-2"
+	if types.RendezvousScore("t1", own) < types.RendezvousScore("t1", other) {
+		own, other = other, own
+	}
+	c := &testCore{Core: New(testSettings(own), rand.New(rand.NewPCG(1, 2))), now: start}
+	c.step(Services{Services: map[types.Service]catalog.Service{"orders": {Name: "orders", MaxConnections: 100, MaxColdRate: 4}}})
+	c.step(Targets{Targets: []catalog.Listing{cold}})
+	c.step(Peers{VMs: []types.VM{types.VM(own), types.VM(other)}, Neighbours: []types.VM{types.VM(other)}})
+	c.now = start.Add(silentNeighbourDelay - time.Millisecond)
+	_, actions := c.arrive(orders, 0)
+	is.Equal(len(find[Send](actions)), 0)
+	c.now = start.Add(silentNeighbourDelay)
+	_, actions = c.arrive(orders, 0)
+	is.Equal(len(find[Send](actions)), 1)
+}
--- a/admission/core.go
+++ b/admission/core.go
@@ -64,6 +64,10 @@
 	actions        []Action
 	// startedAt is the time of the first message.
 	startedAt types.Instant
+	// awaitedNeighbours holds the neighbours that were listed while this VM started and have not reported yet, with the time of
+	// the listing. reportsCompleteAt is when the reports of the others cover coldWindow.
+	awaitedNeighbours map[types.VM]types.Instant
+	reportsCompleteAt types.Instant
 	// nextCheck is when Tick next checks deadlines and waiting requests.
 	nextCheck types.Instant
 	// stopping is the planned stop of the process, nil if there is none.
@@ -79,6 +83,8 @@
 		targets:        make(map[types.Target]*target),
 		peerRequests:   make(map[types.VM]peerReport),
 		changedTargets: make(map[types.Target]bool),
+
+		awaitedNeighbours: make(map[types.VM]types.Instant),
 	}
 }
 
@@ -109,7 +115,7 @@
 			s.retryBudget.settings = c.settings
 		}
 	case Peers:
-		c.setPeers(m)
+		c.setPeers(now, m)
 	case PeerReport:
 		c.applyPeerReport(now, m)
 	case Stopping:
--- a/admission/peers.go
+++ b/admission/peers.go
@@ -18,13 +18,54 @@
 
 func (c *Core) fleetSize() int { return max(len(c.vms), minFleetSize) }
 
-func (c *Core) setPeers(m Peers) {
+func (c *Core) setPeers(now types.Instant, m Peers) {
+	if c.isStarting(now) {
+		for _, vm := range m.Neighbours {
+			if _, reported := c.peerRequests[vm]; !reported && !slices.Contains(c.neighbours, vm) {
+				c.awaitedNeighbours[vm] = now
+			}
+		}
+	}
 	c.vms, c.neighbours = m.VMs, m.Neighbours
 	for vm := range c.peerRequests {
 		if !slices.Contains(m.VMs, vm) {
 			delete(c.peerRequests, vm)
 		}
 	}
+	for vm := range c.awaitedNeighbours {
+		if !slices.Contains(m.Neighbours, vm) {
+			delete(c.awaitedNeighbours, vm)
+		}
+	}
+}
+
+// isStarting reports whether this VM has started less than coldStartDelay ago.
+func (c *Core) isStarting(now types.Instant) bool { return now.Before(c.startedAt.Add(coldStartDelay)) }
+
+// recordFirstReport notes that a neighbour reports to this VM from now on, if it did not before. A neighbour reports only to
+// the VMs that it knows, so that its earlier requests are unknown here.
+func (c *Core) recordFirstReport(now types.Instant, vm types.VM) {
+	_, awaited := c.awaitedNeighbours[vm]
+	_, reported := c.peerRequests[vm]
+	if awaited || (!reported && c.isStarting(now)) {
+		c.reportsCompleteAt = now.Add(coldWindow)
+	}
+	delete(c.awaitedNeighbours, vm)
+}
+
+// knowsColdSends reports whether this VM knows the requests that its neighbours have sent within coldWindow. Neighbours that
+// start later wait for the reports of this one. A neighbour that has been listed for silentNeighbourDelay without a report is
+// taken as down or cut off.
+func (c *Core) knowsColdSends(now types.Instant) bool {
+	if c.isStarting(now) || now.Before(c.reportsCompleteAt) {
+		return false
+	}
+	for _, listedAt := range c.awaitedNeighbours {
+		if now.Before(listedAt.Add(silentNeighbourDelay)) {
+			return false
+		}
+	}
+	return true
 }
 
 func (c *Core) applyPeerReport(now types.Instant, m PeerReport) {
@@ -32,6 +73,7 @@
 		return
 	}
 	m = m.WithinLimits()
+	c.recordFirstReport(now, m.VM)
 	c.recordPeerSends(now, m)
 	c.peerRequests[m.VM] = peerReport{inFlight: m.InFlight, waiting: m.Waiting, receivedAt: now}
 	for _, s := range m.Samples {
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -70,6 +70,10 @@
 	// coldStartDelay is how long after its start a VM sends nothing to cold targets: it does not know yet which
 	// neighbours it has and what they have sent within coldWindow.
 	coldStartDelay = coldWindow + 100*time.Millisecond
+	// silentNeighbourDelay is how long a VM that has started waits for the first report of a neighbour before it sends to cold
+	// targets: the time within which the neighbour learns of it, a pause of its watch and a report interval included, and
+	// coldWindow.
+	silentNeighbourDelay = peerReportTTL + coldWindow
 	// maxTrackedSends bounds the memory of a sendWindow.
 	maxTrackedSends = 64
 	// retryBudgetShare is the share of the retry budget that is used.
