--- a/daemon/edge/grantcalls.go
+++ b/daemon/edge/grantcalls.go
@@ -48,11 +48,12 @@
 	return nil
 }
 
-// call performs one call, unless the coordinator role has expired since it was queued. The check on the clock also covers a
-// VM that was paused.
+// call performs one call, unless the coordinator role or the time for its sending has expired since it was queued. The check on
+// the clock also covers a VM that was paused.
 func (g *grantCaller) call(ctx context.Context, b callBatch, c keyspace.Call) callDone {
 	done := callDone{service: b.service, completed: keyspace.CallCompleted{Call: c, Result: keyspace.CallNotSent}}
-	if b.host == nil || !telemetry.Now().Before(b.roleEnd) {
+	now := telemetry.Now()
+	if b.host == nil || !now.Before(b.roleEnd) || (c.SendBefore != 0 && !now.Before(c.SendBefore)) {
 		return done
 	}
 	timeout := g.settings.CallTimeout
--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -45,6 +45,11 @@
 	fenceCommitted bool
 	// sent is true once a grant with the present fencing token has been sent in this term.
 	sent bool
+	// firstGrantBefore is when the range needs a new fencing token if no grant with the present one has been sent. With
+	// exclusive, that is only when Core.exclusiveUntil has passed as well.
+	firstGrantBefore types.Instant
+	// exclusive is true if the present fencing token was committed when no earlier coordinator could act any more.
+	exclusive bool
 	// connection identifies the connection that carried the last grant; 0 when that connection is lost.
 	connection uint64
 	// renewAt is when the next call to the owner is due.
@@ -66,6 +71,19 @@
 	return max(s.confirmedUntil, s.inFlightUntil, s.unconfirmedUntil())
 }
 
+// firstGrantLimit returns when the range needs a new fencing token if no grant with the present one has been sent.
+func (c *Core) firstGrantLimit(s *rangeState) types.Instant {
+	if s.exclusive {
+		return max(s.firstGrantBefore, c.exclusiveUntil)
+	}
+	return s.firstGrantBefore
+}
+
+// firstGrantLate reports whether no grant with the present fencing token was sent in time.
+func (c *Core) firstGrantLate(now types.Instant, s *rangeState) bool {
+	return s.phase == phaseHeld && !s.sent && !now.Before(c.firstGrantLimit(s))
+}
+
 // unconfirmedUntil is the latest time at which a grant whose result is unknown may be valid.
 func (s *rangeState) unconfirmedUntil() types.Instant {
 	return max(s.unansweredUntil, s.lowerFenceUntil)
@@ -84,6 +102,9 @@
 	electedAt types.Instant
 	// movesAllowedAt is when the term of every earlier coordinator has ended for certain. Until then no keys move.
 	movesAllowedAt types.Instant
+	// exclusiveUntil is until when another coordinator can't have granted keys to a target that has restarted since; see
+	// exclusiveWindow.
+	exclusiveUntil types.Instant
 	loadInFlight   bool
 	retryLoadAt    types.Instant
 	tableLoaded    bool
@@ -103,8 +124,10 @@
 	batchesInFlight map[Owner]int
 	// suspects holds the owners that left a call unanswered.
 	suspects map[Owner]suspect
-	// pendingCommit is the table in the commit in flight; nil when there is none.
-	pendingCommit *Table
+	// pendingCommit is the table in the commit in flight; nil when there is none. exclusiveCommit is true if it was
+	// submitted after movesAllowedAt.
+	pendingCommit   *Table
+	exclusiveCommit bool
 	keyLoad       keyLoad
 	// nextPlanAt, nextBalanceAt and nextCommitAt are the earliest times of the next check of owners and load, the next
 	// moves for balance and the next commit.
@@ -200,6 +223,7 @@
 
 func (c *Core) beginTerm(now types.Instant, m Elected) {
 	c.termUntil = m.Until
+	c.exclusiveUntil = m.Until.Add(exclusiveWindow - c.settings.Term)
 	if !m.Acquired {
 		return
 	}
@@ -376,7 +400,7 @@
 		})
 		t.NextFence++
 	}
-	c.submitTable(t)
+	c.submitTable(now, t)
 }
 
 // membersSettled reports whether the first table may be created: SettleTime after the election if no member was added
@@ -398,9 +422,9 @@
 }
 
 // submitTable requests the commit of t, with a new Writer.
-func (c *Core) submitTable(t Table) {
+func (c *Core) submitTable(now types.Instant, t Table) {
 	c.commits++
 	t.Writer = c.writer + "/" + strconv.FormatUint(c.commits, 10)
-	c.pendingCommit = &t
+	c.pendingCommit, c.exclusiveCommit = &t, !now.Before(c.movesAllowedAt)
 	c.actions = append(c.actions, CommitTable{Table: t})
 }
--- a/keyspace/message.go
+++ b/keyspace/message.go
@@ -122,6 +122,9 @@
 	// over another connection it could reach a restarted target.
 	Renewal    bool
 	Connection uint64
+	// SendBefore is when the first grant with a fencing token may no longer be sent, because the token may have been
+	// superseded and the target restarted; 0 in all other calls.
+	SendBefore types.Instant
 	// Path is the path of the health page, for a probe.
 	Path string
 }
--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -45,7 +45,7 @@
 	}
 	if t.Ranges != nil {
 		c.nextCommitAt = now.Add(commitInterval)
-		c.submitTable(t)
+		c.submitTable(now, t)
 	}
 }
 
@@ -71,7 +71,9 @@
 		c.actions = append(c.actions, RangesAssigned{Base: 0, Next: t.NextFence, Ranges: nil})
 		c.states = make([]rangeState, len(t.Ranges))
 		for i := range c.states {
-			c.states[i].fenceCommitted, c.states[i].renewAt = true, now
+			c.states[i] = rangeState{
+				fenceCommitted: true, renewAt: now, firstGrantBefore: now.Add(firstGrantWindow), exclusive: c.exclusiveCommit,
+			}
 		}
 		return
 	}
@@ -86,6 +88,7 @@
 		if c.states[i].phase == phaseCommitting {
 			assigned = append(assigned, t.Ranges[i])
 			c.states[i] = c.states[i].afterCommit(now, sameTarget[i])
+			c.states[i].exclusive = c.exclusiveCommit
 		}
 	}
 	c.actions = append(c.actions, RangesAssigned{Base: baseFence, Next: t.NextFence, Ranges: assigned})
@@ -112,7 +115,8 @@
 }
 
 // sendCalls sends the releases and grants that are due. Each incarnation of a target gets its own batch, because
-// incarnations may have different addresses, and at most one batch is in flight for each.
+// incarnations may have different addresses, and at most one batch is in flight for each. A range whose first grant is
+// late gets a new fencing token first.
 func (c *Core) sendCalls(now types.Instant) {
 	batches := make(map[Owner][]int)
 	var owners []Owner
@@ -121,6 +125,10 @@
 		if !c.callDue(now, i) || c.batchesInFlight[owner] > 0 || (c.isSuspect(owner) && c.states[i].phase == phaseHeld) || len(batches[owner]) >= maxBatchCalls {
 			continue
 		}
+		if s := &c.states[i]; c.firstGrantLate(now, s) {
+			s.phase, s.nextOwner = phaseRefencing, owner
+			continue
+		}
 		if len(batches[owner]) == 0 {
 			owners = append(owners, owner)
 		}
@@ -170,6 +178,9 @@
 			sent := now.Add(c.settings.CallTimeout * maxBatchCalls)
 			s.inFlightUntil = sent.Add(c.settings.maxHoldAfterSending(grantTTL))
 			call.Renewal, call.Connection = s.sent, s.connection
+			if !s.sent {
+				call.SendBefore = c.firstGrantLimit(s)
+			}
 			s.sent = true
 			if !s.granted {
 				call.Handover = r.Handover
@@ -237,6 +248,12 @@
 		s.unansweredUntil = max(s.unansweredUntil, now.Add(c.settings.maxHoldAfterSending(m.Call.TTL)))
 		s.renewAt = now.Add(callRetryDelay)
 		c.markSuspect(now, r.Owner)
+	case CallNotSent:
+		s.sent = s.sent && m.Call.Renewal
+		s.renewAt = now.Add(callRetryDelay)
+		if c.firstGrantLate(now, s) {
+			s.renewAt = now
+		}
 	case CallConnectionLost:
 		c.refenceOwner(r.Owner)
 	case CallFenceTooLow:
@@ -303,7 +320,9 @@
 // afterCommit returns the state of a range after the commit of its next owner. If that is the same target, its
 // earlier grants still count, also one whose call is in flight: its result no longer matches the range.
 func (s rangeState) afterCommit(now types.Instant, sameTarget bool) rangeState {
-	n := rangeState{fenceCommitted: true, renewAt: now, cooldownUntil: now.Add(moveCooldown)}
+	n := rangeState{
+		fenceCommitted: true, renewAt: now, cooldownUntil: now.Add(moveCooldown), firstGrantBefore: now.Add(firstGrantWindow),
+	}
 	if sameTarget {
 		n.confirmedUntil, n.cooldownUntil = s.confirmedUntil, s.cooldownUntil
 		n.lowerFenceUntil = max(s.unconfirmedUntil(), s.inFlightUntil)
--- a/keyspace/settings.go
+++ b/keyspace/settings.go
@@ -38,6 +38,14 @@
 	holdMargin = 200 * time.Millisecond
 	// maxBatchCalls bounds the calls in one batch, so that an urgent grant waits for only a few round trips.
 	maxBatchCalls = 4
+	// firstGrantWindow is how long after the commit of a fencing token its first grant may be sent. Later, another
+	// coordinator may have granted a higher token to the target, and the target may have restarted and forgotten it.
+	// The window is as long as the shortest restart of a target.
+	firstGrantWindow = 500 * time.Millisecond
+	// exclusiveWindow is how long after the time for which the store has confirmed this coordinator's lease a first grant may
+	// be sent with a token that no earlier coordinator can have superseded. A later coordinator needs the lease first. That time
+	// is known as the end of the term less Term, which is up to 200 ms before the confirmation.
+	exclusiveWindow = 700 * time.Millisecond
 	// maxMoves bounds the ranges that move at once for balance; in a large fleet the bound is movesShare of the
 	// number of targets.
 	maxMoves   = 24
--- a/keyspace/sim_test.go
+++ b/keyspace/sim_test.go
@@ -194,7 +194,7 @@
 			done(r)
 		})
 	}
-	if !s.now.Before(coord.until) {
+	if !s.now.Before(coord.until) || (c.SendBefore != 0 && !s.now.Before(c.SendBefore)) {
 		answer(simStep, CallNotSent, "")
 		return
 	}
