--- a/daemon/edge/coordinator.go
+++ b/daemon/edge/coordinator.go
@@ -277,7 +277,7 @@
 	}
 	c.step(ctx, m.service, m.completed)
 	if m.last {
-		c.perform(ctx, m.service, ks, ks.core.BatchDone(telemetry.Now(), m.completed.Call.Owner))
+		c.perform(ctx, m.service, ks, ks.core.BatchDone(telemetry.Now(), m.completed.Call))
 	}
 }
 
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -27,7 +27,7 @@
 // run if the ring of the senders is full. The other rings block their producer, or drop a message that later ones make up for.
 const (
 	senderCount         = 64
-	grantCallerCount    = 64
+	grantCallerCount    = 128
 	admissionCapacity   = 1024
 	attemptCapacity     = 256
 	updateCapacity      = 64
--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -120,8 +120,10 @@
 	members    map[types.Target]Member
 	// ended holds the owners that are known to have ended.
 	ended map[Owner]bool
-	// batchesInFlight counts the batches sent to an owner that have not completed.
-	batchesInFlight map[Owner]int
+	// batchesInFlight counts the batches of grants and probes sent to an owner that have not completed, releasesInFlight
+	// the releases.
+	batchesInFlight  map[Owner]int
+	releasesInFlight map[Owner]int
 	// suspects holds the owners that left a call unanswered.
 	suspects map[Owner]suspect
 	// pendingCommit is the table in the commit in flight; nil when there is none. exclusiveCommit is true if it was
@@ -133,6 +135,8 @@
 	// moves for balance and the next commit.
 	nextPlanAt    types.Instant
 	nextBalanceAt types.Instant
+	// nextProbeCheckAt is when the next check for targets to probe is due.
+	nextProbeCheckAt types.Instant
 	// spikeSeenAt is when the present load spikes were first seen; 0 when there are none.
 	spikeSeenAt   types.Instant
 	nextCommitAt  types.Instant
@@ -149,7 +153,8 @@
 func New(writer, healthPath string, s Settings) *Core {
 	return &Core{
 		settings: s, writer: writer, healthPath: healthPath,
-		members: make(map[types.Target]Member), ended: make(map[Owner]bool), batchesInFlight: make(map[Owner]int),
+		members: make(map[types.Target]Member), ended: make(map[Owner]bool),
+		batchesInFlight: make(map[Owner]int), releasesInFlight: make(map[Owner]int),
 		suspects: make(map[Owner]suspect),
 		speeds:   make(map[Owner]*speed), serviceTime: defaultServiceTime,
 	}
@@ -181,12 +186,19 @@
 		c.finishCommit(now, m)
 	case CallCompleted:
 		c.finishCall(now, m)
+		if m.Call.Renewal && m.Result == CallDone {
+			// Nothing follows from a renewal before the end of its batch.
+			return c.actions
+		}
 	case IncarnationEnded:
 		c.ended[m.Owner] = true
 	case SpeedSample:
+		// Measurements take effect at the next Tick: in a large fleet, thousands of them arrive each second.
 		c.addSpeedSample(now, m)
+		return nil
 	case KeysRequested:
 		c.keyLoad.add(m.Keys)
+		return nil
 	}
 	return c.advance(now)
 }
--- a/keyspace/core_test.go
+++ b/keyspace/core_test.go
@@ -60,11 +60,14 @@
 			for i, call := range a.Calls {
 				queue = append(queue, c.Step(now, CallCompleted{Call: call, Result: result(a.Owner, i), Slowness: 1, Connection: 1})...)
 			}
-			queue = append(queue, c.BatchDone(now, a.Owner)...)
+			queue = append(queue, c.BatchDone(now, a.last())...)
 		}
 	}
 }
 
+// last returns the last call of a batch.
+func (b CallBatch) last() Call { return b.Calls[len(b.Calls)-1] }
+
 func keyCounts(c *Core) map[types.Target]int {
 	n := make(map[types.Target]int)
 	for _, r := range c.table.Ranges {
@@ -268,7 +271,7 @@
 					}
 					queue = append(queue, c.Step(now, CallCompleted{Call: call, Result: result, Slowness: 1, Connection: 1})...)
 				}
-				queue = append(queue, c.BatchDone(now, a.Owner)...)
+				queue = append(queue, c.BatchDone(now, a.last())...)
 			}
 		}
 	}
--- a/keyspace/message.go
+++ b/keyspace/message.go
@@ -138,7 +138,7 @@
 	// CommitTable replaces the table in the store if it is still the one that was last loaded or committed.
 	CommitTable struct{ Table Table }
 	// CallBatch asks for calls to one target, sent in this order. Each is answered by a CallCompleted, the end of the
-	// batch by BatchDone.
+	// batch by BatchDone. A release is a batch of its own.
 	CallBatch struct {
 		Owner Owner
 		Calls []Call
--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -114,15 +114,19 @@
 	}
 }
 
+// callSpan is the first and the last index of the adjacent ranges that one release covers.
+type callSpan struct{ first, last int }
+
 // sendCalls sends the releases and grants that are due. Each incarnation of a target gets its own batch, because
-// incarnations may have different addresses, and at most one batch is in flight for each. A range whose first grant is
-// late gets a new fencing token first.
+// incarnations may have different addresses, and at most one batch of grants is in flight for each. A range whose first
+// grant is late gets a new fencing token first.
 func (c *Core) sendCalls(now types.Instant) {
+	c.sendReleases(now)
 	batches := make(map[Owner][]int)
 	var owners []Owner
-	for _, i := range c.urgentFirst() {
+	for _, i := range c.grantsByUrgency() {
 		owner := c.table.Ranges[i].Owner
-		if !c.callDue(now, i) || c.batchesInFlight[owner] > 0 || (c.isSuspect(owner) && c.states[i].phase == phaseHeld) || len(batches[owner]) >= maxBatchCalls {
+		if !c.callDue(now, i) || c.batchesInFlight[owner] > 0 || c.isSuspect(owner) || len(batches[owner]) >= maxBatchCalls {
 			continue
 		}
 		if s := &c.states[i]; c.firstGrantLate(now, s) {
@@ -135,18 +139,53 @@
 		batches[owner] = append(batches[owner], i)
 	}
 	for _, o := range owners {
-		c.sendBatch(now, o, batches[o])
+		c.sendGrants(now, o, batches[o])
+	}
+}
+
+// sendReleases sends the releases that are due, as many as may be in flight.
+func (c *Core) sendReleases(now types.Instant) {
+	total := 0
+	for _, n := range c.releasesInFlight {
+		total += n
+	}
+	for i := 0; i < len(c.states); i++ {
+		owner := c.table.Ranges[i].Owner
+		if c.states[i].phase != phaseReleasing || !c.callDue(now, i) || c.releasesInFlight[owner] >= maxOwnerReleases {
+			continue
+		}
+		if total >= maxReleases {
+			return
+		}
+		span := callSpan{first: i, last: i}
+		for i+1 < len(c.states) && c.callDue(now, i+1) && c.joinsRelease(span, i+1) {
+			i++
+			span.last = i
+		}
+		total++
+		c.releasesInFlight[owner]++
+		c.actions = append(c.actions, CallBatch{Owner: owner, Calls: []Call{c.releaseCall(span)}})
 	}
 }
 
-// urgentFirst returns the indexes of all ranges, with releases and first grants before renewals: while those wait, no
-// target may serve the keys.
-func (c *Core) urgentFirst() []int {
+// joinsRelease reports whether the range at index i, whose call is due, can be released together with the ranges of a
+// span: the parts of a busy range that move at the same time.
+func (c *Core) joinsRelease(s callSpan, i int) bool {
+	last, r := &c.table.Ranges[s.last], &c.table.Ranges[i]
+	return i == s.last+1 && c.states[s.last].phase == phaseReleasing && c.states[i].phase == phaseReleasing &&
+		r.Owner == last.Owner && r.Fence == last.Fence
+}
+
+// grantsByUrgency returns the indexes of the ranges that are not being released, with first grants before renewals: while
+// those wait, no target may serve the keys.
+func (c *Core) grantsByUrgency() []int {
 	var urgent, others []int
 	for i := range c.states {
-		if c.states[i].phase == phaseReleasing || !c.states[i].granted {
+		switch {
+		case c.states[i].phase == phaseReleasing:
+		case !c.states[i].granted:
 			urgent = append(urgent, i)
-		} else {
+		default:
 			others = append(others, i)
 		}
 	}
@@ -163,42 +202,53 @@
 	return s.phase == phaseReleasing || (s.phase == phaseHeld && s.fenceCommitted && known)
 }
 
-// sendBatch sends the calls for the ranges at indexes to their owner.
-func (c *Core) sendBatch(now types.Instant, o Owner, indexes []int) {
+// sendGrants sends the grants of the ranges at indexes to their owner.
+func (c *Core) sendGrants(now types.Instant, o Owner, indexes []int) {
 	b := CallBatch{Owner: o}
-	grantTTL := c.grantTTL(now)
 	for _, i := range indexes {
-		s, r := &c.states[i], &c.table.Ranges[i]
-		call := Call{Kind: CallGrant, Owner: r.Owner, From: r.From, To: r.To, Fence: r.Fence, TTL: grantTTL}
-		if s.phase == phaseReleasing {
-			call.Kind = CallRelease
-		} else {
-			// The calls of a batch are sent one after another, so the last may leave only after all others have timed
-			// out.
-			sent := now.Add(c.settings.CallTimeout * maxBatchCalls)
-			s.inFlightUntil = sent.Add(c.settings.maxHoldAfterSending(grantTTL))
-			call.Renewal, call.Connection = s.sent, s.connection
-			if !s.sent {
-				call.SendBefore = c.firstGrantLimit(s)
-			}
-			s.sent = true
-			if !s.granted {
-				call.Handover = r.Handover
-			}
-		}
-		s.callInFlight = true
-		b.Calls = append(b.Calls, call)
+		b.Calls = append(b.Calls, c.grantCall(now, i))
 	}
 	c.batchesInFlight[o]++
 	c.actions = append(c.actions, b)
 }
 
-// BatchDone tells the core that all calls of a batch have completed.
-func (c *Core) BatchDone(now types.Instant, o Owner) []Action {
+// releaseCall returns the release of a span of ranges and marks them as having a call in flight.
+func (c *Core) releaseCall(span callSpan) Call {
+	r := &c.table.Ranges[span.first]
+	for i := span.first; i <= span.last; i++ {
+		c.states[i].callInFlight = true
+	}
+	return Call{Kind: CallRelease, Owner: r.Owner, From: r.From, To: c.table.Ranges[span.last].To, Fence: r.Fence}
+}
+
+// grantCall returns the grant or renewal of a range and marks it as having a call in flight.
+func (c *Core) grantCall(now types.Instant, i int) Call {
+	s, r, ttl := &c.states[i], &c.table.Ranges[i], c.grantTTL(now)
+	call := Call{
+		Kind: CallGrant, Owner: r.Owner, From: r.From, To: r.To, Fence: r.Fence, TTL: ttl, Renewal: s.sent, Connection: s.connection,
+	}
+	if !s.sent {
+		call.SendBefore = c.firstGrantLimit(s)
+	}
+	if !s.granted {
+		call.Handover = r.Handover
+	}
+	// The calls of a batch are sent one after another, so the last may leave only after all others have timed out.
+	s.inFlightUntil = now.Add(c.settings.CallTimeout * maxBatchCalls).Add(c.settings.maxHoldAfterSending(ttl))
+	s.sent, s.callInFlight = true, true
+	return call
+}
+
+// BatchDone tells the core that all calls of a batch have completed, of which last is the last one.
+func (c *Core) BatchDone(now types.Instant, last Call) []Action {
 	c.actions = nil
-	c.batchesInFlight[o]--
-	if c.batchesInFlight[o] <= 0 {
-		delete(c.batchesInFlight, o)
+	inFlight := c.batchesInFlight
+	if last.Kind == CallRelease {
+		inFlight = c.releasesInFlight
+	}
+	inFlight[last.Owner]--
+	if inFlight[last.Owner] <= 0 {
+		delete(inFlight, last.Owner)
 	}
 	return c.advance(now)
 }
--- /dev/null
+++ b/keyspace/release_test.go
@@ -0,0 +1,169 @@
+package keyspace
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sequoiasail.example/types"
+)
+
+// delayedRun runs a core whose calls take time: those of a batch are sent one after another, a release is answered after
+// releaseTime and any other call after callTime.
+type delayedRun struct {
+	c                     *Core
+	now                   types.Instant
+	callTime, releaseTime time.Duration
+	events                []delayedEvent
+}
+
+type delayedEvent struct {
+	at types.Instant
+	do func()
+}
+
+func (d *delayedRun) perform(actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case CommitTable:
+			d.after(d.now.Add(d.callTime), func() { d.perform(d.c.Step(d.now, Committed{})) })
+		case CallBatch:
+			at := d.now
+			for _, call := range a.Calls {
+				took := d.callTime
+				if call.Kind == CallRelease {
+					took = d.releaseTime
+				}
+				at = at.Add(took)
+				d.after(at, func() {
+					d.perform(d.c.Step(d.now, CallCompleted{Call: call, Result: CallDone, Slowness: 1, Connection: 1, Handover: "h"}))
+				})
+			}
+			d.after(at, func() { d.perform(d.c.BatchDone(d.now, a.last())) })
+		}
+	}
+}
+
+func (d *delayedRun) after(at types.Instant, do func()) {
+	d.events = append(d.events, delayedEvent{at: at, do: do})
+}
+
+// run advances the time in steps of 10 ms. requests returns the keys reported in a step.
+func (d *delayedRun) run(length time.Duration, requests func() []Key) {
+	for end := d.now.Add(length); d.now.Before(end); d.now = d.now.Add(10 * time.Millisecond) {
+		due := d.events
+		d.events = nil
+		for _, e := range due {
+			if d.now.Before(e.at) {
+				d.events = append(d.events, e)
+				continue
+			}
+			e.do()
+		}
+		d.perform(d.c.Step(d.now, KeysRequested{Keys: requests()}))
+		d.perform(d.c.Tick(d.now))
+	}
+}
+
+// Guards against a busy range whose parts leave their owner one after another: a target answers a release only when its work on
+// the keys has ended, half a second here. Reproduces hot keys of zcsp-brana-large: a third of 1,500 requests a second go to 200
+// neighbouring keys, with 356 targets of 4 slots.
+func TestPartsOfABusyRangeAreReleasedTogether(t *testing.T) {
+	var names []types.Target
+	for i := range 356 {
+		names = append(names, types.Target(fmt.Sprintf("t%03d", i)))
+	}
+	c, now := readyCore(t, names...)
+	for i, m := range c.members {
+		m.Slots = 4
+		c.members[i] = m
+	}
+	c.serviceTime = 470 * time.Millisecond
+	r := rand.New(rand.NewPCG(7, 1))
+	rates := make(map[Key]float64)
+	for range 10000 {
+		rates[Key(r.IntN(Keys))] += 1000.0 / 10000
+	}
+	for k := range 200 {
+		rates[Key(30000+k)] += 500.0 / 200
+	}
+	d := &delayedRun{c: c, now: now, callTime: 8 * time.Millisecond, releaseTime: 500 * time.Millisecond}
+	d.run(4*time.Second, func() []Key {
+		var keys []Key
+		for range 10 {
+			keys = append(keys, Key(r.IntN(Keys)))
+		}
+		return keys
+	})
+	hot := func() []Key {
+		keys := make([]Key, 15)
+		for i := range keys {
+			keys[i] = Key(r.IntN(Keys))
+			if i%3 == 0 {
+				keys[i] = Key(30000 + r.IntN(200))
+			}
+		}
+		return keys
+	}
+	for range 16 {
+		d.run(250*time.Millisecond, hot)
+		t.Logf("after %v: excess %.3f, %d ranges", d.now.Sub(now), excess(c, rates, 4, 470*time.Millisecond), len(c.table.Ranges))
+	}
+	if after := excess(c, rates, 4, 470*time.Millisecond); after > 0.05 {
+		t.Errorf("%.3f of the load is beyond the owners' slots after 4 s", after)
+	} else {
+		t.Logf("%.3f of the load is beyond the owners' slots after 4 s, %d ranges", after, len(c.table.Ranges))
+	}
+}
+
+// Guards against a release that covers keys of another grant: the target would keep serving them after they have moved.
+func TestReleaseCoversOnlyRangesOfOneGrant(t *testing.T) {
+	is := is.New(t)
+	c, now := readyCore(t, "t1", "t2")
+	from := c.table.Index(0)
+	owner := c.table.Ranges[from].Owner
+	c.splitRange(from, 10)
+	c.splitRange(from+1, 20)
+	next := from + 3
+	c.table.Ranges[next].Owner = owner
+	for i := from; i <= next; i++ {
+		c.states[i] = rangeState{phase: phaseReleasing, granted: true, sent: true, fenceCommitted: true, confirmedUntil: now.Add(time.Minute)}
+	}
+	c.actions = nil
+	c.sendCalls(now)
+	var releases []Call
+	for _, a := range c.actions {
+		for _, call := range a.(CallBatch).Calls {
+			if call.Kind == CallRelease {
+				releases = append(releases, call)
+			}
+		}
+	}
+	is.Equal(len(releases), 2)
+	is.Equal(releases[0].From, Key(0))
+	is.Equal(releases[0].To, c.table.Ranges[from+2].To)
+	is.Equal(releases[0].Fence, c.table.Ranges[from].Fence)
+	is.Equal(releases[1].From, c.table.Ranges[next].From)
+	is.Equal(releases[1].Fence, c.table.Ranges[next].Fence)
+}
+
+// BenchmarkMeasurements is the work of a coordinator for one report of a VM: the keys of its requests and the response times of
+// its targets, in a fleet of 356 targets.
+func BenchmarkMeasurements(b *testing.B) {
+	c := New("vm", "/health", Defaults(10*time.Second))
+	now := types.Instant(time.Hour)
+	var m Members
+	for i := range 356 {
+		m.Members = append(m.Members, Member{Owner: Owner{Target: types.Target(fmt.Sprintf("t%03d", i)), Incarnation: 1}, Slots: 4, Usable: true})
+	}
+	now = runCore(c, now, 8*time.Second, once(m, Elected{Until: now.Add(24 * time.Hour), Acquired: true, NoPredecessor: true}, Loaded{}))
+	for b.Loop() {
+		c.Step(now, KeysRequested{Keys: []Key{1, 2, 3, 4, 5}})
+		for i := range 10 {
+			c.Step(now, SpeedSample{Target: m.Members[i].Owner.Target, Slowness: 1, ResponseTime: 100 * time.Millisecond})
+		}
+	}
+}
--- a/keyspace/settings.go
+++ b/keyspace/settings.go
@@ -38,6 +38,11 @@
 	holdMargin = 200 * time.Millisecond
 	// maxBatchCalls bounds the calls in one batch, so that an urgent grant waits for only a few round trips.
 	maxBatchCalls = 4
+	// maxOwnerReleases bounds the releases in flight to one owner, maxReleases those to all owners together. A target
+	// answers a release only when its work on the keys has ended, so that one after another would take seconds. Each
+	// release occupies a worker that sends calls and a connection to the target.
+	maxOwnerReleases = 8
+	maxReleases      = 64
 	// firstGrantWindow is how long after the commit of a fencing token its first grant may be sent. Later, another
 	// coordinator may have granted a higher token to the target, and the target may have restarted and forgotten it.
 	// The window is as long as the shortest restart of a target.
@@ -93,6 +98,8 @@
 	// between them. Bursts of slowness caused by the neighbours of a target last about as long as that interval.
 	newTargetProbes        = 5
 	newTargetProbeInterval = 450 * time.Millisecond
+	// probeCheckInterval is the time between two searches for targets that need a probe.
+	probeCheckInterval = 50 * time.Millisecond
 	// initialUtilization is the share of all targets' slots that the first table assumes to be busy.
 	initialUtilization = 0.35
 	// responseTimeShare is the part of a target's average response time that counts as slowness. Bursts caused by
--- a/keyspace/sim_test.go
+++ b/keyspace/sim_test.go
@@ -169,7 +169,7 @@
 	var next func(i int)
 	next = func(i int) {
 		if i == len(b.Calls) {
-			s.perform(coord, coord.core.BatchDone(s.now, b.Owner))
+			s.perform(coord, coord.core.BatchDone(s.now, b.last()))
 			return
 		}
 		if broken {
--- a/keyspace/speed.go
+++ b/keyspace/speed.go
@@ -105,6 +105,10 @@
 // probeNewTargets probes the targets of which few samples exist, so that the first table already prefers the fast
 // ones.
 func (c *Core) probeNewTargets(now types.Instant) {
+	if now.Before(c.nextProbeCheckAt) {
+		return
+	}
+	c.nextProbeCheckAt = now.Add(probeCheckInterval)
 	for _, t := range slices.Sorted(maps.Keys(c.members)) {
 		m := c.members[t]
 		s := c.speedOf(m.Owner)
