--- a/daemon/edge/audit.go
+++ b/daemon/edge/audit.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
 	"time"
 
 	"sequoiasail.example/duty"
@@ -33,10 +36,18 @@
 	// newestRevision is the highest revision of any key of the prefix, count the number of keys.
 	newestRevision types.Revision
 	count          int
+	// hash covers the keys and their revisions.
+	hash uint64
 	// age is how long ago the sender's copy was proved to be current by an answer of the store to the sender.
 	age time.Duration
 }
 
+// sameEntries reports whether two digests of a prefix describe the same keys and revisions. A change that a watch has missed may
+// differ in the hash alone.
+func (d digest) sameEntries(o digest) bool {
+	return d.newestRevision == o.newestRevision && d.count == o.count && d.hash == o.hash
+}
+
 // auditRequest asks the auditor to read a prefix.
 type auditRequest struct{ prefix string }
 
@@ -85,10 +96,29 @@
 	nextMirrorAt types.Instant
 	// knownRevision is the store revision up to which changes are known.
 	knownRevision types.Revision
+	// newestRevision is the highest revision of the entries, unless newestUnknown is set.
+	newestRevision types.Revision
+	newestUnknown  bool
+	// hash combines entryHash of all entries.
+	hash uint64
+	// removals are the latest keys that were removed, all since removalsFrom.
+	removals     []removal
+	removalsFrom types.Revision
+	// incomplete is true if the entries differ from those of a VM that told its changes. The next query asks for all entries.
+	incomplete bool
 	// readRequestedAt is when the last read beside the watch was requested.
 	readRequestedAt types.Instant
 }
 
+// removal is a key that was removed from the store, at revision or before.
+type removal struct {
+	key      string
+	revision types.Revision
+}
+
+// maxRemovals bounds the removals that a prefixCache keeps. A VM that has missed more gets all entries.
+const maxRemovals = 512
+
 func newPrefixCache() *prefixCache { return &prefixCache{entries: make(map[string]store.Entry)} }
 
 // confirm records that the copy was current at the given time.
@@ -123,24 +153,101 @@
 	if u.snapshot {
 		// The first answer counts as new even if it is empty.
 		changed = c.knownRevision == 0 || c.differs(u.entries)
-		clear(c.entries)
-		for _, e := range u.entries {
-			c.entries[e.Key] = e
+		if changed {
+			c.replace(u)
 		}
-		c.knownRevision = u.revision
+		c.knownRevision, c.incomplete = u.revision, false
 	}
 	for _, e := range u.events {
 		changed = true
 		c.knownRevision = max(c.knownRevision, e.Revision)
 		if e.Deleted {
-			delete(c.entries, e.Key)
+			c.remove(e.Key, e.Revision)
 		} else {
-			c.entries[e.Key] = e.Entry
+			c.put(e.Entry)
 		}
 	}
+	if u.changes {
+		c.knownRevision = max(c.knownRevision, u.revision)
+		c.incomplete = c.hash != u.hash
+	}
 	return changed
 }
 
+// replace replaces the entries by those of a snapshot.
+func (c *prefixCache) replace(u update) {
+	present := make(map[string]bool, len(u.entries))
+	for _, e := range u.entries {
+		present[e.Key] = true
+		c.put(e)
+	}
+	for key := range c.entries {
+		if !present[key] {
+			c.remove(key, u.revision)
+		}
+	}
+	if c.knownRevision == 0 {
+		c.removalsFrom = u.revision
+	}
+}
+
+// entryHash returns the hash of a key at a revision. All VMs compute the same.
+func entryHash(key string, revision types.Revision) uint64 {
+	h := fnv.New64a()
+	// Writing to a hash never fails.
+	_, _ = h.Write(binary.BigEndian.AppendUint64([]byte(key), uint64(revision)))
+	return h.Sum64()
+}
+
+func (c *prefixCache) put(e store.Entry) {
+	if old, present := c.entries[e.Key]; present {
+		c.hash ^= entryHash(e.Key, old.Revision)
+	}
+	c.hash ^= entryHash(e.Key, e.Revision)
+	c.newestUnknown = c.newestUnknown || (c.entries[e.Key].Revision == c.newestRevision && e.Revision < c.newestRevision)
+	c.newestRevision = max(c.newestRevision, e.Revision)
+	c.entries[e.Key] = e
+}
+
+func (c *prefixCache) remove(key string, revision types.Revision) {
+	if old, present := c.entries[key]; present {
+		c.hash ^= entryHash(key, old.Revision)
+		c.newestUnknown = c.newestUnknown || old.Revision == c.newestRevision
+		delete(c.entries, key)
+	}
+	if len(c.removals) == maxRemovals {
+		c.removalsFrom = c.removals[0].revision
+		c.removals = append(c.removals[:0], c.removals[1:]...)
+	}
+	c.removals = append(c.removals, removal{key: key, revision: revision})
+}
+
+// changesSince returns the changes after a revision. ok is false if they are not all known.
+func (c *prefixCache) changesSince(known types.Revision) (events []store.Event, ok bool) {
+	if known == 0 || known < c.removalsFrom {
+		return nil, false
+	}
+	for _, r := range c.removals {
+		if _, present := c.entries[r.key]; r.revision > known && !present {
+			events = append(events, store.Event{Entry: store.Entry{Key: r.key, Revision: r.revision}, Deleted: true})
+		}
+	}
+	for _, e := range c.entries {
+		if e.Revision > known {
+			events = append(events, store.Event{Entry: e})
+		}
+	}
+	return events, true
+}
+
+// unknown returns the changes that another VM told and that this copy does not have yet.
+func (c *prefixCache) unknown(events []store.Event) []store.Event {
+	return slices.DeleteFunc(slices.Clone(events), func(e store.Event) bool {
+		old, present := c.entries[e.Key]
+		return e.Revision <= c.knownRevision || old.Revision >= e.Revision || (e.Deleted && !present)
+	})
+}
+
 // differs reports whether a snapshot has other keys or revisions than the cache.
 func (c *prefixCache) differs(entries []store.Entry) bool {
 	if len(entries) != len(c.entries) {
@@ -156,24 +263,26 @@
 
 // digest returns the digest of the cached entries.
 func (c *prefixCache) digest(prefix string) digest {
-	d := digest{prefix: prefix, atRevision: c.knownRevision, count: len(c.entries)}
-	for _, e := range c.entries {
-		d.newestRevision = max(d.newestRevision, e.Revision)
+	if c.newestUnknown {
+		c.newestRevision, c.newestUnknown = 0, false
+		for _, e := range c.entries {
+			c.newestRevision = max(c.newestRevision, e.Revision)
+		}
 	}
-	return d
+	return digest{prefix: prefix, atRevision: c.knownRevision, newestRevision: c.newestRevision, count: len(c.entries), hash: c.hash}
 }
 
 // matches reports whether another VM's digest shows the same keys and revisions as this cache.
 func (c *prefixCache) matches(d digest) bool {
 	own := c.digest(d.prefix)
-	return d.newestRevision == own.newestRevision && d.count == own.count
+	return d.sameEntries(own)
 }
 
 // isBehind reports whether another VM's digest shows other keys than this cache. It ignores digests from before the newest
 // change known here.
 func (c *prefixCache) isBehind(d digest) bool {
 	own := c.digest(d.prefix)
-	return d.atRevision >= own.newestRevision && (d.newestRevision != own.newestRevision || d.count != own.count)
+	return d.atRevision >= own.newestRevision && !d.sameEntries(own)
 }
 
 // requestRead requests a read of a prefix beside its watch, unless the last request was less than spacing ago.
--- a/daemon/edge/growth_test.go
+++ b/daemon/edge/growth_test.go
@@ -70,5 +70,5 @@
 		sc.admission.Drain(func(any) {})
 		sc.coordinator.Drain(func(any) {})
 	}
-	is.Equal(len(sc.rawRegistrations), 2)
+	is.Equal(len(sc.registrations), 2)
 }
--- a/daemon/edge/mirror.go
+++ b/daemon/edge/mirror.go
@@ -1,10 +1,12 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
 	"net/rpc"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -34,9 +36,12 @@
 	Prefix string
 	// Known is the store revision up to which the caller knows the prefix, 0 if it knows nothing.
 	Known types.Revision
-	// NewestRevision and Count are those of the caller's digest of the prefix.
+	// NewestRevision, Count and Hash are those of the caller's digest of the prefix.
 	NewestRevision types.Revision
 	Count          int
+	Hash           uint64
+	// AcceptsChanges is true if the caller takes the changes since Known in place of all entries.
+	AcceptsChanges bool
 }
 
 // MirrorAnswer is the result of Mirror.Read: the entries of the prefix if they are newer than the caller's.
@@ -46,6 +51,11 @@
 	Same     bool
 	Revision types.Revision
 	Entries  []store.Entry
+	// Partial is true if Changes holds the changes since the caller's Known, in place of Entries. Hash is that of the whole copy.
+	// In a large fleet all entries would fill the link of the VM that answers.
+	Partial bool
+	Changes []store.Event
+	Hash    uint64
 	// Age is how long ago the copy was proved to be current.
 	Age time.Duration
 	// GraceLeft is how long missing registrations are still kept after a store outage, because their targets may register
@@ -122,6 +132,12 @@
 		m.log.Info("another VM has nothing newer", log.Fields{"prefix": q.question.Prefix, "known": q.question.Known, "address": q.address})
 		return nil
 	}
+	if a.Partial {
+		return m.out.Put(ctx, update{
+			prefix: q.question.Prefix, changes: true, mirrored: true, events: a.Changes, hash: a.Hash, revision: a.Revision, age: a.Age,
+			graceLeft: a.GraceLeft,
+		})
+	}
 	return m.out.Put(ctx, update{
 		prefix: q.question.Prefix, snapshot: true, mirrored: true, entries: a.Entries, revision: a.Revision, age: a.Age, graceLeft: a.GraceLeft,
 	})
@@ -163,13 +179,17 @@
 	case q.Prefix == ownerPrefix:
 		a = sc.mirroredOwners()
 	case c == nil || c.knownRevision == 0:
-	case q.Known > 0 && c.matches(digest{prefix: q.Prefix, newestRevision: q.NewestRevision, count: q.Count}):
+	case q.Known > 0 && c.matches(digest{prefix: q.Prefix, newestRevision: q.NewestRevision, count: q.Count, hash: q.Hash}):
 		a = MirrorAnswer{Same: now.Sub(c.confirmedAt) <= sc.reliance, Age: now.Sub(c.confirmedAt)}
 	case c.knownRevision <= q.Known:
 	case q.Known == 0 || now.Sub(c.confirmedAt) <= sc.reliance:
 		a = MirrorAnswer{
 			Newer: true, Revision: c.knownRevision, Age: now.Sub(c.confirmedAt), GraceLeft: sc.registry.GraceLeft(now),
 		}
+		if changes, ok := c.changesSince(q.Known); ok && q.AcceptsChanges {
+			a.Partial, a.Changes, a.Hash = true, changes, c.hash
+			break
+		}
 		for _, e := range c.entries {
 			a.Entries = append(a.Entries, e)
 		}
@@ -244,10 +264,17 @@
 // neighbours returns the other VMs of the data centre, ordered by name.
 func (sc *storeCache) neighbours() []vmEntry {
 	var list []vmEntry
-	for _, name := range sc.vmNames() {
-		if m := sc.vms[name]; name != sc.vm && m.DataCentre == sc.entry.DataCentre {
-			list = append(list, m)
+	for name := range sc.vms {
+		if sc.isNeighbour(name) {
+			list = append(list, sc.vms[name])
 		}
 	}
+	slices.SortFunc(list, func(a, b vmEntry) int { return cmp.Compare(a.VM, b.VM) })
 	return list
 }
+
+// isNeighbour reports whether a VM is another VM of the data centre.
+func (sc *storeCache) isNeighbour(name types.VM) bool {
+	m, ok := sc.vms[name]
+	return ok && name != sc.vm && m.DataCentre == sc.entry.DataCentre
+}
--- a/daemon/edge/reports.go
+++ b/daemon/edge/reports.go
@@ -66,6 +66,7 @@
 	AtRevision, NewestRevision uint64
 	Count                      int
 	AgeMillis                  int64
+	Hash                       uint64
 }
 
 // sampleField is an admission.Sample in a datagram. Micros is its response time in microseconds.
@@ -134,7 +135,7 @@
 		d.Owners = append(d.Owners, encodeOwners(o))
 	}
 	for _, g := range r.digests {
-		d.Digests = append(d.Digests, digestField{Prefix: g.prefix, AtRevision: uint64(g.atRevision), NewestRevision: uint64(g.newestRevision), Count: g.count, AgeMillis: g.age.Milliseconds()})
+		d.Digests = append(d.Digests, digestField{Prefix: g.prefix, AtRevision: uint64(g.atRevision), NewestRevision: uint64(g.newestRevision), Count: g.count, AgeMillis: g.age.Milliseconds(), Hash: g.hash})
 	}
 	data, err := cbor.Marshal(d)
 	if err != nil {
@@ -204,7 +205,7 @@
 	for _, g := range d.Digests {
 		r.digests = append(r.digests, digest{
 			prefix: g.Prefix, atRevision: types.Revision(g.AtRevision), newestRevision: types.Revision(g.NewestRevision), count: g.Count,
-			age: time.Duration(max(0, g.AgeMillis)) * time.Millisecond,
+			age: time.Duration(max(0, g.AgeMillis)) * time.Millisecond, hash: g.Hash,
 		})
 	}
 	return types.VM(d.VM), r, nil
--- a/daemon/edge/storecache.go
+++ b/daemon/edge/storecache.go
@@ -76,8 +76,8 @@
 	leavingUntil types.Instant
 	// targets holds the registered targets. It is replaced, not changed.
 	targets map[types.Target]listedTarget
-	// rawRegistrations holds the encoded registrations, to recognize unchanged ones.
-	rawRegistrations map[types.Target][]byte
+	// registrations holds the decoded registrations with their encoding, so that unchanged ones are not decoded again.
+	registrations map[types.Target]decodedRegistration
 	// registrationsRead is true once the registrations have been read.
 	registrationsRead bool
 	// vm is the name of this VM.
@@ -129,7 +129,7 @@
 func newStoreCache() *storeCache {
 	sc := &storeCache{
 		now: telemetry.Now, registry: catalog.NewRegistry(), vms: make(map[types.VM]vmEntry),
-		owners: make(map[types.Service]keyspace.Table), rawRegistrations: make(map[types.Target][]byte),
+		owners: make(map[types.Service]keyspace.Table), registrations: make(map[types.Target]decodedRegistration),
 		ownersRequestedAt: make(map[types.Service]types.Instant),
 		prefixCache:       make(map[string]*prefixCache), watchOrders: make(map[string]*ring.Ring[watchOrder]),
 		reliance: relianceTime(0),
@@ -246,6 +246,9 @@
 		sc.log.Info("another VM told what the store holds", log.Fields{"prefix": u.prefix, "revision": u.revision})
 	}
 	if c != nil {
+		if u.changes {
+			u.events = c.unknown(u.events)
+		}
 		changed := c.apply(u)
 		if u.mirrored && u.revision >= c.knownRevision {
 			c.confirm(now.Add(-u.age))
@@ -310,11 +313,11 @@
 		}
 		if e.Deleted {
 			sc.log.Info("target gone", log.Fields{"target": t, "revision": e.Revision})
-			delete(sc.rawRegistrations, t)
+			delete(sc.registrations, t)
 			sc.registry.Remove(now, t)
 			continue
 		}
-		if raw, known := sc.rawRegistrations[t]; known && bytes.Equal(raw, e.Value) {
+		if d, known := sc.registrations[t]; known && bytes.Equal(d.raw, e.Value) {
 			continue
 		}
 		if r, ok := sc.decodeRegistration(t, e.Entry); ok {
@@ -343,7 +346,7 @@
 			invalid = append(invalid, t)
 		}
 	}
-	maps.DeleteFunc(sc.rawRegistrations, func(t types.Target, _ []byte) bool { return !present[t] })
+	maps.DeleteFunc(sc.registrations, func(t types.Target, _ decodedRegistration) bool { return !present[t] })
 	sc.registry.Replace(now, list)
 	for _, t := range invalid {
 		sc.registry.Discard(t)
@@ -363,23 +366,31 @@
 // decodeRegistration decodes the registration of a target and logs it if it has changed. It returns false for an invalid one,
 // whose target must not be used.
 func (sc *storeCache) decodeRegistration(t types.Target, e store.Entry) (catalog.Registration, bool) {
-	unchanged := bytes.Equal(sc.rawRegistrations[t], e.Value)
-	sc.rawRegistrations[t] = e.Value
+	if d, known := sc.registrations[t]; known && bytes.Equal(d.raw, e.Value) {
+		return d.registration, d.valid
+	}
 	r, err := platform.DecodeRegistration(t, e.Value)
+	sc.registrations[t] = decodedRegistration{raw: e.Value, registration: r, valid: err == nil}
 	if err != nil {
 		sc.invalid.add(registrationKind, e, err)
 		return r, false
 	}
 	sc.invalid.remove(e.Key)
-	if !unchanged {
-		sc.log.Info("target registered", log.Fields{
-			"target": t, "life": r.Incarnation, "service": r.Service, "address": r.Address, "dataCentre": r.DataCentre,
-			"draining": r.Draining, "coldFor": r.ColdFor.String(), "revision": e.Revision,
-		})
-	}
+	sc.log.Info("target registered", log.Fields{
+		"target": t, "life": r.Incarnation, "service": r.Service, "address": r.Address, "dataCentre": r.DataCentre,
+		"draining": r.Draining, "coldFor": r.ColdFor.String(), "revision": e.Revision,
+	})
 	return r, true
 }
 
+// decodedRegistration is a registration with the encoding that it was decoded from. valid is false if that names no target to
+// use.
+type decodedRegistration struct {
+	raw          []byte
+	registration catalog.Registration
+	valid        bool
+}
+
 // publishTargets passes the list of targets to admission and the coordinator.
 func (sc *storeCache) publishTargets(ctx context.Context) {
 	list := sc.registry.List()
--- a/daemon/edge/watch.go
+++ b/daemon/edge/watch.go
@@ -38,6 +38,9 @@
 	audit bool
 	// mirrored is true if the entries come from another VM and not from the store.
 	mirrored bool
+	// changes is true if events holds all changes of another VM's copy up to revision, which then has the given hash.
+	changes bool
+	hash    uint64
 	// same is true if the other VM's copy is the same as this VM's was at the given revision. No entries are sent then.
 	same bool
 	// age is how long ago the other VM's copy was proved to be current, graceLeft how long it still keeps missing registrations.
--- a/daemon/edge/watchers.go
+++ b/daemon/edge/watchers.go
@@ -161,15 +161,23 @@
 	}
 }
 
-// heardWatchers returns the neighbours that have recently proved that they follow the store.
+// heardWatchers returns the neighbours that have recently proved that they follow the store, ordered by name.
 func (sc *storeCache) heardWatchers(now types.Instant) []vmEntry {
-	return slices.DeleteFunc(sc.neighbours(), func(m vmEntry) bool {
-		for _, prefix := range watchedPrefixes {
-			if at, ok := sc.watchState.heard[m.VM][prefix]; !ok || now.Sub(at) > sc.reliance {
-				return true
-			}
+	var list []vmEntry
+	for name, heard := range sc.watchState.heard {
+		if sc.isNeighbour(name) && sc.followedAll(now, heard) {
+			list = append(list, sc.vms[name])
 		}
-		return false
+	}
+	slices.SortFunc(list, func(a, b vmEntry) int { return cmp.Compare(a.VM, b.VM) })
+	return list
+}
+
+// followedAll reports whether a VM, heard at the given times, follows all prefixes.
+func (sc *storeCache) followedAll(now types.Instant, heard map[string]types.Instant) bool {
+	return !slices.ContainsFunc(watchedPrefixes, func(prefix string) bool {
+		at, ok := heard[prefix]
+		return !ok || now.Sub(at) > sc.reliance
 	})
 }
 
@@ -264,7 +272,7 @@
 // receiveDigest takes a digest of another VM. If it shows unknown changes and comes from a neighbour, that VM is queried,
 // unless this VM's own watch is about to deliver them.
 func (sc *storeCache) receiveDigest(now types.Instant, from types.VM, d digest) {
-	fromNeighbour := slices.ContainsFunc(sc.neighbours(), func(m vmEntry) bool { return m.VM == from })
+	fromNeighbour := sc.isNeighbour(from)
 	if fromNeighbour {
 		sc.hear(from, d.prefix, now.Add(-d.age))
 	}
@@ -325,9 +333,9 @@
 // queueMirrorRequest queues a query to the VM at address for the entries of a prefix if they differ from this VM's.
 func (sc *storeCache) queueMirrorRequest(prefix, address string) {
 	q := MirrorQuestion{Prefix: prefix}
-	if c := sc.prefixCache[prefix]; c != nil {
+	if c := sc.prefixCache[prefix]; c != nil && !c.incomplete {
 		d := c.digest(prefix)
-		q.Known, q.NewestRevision, q.Count = c.knownRevision, d.newestRevision, d.count
+		q.Known, q.NewestRevision, q.Count, q.Hash, q.AcceptsChanges = c.knownRevision, d.newestRevision, d.count, d.hash, true
 	}
 	_ = sc.mirrorRequests.Replace(mirrorRequest{question: q, address: address})
 }
--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -130,7 +130,7 @@
 	// submitted after movesAllowedAt.
 	pendingCommit   *Table
 	exclusiveCommit bool
-	keyLoad       keyLoad
+	keyLoad         keyLoad
 	// nextPlanAt, nextBalanceAt and nextCommitAt are the earliest times of the next check of owners and load, the next
 	// moves for balance and the next commit.
 	nextPlanAt    types.Instant
