--- a/admission/choose.go
+++ b/admission/choose.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,10 +17,15 @@
 	return c.chooseFastest(now, req)
 }
 
-// chooseFastest returns the target that is expected to answer first.
+// estimate is a target and the time in which it is expected to answer.
+type estimate struct {
+	target *target
+	time   time.Duration
+}
+
+// chooseFastest returns one of the targets that are expected to answer first.
 func (c *Core) chooseFastest(now types.Instant, req *request) (*target, types.Code) {
-	var best *target
-	var bestTime time.Duration
+	c.estimates = c.estimates[:0]
 	usable, untried := false, false
 	for _, t := range req.service.targets {
 		if t.leavingSince != 0 || now.Before(t.unreachable) {
@@ -33,15 +39,13 @@
 		if !c.hasRoom(now, t, t.Slots+queuedBeyondSlots) {
 			continue
 		}
-		estimate := t.expectedTime(now) + c.remotePenalty(t)
+		e := estimate{target: t, time: t.expectedTime(now) + c.remotePenalty(t)}
 		// Up to 5 % of jitter keeps VMs with the same information from all choosing the same target.
-		estimate += time.Duration(c.random.Int64N(int64(estimate/20) + 1))
-		if best == nil || estimate < bestTime {
-			best, bestTime = t, estimate
-		}
+		e.time += time.Duration(c.random.Int64N(int64(e.time/20) + 1))
+		c.estimates = append(c.estimates, e)
 	}
-	if best != nil {
-		return best, ""
+	if len(c.estimates) > 0 {
+		return c.drawEstimate(now, req.service), ""
 	}
 	if usable && !untried {
 		return nil, types.CodeTargetRefused
@@ -52,6 +56,28 @@
 	return nil, c.waitOrRefuse(now, req, usable)
 }
 
+// drawEstimate returns one of the best targets in c.estimates. Each request that the neighbours have sent and not reported yet
+// has taken one of the best targets, so the choice is drawn from as many more.
+func (c *Core) drawEstimate(now types.Instant, s *service) *target {
+	best := slices.MinFunc(c.estimates, func(a, b estimate) int { return cmp.Compare(a.time, b.time) })
+	unreported := int(c.unreportedSends(now, s))
+	if unreported == 0 {
+		return best.target
+	}
+	limit := time.Duration(spreadFactor * float64(best.time))
+	similar := slices.DeleteFunc(c.estimates, func(e estimate) bool { return e.time > limit })
+	if unreported+1 < len(similar) {
+		slices.SortFunc(similar, func(a, b estimate) int { return cmp.Compare(a.time, b.time) })
+		similar = similar[:unreported+1]
+	}
+	return similar[c.random.IntN(len(similar))].target
+}
+
+// unreportedSends estimates how many requests for a service the neighbours have sent since their last reports.
+func (c *Core) unreportedSends(now types.Instant, s *service) float64 {
+	return s.neighbourRate.perSecond(now) * (c.reportInterval/2 + reportTransit).Seconds()
+}
+
 // chooseOwner returns the owner of the request's key.
 func (c *Core) chooseOwner(now types.Instant, req *request) (*target, types.Code) {
 	s := req.service
--- a/admission/core.go
+++ b/admission/core.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"sequoiasail.example/catalog"
@@ -61,6 +62,9 @@
 	// since then.
 	changedTargets map[types.Target]bool
 	samples        []Sample
+	// reportInterval is that of Peers. estimates is the working memory of chooseFastest.
+	reportInterval time.Duration
+	estimates      []estimate
 	actions        []Action
 	// startedAt is the time of the first message.
 	startedAt types.Instant
@@ -141,8 +145,22 @@
 	return c.actions
 }
 
-// NextTick returns the interval after which Tick is due again, and whether there are requests that need it.
-func (c *Core) NextTick() (time.Duration, bool) { return tickInterval, len(c.requests) > 0 }
+// NextTick returns the time until Tick is due again, and whether there are requests that need it. While none waits, that is the
+// next deadline.
+func (c *Core) NextTick(now types.Instant) (time.Duration, bool) {
+	for _, s := range c.services {
+		if len(s.waiting) > 0 {
+			return tickInterval, true
+		}
+	}
+	wait, busy := time.Duration(math.MaxInt64), false
+	for _, req := range c.requests {
+		if !req.finished {
+			wait, busy = min(wait, req.deadline.Add(-replyMargin/2).Sub(now)), true
+		}
+	}
+	return max(wait, tickInterval), busy
+}
 
 func (c *Core) handleArrival(now types.Instant, m RequestArrived) {
 	req := &request{id: m.ID, route: m.Route, keyed: m.Keyed, key: m.Key, arrived: now, deadline: m.Deadline}
--- a/admission/fleet_test.go
+++ b/admission/fleet_test.go
@@ -48,6 +48,14 @@
 	sent    map[LocalRequestID]types.Instant
 
 	arrived, inTime, late, refused, rejected int
+
+	// The rest are the parameters of a simulation.
+	route          *catalog.Route
+	workTime       time.Duration
+	reportInterval time.Duration
+	deadline       time.Duration
+	// speedChange sets the slowness of the targets each 400 ms.
+	speedChange func()
 }
 
 func simName(i int) types.Target { return types.Target(fmt.Sprintf("t%03d", i)) }
@@ -55,7 +63,15 @@
 // newFleetSimulation returns a fleet of vms VMs in three data centres, and as many targets as given, which own equal
 // parts of the keys.
 func newFleetSimulation(vms, targets int) *fleetSimulation {
-	s := &fleetSimulation{now: start, random: rand.New(rand.NewPCG(3, 4)), sent: make(map[LocalRequestID]types.Instant)}
+	s := &fleetSimulation{
+		now: start, random: rand.New(rand.NewPCG(3, 4)), sent: make(map[LocalRequestID]types.Instant),
+		route: lookups, workTime: simWorkTime, reportInterval: simReportInterval, deadline: 1200 * time.Millisecond,
+	}
+	s.speedChange = func() {
+		for _, t := range s.targets {
+			t.slowness = []float64{0.5, 0.5, 1, 1, 1.5, 3}[s.random.IntN(6)]
+		}
+	}
 	var listings []catalog.Listing
 	table := keyspace.Table{NextFence: types.Epoch(targets + 1)}
 	for i := range targets {
@@ -109,7 +125,7 @@
 				}
 			}
 		case Reply:
-			if s.now.Sub(s.sent[a.ID]) <= lookups.LatencyObjective {
+			if s.now.Sub(s.sent[a.ID]) <= s.route.LatencyObjective {
 				s.inTime++
 			} else {
 				s.late++
@@ -128,7 +144,7 @@
 	}
 	run := func() {
 		t.running++
-		work := time.Duration(float64(simWorkTime) * t.slowness * (0.5 + s.random.Float64()))
+		work := time.Duration(float64(s.workTime) * t.slowness * (0.5 + s.random.Float64()))
 		s.schedule(work, func() {
 			t.running--
 			answer(ResultAnswered)
@@ -157,9 +173,7 @@
 		if !s.now.Before(speedChange) {
 			// Other load on the targets' machines changes their speed.
 			speedChange = s.now.Add(400 * time.Millisecond)
-			for _, t := range s.targets {
-				t.slowness = []float64{0.5, 0.5, 1, 1, 1.5, 3}[s.random.IntN(6)]
-			}
+			s.speedChange()
 		}
 		due := s.events
 		s.events = nil
@@ -176,11 +190,11 @@
 			s.arrived++
 			s.sent[s.next] = s.now
 			s.step(s.cores[s.random.IntN(len(s.cores))], RequestArrived{
-				ID: s.next, Route: lookups, Keyed: true, Key: key(), Deadline: s.now.Add(1200 * time.Millisecond),
+				ID: s.next, Route: s.route, Keyed: true, Key: key(), Deadline: s.now.Add(s.deadline),
 			})
 		}
 		if !s.now.Before(report) {
-			report = s.now.Add(simReportInterval)
+			report = s.now.Add(s.reportInterval)
 			s.exchangeReports()
 		}
 		for _, c := range s.cores {
--- a/admission/limits.go
+++ b/admission/limits.go
@@ -1,6 +1,10 @@
 package admission
 
-import "sequoiasail.example/types"
+import (
+	"math"
+
+	"sequoiasail.example/types"
+)
 
 // sendWindow holds the times of the requests sent to a target within coldWindow.
 type sendWindow struct {
@@ -106,3 +110,19 @@
 	limit := b.settings.RetryRatio*float64(requests) + b.settings.RetrySlack/float64(max(fleetSize, 1))
 	return float64(retries+1) <= retryBudgetShare*limit
 }
+
+// rateMeter measures a rate as an exponential average over rateWindow.
+type rateMeter struct {
+	value float64
+	at    types.Instant
+}
+
+// add records n events.
+func (m *rateMeter) add(now types.Instant, n int) {
+	m.value, m.at = m.perSecond(now)+float64(n)/rateWindow.Seconds(), now
+}
+
+// perSecond returns the rate.
+func (m *rateMeter) perSecond(now types.Instant) float64 {
+	return m.value * math.Exp(-now.Sub(m.at).Seconds()/rateWindow.Seconds())
+}
--- a/admission/message.go
+++ b/admission/message.go
@@ -72,6 +72,8 @@
 	Peers struct {
 		VMs        []types.VM
 		Neighbours []types.VM
+		// ReportInterval is the shortest time between two reports of a neighbour.
+		ReportInterval time.Duration
 	}
 	// PeerReport is what another VM reports about its requests in flight and its answers. The core owns its maps and slices.
 	PeerReport struct {
--- a/admission/peers.go
+++ b/admission/peers.go
@@ -26,10 +26,10 @@
 			}
 		}
 	}
-	c.vms, c.neighbours = m.VMs, m.Neighbours
+	c.vms, c.neighbours, c.reportInterval = m.VMs, m.Neighbours, m.ReportInterval
 	for vm := range c.peerRequests {
 		if !slices.Contains(m.VMs, vm) {
-			delete(c.peerRequests, vm)
+			c.dropPeerReport(vm)
 		}
 	}
 	for vm := range c.awaitedNeighbours {
@@ -75,13 +75,16 @@
 	m = m.WithinLimits()
 	c.recordFirstReport(now, m.VM)
 	c.recordPeerSends(now, m)
-	c.peerRequests[m.VM] = peerReport{inFlight: m.InFlight, waiting: m.Waiting, receivedAt: now}
 	for _, s := range m.Samples {
 		if t := c.targets[s.Target]; t != nil {
 			t.applySample(now, s)
 		}
 	}
-	c.sumPeerReports(now)
+	// The samples were taken while the requests of the former report were in flight.
+	c.dropPeerReport(m.VM)
+	c.peerRequests[m.VM] = peerReport{inFlight: m.InFlight, waiting: m.Waiting, receivedAt: now}
+	c.countPeerReport(c.peerRequests[m.VM], 1)
+	c.expirePeerReports(now)
 	for _, s := range c.services {
 		c.sendWaiting(now, s)
 	}
@@ -103,33 +106,53 @@
 	for name, n := range sent {
 		if t := c.targets[name]; t != nil && n > 0 {
 			t.dataCentreSends.add(now, n)
+			if s := c.services[t.Service]; s != nil {
+				s.neighbourRate.add(now, n)
+			}
 		}
 	}
 }
 
-// sumPeerReports adds up the requests of the other VMs for each target and discards reports older than peerReportTTL.
-func (c *Core) sumPeerReports(now types.Instant) {
-	for _, t := range c.targets {
-		t.peerRequests, t.peerWaiting = 0, 0
+// countPeerReport adds the requests of a report to those of their targets; sign -1 takes them away.
+func (c *Core) countPeerReport(p peerReport, sign int) {
+	for name, n := range p.inFlight {
+		if t := c.targets[name]; t != nil {
+			t.peerRequests += sign * n
+		}
 	}
+	for name, n := range p.waiting {
+		if t := c.targets[name]; t != nil {
+			t.peerWaiting += sign * n
+		}
+	}
+}
+
+// dropPeerReport forgets the report of a VM.
+func (c *Core) dropPeerReport(vm types.VM) {
+	c.countPeerReport(c.peerRequests[vm], -1)
+	delete(c.peerRequests, vm)
+}
+
+// expirePeerReports discards reports older than peerReportTTL.
+func (c *Core) expirePeerReports(now types.Instant) {
 	for vm, p := range c.peerRequests {
 		if now.Sub(p.receivedAt) > peerReportTTL {
-			delete(c.peerRequests, vm)
-			continue
-		}
-		for name, n := range p.inFlight {
-			if t := c.targets[name]; t != nil {
-				t.peerRequests += n
-			}
-		}
-		for name, n := range p.waiting {
-			if t := c.targets[name]; t != nil {
-				t.peerWaiting += n
-			}
+			c.dropPeerReport(vm)
 		}
 	}
 }
 
+// sumPeerReports adds up the requests of the other VMs for each target, after a change of the targets.
+func (c *Core) sumPeerReports(now types.Instant) {
+	c.expirePeerReports(now)
+	for _, t := range c.targets {
+		t.peerRequests, t.peerWaiting = 0, 0
+	}
+	for _, p := range c.peerRequests {
+		c.countPeerReport(p, 1)
+	}
+}
+
 // ReportPending reports whether the next Report has something new.
 func (c *Core) ReportPending() bool { return len(c.changedTargets) > 0 || len(c.samples) > 0 }
 
--- a/admission/service.go
+++ b/admission/service.go
@@ -20,6 +20,8 @@
 	// waiting holds the queued requests, the most urgent first, then by arrival.
 	waiting     []*request
 	retryBudget retryBudget
+	// neighbourRate is the rate of the requests that the neighbours report.
+	neighbourRate rateMeter
 	// open counts the requests that the core holds. removed is true once the service has left the configuration: it is kept
 	// while it has open requests, so that its targets can still answer them.
 	open    int
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -27,6 +27,12 @@
 	// queuedBeyondSlots is how many requests may wait at a target: enough that a slot that becomes free has work at
 	// once, few enough that the other requests can still go elsewhere.
 	queuedBeyondSlots = 1
+	// spreadFactor is how much more than the best target another one may be expected to take to be in the choice.
+	spreadFactor = 1.5
+	// reportTransit is the time from the sending of a report until it is applied.
+	reportTransit = 5 * time.Millisecond
+	// rateWindow is the time constant of the rates of requests.
+	rateWindow = time.Second
 	// urgentDepthFactor is the largest number of requests at the owner of a key, as a multiple of its slots, up to
 	// which the most urgent requests are sent to it.
 	urgentDepthFactor = 2
--- a/daemon/edge/admission.go
+++ b/daemon/edge/admission.go
@@ -21,12 +21,14 @@
 	reportInterval = 25 * time.Millisecond
 	// reportRefresh is how often an unchanged load report is sent again, because a datagram may be lost.
 	reportRefresh = 500 * time.Millisecond
-	// scaledInterval multiplies reportInterval by the number of VMs divided by fullRateVMs, and coordinatorReportInterval by
-	// that number divided by coordinatorFullRateVMs, both rounded down and at least 1.
+	// reportInterval is multiplied by the number of VMs divided by fullRateVMs, and coordinatorReportInterval by that number
+	// divided by coordinatorFullRateVMs, both rounded down and at least 1.
 	fullRateVMs            = 30
 	coordinatorFullRateVMs = 60
 	// coordinatorReportInterval is the shortest time between two reports of keys and samples to the coordinator.
 	coordinatorReportInterval = 300 * time.Millisecond
+	// minWake keeps the duty from waking too often for what is already due.
+	minWake = time.Millisecond
 	// answerBudgetBytes bounds the memory of the answers that all senders are reading, beyond the first 64 KiB of each. With
 	// these, 64 senders use at most 20 MiB for answers, of the 184 MB of a small VM.
 	answerBudgetBytes = 16 << 20
@@ -109,7 +111,7 @@
 	for {
 		a.in.Drain(func(m any) { a.handle(ctx, m) })
 		a.perform(ctx, a.core.Tick(telemetry.Now()))
-		timer.Reset(a.nextWake())
+		timer.Reset(a.nextWake(time.Now()))
 		select {
 		case <-a.in.Ready():
 		case <-timer.C:
@@ -120,12 +122,19 @@
 	}
 }
 
-// nextWake returns the time until the core's next tick, which is short while requests are in flight.
-func (a *admissionDuty) nextWake() time.Duration {
-	if wait, busy := a.core.NextTick(); busy {
-		return wait
+// nextWake returns the time until the core's next tick or the next report is due.
+func (a *admissionDuty) nextWake(now time.Time) time.Duration {
+	wait := reportRefresh
+	if tick, busy := a.core.NextTick(telemetry.Now()); busy {
+		wait = min(wait, tick)
 	}
-	return reportRefresh
+	if a.core.ReportPending() {
+		wait = min(wait, a.reportedAt.Add(a.reportInterval()).Sub(now))
+	}
+	if a.coordinatorReportPending() {
+		wait = min(wait, a.coordinatorReportedAt.Add(a.coordinatorReportInterval()).Sub(now))
+	}
+	return max(wait, minWake)
 }
 
 func (a *admissionDuty) handle(ctx context.Context, m any) {
@@ -139,6 +148,7 @@
 		a.perform(ctx, a.core.Step(now, m.arrival))
 	case admission.Peers:
 		a.vmCount = len(m.VMs)
+		m.ReportInterval = a.reportInterval()
 		a.perform(ctx, a.core.Step(now, m))
 	case admission.Targets:
 		a.closeRemovedHosts(m)
@@ -246,13 +256,13 @@
 // report sends the load to the VMs of the data centre when it has changed or reportRefresh has passed, and the collected
 // keys and samples to the coordinator.
 func (a *admissionDuty) report(now time.Time) {
-	if since := now.Sub(a.reportedAt); since >= a.scaledInterval(reportInterval, fullRateVMs) && (since >= reportRefresh || a.core.ReportPending()) {
+	if since := now.Sub(a.reportedAt); since >= a.reportInterval() && (since >= reportRefresh || a.core.ReportPending()) {
 		a.reportedAt = now
 		load := a.core.Report()
 		a.coordinatorSamples = append(a.coordinatorSamples, load.Samples...)
 		a.queueReport(report{to: toDataCentre, load: &load})
 	}
-	if now.Sub(a.coordinatorReportedAt) >= a.scaledInterval(coordinatorReportInterval, coordinatorFullRateVMs) && (len(a.keys) > 0 || len(a.coordinatorSamples) > 0) {
+	if now.Sub(a.coordinatorReportedAt) >= a.coordinatorReportInterval() && a.coordinatorReportPending() {
 		a.coordinatorReportedAt = now
 		a.queueReport(report{to: toCoordinator, keys: a.keys, coordinatorSamples: a.coordinatorSamples})
 		a.keys = make(map[types.Service][]keyspace.Key)
@@ -260,10 +270,19 @@
 	}
 }
 
-// scaledInterval lengthens an interval with the number of VMs, so that the total work of receivers doesn't grow with the
-// square of that number.
-func (a *admissionDuty) scaledInterval(interval time.Duration, fullRate int) time.Duration {
-	return interval * time.Duration(max(1, a.vmCount/fullRate))
+// coordinatorReportPending reports whether there are keys or samples for the coordinator.
+func (a *admissionDuty) coordinatorReportPending() bool {
+	return len(a.keys) > 0 || len(a.coordinatorSamples) > 0
+}
+
+// reportInterval is the shortest time between two load reports, coordinatorReportInterval the same for reports to the
+// coordinator. Both grow with the number of VMs, so that the total work of receivers doesn't grow with its square.
+func (a *admissionDuty) reportInterval() time.Duration {
+	return reportInterval * time.Duration(max(1, a.vmCount/fullRateVMs))
+}
+
+func (a *admissionDuty) coordinatorReportInterval() time.Duration {
+	return coordinatorReportInterval * time.Duration(max(1, a.vmCount/coordinatorFullRateVMs))
 }
 
 // queueReport passes a report to the peer sender. A full ring drops its oldest report.
