--- a/catalog/configuration.go
+++ b/catalog/configuration.go
@@ -21,6 +21,8 @@
 	Prefix string
 	// Idempotent is true when a request may run more than once; all other requests run at most once.
 	Idempotent bool
+	// UnknownKind is the kind that the operators have set, if it is none of the known ones. Such requests run at most once.
+	UnknownKind string
 	// Timeout is the longest time that a request may wait for its response.
 	Timeout time.Duration
 	// LatencyObjective is the response time within which an answer has its full value to the caller.
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -292,7 +292,10 @@
 
 // addServers adds the HTTP servers for callers and for readiness and metrics.
 func (e *Edge) addServers(m *requestMetrics) {
-	e.frontend = &frontend{storeCache: e.storeCache, admission: e.admission, log: e.log, requestMetrics: m}
+	e.frontend = &frontend{
+		storeCache: e.storeCache, admission: e.admission, log: e.log, requestMetrics: m,
+		bodies: forward.NewBudget(bodyMemory(e.settings.MemoryBytes)),
+	}
 	e.readiness = &readiness{storeCache: e.storeCache}
 	e.ready = &httpserver.Server{
 		Name: "ready", Address: e.settings.ReadyAddress, Handler: e.readiness.handler(e.metrics), Limits: initialHTTPLimits,
--- a/daemon/edge/frontend.go
+++ b/daemon/edge/frontend.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,6 +13,7 @@
 	"sequoiasail.example/platform"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/forward"
 	"sequoiasail.example/types"
 )
 
@@ -29,7 +28,9 @@
 	admission      *ring.Ring[any]
 	log            *telemetry.Log
 	requestMetrics *requestMetrics
-	lastID         atomic.Uint64
+	// bodies bounds the memory of the bodies of all callers.
+	bodies *forward.Budget
+	lastID atomic.Uint64
 	// closing is set when the VM begins to stop: each response then closes its connection.
 	closing atomic.Bool
 	// inFlight counts the requests that have no answer yet.
@@ -74,29 +75,16 @@
 		a.reject(call, types.NotRun(types.CodeNoRoute, "no route in version %d", v.table.Version()))
 		return
 	}
-	body, fault := readBody(a.ResponseWriter, r, v.table.Limits())
-	if fault != nil {
+	body := callerBody{budget: f.bodies}
+	defer body.release()
+	switch fault := body.read(a.ResponseWriter, r, v.table.Limits().BodyBytes); {
+	case fault == nil:
+		f.submit(a, r, route, &pending{call: call, body: body.data, headerReadAt: headerReadAt})
+	case fault.Code == types.CodeOverloaded:
+		a.refuse(call, fault.Code)
+	default:
 		a.reject(call, fault)
-		return
-	}
-	f.submit(a, r, route, &pending{call: call, body: body, headerReadAt: headerReadAt})
-}
-
-// readBody reads the whole body, so that no incomplete request is sent to a target. w is the writer of net/http, which closes
-// the connection after a body that is too large.
-func readBody(w http.ResponseWriter, r *http.Request, l catalog.Limits) ([]byte, *types.Fault) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, l.BodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, types.NotRun(types.CodeBodyTooLarge, "the body is larger than %d bytes", l.BodyBytes)
-	}
-	if err != nil {
-		return nil, types.NotRun(types.CodeTruncatedBody, "the body is incomplete: %v", err)
 	}
-	return body, nil
 }
 
 // submit puts the request into the admission ring and answers it with the final action of the admission core. That action
--- a/daemon/edge/storecache.go
+++ b/daemon/edge/storecache.go
@@ -448,6 +448,11 @@
 	sc.configuration = catalog.NewRouteTable(c)
 	sc.registry.SetServices(c.Services)
 	sc.log.Info("configuration in force", log.Fields{"version": c.Version, "routes": len(c.Routes), "revision": e.Revision})
+	for _, r := range c.Routes {
+		if r.UnknownKind != "" {
+			sc.log.Warn("kind of route not known, its requests run at most once", log.Fields{"route": r.Name, "kind": r.UnknownKind, "version": c.Version})
+		}
+	}
 	sc.deliver(ctx, sc.admission, admission.Services{Services: c.Services})
 	sc.deliver(ctx, sc.coordinator, serviceList{services: c.Services})
 	for name, t := range sc.owners {
--- a/transport/forward/body.go
+++ b/transport/forward/body.go
@@ -22,7 +22,7 @@
 // collector runs.
 var chunkPool = sync.Pool{New: func() any { return new(chunk) }}
 
-// Budget bounds the memory of the response bodies that are being read at the same time. It is safe for concurrent use. A nil
+// Budget bounds the memory of bodies that are held at the same time. It is safe for concurrent use. A nil
 // Budget has no bound.
 type Budget struct{ left atomic.Int64 }
 
@@ -33,8 +33,8 @@
 	return b
 }
 
-// take reports whether n bytes were left, and takes them.
-func (b *Budget) take(n int64) bool {
+// Take reports whether n bytes were left, and takes them.
+func (b *Budget) Take(n int64) bool {
 	if b == nil || b.left.Add(-n) >= 0 {
 		return true
 	}
@@ -42,8 +42,8 @@
 	return false
 }
 
-// giveBack returns n bytes that take has taken.
-func (b *Budget) giveBack(n int64) {
+// GiveBack returns n bytes that Take has taken.
+func (b *Budget) GiveBack(n int64) {
 	if b != nil {
 		b.left.Add(n)
 	}
@@ -97,7 +97,7 @@
 func (b *bodyReader) readChunks(r io.Reader, first []byte) ([]byte, error) {
 	defer b.release()
 	for total := int64(len(first)); ; {
-		if !b.budget.take(chunkBytes) {
+		if !b.budget.Take(chunkBytes) {
 			return nil, errBudgetExceeded
 		}
 		c := chunkPool.Get().(*chunk)
@@ -128,7 +128,7 @@
 func (b *bodyReader) release() {
 	for _, c := range b.chunks {
 		chunkPool.Put(c)
-		b.budget.giveBack(chunkBytes)
+		b.budget.GiveBack(chunkBytes)
 	}
 }
 
