--- a/daemon/edge/coordinator.go
+++ b/daemon/edge/coordinator.go
@@ -250,6 +250,7 @@
 		return
 	}
 	ks.revision = m.revision
+	m.loaded.FenceFloor = fenceFloor(time.Now())
 	c.step(ctx, m.service, m.loaded)
 }
 
--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -280,6 +280,11 @@
 	if !c.elected {
 		return
 	}
+	if !m.Found && c.table.NextFence > 0 {
+		// Another writer has deleted the table: its grants still hold.
+		c.replaceDamagedTable(now, TableDamaged{FenceFloor: m.FenceFloor})
+		return
+	}
 	c.tableLoaded, c.tableUncertain = true, false
 	c.replaceAt = 0
 	c.pendingCommit = nil
--- a/keyspace/core_test.go
+++ b/keyspace/core_test.go
@@ -321,3 +321,41 @@
 		t.Fatalf("lowest fence of the new table is %d, the next one of the old table %d", lowest, next)
 	}
 }
+
+// Guards against two owners of a key after another writer has deleted the table: a new one that is created at once starts again
+// with low fencing tokens, while the targets still hold their grants.
+func TestDeletedTableIsNotCreatedAnewAtOnce(t *testing.T) {
+	is := is.New(t)
+	c, now := readyCore(t, "t1", "t2", "t3")
+	held := c.table.NextFence
+	settings := c.settings
+	c.tableUncertain = true
+	deletedAt := now
+	const floor = types.Epoch(1_000_000)
+	var created *Table
+	var createdAt types.Instant
+	for created == nil && now.Before(deletedAt.Add(time.Minute)) {
+		queue := c.Tick(now)
+		for len(queue) > 0 {
+			a := queue[0]
+			queue = queue[1:]
+			switch a := a.(type) {
+			case LoadTable:
+				queue = append(queue, c.Step(now, Loaded{FenceFloor: floor})...)
+			case CommitTable:
+				created, createdAt = &a.Table, now
+			case CallBatch:
+				for _, call := range a.Calls {
+					queue = append(queue, c.Step(now, CallCompleted{Call: call, Result: CallDone, Slowness: 1, Connection: 1})...)
+				}
+				queue = append(queue, c.BatchDone(now, a.last())...)
+			}
+		}
+		now = now.Add(50 * time.Millisecond)
+	}
+	is.True(created != nil)
+	is.True(!createdAt.Before(deletedAt.Add(maxHoldAfterArrival(settings.LongGrantTTL))))
+	for _, r := range created.Ranges {
+		is.True(r.Fence >= floor && r.Fence > held)
+	}
+}
--- a/keyspace/message.go
+++ b/keyspace/message.go
@@ -33,10 +33,12 @@
 	Deposed struct{}
 	// Members replaces the list of the service's members.
 	Members struct{ Members []Member }
-	// Loaded is the result of LoadTable. Found is false when the store holds no table.
+	// Loaded is the result of LoadTable. Found is false when the store holds no table. FenceFloor is then higher than all
+	// fencing tokens assigned so far.
 	Loaded struct {
-		Table Table
-		Found bool
+		Table      Table
+		Found      bool
+		FenceFloor types.Epoch
 	}
 	// LoadFailed reports that LoadTable failed and has to be repeated.
 	LoadFailed struct{}
