--- a/daemon/edge/session.go
+++ b/daemon/edge/session.go
@@ -286,6 +286,9 @@
 func (s *session) campaign(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
+	if !s.state.present && s.roleLease == 0 && s.coordinatorExists(ctx) {
+		return
+	}
 	sent := s.now()
 	if s.roleLease == 0 || s.store.KeepAlive(ctx, s.roleLease) != nil {
 		var err error
@@ -313,6 +316,17 @@
 	s.assumeRole(ctx, s.roleUntil, replacesOwnEntry)
 }
 
+// coordinatorExists reports whether the store names a coordinator that this VM does not know yet. When many VMs start together,
+// most learn of the first one only after they have become candidates; this read saves them the lease and the write.
+func (s *session) coordinatorExists(ctx context.Context) bool {
+	e, err := s.store.Get(ctx, coordinatorKey)
+	if err != nil || e.Revision == s.state.invalidRevision {
+		return false
+	}
+	s.log.Info("not elected", log.Fields{"error": "the store names a coordinator", "revision": e.Revision})
+	return true
+}
+
 // resign deletes the coordinator entry at the beginning of a planned stop, so that another VM can take the role. While the
 // store does not answer, no VM could take it: this VM then keeps the role until it stops, and the grants stay valid for their
 // time to live after that.
