--- a/admission/choose.go
+++ b/admission/choose.go
@@ -90,7 +90,10 @@
 	}
 	owner := s.owners.Ranges[i].Owner
 	t := c.targets[owner.Target]
-	if now.Before(req.notBefore) || s.isMoving(now, req.key) {
+	if s.isMoving(now, req.key) {
+		return nil, c.waitOrRefuse(now, req, now.Sub(req.arrived) < max(maxMoveWait, req.route.LatencyObjective))
+	}
+	if now.Before(req.notBefore) {
 		return nil, c.waitOrRefuse(now, req, true)
 	}
 	if t == nil || t.Incarnation != owner.Incarnation || t.unusableAsOwner(now) {
--- a/admission/core_test.go
+++ b/admission/core_test.go
@@ -162,6 +162,37 @@
 	is.Equal(string(find[Send](a)[0].Target.Target), "m2")
 }
 
+// Guards against requests that go to the former owner of a key while its release takes longer than maxMoveWait: it refuses them at
+// once, and two refusals end a request. In a play of vfb-bayern-grown a third of the keyed requests came to such targets.
+func TestAnnouncedMoveKeepsRequestsFromTheFormerOwner(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore("vm1", listing("maps", "m1", "a"), listing("maps", "m2", "a"))
+	c.step(ownedBy("m1"))
+	moving := KeysMoving{Service: "maps", Ranges: []keyspace.Range{{From: 0, To: 100, Fence: 1}}}
+	patient := *lookups
+	patient.LatencyObjective, patient.Timeout = 1000*time.Millisecond, 3*time.Second
+	c.step(moving)
+	for range 2 {
+		c.advance(400 * time.Millisecond)
+		c.step(moving)
+	}
+	is.Equal(len(c.services["maps"].moving), 1)
+	_, a := c.arrive(&patient, 50)
+	a = append(a, c.advance(400*time.Millisecond)...)
+	c.step(moving)
+	a = append(a, c.advance(500*time.Millisecond)...)
+	is.Equal(len(a), 0)
+	// Beyond its objective, a request is refused as not run.
+	c.step(moving)
+	a = c.advance(150 * time.Millisecond)
+	is.Equal(len(find[Refuse](a)), 1)
+	is.Equal(len(find[Send](a)), 0)
+	// Without announcements the move has been given up.
+	c.advance(maxMoveWait)
+	_, a = c.arrive(&patient, 50)
+	is.Equal(string(find[Send](a)[0].Target.Target), "m1")
+}
+
 // Guards against requests that reach a draining owner of keys after the platform's bound, because its VM learned late that the
 // owner drains.
 func TestDrainingOwnerGetsNoRequestsAfterThePlatformsBound(t *testing.T) {
--- a/admission/service.go
+++ b/admission/service.go
@@ -99,11 +99,22 @@
 	for _, r := range m.Ranges {
 		i := s.owners.Index(r.From)
 		if i >= 0 && s.owners.Ranges[i].Fence <= r.Fence {
-			s.moving = append(s.moving, movingRange{Range: r, until: now.Add(maxMoveWait)})
+			s.addMoving(movingRange{Range: r, until: now.Add(maxMoveWait)})
 		}
 	}
 }
 
+// addMoving adds a range, or prolongs its wait if it is known.
+func (s *service) addMoving(r movingRange) {
+	for i, known := range s.moving {
+		if known.From == r.From && known.To == r.To && known.Fence == r.Fence {
+			s.moving[i].until = r.until
+			return
+		}
+	}
+	s.moving = append(s.moving, r)
+}
+
 // ownerOf returns the owner of a key, or "" when there is none.
 func (s *service) ownerOf(k keyspace.Key) types.Target {
 	i := s.owners.Index(k)
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -49,7 +49,8 @@
 	// activePeerTTL is how long after its last report a neighbour counts as active; reports come at least every half
 	// second.
 	activePeerTTL = 800 * time.Millisecond
-	// maxMoveWait is how long requests wait for keys that are being moved.
+	// maxMoveWait is how long after an announcement requests wait for keys that are being moved. The coordinator announces them
+	// again while the move lasts, and a request waits up to its objective in all, if that is longer.
 	maxMoveWait = 600 * time.Millisecond
 	// remoteDecay is the time constant with which the estimate of requests from other data centres decays, remoteWeight
 	// the weight of a new report in it.
--- a/daemon/edge/coordinator.go
+++ b/daemon/edge/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -22,6 +23,9 @@
 // coordinatorTick is how often the keyspace cores get a tick while this VM is the coordinator.
 const coordinatorTick = 50 * time.Millisecond
 
+// movingPerDatagram limits an announcement of moving ranges to one datagram of usual size.
+const movingPerDatagram = 100
+
 // Messages to the coordinator duty besides those of the keyspace core.
 type (
 	// targetList replaces the list of targets.
@@ -299,7 +303,9 @@
 		case keyspace.RangesAssigned:
 			c.publishOwners(ctx, s, a)
 		case keyspace.KeysMoving:
-			c.log.Info("keys move", log.Fields{"service": s, "ranges": len(a.Ranges), "reason": a.Reason})
+			if !a.Repeated {
+				c.log.Info("keys move", log.Fields{"service": s, "ranges": len(a.Ranges), "reason": a.Reason})
+			}
 			c.announceMoving(ctx, s, a)
 		}
 	}
@@ -336,7 +342,9 @@
 // announceMoving sends the ranges that change owner to this VM's admission and to all other VMs.
 func (c *coordinator) announceMoving(ctx context.Context, s types.Service, m keyspace.KeysMoving) {
 	_ = c.admission.Put(ctx, admission.KeysMoving{Service: s, Ranges: m.Ranges})
-	_ = c.peers.Put(ctx, report{to: toAll, moving: map[types.Service][]keyspace.Range{s: m.Ranges}})
+	for part := range slices.Chunk(m.Ranges, movingPerDatagram) {
+		_ = c.peers.Put(ctx, report{to: toAll, moving: map[types.Service][]keyspace.Range{s: part}})
+	}
 }
 
 // queueBatch queues a batch for the grant callers. The address of an owner is not known if it was not registered while this
--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -135,6 +135,8 @@
 	// moves for balance and the next commit.
 	nextPlanAt    types.Instant
 	nextBalanceAt types.Instant
+	// nextAnnouncementAt is when moving ranges are announced again.
+	nextAnnouncementAt types.Instant
 	// nextProbeCheckAt is when the next check for targets to probe is due.
 	nextProbeCheckAt types.Instant
 	// spikeSeenAt is when the present load spikes were first seen; 0 when there are none.
@@ -378,6 +380,7 @@
 		c.decayResponseTimes(now)
 		c.plan(now)
 	}
+	c.repeatAnnouncements(now)
 	c.markReleased(now)
 	c.refenceInherited()
 	c.commitOwners(now)
--- a/keyspace/message.go
+++ b/keyspace/message.go
@@ -156,6 +156,8 @@
 		Ranges []Range
 		// Reason is the cause of the move, for the log.
 		Reason string
+		// Repeated is true if the ranges have been announced before.
+		Repeated bool
 	}
 )
 
--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -199,6 +199,25 @@
 	}
 }
 
+// repeatAnnouncements reports the ranges that still move. Their former owners may refuse requests until the move ends, which
+// takes as long as the work that runs on the keys or, if an owner is silent, as long as its grants.
+func (c *Core) repeatAnnouncements(now types.Instant) {
+	if now.Before(c.nextAnnouncementAt) {
+		return
+	}
+	c.nextAnnouncementAt = now.Add(announceInterval)
+	var moving []Range
+	for i := range c.states {
+		s := &c.states[i]
+		if s.phase != phaseHeld && s.nextOwner != c.table.Ranges[i].Owner {
+			moving = append(moving, c.table.Ranges[i])
+		}
+	}
+	if len(moving) > 0 {
+		c.actions = append(c.actions, KeysMoving{Ranges: moving, Repeated: true})
+	}
+}
+
 // balance moves the busiest ranges of the targets with the highest cost, splitting them where needed, while that
 // lowers the cost by enough. It reports whether anything moved. A target of which no range can move now, for example
 // because it has just got them, does not keep the others from moving theirs.
--- a/keyspace/release_test.go
+++ b/keyspace/release_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -158,6 +159,38 @@
 	}
 }
 
+// Guards against VMs that send requests to the former owner of keys again while its release takes seconds: they rely on an
+// announcement of the move for 600 ms.
+func TestLongMovesAreAnnouncedAgain(t *testing.T) {
+	is := is.New(t)
+	f := newHotFleet(t)
+	f.releaseTime = 2 * time.Second
+	f.run(time.Second, f.requests)
+	i := f.c.table.Index(0)
+	var other Owner
+	for _, m := range f.c.members {
+		if m.Owner != f.c.table.Ranges[i].Owner {
+			other = m.Owner
+		}
+	}
+	f.c.startMove(f.now, i, other)
+	announced := f.now
+	for f.c.table.Ranges[f.c.table.Index(0)].Owner != other {
+		for _, a := range f.c.Tick(f.now) {
+			if m, ok := a.(KeysMoving); ok && slices.ContainsFunc(m.Ranges, func(r Range) bool { return r.From == 0 }) {
+				announced = f.now
+			}
+			f.perform([]Action{a})
+		}
+		is.True(f.now.Sub(announced) < 600*time.Millisecond)
+		f.run(10*time.Millisecond, func() []Key { return nil })
+		if f.c.nextAnnouncementAt.Sub(f.now) > announceInterval-20*time.Millisecond {
+			announced = f.now // the tick of run has announced the ranges
+		}
+	}
+	is.True(f.now.Sub(announced) < 600*time.Millisecond)
+}
+
 // Guards against a release that covers keys of another grant: the target would keep serving them after they have moved.
 func TestReleaseCoversOnlyRangesOfOneGrant(t *testing.T) {
 	is := is.New(t)
--- a/keyspace/settings.go
+++ b/keyspace/settings.go
@@ -75,6 +75,9 @@
 	minLoadParts = 6
 	// moveCooldown is how long a range stays with a new owner before it may move again for balance.
 	moveCooldown = 1500 * time.Millisecond
+	// announceInterval is the time between two announcements of the ranges that move. VMs let requests for them wait for 600 ms
+	// after each.
+	announceInterval = 400 * time.Millisecond
 	// balanceInterval is the time between two rounds of moves for balance, because each round costs a write to the
 	// store.
 	balanceInterval = 500 * time.Millisecond
