--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -122,10 +122,12 @@
 	return c.states[i].nextOwner
 }
 
-// rangeWeight returns the load of a range plus a baseline spread evenly over all keys, so that keys without requests
-// so far are spread as well.
-func (c *Core) rangeWeight(i int) float64 {
-	r := c.table.Ranges[i]
+// rangeWeight returns the weight of the range at index i.
+func (c *Core) rangeWeight(i int) float64 { return c.weight(c.table.Ranges[i]) }
+
+// weight returns the load of a range plus a baseline spread evenly over all keys, so that keys without requests so far are
+// spread as well.
+func (c *Core) weight(r Range) float64 {
 	return c.keyLoad.rangeRate(r) + (baselineShare*float64(c.keyLoad.total)+baselineRate)*float64(r.Size())/Keys
 }
 
@@ -245,16 +247,16 @@
 	return len(moved) > 0
 }
 
-// chooseRange returns the index of the busiest range whose move lowers the higher of the two costs, splitting one
-// that is too busy to move whole. A range stays when even its busiest key alone would not improve the costs; less
+// chooseRange returns the index of a range whose move lowers the higher of the two costs: the busiest range of the target, or
+// the part of it that fits, which is cut out. A range stays when even its busiest key alone would not improve the costs; less
 // busy ranges of the target move instead. It returns -1 when there is none.
 func (c *Core) chooseRange(now types.Instant, from, to *targetLoad) int {
 	for _, i := range c.movableRanges(now, from) {
 		if c.rangeWeight(i) < minMoveRate {
 			return -1
 		}
-		if i = c.splitToFit(i, from, to); i >= 0 {
-			return i
+		if part, ok := c.partToMove(c.table.Ranges[i], from, to); ok {
+			return c.cutOut(i, part)
 		}
 	}
 	return -1
@@ -276,32 +278,41 @@
 	return list
 }
 
-// splitToFit splits a range until its busier part improves the costs and fits the destination, and returns the index
-// of that part, or -1. It splits nothing when the busiest key alone would be too much.
-func (c *Core) splitToFit(i int, from, to *targetLoad) int {
-	if !c.moveImproves(from, to, min(c.rangeWeight(i), c.keyLoad.busiestKeyRate(c.table.Ranges[i]))) {
-		return -1
+// partToMove halves a range until its busier part improves the costs and fits the destination, and returns that part. ok is
+// false when no part does, or when the table has no room for more ranges.
+func (c *Core) partToMove(r Range, from, to *targetLoad) (part Range, ok bool) {
+	if !c.moveImproves(from, to, min(c.weight(r), c.keyLoad.busiestKeyRate(r))) {
+		return r, false
 	}
 	limit := max(to.headroom(c.serviceTime), from.rate/float64(max(minLoadParts, len(c.members)/4)))
-	for !c.moveImproves(from, to, c.rangeWeight(i)) || c.rangeWeight(i) > limit {
-		if c.table.Ranges[i].Size() < 2 || len(c.states) >= maxRanges {
-			return c.indexIfImproves(i, from, to)
+	if len(c.states)+2 > maxRanges {
+		return r, c.moveImproves(from, to, c.weight(r))
+	}
+	for part = r; !c.moveImproves(from, to, c.weight(part)) || c.weight(part) > limit; {
+		if part.Size() < 2 {
+			return part, c.moveImproves(from, to, c.weight(part))
 		}
-		c.splitRange(i, c.keyLoad.splitPoint(c.table.Ranges[i]))
-		if c.rangeWeight(i+1) > c.rangeWeight(i) {
-			i++
+		left, right := part, part
+		right.From = c.keyLoad.splitPoint(part)
+		left.To = right.From - 1
+		if part = left; c.weight(right) > c.weight(left) {
+			part = right
 		}
 	}
-	return i
+	return part, true
 }
 
-// indexIfImproves returns i if moving the whole range lowers the cost, or -1. It serves ranges that can't be split
-// further.
-func (c *Core) indexIfImproves(i int, from, to *targetLoad) int {
-	if c.moveImproves(from, to, c.rangeWeight(i)) {
-		return i
+// cutOut splits the range at index i so that part is a range of its own, and returns its index. The table gets two more ranges
+// at most: each range costs renewals.
+func (c *Core) cutOut(i int, part Range) int {
+	if r := c.table.Ranges[i]; part.To < r.To {
+		c.splitRange(i, part.To+1)
 	}
-	return -1
+	if r := c.table.Ranges[i]; part.From > r.From {
+		c.splitRange(i, part.From)
+		i++
+	}
+	return i
 }
 
 // moveImproves reports whether moving load of the given rate from one target to the other lowers the higher of their
--- a/keyspace/release_test.go
+++ b/keyspace/release_test.go
@@ -159,6 +159,30 @@
 	}
 }
 
+// Guards against a table that fills up with ranges that no move needs: each costs renewals, and a full table moves no hot key. In a
+// play of zcsp-brana-large, one round of moves made 435 new ranges and reached the limit of 1,500.
+func TestMovesSplitNoMoreThanNeeded(t *testing.T) {
+	f := newHotFleet(t)
+	f.run(4*time.Second, f.requests)
+	before, moved := len(f.c.table.Ranges), 0
+	f.hot = true
+	f.run(4*time.Second, f.requests)
+	for i := range f.c.states {
+		if !f.c.states[i].cooldownUntil.Before(f.now.Add(-4 * time.Second)) {
+			moved++
+		}
+	}
+	t.Logf("%d ranges before, %d after, %d moved", before, len(f.c.table.Ranges), moved)
+	if added := len(f.c.table.Ranges) - before; added > 2*moved {
+		t.Errorf("%d ranges were added for %d moves", added, moved)
+	}
+	for i := 1; i < len(f.c.table.Ranges); i++ {
+		if f.c.table.Ranges[i].From != f.c.table.Ranges[i-1].To+1 {
+			t.Fatalf("range %d does not follow the one before", i)
+		}
+	}
+}
+
 // Guards against VMs that send requests to the former owner of keys again while its release takes seconds: they rely on an
 // announcement of the move for 600 ms.
 func TestLongMovesAreAnnouncedAgain(t *testing.T) {
