--- a/admission/core_test.go
+++ b/admission/core_test.go
@@ -162,6 +162,30 @@
 	is.Equal(string(find[Send](a)[0].Target.Target), "m2")
 }
 
+// Guards against requests that go to the address of a target that has ended until its registration lapses: another target has the
+// address and refuses them faster than any target answers. In incident inc-91da of vfb-bayern, 218 requests ended so in 2 s.
+func TestAddressOfAnotherTargetIsAvoided(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore("vm1", listing("orders", "o1", "a"), listing("orders", "o2", "a"))
+	id, a := c.arrive(orders, 1)
+	ended := find[Send](a)[0].Target.Target
+	a = c.step(AttemptFinished{ID: id, Attempt: 1, Result: ResultMisdirected})
+	is.True(find[Send](a)[0].Target.Target != ended)
+	c.step(AttemptFinished{ID: id, Attempt: 2, Result: ResultAnswered})
+	for range 20 {
+		c.advance(100 * time.Millisecond)
+		id, a = c.arrive(orders, 1)
+		is.True(find[Send](a)[0].Target.Target != ended)
+		c.step(AttemptFinished{ID: id, Attempt: 1, Result: ResultAnswered})
+	}
+	// A new registration under the same name is used at once.
+	next := listing("orders", string(ended), "a")
+	next.Incarnation++
+	c.step(Targets{Targets: []catalog.Listing{next}})
+	_, a = c.arrive(orders, 1)
+	is.Equal(find[Send](a)[0].Target.Target, ended)
+}
+
 // Guards against requests that go to the former owner of a key while its release takes longer than maxMoveWait: it refuses them at
 // once, and two refusals end a request. In a play of vfb-bayern-grown a third of the keyed requests came to such targets.
 func TestAnnouncedMoveKeepsRequestsFromTheFormerOwner(t *testing.T) {
--- a/admission/target.go
+++ b/admission/target.go
@@ -94,6 +94,11 @@
 	if m.Unreachable {
 		t.unreachable = now.Add(unreachableDelay)
 	}
+	if m.Result == ResultMisdirected && !req.service.Keyed {
+		// Another target has the address: this one has ended, and its registration lapses later.
+		t.unreachable = now.Add(endedTargetDelay)
+		s.Failed = true
+	}
 	if req.finished && m.Result == ResultLost {
 		// The attempt was aborted: its duration is only a lower bound of the target's time.
 		s.Failed = false
