--- a/admission/settings.go
+++ b/admission/settings.go
@@ -87,8 +87,8 @@
 	retryBudgetShare = 0.7
 	// unreachableDelay is how long a target gets no requests after a connection to it failed.
 	unreachableDelay = 500 * time.Millisecond
-	// endedTargetDelay is how long a target without keys gets no requests after another one has answered at its address:
-	// longer than its registration takes to lapse, three heartbeats of 0.87 s.
+	// endedTargetDelay is how long a target without keys gets no requests after another one has answered at its address. It
+	// covers the three heartbeats, of up to a second each, after which the registration of an ended target lapses.
 	endedTargetDelay = 3 * time.Second
 	// lateWaitShare is the share of the time between a request's objective and its deadline for which the request may
 	// wait: answers after the objective are worth less, and occupy slots that other requests need.
--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -114,9 +114,6 @@
 	}
 }
 
-// callSpan is the first and the last index of the adjacent ranges that one release covers.
-type callSpan struct{ first, last int }
-
 // sendCalls sends the releases and grants that are due. Each incarnation of a target gets its own batch, because
 // incarnations may have different addresses, and at most one batch of grants is in flight for each. A range whose first
 // grant is late gets a new fencing token first.
@@ -149,7 +146,7 @@
 	for _, n := range c.releasesInFlight {
 		total += n
 	}
-	for i := 0; i < len(c.states); i++ {
+	for i := range c.states {
 		owner := c.table.Ranges[i].Owner
 		if c.states[i].phase != phaseReleasing || !c.callDue(now, i) || c.releasesInFlight[owner] >= maxOwnerReleases {
 			continue
@@ -157,25 +154,12 @@
 		if total >= maxReleases {
 			return
 		}
-		span := callSpan{first: i, last: i}
-		for i+1 < len(c.states) && c.callDue(now, i+1) && c.joinsRelease(span, i+1) {
-			i++
-			span.last = i
-		}
 		total++
 		c.releasesInFlight[owner]++
-		c.actions = append(c.actions, CallBatch{Owner: owner, Calls: []Call{c.releaseCall(span)}})
+		c.actions = append(c.actions, CallBatch{Owner: owner, Calls: []Call{c.releaseCall(i)}})
 	}
 }
 
-// joinsRelease reports whether the range at index i, whose call is due, can be released together with the ranges of a
-// span: the parts of a busy range that move at the same time.
-func (c *Core) joinsRelease(s callSpan, i int) bool {
-	last, r := &c.table.Ranges[s.last], &c.table.Ranges[i]
-	return i == s.last+1 && c.states[s.last].phase == phaseReleasing && c.states[i].phase == phaseReleasing &&
-		r.Owner == last.Owner && r.Fence == last.Fence
-}
-
 // grantsByUrgency returns the indexes of the ranges that are not being released, with first grants before renewals: while
 // those wait, no target may serve the keys.
 func (c *Core) grantsByUrgency() []int {
@@ -212,13 +196,12 @@
 	c.actions = append(c.actions, b)
 }
 
-// releaseCall returns the release of a span of ranges and marks them as having a call in flight.
-func (c *Core) releaseCall(span callSpan) Call {
-	r := &c.table.Ranges[span.first]
-	for i := span.first; i <= span.last; i++ {
-		c.states[i].callInFlight = true
-	}
-	return Call{Kind: CallRelease, Owner: r.Owner, From: r.From, To: c.table.Ranges[span.last].To, Fence: r.Fence}
+// releaseCall returns the release of a range and marks it as having a call in flight. Each range is released by itself, because
+// a target answers with the handover for just the keys of the call: without it, the next owner serves them slowly at first.
+func (c *Core) releaseCall(i int) Call {
+	c.states[i].callInFlight = true
+	r := &c.table.Ranges[i]
+	return Call{Kind: CallRelease, Owner: r.Owner, From: r.From, To: r.To, Fence: r.Fence}
 }
 
 // grantCall returns the grant or renewal of a range and marks it as having a call in flight.
--- a/keyspace/settings.go
+++ b/keyspace/settings.go
@@ -41,8 +41,8 @@
 	// maxOwnerReleases bounds the releases in flight to one owner, maxReleases those to all owners together. A target
 	// answers a release only when its work on the keys has ended, so that one after another would take seconds. Each
 	// release occupies a worker that sends calls and a connection to the target.
-	maxOwnerReleases = 8
-	maxReleases      = 64
+	maxOwnerReleases = 16
+	maxReleases      = 96
 	// firstGrantWindow is how long after the commit of a fencing token its first grant may be sent. Later, another
 	// coordinator may have granted a higher token to the target, and the target may have restarted and forgotten it.
 	// The window is as long as the shortest restart of a target.
