--- a/keyspace/plan.go
+++ b/keyspace/plan.go
@@ -222,18 +222,19 @@
 
 // balance moves the busiest ranges of the targets with the highest cost, splitting them where needed, while that
 // lowers the cost by enough. It reports whether anything moved. A target of which no range can move now, for example
-// because it has just got them, does not keep the others from moving theirs.
+// because a single key is too busy, does not keep overloaded ones from moving theirs.
 func (c *Core) balance(now types.Instant, loads []*targetLoad, moving int) bool {
 	var moved []Range
-	sources := slices.Clone(loads)
+	sources, gap := slices.Clone(loads), minCostGap
 	for limit := max(maxMoves, int(movesShare*float64(len(loads)))); moving < limit && len(sources) > 0; {
 		from, to := c.highestCost(sources), c.lowestCost(loads)
-		if from == to || from.cost(c.serviceTime) < to.cost(c.serviceTime)+minCostGap {
+		if from == to || from.cost(c.serviceTime) < to.cost(c.serviceTime)+gap {
 			break
 		}
 		i := c.chooseRange(now, from, to)
 		if i < 0 {
 			sources = slices.DeleteFunc(sources, func(l *targetLoad) bool { return l == from })
+			gap = overloadGap
 			continue
 		}
 		weight := c.rangeWeight(i)
