--- a/admission/spread_test.go
+++ b/admission/spread_test.go
@@ -47,15 +47,21 @@
 	return s
 }
 
+// shareInTime logs the outcomes and returns the share of the ended requests that were answered in time.
+func (s *fleetSimulation) shareInTime(t *testing.T) float64 {
+	t.Helper()
+	t.Logf("%d arrived, %d in time, %d late, %d refused, %d rejected by targets", s.arrived, s.inTime, s.late, s.refused, s.rejected)
+	return float64(s.inTime) / float64(s.inTime+s.late+s.refused)
+}
+
 // Guards against VMs of a large fleet that all choose the same targets between two reports of each other, so that requests queue
 // there while other targets are idle. Reproduces steam-order of zcsp-brana-large at a smaller scale: less than half of the slots
 // are needed, and reports come every 150 ms.
 func TestVMsDoNotChooseAlikeBetweenReports(t *testing.T) {
 	s := newOrderFleet(117, 108, 150*time.Millisecond)
 	s.run(12*time.Second, 0.42*108*simTargetSlots/(0.61*1.4), func() keyspace.Key { return 0 })
-	t.Logf("%d arrived, %d in time, %d late, %d refused, %d rejected by targets", s.arrived, s.inTime, s.late, s.refused, s.rejected)
 	// With reports every 5 ms the share is 0.89: some targets are too slow for any request.
-	if share := float64(s.inTime) / float64(s.inTime+s.late+s.refused); share < 0.85 {
+	if share := s.shareInTime(t); share < 0.85 {
 		t.Errorf("%.3f of the requests were answered in time", share)
 	}
 }
@@ -64,8 +70,7 @@
 func TestSmallFleetChoosesTheFastestTarget(t *testing.T) {
 	s := newOrderFleet(9, 8, 25*time.Millisecond)
 	s.run(20*time.Second, 0.3*8*simTargetSlots/(0.61*1.4), func() keyspace.Key { return 0 })
-	t.Logf("%d arrived, %d in time, %d late, %d refused, %d rejected by targets", s.arrived, s.inTime, s.late, s.refused, s.rejected)
-	if share := float64(s.inTime) / float64(s.inTime+s.late+s.refused); share < 0.85 {
+	if share := s.shareInTime(t); share < 0.85 {
 		t.Errorf("%.3f of the requests were answered in time", share)
 	}
 }
--- a/daemon/edge/audit.go
+++ b/daemon/edge/audit.go
@@ -200,28 +200,35 @@
 }
 
 func (c *prefixCache) put(e store.Entry) {
-	if old, present := c.entries[e.Key]; present {
-		c.hash ^= entryHash(e.Key, old.Revision)
-	}
+	c.drop(e.Key)
 	c.hash ^= entryHash(e.Key, e.Revision)
-	c.newestUnknown = c.newestUnknown || (c.entries[e.Key].Revision == c.newestRevision && e.Revision < c.newestRevision)
-	c.newestRevision = max(c.newestRevision, e.Revision)
+	if e.Revision >= c.newestRevision {
+		c.newestRevision, c.newestUnknown = e.Revision, false
+	}
 	c.entries[e.Key] = e
 }
 
+// remove drops a key that was removed from the store at revision or before, and keeps the removal for changesSince.
 func (c *prefixCache) remove(key string, revision types.Revision) {
-	if old, present := c.entries[key]; present {
-		c.hash ^= entryHash(key, old.Revision)
-		c.newestUnknown = c.newestUnknown || old.Revision == c.newestRevision
-		delete(c.entries, key)
-	}
+	c.drop(key)
 	if len(c.removals) == maxRemovals {
 		c.removalsFrom = c.removals[0].revision
-		c.removals = append(c.removals[:0], c.removals[1:]...)
+		c.removals = slices.Delete(c.removals, 0, 1)
 	}
 	c.removals = append(c.removals, removal{key: key, revision: revision})
 }
 
+// drop takes a key out of the entries and of what is derived from them.
+func (c *prefixCache) drop(key string) {
+	old, present := c.entries[key]
+	if !present {
+		return
+	}
+	c.hash ^= entryHash(key, old.Revision)
+	c.newestUnknown = c.newestUnknown || old.Revision == c.newestRevision
+	delete(c.entries, key)
+}
+
 // changesSince returns the changes after a revision. ok is false if they are not all known.
 func (c *prefixCache) changesSince(known types.Revision) (events []store.Event, ok bool) {
 	if known == 0 || known < c.removalsFrom {
--- a/daemon/edge/changes_test.go
+++ b/daemon/edge/changes_test.go
@@ -40,19 +40,25 @@
 	sc.memberships = ring.New[membership](1)
 }
 
+// mirrorPair returns a store cache and one that follows the store, both at the given time.
+func mirrorPair(now types.Instant) (sc, other *storeCache) {
+	sc, _ = newTestCache(now)
+	other, _ = newTestCache(now)
+	for _, c := range []*storeCache{other, sc} {
+		drained(c)
+		c.now = func() types.Instant { return now }
+	}
+	followAll(other, now)
+	return sc, other
+}
+
 // Guards against neighbours that transfer all registrations after each change: 601 targets in a data centre of 39 VMs fill the
 // link of the VM that answers for seconds. And against copies that differ afterwards.
 func TestMirrorTellsChangesOnly(t *testing.T) {
 	is := is.New(t)
 	now := types.Instant(time.Hour)
 	r := rand.New(rand.NewPCG(3, 4))
-	other, _ := newTestCache(now)
-	sc, _ := newTestCache(now)
-	for _, c := range []*storeCache{other, sc} {
-		drained(c)
-		c.now = func() types.Instant { return now }
-	}
-	followAll(other, now)
+	sc, other := mirrorPair(now)
 	const targets = 601
 	name := func() types.Target { return types.Target(fmt.Sprintf("i-%d", r.IntN(targets))) }
 	revision := types.Revision(1000)
@@ -90,13 +96,7 @@
 func TestMissedChangeMakesMirrorSendAllEntries(t *testing.T) {
 	is := is.New(t)
 	now := types.Instant(time.Hour)
-	other, _ := newTestCache(now)
-	sc, _ := newTestCache(now)
-	for _, c := range []*storeCache{other, sc} {
-		drained(c)
-		c.now = func() types.Instant { return now }
-	}
-	followAll(other, now)
+	sc, other := mirrorPair(now)
 	a, b := goodRegistration("i-a", 11), goodRegistration("i-b", 12)
 	other.apply(t.Context(), update{prefix: platform.TargetPrefix, snapshot: true, entries: []store.Entry{a, b}, revision: 20})
 	mirrorOnce(t, sc, other, now, platform.TargetPrefix)
--- a/keyspace/hot_test.go
+++ b/keyspace/hot_test.go
@@ -25,6 +25,21 @@
 	return exceeding / total
 }
 
+// readyFleet is readyCore for a number of targets with 4 slots each.
+func readyFleet(t *testing.T, targets int) (*Core, types.Instant) {
+	t.Helper()
+	var names []types.Target
+	for i := range targets {
+		names = append(names, types.Target(fmt.Sprintf("t%03d", i)))
+	}
+	c, now := readyCore(t, names...)
+	for i, m := range c.members {
+		m.Slots = 4
+		c.members[i] = m
+	}
+	return c, now
+}
+
 // Fails if neighbouring hot keys stay with the same owners for seconds after their load has risen. Reproduces hot keys
 // of the test run zcsp-brana-grown: for 4 s, a third of 1,500 requests a second go to 60 neighbouring keys, with 148
 // targets of 4 slots, and VMs report their requests every 0.3 s. An earlier version moved halves of the busy range and
@@ -39,15 +54,7 @@
 
 // excessAfterHotKeys simulates hot keys and returns the excess 2 s after their load has risen.
 func excessAfterHotKeys(t *testing.T, seed uint64) (after float64) {
-	var names []types.Target
-	for i := range 148 {
-		names = append(names, types.Target(fmt.Sprintf("t%03d", i)))
-	}
-	c, now := readyCore(t, names...)
-	for i, m := range c.members {
-		m.Slots = 4
-		c.members[i] = m
-	}
+	c, now := readyFleet(t, 148)
 	r := rand.New(rand.NewPCG(seed, 1))
 	rates := make(map[Key]float64)
 	var usual []Key
--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -87,8 +87,7 @@
 	for i := range c.states {
 		if c.states[i].phase == phaseCommitting {
 			assigned = append(assigned, t.Ranges[i])
-			c.states[i] = c.states[i].afterCommit(now, sameTarget[i])
-			c.states[i].exclusive = c.exclusiveCommit
+			c.states[i] = c.states[i].afterCommit(now, sameTarget[i], c.exclusiveCommit)
 		}
 	}
 	c.actions = append(c.actions, RangesAssigned{Base: baseFence, Next: t.NextFence, Ranges: assigned})
@@ -352,9 +351,10 @@
 
 // afterCommit returns the state of a range after the commit of its next owner. If that is the same target, its
 // earlier grants still count, also one whose call is in flight: its result no longer matches the range.
-func (s rangeState) afterCommit(now types.Instant, sameTarget bool) rangeState {
+func (s rangeState) afterCommit(now types.Instant, sameTarget, exclusive bool) rangeState {
 	n := rangeState{
 		fenceCommitted: true, renewAt: now, cooldownUntil: now.Add(moveCooldown), firstGrantBefore: now.Add(firstGrantWindow),
+		exclusive: exclusive,
 	}
 	if sameTarget {
 		n.confirmedUntil, n.cooldownUntil = s.confirmedUntil, s.cooldownUntil
--- a/keyspace/release_test.go
+++ b/keyspace/release_test.go
@@ -81,15 +81,7 @@
 
 func newHotFleet(t *testing.T) *hotFleet {
 	t.Helper()
-	var names []types.Target
-	for i := range 356 {
-		names = append(names, types.Target(fmt.Sprintf("t%03d", i)))
-	}
-	c, now := readyCore(t, names...)
-	for i, m := range c.members {
-		m.Slots = 4
-		c.members[i] = m
-	}
+	c, now := readyFleet(t, 356)
 	c.serviceTime = 470 * time.Millisecond
 	f := &hotFleet{
 		delayedRun: delayedRun{c: c, now: now, callTime: 8 * time.Millisecond, releaseTime: 500 * time.Millisecond},
--- a/keyspace/settings.go
+++ b/keyspace/settings.go
@@ -83,8 +83,8 @@
 	balanceInterval = 500 * time.Millisecond
 	// minCostGap is the difference of costs below which no range moves; an average request at an idle target costs 1.
 	minCostGap = 0.5
-	// overloadGap is the difference of costs at which a target is overloaded: about three quarters of its slots are busy. Smaller gaps are
-	// not balanced beside a target that keeps its keys, because moved keys are slow at first.
+	// overloadGap is the difference of costs at which a target is overloaded: about three quarters of its slots are busy.
+	// Smaller gaps are not balanced beside a target that keeps its keys, because moved keys are slow at first.
 	overloadGap = 2.5
 	// queueCost is the cost that queueing adds when all slots are busy, relative to an idle target.
 	queueCost = 6.0
