admission, edge: log cold sends with their count, and when this VM is not in the list of VMs

Cause: the lines did not tell apart why a cold target gets more requests than allowed. A send line did not say that its target is cold, nor what the VM counts and how many neighbours report to it; no line told that a VM has left the list of VMs, after which the others do not report to it.

After: the reason of a send to a cold target has these figures, and the store cache logs when this VM leaves the list or is back. go test of admission and daemon/edge passes.

--- a/admission/core.go
+++ b/admission/core.go
@@ -243,7 +243,7 @@
 	c.changedTargets[t.Target] = true
 	c.actions = append(c.actions, Send{
 		ID: req.id, Attempt: req.attempts, Target: t.Registration, Leaving: t.leavingSince != 0, Deadline: req.deadline.Add(-replyMargin),
-		Reason: t.describeLoad(now),
+		Reason: c.describeLoad(now, t),
 	})
 }
 
--- a/admission/explain.go
+++ b/admission/explain.go
@@ -8,10 +8,16 @@
 )
 
 // describeLoad describes a target's load as known to this VM, for the log.
-func (t *target) describeLoad(now types.Instant) string {
-	return fmt.Sprintf("own %d peers %d others %.1f of %d slots, slowness %.1f seen %s ago, failures %.2f, expected %s",
+func (c *Core) describeLoad(now types.Instant, t *target) string {
+	text := fmt.Sprintf("own %d peers %d others %.1f of %d slots, slowness %.1f seen %s ago, failures %.2f, expected %s",
 		t.ownInFlight, t.peerRequests, t.estimateRemote(now), t.Slots, t.slowness, now.Sub(t.slownessAt).Round(time.Millisecond), t.failureRate,
 		t.expectedTime(now).Round(time.Millisecond))
+	if s := c.services[t.Service]; s != nil && now.Before(t.ColdUntil) {
+		text += fmt.Sprintf(", cold for %s, %d of %d requests of this data centre sent within %s, %d of %d neighbours report",
+			t.ColdUntil.Sub(now).Round(time.Millisecond), t.dataCentreSends.count(now), c.coldAllowance(now, s), coldWindow,
+			c.reportingNeighbours(now), len(c.neighbours))
+	}
+	return text
 }
 
 // refusalReason describes the state that led to a refusal, for the log.
@@ -42,7 +48,7 @@
 	case s.isMoving(now, req.key):
 		return text + ", key moves"
 	}
-	return fmt.Sprintf("%s, leaving %v, unreachable %v, %s", text, t.leavingSince != 0, now.Before(t.unreachable), t.describeLoad(now))
+	return fmt.Sprintf("%s, leaving %v, unreachable %v, %s", text, t.leavingSince != 0, now.Before(t.unreachable), c.describeLoad(now, t))
 }
 
 // unkeyedRefusalReason counts the targets of a service without keys by why they get no requests.
--- a/admission/limits.go
+++ b/admission/limits.go
@@ -39,13 +39,19 @@
 	if !s.Keyed {
 		return max(1, int(part))
 	}
-	active := 1
+	active := c.reportingNeighbours(now) + 1
+	return max(1, int(part*float64(active)/float64(len(c.neighbours)+1)))
+}
+
+// reportingNeighbours returns how many neighbours have reported within activePeerTTL.
+func (c *Core) reportingNeighbours(now types.Instant) int {
+	n := 0
 	for _, vm := range c.neighbours {
 		if p, ok := c.peerRequests[vm]; ok && now.Sub(p.receivedAt) <= activePeerTTL {
-			active++
+			n++
 		}
 	}
-	return max(1, int(part*float64(active)/float64(len(c.neighbours)+1)))
+	return n
 }
 
 // isWarmingVM reports whether this VM is the one of its data centre that sends requests to a cold target of a service
--- a/daemon/edge/storecache.go
+++ b/daemon/edge/storecache.go
@@ -82,8 +82,9 @@
 	registrationsRead bool
 	// vm is the name of this VM.
 	vm types.VM
-	// entry is the store entry of this VM.
-	entry vmEntry
+	// entry is the store entry of this VM. selfListed is true while the list of VMs contains it.
+	entry      vmEntry
+	selfListed bool
 	// seeds are the mirror addresses of VMs to ask while no other VM is known.
 	seeds []string
 	// watchOrders are the rings of the watches.
--- a/daemon/edge/vmlist.go
+++ b/daemon/edge/vmlist.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 
+	"github.com/apex/log"
+
 	"sequoiasail.example/admission"
 	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
@@ -91,6 +93,22 @@
 	return slices.Sorted(maps.Keys(sc.vms))
 }
 
+// logListing logs when the entry of this VM has left the list of VMs or is back. Other VMs send no reports to a VM that they do
+// not list.
+func (sc *storeCache) logListing(listed, neighbours int) {
+	_, self := sc.vms[sc.vm]
+	if self == sc.selfListed {
+		return
+	}
+	sc.selfListed = self
+	f := log.Fields{"listed": self, "vms": listed, "neighbours": neighbours}
+	if self {
+		sc.log.Info("this VM is in the list of VMs", f)
+	} else {
+		sc.log.Warn("this VM is not in the list of VMs", f)
+	}
+}
+
 // publishVMs passes the known VMs to admission and the peer sender.
 func (sc *storeCache) publishVMs(ctx context.Context) {
 	names := sc.vmNames()
@@ -102,6 +120,7 @@
 	for _, name := range names {
 		list = append(list, sc.vms[name])
 	}
+	sc.logListing(len(names), len(neighbours))
 	sc.deliver(ctx, sc.admission, admission.Peers{VMs: names, Neighbours: neighbours})
 	_ = sc.memberships.Replace(membership{vms: list, coordinator: sc.coordinatorVM})
 }
