--- a/admission/coldstart_test.go
+++ b/admission/coldstart_test.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -17,6 +19,10 @@
 type coldVM struct {
 	name, dataCentre   string
 	startsAt, listsAll time.Duration
+	// unlisted is when the store has no entry of the VM, so that no VM lists it. It goes on and lists the others.
+	unlisted interval
+	// isolated is when no report reaches the VM or comes from it, and its list does not change.
+	isolated interval
 
 	core    *Core
 	listed  []types.VM
@@ -24,14 +30,42 @@
 	next    LocalRequestID
 }
 
+// interval is a span of a simulation; the zero value is empty.
+type interval struct{ from, to time.Duration }
+
+func (i interval) contains(d time.Duration) bool { return i.from <= d && d < i.to }
+
+// list returns the other VMs that the VM lists after d of the simulation.
+func (v *coldVM) list(d time.Duration, vms []*coldVM) (list []types.VM) {
+	if v.isolated.contains(d) {
+		return v.listed
+	}
+	if d < v.listsAll {
+		return nil
+	}
+	for _, o := range vms {
+		if o != v && o.dataCentre == v.dataCentre && !o.unlisted.contains(d) {
+			list = append(list, types.VM(o.name))
+		}
+	}
+	return list
+}
+
 // coldStartSimulation runs the cores of VMs that start at different times and learn of each other late, with requests for one
 // cold target at each of them, and returns the times of the sends.
 func coldStartSimulation(d time.Duration, vms []*coldVM) []types.Instant {
+	return simulateColdTarget(d, vms, false)
+}
+
+// simulateColdTarget is coldStartSimulation for a target that owns all keys of its service, or has none.
+func simulateColdTarget(d time.Duration, vms []*coldVM, keyed bool) []types.Instant {
 	const (
 		step           = 5 * time.Millisecond
 		workTime       = 25 * time.Millisecond
 		reportInterval = 25 * time.Millisecond
 		reportRefresh  = 500 * time.Millisecond
+		// Each VM gets a request in each step, for the owner of a key once in so many steps: 5 a second.
+		keyedArrivalSteps = 40
 	)
 	cold := listing("orders", "t1", "a")
 	cold.ColdUntil, cold.Slots = start.Add(time.Minute), 4
@@ -59,7 +93,7 @@
 			}
 			perform(a.vm, a.vm.core.Step(now, AttemptFinished{ID: a.send.ID, Attempt: a.send.Attempt, Result: ResultAnswered}))
 		}
-		for _, v := range vms {
+		for i, v := range vms {
 			age := now.Sub(start) - v.startsAt
 			if age < 0 {
 				continue
@@ -68,23 +102,23 @@
 				s := testSettings(v.name)
 				s.DataCentre, s.DataCentres = v.dataCentre, 2
 				v.core = New(s, random)
-				v.core.Step(now, Services{Services: map[types.Service]catalog.Service{"orders": {Name: "orders", MaxConnections: 100, MaxColdRate: 6}}})
+				v.core.Step(now, Services{Services: map[types.Service]catalog.Service{"orders": {Name: "orders", MaxConnections: 100, MaxColdRate: 6, Keyed: keyed}}})
 				v.core.Step(now, Targets{Targets: []catalog.Listing{cold}})
+				owners := ownedBy("t1")
+				owners.Service = "orders"
+				v.core.Step(now, owners)
 			}
-			var list []types.VM
-			if now.Sub(start) >= v.listsAll {
-				for _, o := range vms {
-					if o != v && o.dataCentre == v.dataCentre {
-						list = append(list, types.VM(o.name))
-					}
-				}
-			}
+			list := v.list(now.Sub(start), vms)
 			if age == 0 || !slices.Equal(list, v.listed) {
 				v.listed = list
 				perform(v, v.core.Step(now, Peers{VMs: append(slices.Clone(list), types.VM(v.name)), Neighbours: list}))
 			}
 			v.next++
-			perform(v, v.core.Step(now, RequestArrived{ID: v.next, Route: orders, Deadline: now.Add(1500 * time.Millisecond)}))
+			if keyed && int(v.next)%keyedArrivalSteps != i%keyedArrivalSteps {
+				perform(v, v.core.Tick(now))
+				continue
+			}
+			perform(v, v.core.Step(now, RequestArrived{ID: v.next, Route: orders, Keyed: keyed, Deadline: now.Add(1500 * time.Millisecond)}))
 			perform(v, v.core.Tick(now))
 		}
 		for _, v := range vms {
@@ -95,6 +129,9 @@
 			v.reports = now
 			r := v.core.Report()
 			for _, o := range vms {
+				if v.isolated.contains(now.Sub(start)) || o.isolated.contains(now.Sub(start)) {
+					continue
+				}
 				if o.core != nil && slices.Contains(v.listed, types.VM(o.name)) {
 					perform(o, o.core.Step(now, r))
 				}
@@ -167,3 +204,66 @@
 	_, actions = c.arrive(orders, 0)
 	is.Equal(len(find[Send](actions)), 1)
 }
+
+// newColdFleet returns the VMs of two data centres with n VMs each, those of a data centre by falling score for the cold target.
+func newColdFleet(n int) (vms []*coldVM) {
+	for _, dc := range []string{"a", "b"} {
+		var names []string
+		for i := range n {
+			names = append(names, fmt.Sprintf("vm-%d-%s", i, dc))
+		}
+		slices.SortFunc(names, func(a, b string) int {
+			return cmp.Compare(types.RendezvousScore("t1", b), types.RendezvousScore("t1", a))
+		})
+		for _, name := range names {
+			vms = append(vms, &coldVM{name: name, dataCentre: dc})
+		}
+	}
+	return vms
+}
+
+// Guards against VMs of a data centre that each take themselves for the one that sends to a cold target, because the store has
+// dropped the entries of some of them. The VMs without an entry go on, and have the highest scores for the target.
+func TestColdTargetLimitHoldsWhileVMsAreNotListed(t *testing.T) {
+	for _, unlisted := range []int{1, 2, 3, 7} {
+		vms := newColdFleet(8)
+		for i, v := range vms {
+			if i%8 < unlisted {
+				v.unlisted = interval{from: 3 * time.Second, to: 7 * time.Second}
+			}
+		}
+		sends := coldStartSimulation(10*time.Second, vms)
+		if n := mostWithinSecond(sends); n > 14 {
+			t.Errorf("%d of 8 VMs not listed: %d requests within a second, 14 are allowed", unlisted, n)
+		}
+		// The two VMs that warm the target send 5 requests each in coldWindow. They may pause when the list changes.
+		if len(sends) < 40 {
+			t.Errorf("%d of 8 VMs not listed: only %d requests in 10 s", unlisted, len(sends))
+		}
+		t.Logf("%d of 8 VMs not listed: %d requests in 10 s", unlisted, len(sends))
+	}
+}
+
+// Guards against a VM that is cut off from the others and goes on sending to cold targets, while another VM has taken its place.
+// The others drop it from their lists after the time to live of its entry, or at once.
+func TestColdTargetLimitHoldsWhileVMsAreCutOff(t *testing.T) {
+	for _, cutOff := range []int{1, 2, 3} {
+		for _, ttl := range []time.Duration{0, 500 * time.Millisecond, time.Second, 3 * time.Second} {
+			vms := newColdFleet(8)
+			for i, v := range vms {
+				if i%8 < cutOff {
+					v.isolated = interval{from: 3 * time.Second, to: 8 * time.Second}
+					v.unlisted = interval{from: 3*time.Second + ttl, to: 8200 * time.Millisecond}
+				}
+			}
+			sends := coldStartSimulation(11*time.Second, vms)
+			if n := mostWithinSecond(sends); n > 14 {
+				t.Errorf("%d of 8 VMs cut off, dropped after %v: %d requests within a second, 14 are allowed", cutOff, ttl, n)
+			}
+			if len(sends) < 40 {
+				t.Errorf("%d of 8 VMs cut off, dropped after %v: only %d requests in 11 s", cutOff, ttl, len(sends))
+			}
+			t.Logf("%d of 8 VMs cut off, dropped after %v: %d requests in 11 s", cutOff, ttl, len(sends))
+		}
+	}
+}
