admission, edge: VMs that report are neighbours, listed or not; only a VM that hears most of them sends to cold targets

Cause: which VM of a data centre sends to a cold target was chosen by hash among the VMs in the store's list. The store had dropped the entries of 30 of 86 VMs and refused them. Those VMs were in no list, so each of them with a higher score than all listed neighbours took itself for the one, and nobody reported to them.

Change: neighbours are the listed VMs and those that report. A VM sends its reports also to the VMs that report to it (also owners of keys and digests, which unlisted VMs missed). A VM that does not hear most of its neighbours sends nothing to cold targets, and waits for coldWindow once it does again; one that is not listed counts for 1.9 s after its last report, by which time it has noticed.

Why this works: two VMs that can reach each other know each other whatever the store lists, and of two groups that can't, at most one has a majority.

Ruled out: a lease in the store for each cold target (no calls while the store is away).

--- a/admission/choose.go
+++ b/admission/choose.go
@@ -132,7 +132,7 @@
 // whichever is higher.
 func (c *Core) serviceRate(now types.Instant, req *request) (rate float64, ahead int) {
 	for _, o := range req.service.targets {
-		share := float64(o.Slots) / o.unqueuedTime().Seconds() / float64(len(c.neighbours)+1)
+		share := float64(o.Slots) / o.unqueuedTime().Seconds() / float64(len(c.neighbours.living)+1)
 		rate += max(float64(o.ownSends.count(now))/coldWindow.Seconds(), share/float64(max(c.settings.DataCentres, 1)))
 	}
 	return max(rate, minRate), len(req.service.waiting)
--- a/admission/core.go
+++ b/admission/core.go
@@ -55,7 +55,7 @@
 	// vms are all VMs of the fleet, this one included.
 	vms []types.VM
 	// neighbours are the other VMs of the data centre, which send their reports to this one.
-	neighbours []types.VM
+	neighbours neighbourhood
 	// peerRequests holds the last report of each other VM.
 	peerRequests map[types.VM]peerReport
 	// changedTargets holds the targets whose requests have changed since the last Report, samples the observations
@@ -69,7 +69,8 @@
 	// startedAt is the time of the first message.
 	startedAt types.Instant
 	// awaitedNeighbours holds the neighbours that were listed while this VM started and have not reported yet, with the time of
-	// the listing. reportsCompleteAt is when the reports of the others cover coldWindow.
+	// the listing. reportsCompleteAt is when the reports of the others cover coldWindow, after this VM has started or has not
+	// heard most of its neighbours.
 	awaitedNeighbours map[types.VM]types.Instant
 	reportsCompleteAt types.Instant
 	// nextCheck is when Tick next checks deadlines and waiting requests.
@@ -87,6 +88,7 @@
 		targets:        make(map[types.Target]*target),
 		peerRequests:   make(map[types.VM]peerReport),
 		changedTargets: make(map[types.Target]bool),
+		neighbours:     newNeighbourhood(),
 
 		awaitedNeighbours: make(map[types.VM]types.Instant),
 	}
--- a/admission/explain.go
+++ b/admission/explain.go
@@ -15,7 +15,7 @@
 	if s := c.services[t.Service]; s != nil && now.Before(t.ColdUntil) {
 		text += fmt.Sprintf(", cold for %s, %d of %d requests of this data centre sent within %s, %d of %d neighbours report",
 			t.ColdUntil.Sub(now).Round(time.Millisecond), t.dataCentreSends.count(now), c.coldAllowance(now, s), coldWindow,
-			c.reportingNeighbours(now), len(c.neighbours))
+			c.neighbours.reporting(now), len(c.neighbours.living))
 	}
 	return text
 }
--- a/admission/limits.go
+++ b/admission/limits.go
@@ -39,19 +39,8 @@
 	if !s.Keyed {
 		return max(1, int(part))
 	}
-	active := c.reportingNeighbours(now) + 1
-	return max(1, int(part*float64(active)/float64(len(c.neighbours)+1)))
-}
-
-// reportingNeighbours returns how many neighbours have reported within activePeerTTL.
-func (c *Core) reportingNeighbours(now types.Instant) int {
-	n := 0
-	for _, vm := range c.neighbours {
-		if p, ok := c.peerRequests[vm]; ok && now.Sub(p.receivedAt) <= activePeerTTL {
-			n++
-		}
-	}
-	return n
+	active := c.neighbours.reporting(now) + 1
+	return max(1, int(part*float64(active)/float64(len(c.neighbours.living)+1)))
 }
 
 // isWarmingVM reports whether this VM is the one of its data centre that sends requests to a cold target of a service
@@ -59,7 +48,7 @@
 // requests.
 func (c *Core) isWarmingVM(t *target) bool {
 	own := types.RendezvousScore(string(t.Target), c.settings.VM)
-	for _, vm := range c.neighbours {
+	for _, vm := range c.neighbours.living {
 		if types.RendezvousScore(string(t.Target), string(vm)) > own {
 			return false
 		}
--- a/admission/peers.go
+++ b/admission/peers.go
@@ -21,14 +21,15 @@
 func (c *Core) setPeers(now types.Instant, m Peers) {
 	if c.isStarting(now) {
 		for _, vm := range m.Neighbours {
-			if _, reported := c.peerRequests[vm]; !reported && !slices.Contains(c.neighbours, vm) {
+			if _, reported := c.peerRequests[vm]; !reported && !slices.Contains(c.neighbours.listed, vm) {
 				c.awaitedNeighbours[vm] = now
 			}
 		}
 	}
-	c.vms, c.neighbours, c.reportInterval = m.VMs, m.Neighbours, m.ReportInterval
+	c.vms, c.reportInterval = m.VMs, m.ReportInterval
+	c.neighbours.setListed(now, m.Neighbours)
 	for vm := range c.peerRequests {
-		if !slices.Contains(m.VMs, vm) {
+		if !slices.Contains(m.VMs, vm) && !slices.Contains(c.neighbours.living, vm) {
 			c.dropPeerReport(vm)
 		}
 	}
@@ -42,22 +43,34 @@
 // isStarting reports whether this VM has started less than coldStartDelay ago.
 func (c *Core) isStarting(now types.Instant) bool { return now.Before(c.startedAt.Add(coldStartDelay)) }
 
-// recordFirstReport notes that a neighbour reports to this VM from now on, if it did not before. A neighbour reports only to
-// the VMs that it knows, so that its earlier requests are unknown here.
-func (c *Core) recordFirstReport(now types.Instant, vm types.VM) {
+// recordHeard notes that a neighbour reports to this VM. A neighbour reports only to the VMs that it knows, so that its requests
+// before its first report are unknown here.
+func (c *Core) recordHeard(now types.Instant, vm types.VM) {
 	_, awaited := c.awaitedNeighbours[vm]
 	_, reported := c.peerRequests[vm]
 	if awaited || (!reported && c.isStarting(now)) {
 		c.reportsCompleteAt = now.Add(coldWindow)
 	}
 	delete(c.awaitedNeighbours, vm)
+	c.noteMajority(now)
+	c.neighbours.hear(now, vm)
+}
+
+// noteMajority reports whether this VM hears most of its neighbours. While it does not, it may not know what they send.
+func (c *Core) noteMajority(now types.Instant) bool {
+	c.neighbours.expire(now)
+	if c.neighbours.hearsMajority(now) {
+		return true
+	}
+	c.reportsCompleteAt = now.Add(coldWindow)
+	return false
 }
 
 // knowsColdSends reports whether this VM knows the requests that its neighbours have sent within coldWindow. Neighbours that
 // start later wait for the reports of this one. A neighbour that has been listed for silentNeighbourDelay without a report is
 // taken as down or cut off.
 func (c *Core) knowsColdSends(now types.Instant) bool {
-	if c.isStarting(now) || now.Before(c.reportsCompleteAt) {
+	if !c.noteMajority(now) || c.isStarting(now) || now.Before(c.reportsCompleteAt) {
 		return false
 	}
 	for _, listedAt := range c.awaitedNeighbours {
@@ -73,7 +86,7 @@
 		return
 	}
 	m = m.WithinLimits()
-	c.recordFirstReport(now, m.VM)
+	c.recordHeard(now, m.VM)
 	c.recordPeerSends(now, m)
 	for _, s := range m.Samples {
 		if t := c.targets[s.Target]; t != nil {
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -34,7 +34,9 @@
 	coordinatorCapacity = 1024
 	callBatchCapacity   = 256
 	reportCapacity      = 32
-	storeReadCapacity   = 8
+	// correspondentCapacity has room for the VMs of a large data centre, which begin to report at about the same time.
+	correspondentCapacity = 128
+	storeReadCapacity     = 8
 )
 
 // initialHTTPLimits are the limits of both HTTP servers. They apply before a configuration is known, and are wider than
@@ -172,14 +174,19 @@
 	attempts := ring.New[attempt](attemptCapacity)
 	reports := ring.New[report](reportCapacity)
 	members := ring.New[membership](1)
+	heard := ring.New[correspondent](correspondentCapacity)
 	m := newRequestMetrics(e.metrics)
 	e.group.Add(e.log.Duty())
 	e.group.Add(e.store.duty())
 	e.addStoreCache(members, reports)
 	e.group.Add((&peerSender{
-		vm: e.settings.VM, dataCentre: e.settings.DataCentre, in: reports, members: members, coordinator: e.coordinator, conn: conn, log: e.log,
+		vm: e.settings.VM, dataCentre: e.settings.DataCentre, in: reports, members: members, heard: heard, coordinator: e.coordinator,
+		conn: conn, log: e.log, now: telemetry.Now, correspondents: make(map[types.VM]correspondent),
+	}).duty())
+	e.group.Add((&peerReceiver{
+		conn: conn, admission: e.admission, coordinator: e.coordinator, storeCache: e.storeCache.in, heard: heard, log: e.log,
+		now: telemetry.Now, noted: make(map[types.VM]correspondent),
 	}).duty())
-	e.group.Add((&peerReceiver{conn: conn, admission: e.admission, coordinator: e.coordinator, storeCache: e.storeCache.in, log: e.log}).duty())
 	e.group.Add((&reloader{settingsFile: e.settingsFile, current: e.settings, admission: e.admission, log: e.log}).duty())
 	mirror := peer.NewServer(e.settings.MirrorAddress)
 	if err := mirror.Register("Mirror", &Mirror{storeCache: e.storeCache.in}); err != nil {
--- a/daemon/edge/peers.go
+++ b/daemon/edge/peers.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
+	"time"
 
 	"github.com/apex/log"
 
@@ -16,8 +19,17 @@
 	"sequoiasail.example/types"
 )
 
-// maxDatagram is the largest datagram that is read, in bytes.
-const maxDatagram = 16 << 10
+const (
+	// maxDatagram is the largest datagram that is read, in bytes.
+	maxDatagram = 16 << 10
+	// correspondentTTL is how long after its last report a VM that is not listed gets the reports of this one: several times
+	// reportRefresh, because datagrams may be lost.
+	correspondentTTL = 3 * time.Second
+	// correspondentInterval is the shortest time between two messages of the receiver to the sender about the same VM.
+	correspondentInterval = correspondentTTL / 6
+	// maxCorrespondents bounds the VMs that are kept as correspondents.
+	maxCorrespondents = 1024
+)
 
 // membership is the list of VMs in the store.
 type membership struct {
@@ -26,26 +38,39 @@
 	coordinator types.VM
 }
 
-// peerSender sends the reports of this VM to the other VMs.
+// correspondent is a VM that has sent a report to this one.
+type correspondent struct {
+	vm     types.VM
+	source netip.AddrPort
+	// neighbour is true if the report has a load, which is for the VMs of the sender's data centre.
+	neighbour bool
+	heardAt   types.Instant
+}
+
+// peerSender sends the reports of this VM to the other VMs: those of the store's list, and those that report to this VM without
+// being in it, because the store may drop the entry of a VM that goes on.
 type peerSender struct {
 	vm         types.VM
 	dataCentre types.DataCentre
-	// in holds the reports to send, members the lists of VMs. coordinator is the ring of this VM's coordinator duty, which gets
-	// this VM's reports directly while it has the role.
+	// in holds the reports to send, members the lists of VMs, heard the VMs that report to this one. coordinator is the ring of
+	// this VM's coordinator duty, which gets this VM's reports directly while it has the role.
 	in          *ring.Ring[report]
 	members     *ring.Ring[membership]
+	heard       *ring.Ring[correspondent]
 	coordinator *ring.Ring[any]
 	conn        *net.UDPConn
 	log         *telemetry.Log
+	now         func() types.Instant
 
-	remotes       []remoteVM
-	coordinatorVM types.VM
+	remotes        []remoteVM
+	coordinatorVM  types.VM
+	correspondents map[types.VM]correspondent
 }
 
 // remoteVM is another VM with its resolved peer address.
 type remoteVM struct {
 	vmEntry
-	address *net.UDPAddr
+	address netip.AddrPort
 }
 
 func (p *peerSender) duty() duty.Duty { return duty.Duty{Name: "peer-send", Run: p.run} }
@@ -53,10 +78,12 @@
 func (p *peerSender) run(ctx context.Context) error {
 	for {
 		p.members.Drain(p.setMembers)
+		p.heard.Drain(p.addCorrespondent)
 		p.in.Drain(p.send)
 		select {
 		case <-p.in.Ready():
 		case <-p.members.Ready():
+		case <-p.heard.Ready():
 		case <-ctx.Done():
 			return nil
 		}
@@ -76,8 +103,29 @@
 			p.log.Warn("invalid peer address, no reports are sent to this VM", log.Fields{"vm": m.VM, "address": m.PeerAddress})
 			continue
 		}
-		p.remotes = append(p.remotes, remoteVM{vmEntry: m, address: net.UDPAddrFromAddrPort(a)})
+		p.remotes = append(p.remotes, remoteVM{vmEntry: m, address: a})
+	}
+}
+
+// addCorrespondent records that a VM reports to this one. A report without a load does not change what is known of its data centre.
+func (p *peerSender) addCorrespondent(c correspondent) {
+	old, known := p.correspondents[c.vm]
+	if !known && len(p.correspondents) >= maxCorrespondents {
+		return
+	}
+	c.neighbour = c.neighbour || old.neighbour
+	p.correspondents[c.vm] = c
+}
+
+// unlisted returns the VMs that report to this one and are not in the store's list.
+func (p *peerSender) unlisted(now types.Instant) (list []correspondent) {
+	maps.DeleteFunc(p.correspondents, func(_ types.VM, c correspondent) bool { return now.Sub(c.heardAt) >= correspondentTTL })
+	for _, c := range p.correspondents {
+		if !slices.ContainsFunc(p.remotes, func(r remoteVM) bool { return r.VM == c.vm }) {
+			list = append(list, c)
+		}
 	}
+	return list
 }
 
 // isRecipient reports whether a report is addressed to a VM.
@@ -92,6 +140,12 @@
 	}
 }
 
+// isUnlistedRecipient reports whether a report is addressed to a VM that is not listed.
+func (p *peerSender) isUnlistedRecipient(r report, c correspondent) bool {
+	return r.to == toAll || (r.to == toDataCentre && c.neighbour)
+}
+
+// send sends a report to its recipients. A failure to send is treated like a lost datagram: the next report replaces it.
 func (p *peerSender) send(r report) {
 	if r.to == toCoordinator && p.coordinatorVM == p.vm {
 		passToCoordinator(p.coordinator, r)
@@ -104,8 +158,12 @@
 	}
 	for _, remote := range p.remotes {
 		if p.isRecipient(r, remote) {
-			// A failure to send is treated like a lost datagram: the next report replaces it.
-			_, _ = p.conn.WriteToUDP(data, remote.address)
+			_, _ = p.conn.WriteToUDPAddrPort(data, remote.address)
+		}
+	}
+	for _, c := range p.unlisted(p.now()) {
+		if p.isUnlistedRecipient(r, c) {
+			_, _ = p.conn.WriteToUDPAddrPort(data, c.source)
 		}
 	}
 }
@@ -127,7 +185,13 @@
 	admission   *ring.Ring[any]
 	coordinator *ring.Ring[any]
 	storeCache  *ring.Ring[any]
-	log         *telemetry.Log
+	// heard is the ring of the peer sender for the VMs that report. A full ring drops them, because they report again.
+	heard *ring.Ring[correspondent]
+	log   *telemetry.Log
+	now   func() types.Instant
+
+	// noted holds what the peer sender was last told of each VM.
+	noted map[types.VM]correspondent
 }
 
 func (p *peerReceiver) duty() duty.Duty {
@@ -137,7 +201,7 @@
 func (p *peerReceiver) run(ctx context.Context) error {
 	buf := make([]byte, maxDatagram)
 	for {
-		n, _, err := p.conn.ReadFromUDP(buf)
+		n, source, err := p.conn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -150,10 +214,25 @@
 			p.log.Warn("malformed report ignored", log.Fields{"error": err.Error()})
 			continue
 		}
+		p.noteCorrespondent(correspondent{vm: from, source: source, neighbour: r.load != nil, heardAt: p.now()})
 		p.dispatch(ctx, from, r)
 	}
 }
 
+// noteCorrespondent tells the peer sender that a VM reports, at most once in correspondentInterval unless it has changed.
+func (p *peerReceiver) noteCorrespondent(c correspondent) {
+	old, known := p.noted[c.vm]
+	c.neighbour = c.neighbour || old.neighbour
+	if known && old.source == c.source && old.neighbour == c.neighbour && c.heardAt.Sub(old.heardAt) < correspondentInterval {
+		return
+	}
+	if len(p.noted) >= maxCorrespondents {
+		clear(p.noted)
+	}
+	p.noted[c.vm] = c
+	_ = p.heard.TryPut(c)
+}
+
 // peerDigest is a digest received from another VM.
 type peerDigest struct {
 	from   types.VM
