admission: the retry budget and the connections of a target are shared with VMs that are not listed

What could happen: retries of all VMs together beyond the service's budget (BUDGET), and connections beyond what a target accepts, while the store has dropped entries of VMs: each VM took its part of a fleet of the listed VMs only.

Change: the size of the fleet is the listed VMs, scaled by the living neighbours of this data centre to its listed ones.

Before: TestRetryBudgetHoldsWhileVMsAreNotListed 96 retries for 120 requests of 12 VMs, 84 allowed. After: passes.

--- a/admission/core_test.go
+++ b/admission/core_test.go
@@ -374,6 +374,36 @@
 	}
 }
 
+// Guards against VMs that share the retry budget among fewer VMs than there are, because the store has dropped the entries of half
+// of the fleet: 12 VMs in three data centres, of which each lists two and hears four.
+func TestRetryBudgetHoldsWhileVMsAreNotListed(t *testing.T) {
+	requests, retries := 0, 0
+	for range 12 {
+		c := newTestCore("vm1", listing("orders", "o1", "a"), listing("orders", "o2", "a"))
+		c.step(Peers{VMs: []types.VM{"vm1", "vm2", "vm5", "vm6", "vm9", "vm10"}, Neighbours: []types.VM{"vm2"}})
+		for range 10 {
+			for _, vm := range []types.VM{"vm2", "vm3", "vm4"} {
+				c.step(PeerReport{VM: vm})
+			}
+			id, a := c.arrive(orders, 1)
+			requests++
+			for attempt := 1; len(find[Send](a)) > 0; attempt++ {
+				if attempt > 1 {
+					retries++
+				}
+				a = c.step(AttemptFinished{ID: id, Attempt: attempt, Result: ResultNotRun})
+			}
+			c.advance(100 * time.Millisecond)
+		}
+	}
+	if limit := 0.2*float64(requests) + 60; float64(retries) > limit {
+		t.Errorf("%d retries for %d requests, all VMs may send %v", retries, requests, limit)
+	}
+	if retries < 12 {
+		t.Errorf("only %d of %d requests were retried", retries, requests)
+	}
+}
+
 // Guards against late lookups taking the slots of an owner from requests that can still be answered in time. Reproduces
 // a hot key: the owner is full, and new requests arrive while older ones wait.
 func TestTimelyRequestsPrecedeLateOnes(t *testing.T) {
--- a/admission/neighbours.go
+++ b/admission/neighbours.go
@@ -94,3 +94,10 @@
 	reporting, known := n.count(now)
 	return 2*(reporting+1) > known+1
 }
+
+// scale estimates a number of VMs of all data centres from the number that the store lists, if the same share of each data
+// centre is not listed.
+func (n *neighbourhood) scale(listed int) int {
+	own := len(n.listed) + 1
+	return (listed*(len(n.living)+1) + own - 1) / own
+}
--- a/admission/peers.go
+++ b/admission/peers.go
@@ -16,7 +16,7 @@
 // minFleetSize is the fleet size that is assumed until the other VMs are known.
 const minFleetSize = 4
 
-func (c *Core) fleetSize() int { return max(len(c.vms), minFleetSize) }
+func (c *Core) fleetSize() int { return max(c.neighbours.scale(len(c.vms)), minFleetSize) }
 
 func (c *Core) setPeers(now types.Instant, m Peers) {
 	if c.isStarting(now) {
