transport, dispatcher: the bodies that are read from all targets are bounded together

What callers could see: a dispatcher of the two-process path that runs out of memory and loses the requests of all callers, because faulty targets answer with bytes without end. Each connection, one for each slot of each target, held up to 16 MiB.

Ruled out: sail-edge, whose tests of endless heads and bodies pass; and heads, which are bounded at 64 KiB a connection.

Change: transport/internal/exchange reads bodies with forward.ReadBody, and the dispatcher gives all its clients one budget of 64 MiB.

--- a/daemon/dispatcher/lease.go
+++ b/daemon/dispatcher/lease.go
@@ -9,6 +9,7 @@
 	"sequoiasail.example/ownership"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/forward"
 	"sequoiasail.example/transport/target"
 	"sequoiasail.example/types"
 )
@@ -20,15 +21,17 @@
 type leaseCallers struct {
 	out       *ring.Ring[leaseInput]
 	metrics   *telemetry.Metrics
+	budget    *forward.Budget
 	addresses map[types.TargetID]string
 	callers   map[types.TargetID]*leaseCaller
 	group     *duty.Group
 }
 
-func newLeaseCallers(out *ring.Ring[leaseInput], metrics *telemetry.Metrics) *leaseCallers {
+func newLeaseCallers(out *ring.Ring[leaseInput], metrics *telemetry.Metrics, budget *forward.Budget) *leaseCallers {
 	return &leaseCallers{
 		out:       out,
 		metrics:   metrics,
+		budget:    budget,
 		addresses: make(map[types.TargetID]string),
 		callers:   make(map[types.TargetID]*leaseCaller),
 		group:     duty.NewGroup(),
@@ -50,7 +53,7 @@
 	if !ok {
 		caller = &leaseCaller{
 			name:   "lease-" + c.Target.String(),
-			client: target.NewHTTP(target.Options{Address: s.addresses[c.Target]}),
+			client: target.NewHTTP(target.Options{Address: s.addresses[c.Target], Budget: s.budget}),
 			in:     ring.New[ownership.TargetCall](leaseRingCapacity),
 			out:    s.out,
 		}
--- a/daemon/dispatcher/lease_manager.go
+++ b/daemon/dispatcher/lease_manager.go
@@ -94,7 +94,7 @@
 	lm.slots = make(map[types.Service]uint32)
 	lm.homesEpoch = make(map[types.Service]types.Epoch)
 	lm.incarnations = make(map[types.TargetID]types.Incarnation)
-	lm.callers = newLeaseCallers(lm.in, metrics)
+	lm.callers = newLeaseCallers(lm.in, metrics, w.answerBudget)
 	lm.statusPage = telemetry.NewStatusPage(telemetry.Status{})
 	return lm
 }
--- a/daemon/dispatcher/perform.go
+++ b/daemon/dispatcher/perform.go
@@ -102,8 +102,8 @@
 }
 
 // connectHTTP returns a client that connects on its first call.
-func connectHTTP(address string) target.Client {
-	return target.NewHTTP(target.Options{Address: address})
+func (w *worker) connectHTTP(address string) target.Client {
+	return target.NewHTTP(target.Options{Address: address, Budget: w.answerBudget})
 }
 
 func (w *worker) cancelSend(a *dispatch.Action) {
--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -11,6 +11,7 @@
 	"sequoiasail.example/ownership"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/forward"
 	"sequoiasail.example/transport/peer"
 	"sequoiasail.example/transport/target"
 	"sequoiasail.example/types"
@@ -22,6 +23,9 @@
 	controlRingCapacity = 1024
 	// publishInterval is how often the status page of the dispatch duty is updated.
 	publishInterval = 250 * time.Millisecond
+	// answerBudgetBytes bounds the answers that all connections to targets are reading, beyond the first 64 KiB of each. It has
+	// room for four of the longest ones.
+	answerBudgetBytes = 64 << 20
 )
 
 // requestInput is one element of the request ring: a request with its reply channel, or a cancellation.
@@ -96,6 +100,8 @@
 
 	// connect returns a client with a connection of its own.
 	connect func(address string) target.Client
+	// answerBudget is shared by all connections to targets.
+	answerBudget *forward.Budget
 
 	core      *dispatch.Core
 	addresses map[types.TargetID]string
@@ -141,7 +147,7 @@
 
 func newWorker(vm types.VM, dataCentre types.DataCentre, log *telemetry.Log, metrics *telemetry.Metrics) *worker {
 	seed := uint64(time.Now().UnixNano())
-	return &worker{
+	w := &worker{
 		vm:             vm,
 		dataCentre:     dataCentre,
 		requests:       ring.New[requestInput](requestRingCapacity),
@@ -149,7 +155,7 @@
 		controls:       ring.New[workerControl](controlRingCapacity),
 		log:            log,
 		metrics:        metrics,
-		connect:        connectHTTP,
+		answerBudget:   forward.NewBudget(answerBudgetBytes),
 		core:           dispatch.New(&config.Configuration{}, vm, rand.NewPCG(seed, seed)),
 		addresses:      make(map[types.TargetID]string),
 		payloads:       make(map[dispatch.Handle]*payload),
@@ -169,6 +175,8 @@
 		drainStarts:    make(map[types.TargetID]types.Instant),
 		statusPage:     telemetry.NewStatusPage(telemetry.Status{}),
 	}
+	w.connect = w.connectHTTP
+	return w
 }
 
 func (w *worker) duty() duty.Duty {
--- a/transport/internal/exchange/error.go
+++ b/transport/internal/exchange/error.go
@@ -20,10 +20,7 @@
 	StageBody
 )
 
-var (
-	errNoContentLength = types.NewFault(types.CodeTruncatedBody, "answer has no declared length")
-	errResponseTooLong = types.NewFault(types.CodeBodyTooLarge, "answer is too long")
-)
+var errNoContentLength = types.NewFault(types.CodeTruncatedBody, "answer has no declared length")
 
 // Error is the failure of an exchange.
 type Error struct {
@@ -43,8 +40,8 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
-// TooLong reports whether the response body exceeded MaxResponseBytes.
-func (e *Error) TooLong() bool { return errors.Is(e.Cause, errResponseTooLong) }
+// TooLong reports whether the response body exceeded MaxResponseBytes, or what is left of the Budget.
+func (e *Error) TooLong() bool { return types.CodeOf(e.Cause) == types.CodeBodyTooLarge }
 
 func failedStage(written bool) Stage {
 	if written {
--- a/transport/internal/exchange/exchange.go
+++ b/transport/internal/exchange/exchange.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"time"
+
+	"sequoiasail.example/transport/forward"
 )
 
 // Defaults of Options.
@@ -33,6 +35,8 @@
 	MaxResponseBytes int64
 	// DialTimeout bounds the opening of a connection. The default is DefaultDialTimeout.
 	DialTimeout time.Duration
+	// Budget bounds the bodies that all clients which share it are reading. There is no bound without one.
+	Budget *forward.Budget
 }
 
 // Request is one HTTP request. The caller must not use Header after it has passed the request to Do.
@@ -54,6 +58,7 @@
 type Client struct {
 	transport        *http.Transport
 	maxResponseBytes int64
+	budget           *forward.Budget
 }
 
 // New returns a client. It opens connections when exchanges need them.
@@ -71,7 +76,7 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
-	return &Client{transport: t, maxResponseBytes: o.MaxResponseBytes}
+	return &Client{transport: t, maxResponseBytes: o.MaxResponseBytes, budget: o.Budget}
 }
 
 // CloseIdle closes the connections that no exchange uses.
@@ -121,15 +126,5 @@
 	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && method != http.MethodHead {
 		return nil, errNoContentLength
 	}
-	if res.ContentLength > c.maxResponseBytes {
-		return nil, errResponseTooLong
-	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, c.maxResponseBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > c.maxResponseBytes {
-		return nil, errResponseTooLong
-	}
-	return body, nil
+	return forward.ReadBody(res.Body, res.ContentLength, c.maxResponseBytes, c.budget)
 }
--- a/transport/target/http.go
+++ b/transport/target/http.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"sequoiasail.example/transport/forward"
 	"sequoiasail.example/transport/internal/exchange"
 	"sequoiasail.example/types"
 )
@@ -29,6 +30,8 @@
 	DialTimeout time.Duration
 	// MaxResponseBytes bounds a response body, in bytes. The default is exchange.DefaultMaxResponseBytes, 16 MiB.
 	MaxResponseBytes int64
+	// Budget bounds the bodies that all clients which share it are reading. There is no bound without one.
+	Budget *forward.Budget
 }
 
 // HTTP is a Client over one HTTP/1.1 connection.
@@ -51,7 +54,7 @@
 	return &HTTP{
 		baseURL: "http://" + o.Address,
 		timeout: o.Timeout,
-		client:  exchange.New(exchange.Options{Connections: 1, MaxResponseBytes: o.MaxResponseBytes, DialTimeout: o.DialTimeout}),
+		client:  exchange.New(exchange.Options{Connections: 1, MaxResponseBytes: o.MaxResponseBytes, DialTimeout: o.DialTimeout, Budget: o.Budget}),
 	}
 }
 
