admission: VMs take turns at a cold owner of keys

What could happen: a cold target of a service with keys gets far more requests than it tolerates (FAILBACK) when many VMs have requests for its keys.

Cause: a VM sent as long as the requests that it knew of were below the part of its data centre. The requests of the last second leave that count at the same time at all VMs, and each of them then sent its waiting ones up to the whole part, before any report could arrive.

Change: a request for a cold owner waits for a report interval, so that all VMs know what waits; of the waiting requests those of the VM with the highest score for the target are sent, as many as the data centre has left. The views differ by one report at most.

Ruled out: one VM for each data centre, as for services without keys (requests can't be passed to another VM), and a part of the limit for each VM (below one request a second).

--- a/admission/choose.go
+++ b/admission/choose.go
@@ -99,7 +99,7 @@
 	if t == nil || t.Incarnation != owner.Incarnation || t.unusableAsOwner(now) {
 		return nil, c.waitOrRefuse(now, req, now.Sub(req.arrived) < ownerUnavailableWait)
 	}
-	if c.hasRoom(now, t, ownerDepthLimit(now, req, t)) && !c.defersToTimely(now, req, t) {
+	if c.hasRoom(now, t, ownerDepthLimit(now, req, t)) && !c.defersToTimely(now, req, t) && c.isColdTurn(now, req, t) {
 		return t, ""
 	}
 	if c.wouldFinishTooLate(now, req, t) {
--- a/admission/coldstart_test.go
+++ b/admission/coldstart_test.go
@@ -115,10 +115,10 @@
 			list := v.list(now.Sub(start), vms)
 			if age == 0 || !slices.Equal(list, v.listed) {
 				v.listed = list
-				perform(v, v.core.Step(now, Peers{VMs: append(slices.Clone(list), types.VM(v.name)), Neighbours: list}))
+				perform(v, v.core.Step(now, Peers{VMs: append(slices.Clone(list), types.VM(v.name)), Neighbours: list, ReportInterval: reportInterval}))
 			}
 			v.next++
-			if keyed && int(v.next)%keyedArrivalSteps != i%keyedArrivalSteps {
+			if keyed && int(v.next)%keyedArrivalSteps != i*keyedArrivalSteps/len(vms) {
 				perform(v, v.core.Tick(now))
 				continue
 			}
@@ -274,3 +274,41 @@
 		}
 	}
 }
+
+// Guards against VMs that all send their requests for keys of a cold owner at once, each up to the limit of its data centre,
+// before they learn of each other's. Each VM gets 5 requests a second for the owner, of which the target tolerates 14 within a
+// second.
+func TestColdOwnerLimitHoldsForManyVMs(t *testing.T) {
+	for _, n := range []int{1, 3, 8, 24} {
+		sends := simulateColdTarget(8*time.Second, newColdFleet(n), true)
+		most := mostWithinSecond(sends)
+		if most > 14 {
+			t.Errorf("%d VMs in each data centre: %d requests within a second, 14 are allowed", n, most)
+		}
+		// The first requests come 1.2 s after the start; two data centres send 5 each in coldWindow.
+		if len(sends) < 50 {
+			t.Errorf("%d VMs in each data centre: only %d requests in 8 s", n, len(sends))
+		}
+		t.Logf("%d VMs in each data centre: %d requests in 8 s, %d within a second", n, len(sends), most)
+	}
+}
+
+// Guards against VMs that are cut off from the others and send to the cold owner of a key, because each assumes that the others
+// leave it its share: the share of many VMs is less than one request, and each sends one.
+func TestColdOwnerLimitHoldsWhileVMsAreCutOff(t *testing.T) {
+	vms := newColdFleet(24)
+	for i, v := range vms {
+		if i%3 == 0 {
+			v.isolated = interval{from: 3 * time.Second, to: 8 * time.Second}
+			v.unlisted = interval{from: 6 * time.Second, to: 8200 * time.Millisecond}
+		}
+	}
+	sends := simulateColdTarget(11*time.Second, vms, true)
+	if n := mostWithinSecond(sends); n > 14 {
+		t.Errorf("%d requests within a second, 14 are allowed", n)
+	}
+	if len(sends) < 70 {
+		t.Errorf("only %d requests in 11 s", len(sends))
+	}
+	t.Logf("%d requests in 11 s", len(sends))
+}
--- a/admission/limits.go
+++ b/admission/limits.go
@@ -43,6 +43,26 @@
 	return max(1, int(part*float64(active)/float64(len(c.neighbours.living)+1)))
 }
 
+// isColdTurn reports whether a request for a cold owner of keys is among those that the data centre may send now. It first waits
+// until the VMs know of each other's waiting requests; those of the VM with the highest score go first. Otherwise all VMs would
+// send at the same moment, each as many as the data centre may.
+func (c *Core) isColdTurn(now types.Instant, req *request, t *target) bool {
+	if !now.Before(t.ColdUntil) || len(c.neighbours.living) == 0 {
+		return true
+	}
+	if now.Sub(req.arrived) < c.reportInterval+reportTransit {
+		return false
+	}
+	left := c.coldAllowance(now, req.service) - t.dataCentreSends.count(now)
+	own := types.RendezvousScore(string(t.Target), c.settings.VM)
+	for vm, p := range c.peerRequests {
+		if p.waiting[t.Target] > 0 && types.RendezvousScore(string(t.Target), string(vm)) > own {
+			left -= p.waiting[t.Target]
+		}
+	}
+	return left > 0
+}
+
 // isWarmingVM reports whether this VM is the one of its data centre that sends requests to a cold target of a service
 // without keys. Otherwise all VMs would choose the idle target at the same moment, before they learn of each other's
 // requests.
