--- a/admission/core_test.go
+++ b/admission/core_test.go
@@ -68,6 +68,15 @@
 	return c.next, a
 }
 
+// refuseAttempts ends each attempt of a request as not run, beginning with those in actions, and returns the number of retries.
+func (c *testCore) refuseAttempts(id LocalRequestID, actions []Action) (retries int) {
+	for attempt := 1; len(find[Send](actions)) > 0; attempt++ {
+		retries = attempt - 1
+		actions = c.step(AttemptFinished{ID: id, Attempt: attempt, Result: ResultNotRun})
+	}
+	return retries
+}
+
 // advance lets d pass in steps of 5 ms and returns the actions of all ticks.
 func (c *testCore) advance(d time.Duration) []Action {
 	var all []Action
@@ -358,12 +367,7 @@
 	for range 400 {
 		id, a := c.arrive(orders, 1)
 		requests++
-		for attempt := 1; len(find[Send](a)) > 0; attempt++ {
-			if attempt > 1 {
-				retries++
-			}
-			a = c.step(AttemptFinished{ID: id, Attempt: attempt, Result: ResultNotRun})
-		}
+		retries += c.refuseAttempts(id, a)
 		c.advance(10 * time.Millisecond)
 	}
 	if limit := 0.2*float64(requests) + 60/float64(minFleetSize); float64(retries) > limit {
@@ -387,12 +391,7 @@
 			}
 			id, a := c.arrive(orders, 1)
 			requests++
-			for attempt := 1; len(find[Send](a)) > 0; attempt++ {
-				if attempt > 1 {
-					retries++
-				}
-				a = c.step(AttemptFinished{ID: id, Attempt: attempt, Result: ResultNotRun})
-			}
+			retries += c.refuseAttempts(id, a)
 			c.advance(100 * time.Millisecond)
 		}
 	}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -175,6 +175,7 @@
 	reports := ring.New[report](reportCapacity)
 	members := ring.New[membership](1)
 	heard := ring.New[correspondent](correspondentCapacity)
+	e.metrics.Ring("peer-heard", heard)
 	m := newRequestMetrics(e.metrics)
 	e.group.Add(e.log.Duty())
 	e.group.Add(e.store.duty())
