--- a/daemon/edge/vmlist.go
+++ b/daemon/edge/vmlist.go
@@ -93,8 +93,8 @@
 	return slices.Sorted(maps.Keys(sc.vms))
 }
 
-// logListing logs when the entry of this VM has left the list of VMs or is back. Other VMs send no reports to a VM that they do
-// not list.
+// logListing logs when the entry of this VM has left the list of VMs or is back. While it is missing, other VMs report to this one
+// only in reply to its own reports.
 func (sc *storeCache) logListing(listed, neighbours int) {
 	_, self := sc.vms[sc.vm]
 	if self == sc.selfListed {
