keyspace: a range is not released while a renewal of it is in flight

Cause: adoptTable forgot calls in flight. When the table was read again after a commit with an unknown result or an outage of the store, ranges could be released at once while a renewal was under way on another connection. A target answers a release only when its work on the keys has ended. A renewal that arrives meanwhile is applied and answered first; the answer to the release then counted as the end of all holds, and the keys went to a second target. Change: the state of a range keeps its call in flight. Its answer always arrives: results are dropped only after Deposed, which drops the states as well. A range that begins to move while a renewal is in flight is released when that is answered, not a renewal interval later.

--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -276,7 +276,8 @@
 }
 
 // adoptTable replaces the table by the one loaded from the store. It keeps the state of ranges whose grant is
-// unchanged, because answers to calls sent before the load still arrive.
+// unchanged, because answers to calls sent before the load still arrive. Until they do, no other call is sent for the range: a
+// renewal could reach the target after a release.
 func (c *Core) adoptTable(now types.Instant, m Loaded) {
 	c.loadInFlight = false
 	if !c.elected {
@@ -314,7 +315,6 @@
 					s.phase = phaseRefencing
 				}
 			}
-			s.callInFlight = false
 			if s.fenceRefused {
 				// The target has seen a higher fencing token than the table's, so the same owner needs a new token.
 				s.fenceRefused, s.phase, s.nextOwner = false, phaseRefencing, r.Owner
--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -274,6 +274,9 @@
 		s.granted = true
 		s.connection = m.Connection
 		s.renewAt = now.Add(c.settings.RenewInterval)
+		if s.phase == phaseReleasing {
+			s.renewAt = now
+		}
 		s.confirmedUntil = max(s.confirmedUntil, now.Add(maxHoldAfterArrival(m.Call.TTL)))
 	case CallUnanswered:
 		s.connection = 0
--- a/keyspace/sim_test.go
+++ b/keyspace/sim_test.go
@@ -55,6 +55,8 @@
 	lossRate float64
 	// stable is true for a run without crashes, store outages and changes of the coordinator.
 	stable bool
+	// releaseWork is the longest time for which the work on released keys goes on at a target, which answers the release only then.
+	releaseWork time.Duration
 	// storeDown is true while the store refuses all calls, damaged while the stored table can't be read. damages is how often
 	// another writer still damages it.
 	storeDown bool
@@ -238,11 +240,19 @@
 			answer(time.Second, CallUnanswered, "")
 		default:
 			r := s.apply(c, arrived)
-			answer(s.delay(), r, "h")
+			answer(s.delay()+s.workAfter(c), r, "h")
 		}
 	})
 }
 
+// workAfter returns how long a target delays the answer to a call until the work on the keys has ended.
+func (s *sim) workAfter(c Call) time.Duration {
+	if c.Kind != CallRelease || s.releaseWork == 0 {
+		return 0
+	}
+	return time.Duration(s.r.Int64N(int64(s.releaseWork)))
+}
+
 // apply performs a call at a target according to the platform's rules for grants and releases.
 func (s *sim) apply(c Call, arrived types.Instant) CallResult {
 	t := s.targets[c.Owner.Target]
@@ -386,6 +396,16 @@
 	}
 }
 
+// Fails if two targets hold the same key while targets answer releases late, because their work on the keys goes on. With the
+// seeds from 162 on, a renewal that was in flight while the table was read again reached its target after the release of its range.
+func TestNoKeyHasTwoHoldersWhileReleasesTakeLong(t *testing.T) {
+	for _, seed := range []uint64{0, 1, 2, 162, 179, 313, 319, 349, 377} {
+		s := newSim(t, seed)
+		s.releaseWork = 2 * time.Second
+		s.run(25 * time.Second)
+	}
+}
+
 // Fails if a grant that is in flight while its range gets a new fencing token is not counted as a hold of the range: with seed
 // 1001 it reached the restarted target, and the keys were granted to another one meanwhile.
 func TestGrantInFlightCountsAfterNewFence(t *testing.T) {
