keyspace: the answer to a call for a part of a range does not count for the whole

What callers would see: keys with two owners. Cause: a range can be split in memory and its parts renewed and released before the split is committed. If the table is then read again, it has the whole range with the same owner and fencing token, and finishCall took answers for a part as answers for the whole: the release of one part released the other one too, and a renewal of one part ended the bound for grants of lower tokens. Change: an answer counts for ranges within the range of its call. The bound on grants in flight at such a reading also allows for batches that are still being sent, as for a damaged table. Test: TestAnswerForPartOfRangeDoesNotReleaseIt failed before ({t2 1} != {t1 1}), passes now; the tests of the package passed.

--- a/keyspace/core.go
+++ b/keyspace/core.go
@@ -304,7 +304,11 @@
 		c.movesAllowedAt = max(c.movesAllowedAt, now.Add(c.settings.Term))
 	}
 	// This coordinator may have sent grants until now, and an earlier one until the end of its term.
-	holdBound := max(now, c.movesAllowedAt).Add(c.settings.maxHoldAfterSending(c.settings.LongGrantTTL))
+	lastSent := max(now, c.movesAllowedAt)
+	if len(c.batchesInFlight) > 0 {
+		lastSent = max(lastSent, c.batchesSentBefore(now))
+	}
+	holdBound := lastSent.Add(c.settings.maxHoldAfterSending(c.settings.LongGrantTTL))
 	for _, r := range c.table.Ranges {
 		s := rangeState{confirmedUntil: holdBound, lowerFenceUntil: holdBound, renewAt: now}
 		if i := oldTable.Index(r.From); i >= 0 && i < len(oldStates) && !otherWriter && sameGrant(oldTable.Ranges[i], r) {
@@ -333,8 +337,7 @@
 		return
 	}
 	if c.replaceAt == 0 {
-		// The calls of a batch in flight may still be sent one after another.
-		lastSent := max(now, c.movesAllowedAt).Add(c.settings.CallTimeout * maxBatchCalls)
+		lastSent := c.batchesSentBefore(max(now, c.movesAllowedAt))
 		c.replaceAt = lastSent.Add(c.settings.maxHoldAfterSending(c.settings.LongGrantTTL))
 	}
 	c.tableLoaded, c.tableUncertain = false, false
@@ -348,6 +351,12 @@
 	c.tableLoaded, c.replaceAt = true, 0
 }
 
+// batchesSentBefore returns the time by which the last call of a batch in flight has been sent. The calls are sent one after
+// another, so the last may leave only after all others have timed out.
+func (c *Core) batchesSentBefore(now types.Instant) types.Instant {
+	return now.Add(c.settings.CallTimeout * maxBatchCalls)
+}
+
 func sameGrant(a, b Range) bool {
 	return a.From == b.From && a.To == b.To && a.Fence == b.Fence && a.Owner == b.Owner
 }
--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -215,8 +215,7 @@
 	if !s.granted {
 		call.Handover = r.Handover
 	}
-	// The calls of a batch are sent one after another, so the last may leave only after all others have timed out.
-	s.inFlightUntil = now.Add(c.settings.CallTimeout * maxBatchCalls).Add(c.settings.maxHoldAfterSending(ttl))
+	s.inFlightUntil = c.batchesSentBefore(now).Add(c.settings.maxHoldAfterSending(ttl))
 	s.sent, s.callInFlight = true, true
 	return call
 }
@@ -236,7 +235,8 @@
 }
 
 // finishCall applies the result of one call. Since the call was sent, the table may have changed and its range may
-// have been split.
+// have been split. If the table has been read again without an earlier split, the call says nothing of the range that its keys
+// are a part of now.
 func (c *Core) finishCall(now types.Instant, m CallCompleted) {
 	if m.Call.Kind == CallProbe {
 		c.applyProbe(now, m)
@@ -250,7 +250,7 @@
 	}
 	for i := c.table.Index(m.Call.From); i >= 0 && i < len(c.states) && c.table.Ranges[i].From <= m.Call.To; i++ {
 		r := &c.table.Ranges[i]
-		if r.Fence != m.Call.Fence || r.Owner != m.Call.Owner {
+		if r.Fence != m.Call.Fence || r.Owner != m.Call.Owner || r.From < m.Call.From || r.To > m.Call.To {
 			continue
 		}
 		c.states[i].callInFlight = false
--- a/keyspace/reload_test.go
+++ b/keyspace/reload_test.go
@@ -80,3 +80,32 @@
 	is.Equal(len(releases), 1)
 	is.Equal(releases[0].Owner, owner)
 }
+
+// Fails if the answer to a call for a part of a range counts for the whole range, after the table was read again without the
+// split that had made the part a range of its own. The range then had no holder by the coordinator's account while its owner
+// still held the other part.
+func TestAnswerForPartOfRangeDoesNotReleaseIt(t *testing.T) {
+	is := is.New(t)
+	r := newReloadRun(t)
+	stored := r.c.table.Clone()
+	i := r.c.table.Index(0)
+	owner, part := r.c.table.Ranges[i].Owner, r.c.table.Ranges[i].To
+	r.c.splitRange(i, part)
+	r.c.states[i].renewAt = r.now
+	r.c.startMove(r.now, i+1, Owner{Target: "t2", Incarnation: 1})
+	r.perform(r.c.Tick(r.now))
+	is.Equal(len(r.calls(CallGrant, 0)), 1)
+	is.Equal(len(r.calls(CallRelease, part)), 1)
+	r.c.setMembers(r.now, Members{Members: []Member{
+		{Owner: Owner{Target: "t1", Incarnation: 1}, Slots: 2, Usable: owner.Target != "t1"},
+		{Owner: Owner{Target: "t2", Incarnation: 1}, Slots: 2, Usable: owner.Target != "t2"},
+	}})
+	r.c.nextPlanAt = r.now
+	r.reload(stored)
+	is.Equal(len(r.calls(CallRelease, 0)), 1) // the whole range is released
+	r.answer(r.calls(CallGrant, 0)[0])
+	r.answer(r.calls(CallRelease, part)[0])
+	for _, table := range r.commits {
+		is.Equal(table.Ranges[table.Index(0)].Owner, owner)
+	}
+}
