transport/store: the responses that are read at once are bounded together

Cause: each of 8 connections could read a body of 64 MiB, without a common bound. Change: one budget of 96 MiB for the bodies of all calls, as the clients of targets and of the platform's store have. Test: TestEndlessResponsesAreBounded of transport/store, 8 writes at once: 376 MB allocated for a chunked body before (fails, 192 MiB allowed), 100 MB after. Ruled out by the same test, before the change: header lines without end, a body of impossible length, bodies of refusals.

--- a/transport/store/http.go
+++ b/transport/store/http.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"sequoiasail.example/transport/forward"
 	"sequoiasail.example/transport/internal/exchange"
 	"sequoiasail.example/types"
 )
@@ -21,8 +22,14 @@
 	DefaultConnections = 8
 )
 
-// maxResponseBytes bounds a response body, in bytes. It allows a list of many values near MaxValueBytes.
-const maxResponseBytes = 64 << 20
+// Sizes of responses, in bytes.
+const (
+	// maxResponseBytes bounds a response body. It allows a list of many values near MaxValueBytes.
+	maxResponseBytes = 64 << 20
+	// responseBudgetBytes bounds the memory of the bodies that all calls are reading, beyond the first 64 KiB of each. The
+	// longest list leaves room for watches and renewals.
+	responseBudgetBytes = 96 << 20
+)
 
 // Options configures the client of a store.
 type Options struct {
@@ -61,7 +68,9 @@
 		baseURL:    "http://" + o.Address,
 		clientName: o.Name,
 		timeout:    o.Timeout,
-		client:     exchange.New(exchange.Options{Connections: o.Connections, MaxResponseBytes: maxResponseBytes}),
+		client: exchange.New(exchange.Options{
+			Connections: o.Connections, MaxResponseBytes: maxResponseBytes, Budget: forward.NewBudget(responseBudgetBytes),
+		}),
 	}
 }
 
