admission: a VM keeps what it sent to a target whose registration is missing for a moment

Cause: setTargets deleted a target that was not listed, and made a new one when it came back, without the requests that this VM and its neighbours had sent, nor those in flight. All VMs see the same list, so all forgot at once. Change: targets that leave the list are kept for 5 s, apart from those that may be chosen. A new incarnation starts anew, as before.

--- a/admission/coldstart_test.go
+++ b/admission/coldstart_test.go
@@ -26,8 +26,12 @@
 	// reportsToListedOnly is true if the VM does not report to VMs that report to it without being listed, for example because
 	// those reports are lost.
 	reportsToListedOnly bool
+	// lacksTarget is when the registration of the cold target is missing from the VM's list.
+	lacksTarget interval
 
-	core    *Core
+	core *Core
+	// targets is the list of targets that the core got last.
+	targets []catalog.Listing
 	listed  []types.VM
 	heardAt map[types.VM]types.Instant
 	reports types.Instant
@@ -55,6 +59,14 @@
 	return list
 }
 
+// listTargets returns the targets that the VM lists after d of the simulation.
+func (v *coldVM) listTargets(d time.Duration, cold catalog.Listing) []catalog.Listing {
+	if v.lacksTarget.contains(d) {
+		return nil
+	}
+	return []catalog.Listing{cold}
+}
+
 // coldStartSimulation runs the cores of VMs that start at different times and learn of each other late, with requests for one
 // cold target at each of them, and returns the times of the sends.
 func coldStartSimulation(d time.Duration, vms []*coldVM) []types.Instant {
@@ -110,11 +122,14 @@
 				s.DataCentre, s.DataCentres = v.dataCentre, 2
 				v.core = New(s, random)
 				v.core.Step(now, Services{Services: map[types.Service]catalog.Service{"orders": {Name: "orders", MaxConnections: 100, MaxColdRate: 6, Keyed: keyed}}})
-				v.core.Step(now, Targets{Targets: []catalog.Listing{cold}})
 				owners := ownedBy("t1")
 				owners.Service = "orders"
 				v.core.Step(now, owners)
 			}
+			if targets := v.listTargets(now.Sub(start), cold); age == 0 || !slices.Equal(targets, v.targets) {
+				v.targets = targets
+				perform(v, v.core.Step(now, Targets{Targets: targets}))
+			}
 			list := v.list(now.Sub(start), vms)
 			if age == 0 || !slices.Equal(list, v.listed) {
 				v.listed = list
@@ -255,6 +270,27 @@
 	}
 }
 
+// Guards against VMs that forget what they have sent to a cold target when its registration is missing for a moment, for example
+// after the store was away or because another writer has overwritten it: the target would get what it tolerates twice.
+func TestColdTargetLimitHoldsWhenRegistrationReturns(t *testing.T) {
+	for _, keyed := range []bool{false, true} {
+		for _, missing := range []time.Duration{5 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond} {
+			vms := newColdFleet(4)
+			for _, v := range vms {
+				v.lacksTarget = interval{from: 5 * time.Second, to: 5*time.Second + missing}
+			}
+			sends := simulateColdTarget(8*time.Second, vms, keyed)
+			if n := mostWithinSecond(sends); n > 14 {
+				t.Errorf("keyed %v, missing for %v: %d requests within a second, 14 are allowed", keyed, missing, n)
+			}
+			if len(sends) < 40 {
+				t.Errorf("keyed %v, missing for %v: only %d requests in 8 s", keyed, missing, len(sends))
+			}
+			t.Logf("keyed %v, missing for %v: %d requests in 8 s, %d within a second", keyed, missing, len(sends), mostWithinSecond(sends))
+		}
+	}
+}
+
 // Guards against a VM that is cut off from the others and goes on sending to cold targets, while another VM has taken its place.
 // The others drop it from their lists after the time to live of its entry, or at once.
 func TestColdTargetLimitHoldsWhileVMsAreCutOff(t *testing.T) {
--- a/admission/core.go
+++ b/admission/core.go
@@ -52,6 +52,8 @@
 	requests map[LocalRequestID]*request
 	services map[types.Service]*service
 	targets  map[types.Target]*target
+	// delisted holds the targets that have left the list less than delistedTTL ago, with what was sent to them.
+	delisted map[types.Target]*target
 	// vms are all VMs of the fleet, this one included.
 	vms []types.VM
 	// neighbours are the other VMs of the data centre, which send their reports to this one.
@@ -86,6 +88,7 @@
 		requests:       make(map[LocalRequestID]*request),
 		services:       make(map[types.Service]*service),
 		targets:        make(map[types.Target]*target),
+		delisted:       make(map[types.Target]*target),
 		peerRequests:   make(map[types.VM]peerReport),
 		changedTargets: make(map[types.Target]bool),
 		neighbours:     newNeighbourhood(),
--- a/admission/peers.go
+++ b/admission/peers.go
@@ -117,7 +117,7 @@
 		sent[s.Target]++
 	}
 	for name, n := range sent {
-		if t := c.targets[name]; t != nil && n > 0 {
+		if t := c.knownTarget(name); t != nil && n > 0 {
 			t.dataCentreSends.add(now, n)
 			if s := c.services[t.Service]; s != nil {
 				s.neighbourRate.add(now, n)
--- a/admission/target.go
+++ b/admission/target.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -37,18 +38,28 @@
 	dataCentreSends sendWindow
 	// ownSends holds the requests that this VM sent.
 	ownSends sendWindow
+	// delistedAt is when the target left the list, for one in Core.delisted.
+	delistedAt types.Instant
 }
 
+// delistedTTL is how long the state of a target is kept after it has left the list. Registrations that lapsed while the store
+// was away come back within about 2 s.
+const delistedTTL = 5 * time.Second
+
+// setTargets replaces the list of targets. A registration that is missing for a moment must not make this VM forget what it
+// has sent to the target: a cold one would get what it tolerates twice.
 func (c *Core) setTargets(now types.Instant, m Targets) {
+	maps.DeleteFunc(c.delisted, func(_ types.Target, t *target) bool { return now.Sub(t.delistedAt) >= delistedTTL })
 	seen := make(map[types.Target]bool, len(m.Targets))
 	for _, n := range m.Targets {
 		name := n.Target
 		seen[name] = true
-		t := c.targets[name]
+		t := c.knownTarget(name)
 		if t == nil || !t.SameIncarnation(n.Registration) {
 			t = &target{}
-			c.targets[name] = t
 		}
+		c.targets[name] = t
+		delete(c.delisted, name)
 		t.Listing = n
 		switch leaving := n.Draining || n.Evacuated; {
 		case !leaving:
@@ -57,8 +68,10 @@
 			t.leavingSince, t.leavingUntil = now, m.LeavingUntil
 		}
 	}
-	for name := range c.targets {
+	for name, t := range c.targets {
 		if !seen[name] {
+			t.delistedAt = now
+			c.delisted[name] = t
 			delete(c.targets, name)
 		}
 	}
@@ -69,6 +82,14 @@
 	}
 }
 
+// knownTarget returns a target that is listed or has left the list less than delistedTTL ago, nil for any other.
+func (c *Core) knownTarget(name types.Target) *target {
+	if t := c.targets[name]; t != nil {
+		return t
+	}
+	return c.delisted[name]
+}
+
 // load is the number of requests at the target as known to this VM: those that the VMs of its data centre report, and
 // an estimate for the other data centres.
 func (t *target) load(now types.Instant) float64 {
