edge: a copy that lacks a change of the VM that told it is not confirmed

What targets would see: DRAIN, requests after the bound at a leaving target. Cause: a VM that takes the changes of another VM's copy notices by the hash that its own copy still differs, but counted it as current all the same. It then relied on it, and counted the time for a target that begins to leave from that moment, up to a second too late. Change: the copy is confirmed when the hash is that of the other VM. Test: TestIncompleteCopyIsNotConfirmed failed before (confirmed a second later than it was current).

--- a/daemon/edge/changes_test.go
+++ b/daemon/edge/changes_test.go
@@ -113,6 +113,35 @@
 	is.Equal(sc.prefixCache[platform.TargetPrefix].digest("").sameEntries(other.prefixCache[platform.TargetPrefix].digest("")), true)
 }
 
+// Guards against a copy that counts as current although it lacks a change that the VM which told the others knows: the VM would
+// not look for the change, and would count the time in which a leaving target may get requests from too late.
+func TestIncompleteCopyIsNotConfirmed(t *testing.T) {
+	is := is.New(t)
+	now := types.Instant(time.Hour)
+	later := now.Add(time.Second)
+	sc, other := mirrorPair(now)
+	sc.changeDeadline = 2500 * time.Millisecond
+	c := sc.prefixCache[platform.TargetPrefix]
+	a, b := goodRegistration("i-a", 11), goodRegistration("i-b", 12)
+	other.apply(t.Context(), update{prefix: platform.TargetPrefix, snapshot: true, entries: []store.Entry{a, b}, revision: 20})
+	mirrorOnce(t, sc, other, now, platform.TargetPrefix)
+	other.apply(t.Context(), update{prefix: platform.TargetPrefix, events: []store.Event{{Entry: goodRegistration("i-c", 32)}}})
+	mirrorOnce(t, sc, other, now, platform.TargetPrefix)
+	is.Equal(c.confirmedAt, now)
+	// Revision 31 of i-a was missed by the watch.
+	audited := []store.Entry{goodRegistration("i-a", 31), b, goodRegistration("i-c", 32)}
+	for _, cache := range []*storeCache{sc, other} {
+		cache.now = func() types.Instant { return later }
+	}
+	other.apply(t.Context(), update{prefix: platform.TargetPrefix, snapshot: true, audit: true, entries: audited, revision: 33})
+	is.True(mirrorOnce(t, sc, other, later, platform.TargetPrefix).Partial)
+	is.True(c.incomplete)
+	is.Equal(c.confirmedAt, now)
+	mirrorOnce(t, sc, other, later, platform.TargetPrefix)
+	is.Equal(c.confirmedAt, later)
+	is.Equal(sc.leavingUntil, leavingUntil(now, sc.changeDeadline))
+}
+
 // Guards against a copy that goes back to an older state: a late answer holds changes that are known already.
 func TestLateChangesDoNotReplaceNewerEntries(t *testing.T) {
 	is := is.New(t)
--- a/daemon/edge/storecache.go
+++ b/daemon/edge/storecache.go
@@ -251,7 +251,7 @@
 			u.events = c.unknown(u.events)
 		}
 		changed := c.apply(u)
-		if u.mirrored && u.revision >= c.knownRevision {
+		if u.mirrored && u.revision >= c.knownRevision && !c.incomplete {
 			c.confirm(now.Add(-u.age))
 		}
 		if u.audit || (changed && !u.mirrored) {
