--- a/keyspace/moves.go
+++ b/keyspace/moves.go
@@ -275,6 +275,7 @@
 		s.connection = m.Connection
 		s.renewAt = now.Add(c.settings.RenewInterval)
 		if s.phase == phaseReleasing {
+			// The release has waited for this answer.
 			s.renewAt = now
 		}
 		s.confirmedUntil = max(s.confirmedUntil, now.Add(maxHoldAfterArrival(m.Call.TTL)))
