transport/peer: the test of slow dials runs on a simulated clock

The test's dial slept for 250 ms of real time and then opened a connection within the link's dial timeout of 300 ms; when it wakes more than 50 ms late, the dial fails, which the test takes for an expired call. Evidence: beside 24 busy loops, 5 runs of up to 40 failed on 8 cores, under the race detector. The link itself is as it should be. Change: testing/synctest with the same times (250, 200 and 30 ms), over net.Pipe in place of TCP; the time of the answer and its body are checked as well. With the fault put back (the call counts from before the dial) the test fails. After: 100 runs beside 24 busy loops passed.

--- a/transport/peer/link_test.go
+++ b/transport/peer/link_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net"
+	"net/rpc"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -137,19 +139,27 @@
 func (discardingConn) SetWriteDeadline(time.Time) error { return nil }
 
 // Guards against a dial that takes longer than the timeout of the first call. The call expired as soon as it was sent,
-// and the connection was replaced as unresponsive each time.
+// and the connection was replaced as unresponsive each time. The times are those of a simulated clock.
 func TestSlowDialDoesNotExpireTheCall(t *testing.T) {
-	is := is.New(t)
-	service := &echoService{block: make(chan struct{})}
-	address := startServer(t, service)
-	l := peer.NewLink("b", func(ctx context.Context) (net.Conn, error) {
-		time.Sleep(250 * time.Millisecond)
-		time.AfterFunc(30*time.Millisecond, func() { close(service.block) })
-		return peer.TCPDialer(address)(ctx)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := &echoService{block: make(chan struct{})}
+		server := rpc.NewServer()
+		is.NoErr(server.RegisterName("Dispatch", service))
+		l := peer.NewLink("b", func(context.Context) (net.Conn, error) {
+			time.Sleep(250 * time.Millisecond)
+			time.AfterFunc(30*time.Millisecond, func() { close(service.block) })
+			near, far := net.Pipe()
+			go server.ServeConn(far)
+			return near, nil
+		})
+		start(t, l.Duty())
+		began := time.Now()
+		c, answer := call(t, l, 200*time.Millisecond)
+		is.True(c.Err == nil)
+		is.Equal(string(answer.Body), "whole")
+		is.Equal(time.Since(began), 280*time.Millisecond)
 	})
-	start(t, l.Duty())
-	c, _ := call(t, l, 200*time.Millisecond)
-	is.True(c.Err == nil)
 }
 
 // Guards against callers that wait for ever for a link that has stopped.
