--- a/keyspace/reload_test.go
+++ b/keyspace/reload_test.go
@@ -48,7 +48,7 @@
 	r.perform(r.c.BatchDone(r.now, call))
 }
 
-// calls returns the calls of a kind that were sent for the key and are not answered by the test yet.
+// calls returns all calls of a kind that were sent for the key.
 func (r *reloadRun) calls(kind CallKind, k Key) []Call {
 	var list []Call
 	for _, call := range r.sent {
