review: case 2, the last machine runs out of descriptors and takes no connection (RECOVER)

sail-edge does not know its limit of descriptors. When two of three machines are lost, clients whose requests the third refuses come again on new connections and keep the old ones open; the process then fails to accept and to dial while it says that it is ready.

--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -43,6 +43,8 @@
 	lastID atomic.Int64
 	// wholeReleased is true once an upstream has released all keys of one of its grants.
 	wholeReleased atomic.Bool
+	// fdLimit is the number of descriptors of a daemon; 0 for that of this process.
+	fdLimit int
 	// onArrival and onRun, if set, see each request that reaches or runs at an upstream.
 	onArrival func(u *life, id string, r *http.Request, at time.Time)
 	onRun     func(u *life, id string, r *http.Request, key int)
@@ -122,6 +124,10 @@
 	}
 	defer output.Close()
 	c := exec.Command("target/sail-edge")
+	if f.fdLimit > 0 {
+		// The platform limits the descriptors of each process.
+		c = exec.Command("/bin/sh", "-c", "ulimit -n "+strconv.Itoa(f.fdLimit)+" && exec target/sail-edge")
+	}
 	c.Dir = f.root
 	c.Env = []string{
 		"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "SEQUOIASAIL_NODE_FILE=" + v.file,
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -26,7 +26,7 @@
 
 func main() {
 	cases := map[string]func(f *fleet, trouble bool) bool{
-		"owner": ownerCase, "poison": poisonCase, "cold": coldCase, "encoded": encodedCase,
+		"owner": ownerCase, "poison": poisonCase, "cold": coldCase, "encoded": encodedCase, "crowd": crowdCase,
 	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		unable("usage: rig CASE ROOT RECORD")
