daemon: shares of memory and bodies of requests move out of edge

sail-gateway takes requests of the same callers and has none of the bounds of sail-edge. What divides a process's memory (capacity) and what reads a body within a budget (httpserver.Body) moves to where both can use it, as do the metrics of a server.

--- a/cmd/sail-edge/main.go
+++ b/cmd/sail-edge/main.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"sequoiasail.example/daemon/capacity"
 	"sequoiasail.example/daemon/edge"
 	"sequoiasail.example/platform"
 	"sequoiasail.example/settings/startup"
@@ -31,7 +32,7 @@
 		Settings: &own,
 		Run: func(ctx context.Context) error {
 			signal.Ignore(syscall.SIGPIPE)
-			if limit, known := edge.MemoryLimit(settings.MemoryBytes); known {
+			if limit, known := capacity.RuntimeLimit(settings.MemoryBytes); known {
 				debug.SetMemoryLimit(limit)
 			}
 			e := edge.New(settings, platformFile, os.Stdout)
--- a/daemon/edge/bodies_test.go
+++ b/daemon/edge/bodies_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -15,71 +14,8 @@
 
 	"sequoiasail.example/platform"
 	"sequoiasail.example/platform/standin"
-	"sequoiasail.example/transport/forward"
-	"sequoiasail.example/types"
 )
 
-// uploadRequest returns a request with a body of n bytes, whose length is announced if it is not chunked.
-func uploadRequest(n int, chunked bool) *http.Request {
-	r := httptest.NewRequest(http.MethodPost, "/", bytes.NewReader(bytes.Repeat([]byte("u"), n)))
-	if chunked {
-		r.ContentLength = -1
-	}
-	return r
-}
-
-// size returns the number of bytes of the body.
-func (b *callerBody) size() (n int) {
-	for _, s := range b.segments {
-		n += len(s)
-	}
-	return n
-}
-
-// Guards against a VM that runs out of memory because many callers upload at the same time, and against memory that stays taken.
-func TestBodiesOfAllCallersAreBounded(t *testing.T) {
-	is := is.New(t)
-	const size = 300 << 10
-	budget := forward.NewBudget(1 << 20)
-	for _, chunked := range []bool{false, true} {
-		var held []*callerBody
-		var fault *types.Fault
-		for fault == nil {
-			b := &callerBody{budget: budget}
-			held = append(held, b)
-			fault = b.read(httptest.NewRecorder(), uploadRequest(size, chunked), 1<<20)
-		}
-		is.Equal(fault.Code, types.CodeOverloaded)
-		is.True(len(held) > 1 && len(held) <= 4)
-		is.Equal(held[0].size(), size)
-		for _, b := range held {
-			b.release()
-		}
-		b := &callerBody{budget: budget}
-		is.True(b.read(httptest.NewRecorder(), uploadRequest(size, chunked), 1<<20) == nil)
-		b.release()
-	}
-	is.True(budget.Take(1 << 20)) // all of it is back
-}
-
-// Guards against incomplete or oversized bodies that are passed on.
-func TestOnlyWholeBodiesAreRead(t *testing.T) {
-	is := is.New(t)
-	for _, n := range []int{1, firstBodyBytes - 1, firstBodyBytes, firstBodyBytes + 1, 100_000} {
-		for _, chunked := range []bool{false, true} {
-			b := &callerBody{budget: forward.NewBudget(1 << 20)}
-			is.True(b.read(httptest.NewRecorder(), uploadRequest(n, chunked), 100_000) == nil)
-			is.Equal(b.size(), n)
-		}
-	}
-	b := &callerBody{budget: forward.NewBudget(1 << 20)}
-	is.Equal(b.read(httptest.NewRecorder(), uploadRequest(100_001, true), 100_000).Code, types.CodeBodyTooLarge)
-	short := uploadRequest(10, false)
-	short.Body = io.NopCloser(io.MultiReader(strings.NewReader("short"), failingReader{}))
-	b = &callerBody{budget: forward.NewBudget(1 << 20)}
-	is.Equal(b.read(httptest.NewRecorder(), short, 100_000).Code, types.CodeTruncatedBody)
-}
-
 // Guards against an upload that its caller never ends: it holds memory and a connection after the caller has stopped to wait.
 func TestStalledUploadEndsWithItsDeadline(t *testing.T) {
 	is := is.New(t)
@@ -97,10 +33,6 @@
 	is.Equal(v.edge.bodies.Left(), bodyMemory(0))
 }
 
-type failingReader struct{}
-
-func (failingReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
-
 // Guards against a route of a kind that is not known: it makes the configuration unusable, or its requests run twice.
 func TestUnknownRouteKindIsNotIdempotent(t *testing.T) {
 	is := is.New(t)
--- a/daemon/edge/descriptors.go
+++ b/daemon/edge/descriptors.go
@@ -24,10 +24,6 @@
 	minTargetDescriptors = senderCount + 16
 	targetShare          = 4
 	minClientDescriptors = 32
-	// connectionMemoryShare is the share of the VM's memory for the connections of clients, connectionBytes what one takes with
-	// the buffers and stacks of net/http.
-	connectionMemoryShare = 4
-	connectionBytes       = 20 << 10
 )
 
 // descriptorShares divides the descriptors for sockets among their purposes. A share of 0 has no limit.
@@ -62,19 +58,6 @@
 	return nil
 }
 
-// maxConnections returns how many connections callers may have, 0 for no limit. Connections that do not fit into the memory are no
-// use either.
-func maxConnections(s platform.Settings, d descriptorShares) int {
-	if s.MemoryBytes == 0 {
-		return d.clients
-	}
-	byMemory := int(s.MemoryBytes / connectionMemoryShare / connectionBytes)
-	if d.clients == 0 {
-		return byMemory
-	}
-	return min(d.clients, byMemory)
-}
-
 // idleTargetConnections returns the budget of the idle connections to targets: their share without a connection for each sender.
 func (e *Edge) idleTargetConnections() *forward.Budget {
 	if e.descriptors.targets == 0 {
--- a/daemon/edge/descriptors_test.go
+++ b/daemon/edge/descriptors_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"sequoiasail.example/admission"
+	"sequoiasail.example/daemon/capacity"
 	"sequoiasail.example/platform"
 	"sequoiasail.example/platform/standin"
 	"sequoiasail.example/transport/forward"
@@ -30,7 +31,7 @@
 	d, err := divideDescriptors(0)
 	is.NoErr(err)
 	is.Equal(d, descriptorShares{})
-	is.Equal(maxConnections(platform.Settings{}, d), 0) // without limits in the settings nothing changes
+	is.Equal(capacity.Connections(0, d.clients), 0) // without limits in the settings nothing changes
 }
 
 // Guards against a VM of the smallest size, or of the small deployment, that does not start or has few connections for callers.
@@ -44,7 +45,7 @@
 		is.NoErr(checkDescriptors(s))
 		d, err := divideDescriptors(s.Sockets)
 		is.NoErr(err)
-		is.True(maxConnections(s, d) > 1500)
+		is.True(capacity.Connections(s.MemoryBytes, d.clients) > 1500)
 		vm.MaxFDs = 320
 		s, err = platform.DecodeSettings(vm.SettingsFile())
 		is.NoErr(err)
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 
 	"sequoiasail.example/admission"
+	"sequoiasail.example/daemon/capacity"
 	"sequoiasail.example/daemon/httpserver"
 	"sequoiasail.example/duty"
 	"sequoiasail.example/keyspace"
@@ -46,12 +47,6 @@
 	storeReadCapacity     = 8
 )
 
-// initialHTTPLimits are the limits of both HTTP servers. They apply before a configuration is known, and are wider than
-// those of any configuration.
-var initialHTTPLimits = httpserver.Limits{
-	HeaderBytes: 64 << 10, HeaderLines: maxHeaderLines, HeaderTime: 10 * time.Second, IdleTime: 60 * time.Second,
-}
-
 // remotePenalty is added to the expected latency of targets in other data centres when a target is chosen. It covers the
 // round trip, and the price of traffic between data centres, which is of the order of the value of a request.
 const remotePenalty = 120 * time.Millisecond
@@ -359,6 +354,7 @@
 		storeCache: e.storeCache, admission: e.admission, quota: e.quota, log: e.log, requestMetrics: m,
 		bodies: e.bodies,
 	}
+	headers := forward.NewBudget(capacity.HeaderMemory(e.settings.MemoryBytes))
 	e.readiness = &readiness{storeCache: e.storeCache, accepts: func() bool { return e.server.Accepts() }}
 	e.ready = &httpserver.Server{
 		MaxConnections: readyConnections,
@@ -371,17 +367,13 @@
 		},
 		Rejected: e.frontend.rejectUnparsed,
 	}
-	e.server.MaxConnections = maxConnections(e.settings, e.descriptors)
+	e.server.MaxConnections = capacity.Connections(e.settings.MemoryBytes, e.descriptors.clients)
 	e.server.ShortChanged, e.frontend.short = e.logConnections, e.server.Short
 	e.addDescriptorMetrics()
-	e.server.Current, e.server.Headers = e.frontend.limits, forward.NewBudget(headerMemory(e.settings.MemoryBytes))
+	e.server.Current, e.server.Headers = e.frontend.limits, headers
 	e.bodies.OnShort = e.server.ResetSlowReaders
 	e.metrics.Gauge("sail_body_memory_left_bytes", func() float64 { return float64(e.bodies.Left()) })
-	e.metrics.Gauge("sail_slow_readers_reset_total", func() float64 { return float64(e.server.SlowReaders()) })
-	e.metrics.Gauge("sail_headers_refused_total", func() float64 { return float64(e.server.RefusedHeaders()) })
-	e.metrics.Gauge("sail_connections_evicted_total", func() float64 { return float64(e.server.Evictions()) })
-	e.metrics.Gauge("sail_caller_connections", func() float64 { return float64(e.server.Connections()) })
-	e.metrics.Gauge("sail_connections_unanswered_total", func() float64 { return float64(e.server.UnansweredRequests()) })
+	e.server.Publish(e.metrics)
 	e.group.Add(e.ready.Duty())
 	e.group.Add(e.server.Duty())
 }
--- a/daemon/edge/frontend.go
+++ b/daemon/edge/frontend.go
@@ -8,6 +8,7 @@
 
 	"sequoiasail.example/admission"
 	"sequoiasail.example/catalog"
+	"sequoiasail.example/daemon/httpserver"
 	"sequoiasail.example/platform"
 	"sequoiasail.example/ring"
 	"sequoiasail.example/telemetry"
@@ -81,11 +82,11 @@
 	if customer != nil {
 		a.line.Customer = string(customer.Name)
 	}
-	body := callerBody{budget: f.bodies}
-	defer body.release()
-	switch fault := body.readWithin(call.Timeout, a.ResponseWriter, r, v.table.Limits().BodyBytes); {
+	body := httpserver.Body{Budget: f.bodies}
+	defer body.Release()
+	switch fault := body.ReadWithin(call.Timeout, a.ResponseWriter, r, v.table.Limits().BodyBytes); {
 	case fault == nil:
-		f.submit(a, r, route, &pending{call: call, body: body.segments, customer: customer, headerReadAt: headerReadAt})
+		f.submit(a, r, route, &pending{call: call, body: body.Segments(), customer: customer, headerReadAt: headerReadAt})
 	case fault.Code == types.CodeOverloaded:
 		a.refuse(call, fault.Code)
 	default:
