httpserver: the end of a chunk allocates nothing

Callers saw: 200 clients that send a body in chunks of one byte, each with an extension, made sail-edge use 114.7 MB of 96 (trial on, TestCrowdsStayWithinTheMemory/tiny-chunks); the platform kills such a process. 122 and 139 MB in trials beside other load.

Cause: the line break after a chunk was parsed as a size before it was found to be empty, and the parser allocates its error. A profile of the process shows 1.49 of 1.54 GB in 2.4 s in strconv.syntaxError. The garbage collector may use half of the processor, so that the heap grew beyond its limit: 40 to 106 MB within a cycle.

Change: the empty line is recognised before the size is parsed.

--- a/daemon/crowdtest/crowd_test.go
+++ b/daemon/crowdtest/crowd_test.go
@@ -46,6 +46,7 @@
 	"empty-lines-by-byte":   {50, emptyLinesByByte},
 	"unread-pipeline":       {100, unreadPipeline},
 	"unsent-bodies":         {300, unsentBodies},
+	"tiny-chunks":           {200, tinyChunks},
 	"early-leavers":         {200, earlyLeaver},
 	"distinct-values":       {100, distinctValues},
 }
@@ -193,6 +194,17 @@
 	awaitClose(c)
 }
 
+// tinyChunks sends a body without end in chunks of one byte, each with an extension.
+func tinyChunks(ctx context.Context, c net.Conn, client int) {
+	_, _ = c.Write(append(post("/v1/small/1", client), "Transfer-Encoding: chunked\r\n\r\n"...))
+	chunks := bytes.Repeat([]byte("1;e=1\r\nc\r\n"), 100)
+	for ctx.Err() == nil {
+		if _, err := c.Write(chunks); err != nil {
+			return
+		}
+	}
+}
+
 // earlyLeaver sends a whole request and closes the connection at once.
 func earlyLeaver(_ context.Context, c net.Conn, client int) {
 	_, _ = c.Write(append(shortLines(client), '\n'))
--- a/daemon/httpserver/header.go
+++ b/daemon/httpserver/header.go
@@ -187,9 +187,11 @@
 func (s *stream) endChunkSize() {
 	digits, _, _ := strings.Cut(strings.TrimRight(string(s.chunkSize), "\r"), ";")
 	s.chunkSize, s.lineSize = s.chunkSize[:0], 0
+	if digits == "" {
+		return
+	}
 	size, err := strconv.ParseInt(strings.TrimSpace(digits), 16, 64)
 	switch {
-	case digits == "":
 	case err != nil || size < 0 || size == math.MaxInt64:
 		s.beginHeader()
 	case size == 0:
