httpserver: a full buffer of net/http is no further request

Callers saw: nothing. Operators saw a planned stop that waits for an idle connection until its time ends, and a connection that never makes room for others.

Cause: a read of one byte was taken for the one with which net/http watches for the end of a connection while a handler runs. net/http also reads a single byte when a header line fills its buffer of 4,096 bytes but for one. The connection then counted as one with a further request for good.

Change: a byte is read ahead if the handler has a request and no byte of its body is due.

Test: TestFullBufferIsNoFurtherRequest; before: "1 connections are still open".

--- a/daemon/httpserver/connection.go
+++ b/daemon/httpserver/connection.go
@@ -87,8 +87,8 @@
 		received = received[:len(p)]
 	}
 	fromRest := len(c.rest) > 0
-	// net/http reads a single byte while a handler runs, to detect that the caller has gone.
-	ahead := len(p) == 1
+	// net/http reads a byte while a handler runs, to detect that the caller has gone.
+	ahead := c.handled.Load() && c.stream.part == framingHeader
 	if n, err = c.pass(received, ahead); err != nil {
 		return 0, err
 	}
@@ -98,12 +98,12 @@
 		if c.rest = c.rest[n:]; len(c.rest) == 0 {
 			c.rest = nil
 		}
-		if ahead {
-			c.readAhead.Store(true)
-		}
 	case n < len(received):
 		c.rest = bytes.Clone(received[n:])
 	}
+	if ahead {
+		c.readAhead.Store(true)
+	}
 	return n, nil
 }
 
@@ -119,9 +119,6 @@
 		}
 	default:
 		n, err = c.Conn.Read(p)
-		if n == 1 && len(p) == 1 {
-			c.readAhead.Store(true)
-		}
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) && c.state.Load() != refusingRequests {
 		c.callerClosed.Store(true)
--- a/daemon/httpserver/server_test.go
+++ b/daemon/httpserver/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -360,3 +361,22 @@
 	}
 	is.NoErr(<-done)
 }
+
+// Guards against a connection that is taken for one with a further request after a request whose header line filled the buffer of
+// net/http but for one byte: it would make no room for others, and a shutdown would wait for it.
+func TestFullBufferIsNoFurtherRequest(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, 0)
+	c := dial(t, s)
+	for _, text := range []string{"GET /1 HTTP/1.1\r\nHost: h\r\n", "X: " + strings.Repeat("a", 4092), "aa", "\r\n\r\n"} {
+		_, err := io.WriteString(c, text)
+		is.NoErr(err)
+		time.Sleep(20 * time.Millisecond)
+	}
+	_, err := http.ReadResponse(c.reader, nil)
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	is.NoErr(s.Shutdown(ctx))
+}
