httpserver: no time for a header section is no limit

TestRaisedIdleTimeHoldsForOpenConnections failed once today ("connection reset by peer", working copy): its server sets no time for header sections, and the next request had begun to arrive before the answer was complete. The deadline for its rest was then the current moment.

The configuration of the platform always states a time or gets the default, so that callers of sail-edge did not see it. A time of 0 sets no deadline now, as the field says.

Test: TestNoHeaderTimeIsNoLimit, which failed before in 1 of 1.

--- a/daemon/httpserver/connection.go
+++ b/daemon/httpserver/connection.go
@@ -229,6 +229,9 @@
 	if state == awaitingRequest || state == waitingForRequest {
 		wait = limits.IdleTime
 	}
+	if wait == 0 {
+		return c.Conn.SetReadDeadline(time.Time{})
+	}
 	return c.Conn.SetReadDeadline(time.Now().Add(wait))
 }
 
--- a/daemon/httpserver/header_test.go
+++ b/daemon/httpserver/header_test.go
@@ -208,3 +208,25 @@
 	is.Equal(err, io.EOF) // the time in force ends the wait
 	is.NoErr(s.Shutdown(t.Context()))
 }
+
+// Guards against a connection that is closed at once because no limit of the time for a header section is set, when the next request
+// has begun to arrive before the answer was complete.
+func TestNoHeaderTimeIsNoLimit(t *testing.T) {
+	is := is.New(t)
+	s := newServer(50 * time.Millisecond)
+	s.Limits = Limits{IdleTime: time.Minute}
+	s.Current = func() Limits { return Limits{IdleTime: time.Minute} }
+	run(t, s)
+	c := dial(t, s)
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nG")
+	is.NoErr(err)
+	res, err := http.ReadResponse(c.reader, nil)
+	is.NoErr(err)
+	_, err = io.Copy(io.Discard, res.Body)
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(c, "ET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	_, err = http.ReadResponse(c.reader, nil)
+	is.NoErr(err)
+}
