httpserver: the memory of all header sections decides, not their lines

Cause: the limit of lines was the first bound, and the sum of all sections only the second. When the sum was used up, whoever asked next was closed, ordinary callers too.

Change: no limit of lines; bytes count as they are sent. Each section takes its estimated memory from the budget of all. Small ones (16 KiB, 32 lines) always get it, and may overdraw the budget; their number is bounded by the connections. When a costly one finds no room, unfinished sections are closed, those with the highest cost first, and if none is left, it is refused with 503 and Retry-After: it has not run. A section larger than the whole budget gets 431. The readiness address takes from the same budget.

Tests: TestRequestsInsideTheLimitsAreServed; before, on: 431 for 140 and 500 lines, one name 300 times and 16 KiB of the shortest lines. TestOrdinaryHeaderSectionsAreServedWhileMemoryIsShort, TestHeaderSectionLargerThanTheBudgetIsOverTheLimit, and a fuzz test that a section passes or fails alike however it arrives. The rows of TestHeaderSectionsOverALimitAreRefused that counted lines count bytes now, at the limit and one line above it.

--- a/daemon/edge/answer.go
+++ b/daemon/edge/answer.go
@@ -81,14 +81,20 @@
 	line := telemetry.Decision{
 		Kind: "answer", Outcome: "rejected", Code: string(types.CodeBadRequest), Reason: "not parsed: " + text, Detail: "caller " + remote,
 	}
-	if status == http.StatusRequestHeaderFieldsTooLarge {
+	ended := outcomeRejected
+	switch status {
+	case http.StatusRequestHeaderFieldsTooLarge:
 		line.Code = string(types.CodeHeadersTooLarge)
+	case http.StatusServiceUnavailable:
+		ended, line.Outcome, line.Code = outcomeRefused, "refused, not run", string(types.CodeOverloaded)
 	}
 	f.log.LogDecision(line)
 	f.requestMetrics.requests.Inc()
-	f.requestMetrics.answers[outcomeRejected].Inc()
-	f.requestMetrics.rejected(line.Code)
-	return platform.EncodeRejection(status)
+	f.requestMetrics.answers[ended].Inc()
+	if ended == outcomeRejected {
+		f.requestMetrics.rejected(line.Code)
+	}
+	return platform.EncodeRejection(status, refusalRetryAfter)
 }
 
 // refuse answers a valid request that this VM can't run now. The caller may retry it.
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -359,6 +359,7 @@
 	e.ready = &httpserver.Server{
 		MaxConnections: readyConnections,
 		Name:           "ready", Address: e.settings.ReadyAddress, Handler: e.readiness.handler(e.metrics), Limits: initialHTTPLimits,
+		Headers: headers,
 	}
 	e.server = &httpserver.Server{
 		Name: "front", Address: e.settings.CallerAddress, Handler: e.frontend.handler(), Limits: initialHTTPLimits,
--- a/daemon/edge/limits.go
+++ b/daemon/edge/limits.go
@@ -9,13 +9,10 @@
 	"sequoiasail.example/platform"
 )
 
-// maxHeaderLines is the number of header lines that a request may have. Ordinary clients send about a dozen.
-const maxHeaderLines = 128
-
 // initialHTTPLimits are the limits of both HTTP servers. They apply before a configuration is known, and are wider than
 // those of any configuration.
 var initialHTTPLimits = httpserver.Limits{
-	HeaderBytes: 64 << 10, HeaderLines: maxHeaderLines, HeaderTime: 10 * time.Second, IdleTime: 60 * time.Second,
+	HeaderBytes: 64 << 10, HeaderTime: 10 * time.Second, IdleTime: 60 * time.Second,
 }
 
 // largestBody is the memory of a body of the largest size.
--- a/daemon/httpserver/connection.go
+++ b/daemon/httpserver/connection.go
@@ -45,8 +45,8 @@
 	state  atomic.Uint32
 	// readAhead is true if the first byte of the next request has been read before the answer to the current one was complete.
 	readAhead atomic.Bool
-	// refused is closed once the deadline is set that ends a waiting read. It is nil if the connection is a socket.
-	refused chan struct{}
+	// waitEnded is closed once the deadline is set that ends a waiting read. It is nil if the connection is a socket.
+	waitEnded chan struct{}
 	// callerClosed is true once a read has shown that the caller closed the connection.
 	callerClosed atomic.Bool
 	closed       atomic.Bool
@@ -57,8 +57,10 @@
 	// the end of a header section or of a body.
 	stream stream
 	rest   []byte
-	// failed is the error of all further reads once a request was refused.
-	failed error
+	// failed is the error of all further reads once a request was refused. refused is true if the connection has answered that
+	// request itself or was closed: nothing more is written then.
+	failed  error
+	refused bool
 	// headerHeld is what the header section of the current request took from the budget of all.
 	headerHeld atomic.Int64
 	// headerSince is when the current header section has begun, in Unix nanoseconds, if it is incomplete. It is 0 if there is
@@ -77,34 +79,34 @@
 	if c.failed != nil {
 		return 0, c.failed
 	}
-	received := c.rest
-	if len(received) == 0 {
+	received, fromRest := c.rest, len(c.rest) > 0
+	if !fromRest {
 		if n, err = c.receive(p); n == 0 || err != nil {
 			return n, err
 		}
 		received = p[:n]
-	} else if len(received) > len(p) {
-		received = received[:len(p)]
 	}
-	fromRest := len(c.rest) > 0
+	received = received[:min(len(received), len(p))]
 	// net/http reads a byte while a handler runs, to detect that the caller has gone.
 	ahead := c.handled.Load() && c.stream.part == framingHeader
-	if n, err = c.pass(received, ahead); err != nil {
+	next, err := c.pass(received, ahead)
+	if err != nil {
 		return 0, err
 	}
 	switch {
 	case fromRest:
-		copy(p, received[:n])
-		if c.rest = c.rest[n:]; len(c.rest) == 0 {
-			c.rest = nil
-		}
-	case n < len(received):
-		c.rest = bytes.Clone(received[n:])
+		copy(p, received[:next.n])
+		c.rest = c.rest[next.n:]
+	case next.n < len(received):
+		c.rest = bytes.Clone(received[next.n:])
+	}
+	if len(c.rest) == 0 {
+		c.rest = nil
 	}
 	if ahead {
 		c.readAhead.Store(true)
 	}
-	return n, nil
+	return next.n, nil
 }
 
 // receive reads from the socket.
@@ -175,7 +177,7 @@
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.claim(requestRead) {
-		<-c.refused
+		<-c.waitEnded
 		_ = c.Conn.SetReadDeadline(time.Time{})
 		c.state.Store(requestRead)
 	}
@@ -212,8 +214,8 @@
 	// A connection gets here only once: it waits for no further request during a shutdown.
 	if c.state.CompareAndSwap(waitingForRequest, refusingRequests) {
 		_ = c.Conn.SetReadDeadline(expired)
-		if c.refused != nil {
-			close(c.refused)
+		if c.waitEnded != nil {
+			close(c.waitEnded)
 		}
 	}
 }
@@ -237,7 +239,7 @@
 
 // Write writes to the connection. It replaces an answer that net/http gives by itself, which is written in one piece.
 func (c *connection) Write(p []byte) (int, error) {
-	if c.failed != nil {
+	if c.refused {
 		// net/http takes the end of what it has read for a malformed request. That request is answered already.
 		return 0, c.failed
 	}
@@ -381,7 +383,7 @@
 			return nil, err
 		}
 	} else {
-		c.refused = make(chan struct{})
+		c.waitEnded = make(chan struct{})
 	}
 	l.server.connections.add(c)
 	if l.server.shuttingDown.Load() {
--- a/daemon/httpserver/server.go
+++ b/daemon/httpserver/server.go
@@ -14,18 +14,20 @@
 	"sequoiasail.example/types"
 )
 
-// Limits bound the size and duration of requests. Zero values mean the default of net/http for HeaderBytes, no limit for
-// HeaderLines and ReadTime, and the value of ReadTime for the other two.
+// Limits bound the size and duration of requests. Zero values mean the default of net/http for HeaderBytes, no limit for ReadTime,
+// and the value of ReadTime for the other two.
 type Limits struct {
-	// HeaderBytes limits the size of a request line, and that of the header lines after it.
+	// HeaderBytes limits the size of a request line, and that of the header lines after it, in bytes with their line breaks.
 	HeaderBytes int
-	// HeaderLines limits the number of header lines of a request.
-	HeaderLines int
 	// HeaderTime limits the time to read a request's header, ReadTime that of a whole request, IdleTime the time between two
 	// requests on a connection.
 	HeaderTime, ReadTime, IdleTime time.Duration
 }
 
+// maxHeaderBytes is the limit of net/http for a header section. It is never reached: the connections refuse a larger one by the
+// limits in force.
+const maxHeaderBytes = 1 << 30
+
 // Server is an HTTP server on one listener. The exported fields are set before its duty starts.
 type Server struct {
 	// Name follows "http-" in the name of the duty.
@@ -34,10 +36,10 @@
 	Address string
 	Handler http.Handler
 	Limits  Limits
-	// Current, if set, returns the limits in force now, except for ReadTime. None of them may be wider than those of Limits.
+	// Current, if set, returns the limits in force now, except for ReadTime. A time of 0 is no limit.
 	Current func() Limits
-	// Headers bounds the estimated memory of the header sections that are read or belong to a request in progress. There is no
-	// bound without it.
+	// Headers bounds the estimated memory of the header sections that are read or belong to a request in progress. Small sections
+	// overdraw it, so that only the others are refused when it is short. There is no bound without it.
 	Headers *forward.Budget
 	// MaxConnections is the number of connections that may be open, 0 for no limit. When they run short, idle ones are closed. A
 	// full server leaves new connections to the operating system until there is room.
@@ -60,8 +62,9 @@
 	connections connections
 	room        room
 	unanswered  atomic.Uint64
-	// refused counts the requests with a header section over a limit, evictions the connections that were closed to make room.
-	refused, evictions atomic.Uint64
+	// headersRefused counts the requests with a header section over a limit, headersWithoutMemory those that were refused because
+	// Headers was used up, evictions the connections that were closed to make room.
+	headersRefused, headersWithoutMemory, evictions atomic.Uint64
 	// slowReaders counts the connections that were closed because their callers left an answer unread. slowReadersSought is when
 	// they were last searched for, in Unix nanoseconds.
 	slowReaders       atomic.Uint64
@@ -90,7 +93,10 @@
 func (s *Server) UnansweredRequests() uint64 { return s.unanswered.Load() }
 
 // RefusedHeaders returns the number of requests that were refused because their header section is over a limit.
-func (s *Server) RefusedHeaders() uint64 { return s.refused.Load() }
+func (s *Server) RefusedHeaders() uint64 { return s.headersRefused.Load() }
+
+// HeadersWithoutMemory returns the number of requests that were refused because the memory for header sections was used up.
+func (s *Server) HeadersWithoutMemory() uint64 { return s.headersWithoutMemory.Load() }
 
 // Evictions returns the number of connections that were closed to make room for others.
 func (s *Server) Evictions() uint64 { return s.evictions.Load() }
@@ -163,7 +169,7 @@
 		ConnState:         trackState,
 		ConnContext:       withConnection,
 		Handler:           s,
-		MaxHeaderBytes:    s.Limits.HeaderBytes,
+		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: s.Limits.HeaderTime,
 		ReadTimeout:       s.Limits.ReadTime,
 		IdleTimeout:       s.Limits.IdleTime,
--- /dev/null
+++ b/daemon/httpserver/stream.go
@@ -0,0 +1,207 @@
+package httpserver
+
+import (
+	"bytes"
+	"math"
+	"strconv"
+	"strings"
+
+	"sequoiasail.example/types"
+)
+
+// maxEmptyLines is the number of empty lines that may precede a request line. RFC 9112 asks servers to ignore at least one.
+const maxEmptyLines = 4
+
+// Faults of requests that are refused while they are read.
+var (
+	errHeaderTooLarge = types.NewFault(types.CodeBadRequest, "header section over the limit")
+	errEmptyLines     = types.NewFault(types.CodeBadRequest, "more than %d empty lines before a request", maxEmptyLines)
+)
+
+// framing tells which part of a request the next byte of a connection belongs to.
+type framing int
+
+const (
+	framingHeader framing = iota
+	framingBody
+	framingChunkSize
+	framingChunk
+	framingTrailer
+)
+
+// stream follows the bytes that a connection passes to net/http. It ends each piece at the end of a header section and at the end
+// of a body, so that every header section is checked from its first byte before net/http parses it.
+type stream struct {
+	part framing
+	// requestLine and size are the bytes of the request line and of the ended header lines so far, with their line
+	// breaks. lines is the number of these lines, emptyLines that of the empty lines before the request line.
+	requestLine, size, lines, emptyLines int
+	// lineSize is the size of the current line so far, lineStart its first byte.
+	lineSize  int
+	lineStart byte
+	// started is true once the request line has begun, inLines once it has ended.
+	started, inLines bool
+	// left is the number of bytes of the body or the chunk that are still to come, including the line break after a chunk.
+	left int64
+	// chunkSize is the start of the line with the size of a chunk.
+	chunkSize []byte
+}
+
+// maxChunkSizeBytes is more than a 64-bit number in hexadecimal digits has.
+const maxChunkSizeBytes = 17
+
+// piece tells how many of the next bytes of a connection are passed to net/http before it has to be asked again. headerEnds is true
+// if they end a header section.
+type piece struct {
+	n          int
+	headerEnds bool
+}
+
+// next returns how many of the bytes in data are passed on. It fails if the header section is over the limit in bytes.
+func (s *stream) next(data []byte, limit int) (p piece, err error) {
+	switch s.part {
+	case framingBody:
+		p.n = int(min(int64(len(data)), s.left))
+		if s.left -= int64(p.n); s.left == 0 {
+			s.part = framingHeader
+		}
+		return p, nil
+	case framingHeader:
+		return s.nextHeader(data, limit)
+	}
+	return piece{n: s.nextChunked(data)}, nil
+}
+
+func (s *stream) nextHeader(data []byte, limit int) (p piece, err error) {
+	for p.n < len(data) && !p.headerEnds {
+		end := bytes.IndexByte(data[p.n:], '\n')
+		if end < 0 {
+			s.addToLine(data[p.n:])
+			p.n = len(data)
+			break
+		}
+		s.addToLine(data[p.n : p.n+end+1])
+		p.n += end + 1
+		p.headerEnds = s.endLine()
+	}
+	switch {
+	case s.emptyLines > maxEmptyLines:
+		return piece{}, errEmptyLines
+	case s.requestLine > limit || s.size+s.pending() > limit:
+		return piece{}, errHeaderTooLarge
+	}
+	return p, nil
+}
+
+// addToLine adds a part of a line, with its line feed if it is the last one.
+func (s *stream) addToLine(part []byte) {
+	if len(part) == 0 {
+		return
+	}
+	if s.lineSize == 0 {
+		s.lineStart = part[0]
+	}
+	s.lineSize += len(part)
+	s.started = s.started || s.pending() > 0 && !s.isEmptyLine()
+}
+
+// isEmptyLine reports whether the current line, with its line feed, is empty.
+func (s *stream) isEmptyLine() bool { return s.lineSize == 1 || s.lineSize == 2 && s.lineStart == '\r' }
+
+// pending returns the size of the incomplete line. A carriage return that may begin the last, empty line does not count.
+func (s *stream) pending() int {
+	if s.lineSize == 1 && s.lineStart == '\r' {
+		return 0
+	}
+	return s.lineSize
+}
+
+// endLine ends the current line. It reports whether the header section has ended with it.
+func (s *stream) endLine() (headerEnds bool) {
+	switch {
+	case !s.started:
+		s.emptyLines++
+	case !s.inLines:
+		s.inLines, s.requestLine = true, s.lineSize
+	case s.isEmptyLine():
+		headerEnds = true
+	default:
+		s.lines++
+		s.size += s.lineSize
+	}
+	s.lineSize = 0
+	return headerEnds
+}
+
+// beginHeader makes the next byte the first one of a header section.
+func (s *stream) beginHeader() { *s = stream{chunkSize: s.chunkSize[:0]} }
+
+// beginBody makes the next byte the first one of a body of the given length, -1 if it is sent in chunks.
+func (s *stream) beginBody(length int64) {
+	s.part, s.left = framingBody, length
+	if length < 0 {
+		s.part = framingChunkSize
+	}
+}
+
+// nextChunked returns how many bytes of data belong to a chunked body with its trailer. net/http reports a malformed one; whatever follows it
+// counts as a header section.
+func (s *stream) nextChunked(data []byte) (n int) {
+	for n < len(data) && s.part != framingHeader {
+		if s.part == framingChunk {
+			m := min(int64(len(data)-n), s.left)
+			n += int(m)
+			if s.left -= m; s.left == 0 {
+				s.part = framingChunkSize
+			}
+			continue
+		}
+		s.chunkLineByte(data[n])
+		n++
+	}
+	return n
+}
+
+// chunkLineByte takes a byte of a line with the size of a chunk, or of a trailer.
+func (s *stream) chunkLineByte(b byte) {
+	switch {
+	case b != '\n':
+		if b != '\r' {
+			s.lineSize++
+		}
+		if s.part == framingChunkSize && len(s.chunkSize) < maxChunkSizeBytes {
+			s.chunkSize = append(s.chunkSize, b)
+		}
+	case s.part == framingTrailer:
+		if s.lineSize == 0 {
+			s.beginHeader()
+			return
+		}
+		s.lineSize = 0
+	default:
+		s.endChunkSize()
+	}
+}
+
+// endChunkSize evaluates the line with the size of a chunk. An empty line is the end of the chunk before.
+func (s *stream) endChunkSize() {
+	digits, _, _ := strings.Cut(strings.TrimRight(string(s.chunkSize), "\r"), ";")
+	s.chunkSize, s.lineSize = s.chunkSize[:0], 0
+	if digits == "" {
+		return
+	}
+	size, err := strconv.ParseInt(strings.TrimSpace(digits), 16, 64)
+	switch {
+	case err != nil || size < 0 || size == math.MaxInt64:
+		s.beginHeader()
+	case size == 0:
+		s.part = framingTrailer
+	default:
+		s.part, s.left = framingChunk, size
+	}
+}
+
+// cost estimates the memory of the header section so far, in bytes.
+func (s *stream) cost() int64 {
+	return int64((s.requestLine+s.size+s.lineSize)*headerByteCost + s.lines*headerLineCost)
+}
--- a/transport/forward/budget.go
+++ b/transport/forward/budget.go
@@ -14,6 +14,7 @@
 	// OnShort, if set, is called each time that bytes can't be taken. It is set before the budget is used.
 	OnShort func()
 
+	size    int64
 	left    atomic.Int64
 	reserve int64
 	// undeclared is the part for bodies of unknown length while they are read. What it takes is also taken from parent.
@@ -36,7 +37,7 @@
 }
 
 func newBudget(bytes int64, parent *Budget) *Budget {
-	b := &Budget{reserve: bytes / 2, parent: parent}
+	b := &Budget{size: bytes, reserve: bytes / 2, parent: parent}
 	b.left.Store(bytes)
 	freed := make(chan struct{})
 	b.freed.Store(&freed)
@@ -120,5 +121,8 @@
 	}
 }
 
+// Size returns the number of bytes of the whole budget.
+func (b *Budget) Size() int64 { return b.size }
+
 // Left returns the number of bytes that are left. It is negative while small amounts overdraw the budget.
 func (b *Budget) Left() int64 { return b.left.Load() }
