httpserver: empty lines before a request are ignored

Callers saw: one empty line before a request got 400 on a new connection, five got it on each. RFC 9112, section 2.2, asks a server to ignore at least one; 400 is final.

Cause: net/http ignores empty lines only behind a POST, and the connection passed them on.

Change: line breaks before a request line are dropped, up to max_header_bytes, beyond which the answer is 400. A connection on which nothing else has arrived is idle as before: it makes room for others, ends with a shutdown and at the idle time.

Tests: TestRequestsInsideTheLimitsAreServed; before, on: 400 for an empty line, a line feed and five empty lines. TestConnectionWithEmptyLinesIsIdle; rows of TestHeaderSectionsOverALimitAreRefused (500 empty lines are served, 501 and 1,001 carriage returns get 400 with a limit of 1,000 bytes).

--- a/daemon/crowdtest/single_test.go
+++ b/daemon/crowdtest/single_test.go
@@ -35,11 +35,14 @@
 		full = append(full, line...)
 	}
 	return map[string]string{
-		"140 lines":            get(numbered(140, "X%d:\r\n")),
-		"500 lines":            get(numbered(500, "X-Header-%d: 1\r\n")),
-		"one name 300 times":   get(strings.Repeat("X-Name: value\r\n", 300)),
-		"as many lines as fit": string(full) + "\n",
-		"one long line":        get("X-Long: " + strings.Repeat("l", 16_000) + "\r\n"),
+		"140 lines":               get(numbered(140, "X%d:\r\n")),
+		"500 lines":               get(numbered(500, "X-Header-%d: 1\r\n")),
+		"one name 300 times":      get(strings.Repeat("X-Name: value\r\n", 300)),
+		"as many lines as fit":    string(full) + "\n",
+		"one long line":           get("X-Long: " + strings.Repeat("l", 16_000) + "\r\n"),
+		"empty line before":       "\r\n" + get(""),
+		"line feed before":        "\n" + get(""),
+		"five empty lines before": strings.Repeat("\r\n", 5) + get(""),
 	}
 }
 
@@ -60,8 +63,8 @@
 	return res.StatusCode
 }
 
-// Guards against a limit of header lines that a client inside the limits of the configuration meets in calm. The connection can be
-// used again.
+// Guards against a limit that a client inside the limits of the configuration meets in calm: of lines, of empty lines before a
+// request. The connection can be used again.
 func TestRequestsInsideTheLimitsAreServed(t *testing.T) {
 	for name, begin := range map[string]start{"sail-edge": edge} {
 		t.Run(name, func(t *testing.T) {
--- a/daemon/httpserver/connection.go
+++ b/daemon/httpserver/connection.go
@@ -76,6 +76,14 @@
 // Read reads from the connection. It returns io.EOF instead of the first bytes of a request during a shutdown. It passes no more
 // than a header section or a body at a time.
 func (c *connection) Read(p []byte) (n int, err error) {
+	for n == 0 && err == nil && len(p) > 0 {
+		n, err = c.readPiece(p)
+	}
+	return n, err
+}
+
+// readPiece reads the next piece. It returns 0 if all bytes that were received are dropped.
+func (c *connection) readPiece(p []byte) (n int, err error) {
 	if c.failed != nil {
 		return 0, c.failed
 	}
@@ -93,22 +101,36 @@
 	if err != nil {
 		return 0, err
 	}
+	used := next.skip + next.n
 	switch {
 	case fromRest:
-		copy(p, received[:next.n])
-		c.rest = c.rest[next.n:]
-	case next.n < len(received):
-		c.rest = bytes.Clone(received[next.n:])
+		c.rest = c.rest[used:]
+	case used < len(received):
+		c.rest = bytes.Clone(received[used:])
 	}
 	if len(c.rest) == 0 {
 		c.rest = nil
 	}
-	if ahead {
+	copy(p, received[next.skip:used])
+	switch {
+	case ahead && next.n > 0:
 		c.readAhead.Store(true)
+	case !ahead && next.n == 0:
+		c.awaitRequest()
 	}
 	return next.n, nil
 }
 
+// awaitRequest notes that no byte of a request has been read, after empty lines were dropped.
+func (c *connection) awaitRequest() {
+	if c.stream.part != framingHeader || c.stream.started || !c.state.CompareAndSwap(requestRead, awaitingRequest) {
+		return
+	}
+	if c.server.shuttingDown.Load() {
+		c.refuseRequests()
+	}
+}
+
 // receive reads from the socket.
 func (c *connection) receive(p []byte) (n int, err error) {
 	switch c.state.Load() {
@@ -321,6 +343,7 @@
 	case http.StateIdle:
 		c.releaseHeader()
 		c.handled.Store(false)
+		c.rest = c.stream.trimEmptyLines(c.rest)
 		if c.readAhead.Swap(false) || len(c.rest) > 0 {
 			c.state.Store(requestRead)
 			return
--- a/daemon/httpserver/fuzz_test.go
+++ b/daemon/httpserver/fuzz_test.go
@@ -13,8 +13,8 @@
 		if err != nil {
 			return nil, err
 		}
-		passed = append(passed, data[:p.n]...)
-		data = data[p.n:]
+		passed = append(passed, data[p.skip:p.skip+p.n]...)
+		data = data[p.skip+p.n:]
 		if p.headerEnds {
 			s.beginHeader()
 		}
--- a/daemon/httpserver/header.go
+++ b/daemon/httpserver/header.go
@@ -37,11 +37,11 @@
 	errNoHeaderMemory = types.NewFault(types.CodeOverloaded, "no memory left beside the header sections of other requests")
 )
 
-// pass returns how many of the bytes in data are passed on, which come next on the connection. It fails if the request is refused or the
+// pass returns what becomes of the bytes in data, which come next on the connection. It fails if the request is refused or the
 // connection was closed to make room. ahead is true if the request before is still being handled.
 func (c *connection) pass(data []byte, ahead bool) (piece, error) {
 	p, err := c.stream.next(data, c.server.limits().headerBytes())
-	if err == nil && c.stream.part == framingHeader && !ahead {
+	if err == nil && c.stream.part == framingHeader && !ahead && c.stream.started {
 		err = c.holdHeader(p.headerEnds)
 	}
 	if p.headerEnds {
@@ -99,7 +99,7 @@
 		if !c.headerSince.CompareAndSwap(since, 0) {
 			return errEvicted
 		}
-	case !complete && since == 0 && c.stream.started:
+	case !complete && since == 0:
 		c.beginHeaderTime()
 	}
 	return nil
--- a/daemon/httpserver/header_test.go
+++ b/daemon/httpserver/header_test.go
@@ -57,7 +57,7 @@
 }
 
 // Guards against header sections over the limit that net/http parses, wherever they begin: behind a body, behind a chunked body
-// with a trailer, in one piece or in many. Sections at the limit are served.
+// with a trailer, in one piece or in many. Sections at the limit are served, and so are requests behind empty lines.
 func TestHeaderSectionsOverALimitAreRefused(t *testing.T) {
 	// A request of get has 9 bytes of header lines besides those of rest, and a line of lines has 6.
 	const most, limit = 165, 1000
@@ -78,7 +78,9 @@
 		"folded lines":             {"GET / HTTP/1.1\r\nHost: h\r\nA: 1\r\n" + strings.Repeat(" b\r\n", 250), []int{431}},
 		"bytes":                    {get("/", "A: "+strings.Repeat("b", 1000)+"\r\n"), []int{431}},
 		"request line":             {"GET /" + strings.Repeat("b", 1000), []int{431}},
-		"empty lines":              {strings.Repeat("\r\n", maxEmptyLines+1), []int{400}},
+		"empty lines":              {strings.Repeat("\r\n", limit/2+1), []int{400}},
+		"carriage returns":         {strings.Repeat("\r", limit+1), []int{400}},
+		"served behind empty ones": {"\n" + get("/1", "") + strings.Repeat("\r\n", limit/2) + last, []int{200, 200}},
 		"behind a request":         {get("/1", "") + over, []int{200, 431}},
 		"behind a body":            {length + over, []int{200, 431}},
 		"served behind a body":     {length + get("/1", lines(most)) + last, []int{200, 200, 200}},
@@ -255,6 +257,23 @@
 	}
 }
 
+// Guards against empty lines that count as a request: their connection would neither make room for others nor end with a shutdown,
+// and be reported as closed without an answer.
+func TestConnectionWithEmptyLinesIsIdle(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, 0)
+	fresh, used := dial(t, s), dial(t, s)
+	_, err := used.get("/1")
+	is.NoErr(err)
+	for _, c := range []client{fresh, used} {
+		_, err := io.WriteString(c, "\r\n\r\n")
+		is.NoErr(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	is.NoErr(s.Shutdown(t.Context()))
+	is.Equal(s.UnansweredRequests(), uint64(0))
+}
+
 // Guards against a connection that is closed at once because no limit of the time for a header section is set, when the next request
 // has begun to arrive before the answer was complete.
 func TestNoHeaderTimeIsNoLimit(t *testing.T) {
--- a/daemon/httpserver/stream.go
+++ b/daemon/httpserver/stream.go
@@ -9,13 +9,10 @@
 	"sequoiasail.example/types"
 )
 
-// maxEmptyLines is the number of empty lines that may precede a request line. RFC 9112 asks servers to ignore at least one.
-const maxEmptyLines = 4
-
 // Faults of requests that are refused while they are read.
 var (
 	errHeaderTooLarge = types.NewFault(types.CodeBadRequest, "header section over the limit")
-	errEmptyLines     = types.NewFault(types.CodeBadRequest, "more than %d empty lines before a request", maxEmptyLines)
+	errEmptyLines     = types.NewFault(types.CodeBadRequest, "empty lines over the limit before a request")
 )
 
 // framing tells which part of a request the next byte of a connection belongs to.
@@ -34,8 +31,8 @@
 type stream struct {
 	part framing
 	// requestLine and size are the bytes of the request line and of the ended header lines so far, with their line
-	// breaks. lines is the number of these lines, emptyLines that of the empty lines before the request line.
-	requestLine, size, lines, emptyLines int
+	// breaks. lines is the number of these lines, emptyBytes the size of the empty lines before the request line.
+	requestLine, size, lines, emptyBytes int
 	// lineSize is the size of the current line so far, lineStart its first byte.
 	lineSize  int
 	lineStart byte
@@ -50,14 +47,15 @@
 // maxChunkSizeBytes is more than a 64-bit number in hexadecimal digits has.
 const maxChunkSizeBytes = 17
 
-// piece tells how many of the next bytes of a connection are passed to net/http before it has to be asked again. headerEnds is true
-// if they end a header section.
+// piece tells what becomes of the next bytes of a connection: the first skip bytes are dropped, and the n bytes after them are
+// passed to net/http before it has to be asked again. headerEnds is true if they end a header section.
 type piece struct {
-	n          int
+	skip, n    int
 	headerEnds bool
 }
 
-// next returns how many of the bytes in data are passed on. It fails if the header section is over the limit in bytes.
+// next returns what becomes of the bytes in data. It fails if the header section or the empty lines before it are over the limit in
+// bytes.
 func (s *stream) next(data []byte, limit int) (p piece, err error) {
 	switch s.part {
 	case framingBody:
@@ -72,20 +70,34 @@
 	return piece{n: s.nextChunked(data)}, nil
 }
 
+// trimEmptyLines returns data without the line breaks that precede a request line.
+func (s *stream) trimEmptyLines(data []byte) []byte {
+	if s.part != framingHeader || s.started {
+		return data
+	}
+	trimmed := bytes.TrimLeft(data, "\r\n")
+	s.emptyBytes += len(data) - len(trimmed)
+	return trimmed
+}
+
+// nextHeader drops the empty lines before a request, which RFC 9112, section 2.2, asks servers to ignore: net/http ignores them only
+// behind a POST.
 func (s *stream) nextHeader(data []byte, limit int) (p piece, err error) {
-	for p.n < len(data) && !p.headerEnds {
-		end := bytes.IndexByte(data[p.n:], '\n')
+	section := s.trimEmptyLines(data)
+	p.skip = len(data) - len(section)
+	for p.n < len(section) && !p.headerEnds {
+		end := bytes.IndexByte(section[p.n:], '\n')
 		if end < 0 {
-			s.addToLine(data[p.n:])
-			p.n = len(data)
+			s.addToLine(section[p.n:])
+			p.n = len(section)
 			break
 		}
-		s.addToLine(data[p.n : p.n+end+1])
+		s.addToLine(section[p.n : p.n+end+1])
 		p.n += end + 1
 		p.headerEnds = s.endLine()
 	}
 	switch {
-	case s.emptyLines > maxEmptyLines:
+	case s.emptyBytes > limit:
 		return piece{}, errEmptyLines
 	case s.requestLine > limit || s.size+s.pending() > limit:
 		return piece{}, errHeaderTooLarge
@@ -102,7 +114,7 @@
 		s.lineStart = part[0]
 	}
 	s.lineSize += len(part)
-	s.started = s.started || s.pending() > 0 && !s.isEmptyLine()
+	s.started = true
 }
 
 // isEmptyLine reports whether the current line, with its line feed, is empty.
@@ -119,8 +131,6 @@
 // endLine ends the current line. It reports whether the header section has ended with it.
 func (s *stream) endLine() (headerEnds bool) {
 	switch {
-	case !s.started:
-		s.emptyLines++
 	case !s.inLines:
 		s.inLines, s.requestLine = true, s.lineSize
 	case s.isEmptyLine():
