httpserver: the fields of a trailer are dropped

Cause: net/http reads trailers into a map, whose memory no budget knew, and limits them to its buffer. No handler uses them, and they are not forwarded.

Change: the connection drops the fields, up to max_header_bytes, and passes on the line break at the end. A longer trailer fails the read of the body, which is answered with 400 as an incomplete one.

--- a/daemon/crowdtest/crowd_test.go
+++ b/daemon/crowdtest/crowd_test.go
@@ -42,6 +42,7 @@
 	"empty-lines":           {50, emptyLines},
 	"unfinished-uploads":    {200, unfinishedUploads},
 	"slow-readers":          {60, slowReader},
+	"trailers":              {300, trailers},
 	"costly-slow-readers":   {100, costlySlowReader},
 	"empty-lines-by-byte":   {50, emptyLinesByByte},
 	"unread-pipeline":       {100, unreadPipeline},
@@ -49,6 +50,7 @@
 	"tiny-chunks":           {200, tinyChunks},
 	"early-leavers":         {200, earlyLeaver},
 	"distinct-values":       {100, distinctValues},
+	"mixed":                 {300, mixed},
 }
 
 // legalHeaderBytes is below max_header_bytes.
@@ -158,6 +160,17 @@
 	return fmt.Appendf(b, "Idempotency-Key: c-%d\r\nRequest-Time: %s\r\n", client, time.Now().UTC().Format(time.RFC3339))
 }
 
+// trailers sends a small body with a trailer of very many lines, and reads the large response slowly.
+func trailers(ctx context.Context, c net.Conn, client int) {
+	b := append(post("/v1/large/1", client), "Transfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n"...)
+	// net/http accepts a trailer of up to 4 KiB.
+	for i := range 600 {
+		b = append(strconv.AppendInt(append(b, 't'), int64(i), 36), ":\r\n"...)
+	}
+	_, _ = c.Write(append(b, "\r\n"...))
+	readSlowly(ctx, c)
+}
+
 // costlySlowReader asks for a large response with a header section of very many short lines, and reads it slowly.
 func costlySlowReader(ctx context.Context, c net.Conn, client int) {
 	b := bytes.Replace(shortLines(client), []byte("/v1/small/1"), []byte("/v1/large/1"), 1)
@@ -225,6 +238,15 @@
 	}
 }
 
+// mixed behaves like another crowd, depending on the client.
+func mixed(ctx context.Context, c net.Conn, client int) {
+	all := []behaviour{
+		shortHeaderLines, completeHeaderLines, foldedHeaderLines, endlessHeader, longHeaderLine, emptyLines, unfinishedUploads,
+		slowReader, trailers, costlySlowReader, unreadPipeline, unsentBodies, tinyChunks, earlyLeaver, distinctValues,
+	}
+	all[client%len(all)](ctx, c, client)
+}
+
 // run runs the clients until the context ends, and waits for them.
 func (p *process) run(ctx context.Context, clients int, act behaviour) {
 	var all sync.WaitGroup
--- a/daemon/crowdtest/single_test.go
+++ b/daemon/crowdtest/single_test.go
@@ -43,6 +43,8 @@
 		"empty line before":       "\r\n" + get(""),
 		"line feed before":        "\n" + get(""),
 		"five empty lines before": strings.Repeat("\r\n", 5) + get(""),
+		"trailer": string(requestStart("GET", "/v1/small/1", 0)) + "Transfer-Encoding: chunked\r\n\r\n4;e=1\r\nbody\r\n0\r\n" +
+			numbered(1000, "X-Trailer-%d: 1\r\n")[:16_000] + "\r\n\r\n",
 	}
 }
 
@@ -64,7 +66,7 @@
 }
 
 // Guards against a limit that a client inside the limits of the configuration meets in calm: of lines, of empty lines before a
-// request. The connection can be used again.
+// request, of trailers. The connection can be used again.
 func TestRequestsInsideTheLimitsAreServed(t *testing.T) {
 	for name, begin := range map[string]start{"sail-edge": edge} {
 		t.Run(name, func(t *testing.T) {
--- a/daemon/httpserver/header_test.go
+++ b/daemon/httpserver/header_test.go
@@ -257,6 +257,31 @@
 	}
 }
 
+// Guards against trailers whose many lines are parsed and kept, and against one without end.
+func TestTrailersAreDropped(t *testing.T) {
+	is := is.New(t)
+	trailers := make(chan int, 10)
+	s := newServer(0)
+	s.Limits = Limits{HeaderBytes: 10_000}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+		trailers <- len(r.Trailer)
+	})
+	run(t, s)
+	const start = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;e=1\r\nb\r\n00\r\n"
+	for _, piece := range []int{1 << 20, 7} {
+		for _, end := range []string{"\r\n", "\n", "T: 1\r\n\r\n", strings.Repeat("T: 1\r\n", 100) + "\r\n", "T: 1\nU: 2\r\n\r\n"} {
+			got := dial(t, s).statuses(start+end+"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", piece)
+			is.Equal(got, []int{200, 200})
+			is.Equal(<-trailers+<-trailers, 0)
+		}
+	}
+	got := dial(t, s).statuses(start+strings.Repeat("T: 1\r\n", 4000), 1<<20)
+	is.Equal(got, []int{http.StatusBadRequest})
+}
+
 // Guards against empty lines that count as a request: their connection would neither make room for others nor end with a shutdown,
 // and be reported as closed without an answer.
 func TestConnectionWithEmptyLinesIsIdle(t *testing.T) {
--- a/daemon/httpserver/server.go
+++ b/daemon/httpserver/server.go
@@ -17,8 +17,8 @@
 // Limits bound the size and duration of requests. Zero values mean the default of net/http for HeaderBytes, no limit for ReadTime,
 // and the value of ReadTime for the other two.
 type Limits struct {
-	// HeaderBytes limits the size of a request line, of the header lines after it, and of the empty lines before it, each in
-	// bytes with its line breaks.
+	// HeaderBytes limits the size of a request line, of the header lines after it, of the empty lines before it, and of a trailer,
+	// each in bytes with its line breaks.
 	HeaderBytes int
 	// HeaderTime limits the time to read a request's header, ReadTime that of a whole request, IdleTime the time between two
 	// requests on a connection.
--- a/daemon/httpserver/stream.go
+++ b/daemon/httpserver/stream.go
@@ -11,8 +11,9 @@
 
 // Faults of requests that are refused while they are read.
 var (
-	errHeaderTooLarge = types.NewFault(types.CodeBadRequest, "header section over the limit")
-	errEmptyLines     = types.NewFault(types.CodeBadRequest, "empty lines over the limit before a request")
+	errHeaderTooLarge  = types.NewFault(types.CodeBadRequest, "header section over the limit")
+	errEmptyLines      = types.NewFault(types.CodeBadRequest, "empty lines over the limit before a request")
+	errTrailerTooLarge = types.NewFault(types.CodeBadRequest, "trailer over the limit")
 )
 
 // framing tells which part of a request the next byte of a connection belongs to.
@@ -30,7 +31,7 @@
 // of a body, so that every header section is checked from its first byte before net/http parses it.
 type stream struct {
 	part framing
-	// requestLine and size are the bytes of the request line and of the ended header lines so far, with their line
+	// requestLine and size are the bytes of the request line and of the ended header or trailer lines so far, with their line
 	// breaks. lines is the number of these lines, emptyBytes the size of the empty lines before the request line.
 	requestLine, size, lines, emptyBytes int
 	// lineSize is the size of the current line so far, lineStart its first byte.
@@ -54,8 +55,8 @@
 	headerEnds bool
 }
 
-// next returns what becomes of the bytes in data. It fails if the header section or the empty lines before it are over the limit in
-// bytes.
+// next returns what becomes of the bytes in data. It fails if the header section, the empty lines before it or the trailer are over
+// the limit in bytes.
 func (s *stream) next(data []byte, limit int) (p piece, err error) {
 	switch s.part {
 	case framingBody:
@@ -66,6 +67,8 @@
 		return p, nil
 	case framingHeader:
 		return s.nextHeader(data, limit)
+	case framingTrailer:
+		return s.nextTrailer(data, limit)
 	}
 	return piece{n: s.nextChunked(data)}, nil
 }
@@ -154,10 +157,10 @@
 	}
 }
 
-// nextChunked returns how many bytes of data belong to a chunked body with its trailer. net/http reports a malformed one; whatever follows it
+// nextChunked returns how many bytes of data belong to the chunks of a body. net/http reports a malformed one; whatever follows it
 // counts as a header section.
 func (s *stream) nextChunked(data []byte) (n int) {
-	for n < len(data) && s.part != framingHeader {
+	for n < len(data) && (s.part == framingChunk || s.part == framingChunkSize) {
 		if s.part == framingChunk {
 			m := min(int64(len(data)-n), s.left)
 			n += int(m)
@@ -166,37 +169,26 @@
 			}
 			continue
 		}
-		s.chunkLineByte(data[n])
+		s.chunkSizeByte(data[n])
 		n++
 	}
 	return n
 }
 
-// chunkLineByte takes a byte of a line with the size of a chunk, or of a trailer.
-func (s *stream) chunkLineByte(b byte) {
+// chunkSizeByte takes a byte of a line with the size of a chunk.
+func (s *stream) chunkSizeByte(b byte) {
 	switch {
-	case b != '\n':
-		if b != '\r' {
-			s.lineSize++
-		}
-		if s.part == framingChunkSize && len(s.chunkSize) < maxChunkSizeBytes {
-			s.chunkSize = append(s.chunkSize, b)
-		}
-	case s.part == framingTrailer:
-		if s.lineSize == 0 {
-			s.beginHeader()
-			return
-		}
-		s.lineSize = 0
-	default:
+	case b == '\n':
 		s.endChunkSize()
+	case len(s.chunkSize) < maxChunkSizeBytes:
+		s.chunkSize = append(s.chunkSize, b)
 	}
 }
 
 // endChunkSize evaluates the line with the size of a chunk. An empty line is the end of the chunk before.
 func (s *stream) endChunkSize() {
 	digits, _, _ := strings.Cut(strings.TrimRight(string(s.chunkSize), "\r"), ";")
-	s.chunkSize, s.lineSize = s.chunkSize[:0], 0
+	s.chunkSize = s.chunkSize[:0]
 	if digits == "" {
 		return
 	}
@@ -205,12 +197,42 @@
 	case err != nil || size < 0 || size == math.MaxInt64:
 		s.beginHeader()
 	case size == 0:
-		s.part = framingTrailer
+		s.part, s.size, s.lineSize = framingTrailer, 0, 0
 	default:
 		s.part, s.left = framingChunk, size
 	}
 }
 
+// nextTrailer drops the fields of a trailer: no handler uses them, and net/http would parse all of them. The line break at its end is
+// passed on.
+func (s *stream) nextTrailer(data []byte, limit int) (p piece, err error) {
+	for _, b := range data {
+		if s.lineSize == 0 {
+			s.lineStart = b
+		}
+		s.lineSize++
+		mayEnd := b == '\n' && s.isEmptyLine() || b == '\r' && s.lineSize == 1
+		if !mayEnd {
+			// Bytes that were kept for a line break belong to a field.
+			p.skip, p.n = p.skip+p.n+1, 0
+		} else {
+			p.n++
+		}
+		if b != '\n' {
+			continue
+		}
+		if mayEnd {
+			s.beginHeader()
+			return p, nil
+		}
+		s.size, s.lineSize = s.size+s.lineSize, 0
+	}
+	if s.size+s.lineSize > limit {
+		return piece{}, errTrailerTooLarge
+	}
+	return p, nil
+}
+
 // cost estimates the memory of the header section so far, in bytes.
 func (s *stream) cost() int64 {
 	return int64((s.requestLine+s.size+s.lineSize)*headerByteCost + s.lines*headerLineCost)
