edge: wider limits of a configuration are in force

Callers saw: with a configuration that allows header sections of 256 KiB, one of 250 KiB got 431, which is final; a connection that was idle for longer than 60 s was closed although the configuration allowed it.

Cause: the limits of the configuration were cut to those of the process, which are for the time before a configuration is known.

Change: the configuration's limits are in force as they are. The limit of net/http is never reached since connections refuse larger sections.

--- a/daemon/crowdtest/single_test.go
+++ b/daemon/crowdtest/single_test.go
@@ -87,3 +87,22 @@
 		})
 	}
 }
+
+// Guards against a header section inside the limits of a configuration that is refused by a limit of the process.
+func TestWideLimitsOfAConfigurationAreKept(t *testing.T) {
+	const limit = 256 << 10
+	p := edgeWith(func(configuration []byte) []byte {
+		return bytes.Replace(configuration, []byte(`"max_header_bytes":16384`), fmt.Appendf(nil, `"max_header_bytes":%d`, limit), 1)
+	})(t, memoryMB, 0)
+	c, err := net.Dial("tcp", p.address)
+	check(t, err)
+	defer c.Close()
+	r := bufio.NewReader(c)
+	lines := strings.Repeat("X-Wide: "+strings.Repeat("w", 990)+"\r\n", limit/1024)
+	if got := exchange(c, r, string(requestStart("GET", "/v1/small/1", 0))+lines+"\r\n"); got != http.StatusOK {
+		t.Errorf("a header section of %d bytes, %d allowed: status %d", len(lines), limit, got)
+	}
+	if got := exchange(c, r, string(requestStart("GET", "/v1/small/1", 0))+lines+lines[:10_000]+"\r\n"); got != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("a header section of %d bytes, %d allowed: status %d", len(lines)+10_000, limit, got)
+	}
+}
--- a/daemon/edge/limits.go
+++ b/daemon/edge/limits.go
@@ -9,11 +9,8 @@
 	"sequoiasail.example/platform"
 )
 
-// initialHTTPLimits are the limits of both HTTP servers. They apply before a configuration is known, and are wider than
-// those of any configuration.
-var initialHTTPLimits = httpserver.Limits{
-	HeaderBytes: 64 << 10, HeaderTime: 10 * time.Second, IdleTime: 60 * time.Second,
-}
+// initialHTTPLimits are the limits of requests before a configuration is known, and for what it does not state.
+var initialHTTPLimits = httpserver.Limits{HeaderBytes: 64 << 10, HeaderTime: 10 * time.Second, IdleTime: 60 * time.Second}
 
 // largestBody is the memory of a body of the largest size.
 const largestBody = platform.MaxBodyBytes + 2*httpserver.MaxSegmentBytes
@@ -22,14 +19,14 @@
 func bodyMemory(memoryBytes int64) int64 { return capacity.BodyMemory(memoryBytes, largestBody) }
 
 // limits returns the limits of callers' requests: those of the configuration in force, and initialHTTPLimits for what it does not
-// state or states wider.
+// state.
 func (f *frontend) limits() httpserver.Limits {
 	l := initialHTTPLimits
 	if table := f.storeCache.published.Load().table; table != nil {
 		c := table.Limits()
-		l.HeaderBytes = min(cmp.Or(c.HeaderBytes, l.HeaderBytes), l.HeaderBytes)
-		l.HeaderTime = min(cmp.Or(c.HeaderTimeout, l.HeaderTime), l.HeaderTime)
-		l.IdleTime = min(cmp.Or(c.IdleTimeout, l.IdleTime), l.IdleTime)
+		l.HeaderBytes = cmp.Or(c.HeaderBytes, l.HeaderBytes)
+		l.HeaderTime = cmp.Or(c.HeaderTimeout, l.HeaderTime)
+		l.IdleTime = cmp.Or(c.IdleTimeout, l.IdleTime)
 	}
 	return l
 }
