gateway: callers share a bounded part of memory and descriptors

Callers saw: a sail-gateway that crowds make exceed its memory, after which it ends and all its requests with it.

Cause: the two-process path had none of the bounds of sail-edge.

Change: the same mechanism, with settings of each process: memoryMB and descriptors. Header sections, bodies and connections have the shares of package capacity; bodies of requests are read within a budget, and answers that a caller has not taken count against it, so that new requests are refused with 503 while it is overdrawn. Without the settings, the budgets are those of about 256 MiB and connections follow the operating system's limit of descriptors.

Tests: TestGatewayStaysWithinTheMemory (twelve crowds, the dispatcher's memory too), TestIdleConnectionsStayWithinTheDescriptorsOfAGateway and the rows of TestRequestsInsideTheLimitsAreServed for sail-gateway, which got 400 for empty lines and trailers on.

--- a/config/parse.go
+++ b/config/parse.go
@@ -222,7 +222,7 @@
 // check reports limits out of range.
 func (l Limits) check(c *settings.Checks, path string) {
 	at := func(name string) string { return settings.Join(path, name) }
-	c.Between(at("maxBodyBytes"), l.MaxBodyBytes, 1, maxBodyBytes, "bytes")
+	c.Between(at("maxBodyBytes"), l.MaxBodyBytes, 1, LargestBodyBytes, "bytes")
 	c.Between(at("coldStartMs"), l.ColdStartMs, 0, maxColdStartMs, "ms")
 	checkShare(c, at("retryShare"), l.RetryShare)
 	checkShare(c, at("hedgeShare"), l.HedgeShare)
--- a/config/questions.go
+++ b/config/questions.go
@@ -130,7 +130,7 @@
 		},
 		{
 			Path: "services[].maxBodyBytes", Text: "How large is the largest request body?", Unit: "bytes",
-			Default: number(defaultMaxBodyBytes), Low: 1, High: maxBodyBytes,
+			Default: number(defaultMaxBodyBytes), Low: 1, High: LargestBodyBytes,
 			Reason: "Larger bodies are refused; bodies that wait use memory.",
 		},
 		{
--- a/config/validate.go
+++ b/config/validate.go
@@ -7,6 +7,9 @@
 	"sequoiasail.example/types"
 )
 
+// LargestBodyBytes is the largest value of MaxBodyBytes of a service.
+const LargestBodyBytes = 16 << 20
+
 // Bounds of single values. Values out of bounds are taken for mistakes in the unit.
 const (
 	maxLinkMs = 1000
@@ -15,7 +18,6 @@
 	maxRememberMs   = 24 * 60 * 60 * 1000
 	maxColdStartMs  = 60 * 60 * 1000
 	maxTimingMs     = 60 * 1000
-	maxBodyBytes    = 16 << 20
 	maxTargetSlots  = 10000
 	maxConnections  = 100000
 	maxWeight       = 100
--- a/config/validate_requests.go
+++ b/config/validate_requests.go
@@ -15,7 +15,7 @@
 	v.Between(v.at("staleMs"), s.StaleMs, 0, maxDurationMs, "ms")
 	v.Between(v.at("extraLoadPercent"), int64(*s.ExtraLoadPercent), 0, maxExtraPercent, "percent")
 	v.Between(v.at("coldStartMs"), *s.ColdStartMs, 0, maxColdStartMs, "ms")
-	v.Between(v.at("maxBodyBytes"), s.MaxBodyBytes, 1, maxBodyBytes, "bytes")
+	v.Between(v.at("maxBodyBytes"), s.MaxBodyBytes, 1, LargestBodyBytes, "bytes")
 	if s.ReadOwnWrites && s.StaleMs > 0 && !s.Keyed {
 		v.Fail(v.at("staleMs"), "callers that must read their own writes cannot tolerate answers %d ms old from another target; "+
 			"set staleMs to 0 or readOwnWrites to false", s.StaleMs)
--- a/daemon/crowdtest/single_test.go
+++ b/daemon/crowdtest/single_test.go
@@ -68,7 +68,7 @@
 // Guards against a limit that a client inside the limits of the configuration meets in calm: of lines, of empty lines before a
 // request, of trailers. The connection can be used again.
 func TestRequestsInsideTheLimitsAreServed(t *testing.T) {
-	for name, begin := range map[string]start{"sail-edge": edge} {
+	for name, begin := range starts {
 		t.Run(name, func(t *testing.T) {
 			p := begin(t, memoryMB, 0)
 			for name, text := range legalRequests() {
--- a/daemon/gateway/frontend.go
+++ b/daemon/gateway/frontend.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -15,7 +13,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
+	"sequoiasail.example/daemon/httpserver"
 	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/forward"
 	"sequoiasail.example/transport/peer"
 	"sequoiasail.example/types"
 )
@@ -44,6 +44,8 @@
 // frontend decodes callers' requests and encodes answers. It runs on the request goroutines of net/http.
 type frontend struct {
 	gw *Gateway
+	// bodies bounds the memory of the bodies of requests and answers.
+	bodies *forward.Budget
 }
 
 // failureBody is the JSON body of an answer that does not come from the target.
@@ -72,7 +74,9 @@
 }
 
 func (f *frontend) serve(w http.ResponseWriter, r *http.Request) {
-	p, err := f.decode(w, r)
+	body := httpserver.Body{Budget: f.bodies}
+	defer body.Release()
+	p, err := f.decode(w, r, &body)
 	if err != nil {
 		f.gw.countRefusal(err)
 		writeFault(w, r, types.RequestID(r.Header.Get(headerIdempotencyKey)), err)
@@ -83,11 +87,14 @@
 		writeFault(w, r, p.request.RequestID, err)
 		return
 	}
+	// The answer is in memory already: its size counts, so that new requests are refused while answers stay unread.
+	f.bodies.Overdraw(int64(len(answer.Body)))
+	defer f.bodies.GiveBack(int64(len(answer.Body)))
 	writeAnswer(w, answer)
 }
 
 // decode checks the request and reads its whole body, so that no truncated request is routed.
-func (f *frontend) decode(w http.ResponseWriter, r *http.Request) (*pending, *types.Fault) {
+func (f *frontend) decode(w http.ResponseWriter, r *http.Request, body *httpserver.Body) (*pending, *types.Fault) {
 	vars := mux.Vars(r)
 	view := f.gw.view.Load()
 	service, ok := view.service(types.Service(vars["service"]))
@@ -110,8 +117,7 @@
 	if fault != nil {
 		return nil, fault
 	}
-	body, fault := readBody(w, r, service.maxBodyBytes)
-	if fault != nil {
+	if fault := body.ReadWithin(timeout, w, r, service.maxBodyBytes); fault != nil {
 		return nil, fault
 	}
 	now := telemetry.Now()
@@ -132,7 +138,7 @@
 			Method:     r.Method,
 			Path:       r.URL.RequestURI(),
 			Header:     forwardedHeaders(r.Header),
-			Body:       body,
+			Body:       body.Join(),
 		},
 	}
 	p.request.Fingerprint = fingerprint(&p.request)
@@ -188,25 +194,6 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *types.Fault) {
-	if r.ContentLength > limit {
-		return nil, types.NotRun(types.CodeBodyTooLarge, "the body is larger than %d bytes", limit)
-	}
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, types.NotRun(types.CodeBodyTooLarge, "the body is larger than %d bytes", limit)
-	default:
-		return nil, types.NotRun(types.CodeTruncatedBody, "the body ended early or came too slowly")
-	}
-}
-
 // hopByHopHeaders apply to one connection only and are not forwarded.
 var hopByHopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true,
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -10,11 +10,15 @@
 	"sequoiasail.example/daemon/process"
 	"sequoiasail.example/routing"
 	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/forward"
 	"sequoiasail.example/transport/peer"
 	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
 )
 
+// largestBody is the memory of the largest body that a configuration allows, in bytes: as it is read, and in one piece.
+const largestBody = 2 * config.LargestBodyBytes
+
 // Gateway is the caller-facing process.
 type Gateway struct {
 	settings   *Settings
@@ -71,13 +75,17 @@
 	}
 	registration := &process.Registration{Store: storeClient, Member: g.member, Log: g.base.Log}
 	ops := g.base.OpsServer(string(s.OpsAddress), g.readStatus)
+	bodies := forward.NewBudget(s.BodyMemory(largestBody))
 	callers := &httpserver.Server{
 		Limits:  process.HTTPLimits,
 		Name:    "callers",
 		Address: string(s.CallerAddress),
-		Handler: (&frontend{gw: g}).handler(),
+		Handler: (&frontend{gw: g, bodies: bodies}).handler(),
 		Listen:  g.base.Listen,
 	}
+	g.base.LimitCallers(callers)
+	bodies.OnShort = callers.ResetSlowReaders
+	g.base.Metrics.Gauge("sail_body_memory_left_bytes", func() float64 { return float64(bodies.Left()) })
 	g.base.Metrics.Status(g.readStatus)
 	g.base.Metrics.Ring("router-requests", g.router.requests)
 	g.base.Metrics.Ring("router-results", g.router.results)
--- a/daemon/httpserver/body.go
+++ b/daemon/httpserver/body.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -30,6 +31,20 @@
 // Segments returns the body in pieces. They are valid until the body is released.
 func (b *Body) Segments() [][]byte { return b.segments }
 
+// Join returns the body in one piece, which is nil if the body is empty.
+func (b *Body) Join() []byte {
+	if len(b.segments) > 1 {
+		// The request is complete: refusing it now would waste what has been read.
+		b.Budget.Overdraw(b.taken)
+		b.taken *= 2
+		b.segments = [][]byte{bytes.Join(b.segments, nil)}
+	}
+	if len(b.segments) == 0 {
+		return nil
+	}
+	return b.segments[0]
+}
+
 // ReadWithin reads the whole body, so that no incomplete request is passed on. A body that is still incomplete after d, when its caller
 // stops waiting, would hold memory and a connection for nothing. Its faults have CodeOverloaded if the budget is used up,
 // CodeBodyTooLarge if the body is larger than limit bytes, or CodeTruncatedBody.
--- a/daemon/process/process.go
+++ b/daemon/process/process.go
@@ -9,8 +9,10 @@
 
 	"github.com/apex/log"
 
+	"sequoiasail.example/daemon/capacity"
 	"sequoiasail.example/duty"
 	"sequoiasail.example/telemetry"
+	"sequoiasail.example/transport/forward"
 	"sequoiasail.example/transport/identity"
 	"sequoiasail.example/transport/peer"
 	"sequoiasail.example/types"
@@ -47,6 +49,11 @@
 	Group *duty.Group
 	// Identity holds the TLS certificate of the process. It is nil when the settings have no TLS.
 	Identity *identity.Source
+
+	// headers bounds the header sections of all HTTP servers of the process, callerConnections the connections of callers, 0 for no
+	// limit.
+	headers           *forward.Budget
+	callerConnections int
 }
 
 // NewBase returns the base of a process with the given role. It redirects the standard logger, to which net/http and
@@ -56,7 +63,11 @@
 	l := telemetry.NewLog(o.LogOutput, log.Fields{"vm": s.VM, "role": role, "dataCentre": s.DataCentre})
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(lineWriter{log: l})
-	b := &Base{Listen: o.Listen, Log: l, Metrics: telemetry.NewMetrics(), Group: duty.NewGroup()}
+	s.limitRuntime()
+	b := &Base{
+		Listen: o.Listen, Log: l, Metrics: telemetry.NewMetrics(), Group: duty.NewGroup(),
+		headers: forward.NewBudget(capacity.HeaderMemory(s.memory())), callerConnections: s.callerConnections(),
+	}
 	b.Group.Add(l.Duty())
 	b.Metrics.Gauge("sail_log_dropped_total", func() float64 { return float64(l.Dropped()) })
 	b.Metrics.Gauge("sail_log_depth", func() float64 { return float64(l.Depth()) })
--- a/daemon/process/settings.go
+++ b/daemon/process/settings.go
@@ -24,6 +24,11 @@
 	// Peers lists addresses of dispatchers. A process that starts while the store is unavailable fetches the store's
 	// entries from them. Default none: the process then waits for the store.
 	Peers []settings.Address `json:"peers"`
+	// MemoryMB is the memory that the process may use, in MiB. Its budgets and the memory limit of the Go runtime follow it. Default
+	// 0: not known, the budgets are those of a process with about 256 MiB.
+	MemoryMB int64 `json:"memoryMB"`
+	// Descriptors is the number of descriptors that the process may have open. Default 0: the limit of the operating system.
+	Descriptors int `json:"descriptors"`
 	// TLS secures the connections to and from peers and the admin interface. Default none: they use plain TCP.
 	TLS *identity.Settings `json:"tls"`
 }
@@ -41,6 +46,12 @@
 	for i, address := range s.Peers {
 		c.Address(settings.Index("peers", i), address)
 	}
+	if s.MemoryMB != 0 {
+		c.Between("memoryMB", s.MemoryMB, minMemoryMB, maxMemoryMB, "MiB")
+	}
+	if s.Descriptors != 0 {
+		c.Between("descriptors", int64(s.Descriptors), minDescriptors, maxDescriptors, "")
+	}
 	c.Between("storeTimeoutMs", int64(s.StoreTimeoutMs), 10, 60_000, "ms")
 	s.TLS.Check(c, s.VM)
 }
