process: the admin interface has a bounded part of memory and descriptors

Operators saw: 1,200 clients with short header lines at the address for metrics made sail-dispatcher use 370.6 MB of 96 and 1,218 descriptors of 400, sail-gateway 373.7 MB and 1,214; 800 silent clients took 818 and 814 descriptors. A process that ends there ends for its callers, too.

Cause: the admin interface had no budget for header sections and no limit of connections. That of sail-edge has both.

Change: 16 connections, as on sail-edge, of which idle ones make room, and the budget of header sections that callers have.

Test: TestAddressesOfOperatorsStayWithinTheBounds for all three processes.

--- a/daemon/crowdtest/crowd_test.go
+++ b/daemon/crowdtest/crowd_test.go
@@ -326,19 +326,25 @@
 		defer close(left)
 		p.run(ctx, 2*maxFDs, act)
 	}()
+	p.checkDescriptors(crowdTime)
+	p.await("an ordinary answer while the crowd is there", answerLimit, p.answersOne)
+	cancel()
+	<-left
+	p.await("an ordinary answer", answerLimit, p.answersOne)
+}
+
+// checkDescriptors checks the number of open descriptors for the given time.
+func (p *process) checkDescriptors(d time.Duration) {
+	p.t.Helper()
 	most := 0
-	for end := time.Now().Add(crowdTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		most = max(most, p.descriptors())
 	}
 	p.checkAlive()
-	t.Logf("most open descriptors: %d of %d", most, maxFDs)
+	p.t.Logf("most open descriptors: %d of %d", most, maxFDs)
 	if most > maxFDs {
-		t.Errorf("the process had %d descriptors open, %d allowed", most, maxFDs)
+		p.t.Errorf("the process had %d descriptors open, %d allowed", most, maxFDs)
 	}
-	p.await("an ordinary answer while the crowd is there", answerLimit, p.answersOne)
-	cancel()
-	<-left
-	p.await("an ordinary answer", answerLimit, p.answersOne)
 }
 
 // Guards against a request or a response of the largest size that a VM of the smallest size refuses, or that makes it exceed its
--- a/daemon/crowdtest/gateway_test.go
+++ b/daemon/crowdtest/gateway_test.go
@@ -49,8 +49,29 @@
 	}
 }
 
-// gateway starts a sail-gateway and a sail-dispatcher with a store and a target for each service, and returns the gateway.
+// gateway starts a sail-gateway and the sail-dispatcher that it needs.
 func gateway(t *testing.T, memoryMB float64, maxFDs int) *process {
+	t.Helper()
+	p, d := startPair(t, memoryMB, maxFDs)
+	t.Cleanup(func() {
+		d.checkAlive()
+		if memoryMB > 0 {
+			d.checkMemory(memoryMB)
+		}
+	})
+	return p
+}
+
+// dispatcher starts a sail-dispatcher and the sail-gateway that takes its requests.
+func dispatcher(t *testing.T, memoryMB float64, maxFDs int) *process {
+	t.Helper()
+	p, d := startPair(t, memoryMB, maxFDs)
+	d.address = p.address
+	return d
+}
+
+// startPair starts a sail-gateway and a sail-dispatcher with a store and a target for each service.
+func startPair(t *testing.T, memoryMB float64, maxFDs int) (g, d *process) {
 	t.Helper()
 	group := duty.NewGroup()
 	t.Cleanup(func() { _ = group.Abort(context.Background()) })
@@ -66,18 +87,12 @@
 	ip := standin.LoopbackIP(run, 0)
 	common := fmt.Sprintf(`"vm": "vm-%d", "dataCentre": "north", "storeAddress": %q, "memoryMB": %.0f, "descriptors": %d`,
 		run, storeAddress, memoryMB, maxFDs)
-	d := &process{t: t}
+	d = &process{t: t, readyURL: "http://" + ip + ":7002/healthz", peerAddress: ip + ":7001"}
 	d.execute("sail-dispatcher", nil, "-settings", settingsFile(t, `{%s, "peerAddress": "%s:7001", "opsAddress": "%s:7002"}`, common, ip, ip))
-	p := &process{t: t, address: ip + ":7003", readyURL: "http://" + ip + ":7004/ready"}
-	p.execute("sail-gateway", nil, "-settings", settingsFile(t, `{%s, "callerAddress": "%s:7003", "opsAddress": "%s:7004"}`, common, ip, ip))
-	p.await("an answer", answerLimit, p.answersOne)
-	t.Cleanup(func() {
-		d.checkAlive()
-		if memoryMB > 0 {
-			d.checkMemory(memoryMB)
-		}
-	})
-	return p
+	g = &process{t: t, address: ip + ":7003", readyURL: "http://" + ip + ":7004/healthz"}
+	g.execute("sail-gateway", nil, "-settings", settingsFile(t, `{%s, "callerAddress": "%s:7003", "opsAddress": "%s:7004"}`, common, ip, ip))
+	g.await("an answer", answerLimit, g.answersOne)
+	return g, d
 }
 
 // settingsFile writes a settings file and returns its name.
--- a/daemon/crowdtest/process_test.go
+++ b/daemon/crowdtest/process_test.go
@@ -71,8 +71,10 @@
 	command *exec.Cmd
 	// exited is closed when the process has ended.
 	exited chan struct{}
-	// address is the address for callers, readyURL that of readiness.
-	address, readyURL string
+	// address is the address for callers, readyURL that of readiness, peerAddress that for other processes.
+	address, readyURL, peerAddress string
+	// crowdAddress is where the clients of a crowd connect.
+	crowdAddress string
 }
 
 // runs numbers the processes, so that each has loopback addresses of its own.
@@ -84,6 +86,7 @@
 	dir, err := buildOnce()
 	check(p.t, err)
 	p.exited = make(chan struct{})
+	p.crowdAddress = p.address
 	p.command = exec.Command(filepath.Join(dir, name), arguments...)
 	p.command.Env = append(os.Environ(), environment...)
 	p.command.Stderr = os.Stderr
@@ -134,7 +137,7 @@
 	}
 	file := filepath.Join(t.TempDir(), "settings.json")
 	check(t, os.WriteFile(file, vm.SettingsFile(), 0o600))
-	p := &process{t: t, address: vm.CallerAddress(), readyURL: vm.ReadyURL()}
+	p := &process{t: t, address: vm.CallerAddress(), readyURL: vm.ReadyURL(), peerAddress: vm.ControlAddress()}
 	p.execute("sail-edge", []string{standin.SettingsEnvironment(file)})
 	p.await("readiness", readyLimit, p.isReady)
 	p.await("an answer", answerLimit, p.answersOne)
@@ -235,9 +238,9 @@
 	return err == nil && res.StatusCode == http.StatusOK
 }
 
-// dial opens a connection of a client, which is closed at the end of the crowd's context.
+// dial opens a connection of a client of a crowd, which is closed at the end of the crowd's context.
 func (p *process) dial(ctx context.Context) (net.Conn, bool) {
-	c, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", p.address)
+	c, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", p.crowdAddress)
 	if err != nil {
 		return nil, false
 	}
--- a/daemon/process/capacity.go
+++ b/daemon/process/capacity.go
@@ -18,6 +18,8 @@
 	ownDescriptors = 40
 	linkShare      = 4
 	minLinks       = 32
+	// adminConnections is the number of connections to the admin interface.
+	adminConnections = 16
 )
 
 // memory returns the memory of the process in bytes, 0 if it is not known.
--- a/daemon/process/tls.go
+++ b/daemon/process/tls.go
@@ -19,12 +19,14 @@
 // OpsServer returns the HTTP server of the admin interface. read returns the status that the status page shows.
 func (b *Base) OpsServer(address string, read func() telemetry.Status) *httpserver.Server {
 	return &httpserver.Server{
-		Limits:  HTTPLimits,
-		Name:    "ops",
-		Address: address,
-		Handler: telemetry.OpsHandler(b.Metrics, read),
-		Listen:  b.Listen,
-		Secure:  b.Identity.AdminListener,
+		Limits:         HTTPLimits,
+		Headers:        b.headers,
+		MaxConnections: adminConnections,
+		Name:           "ops",
+		Address:        address,
+		Handler:        telemetry.OpsHandler(b.Metrics, read),
+		Listen:         b.Listen,
+		Secure:         b.Identity.AdminListener,
 	}
 }
 
