peer: connections from other processes have a limit

Operators saw: 800 silent clients at the address for other processes took 818 descriptors of 400 of sail-dispatcher and 773 of sail-edge; 1,200 that send no RPC took 818 and 803. Without a descriptor left, a process accepts no caller and opens no connection to a target.

Cause: net/rpc accepts without a limit, and a connection on which nothing arrives stays open.

Change: a limit of connections: three quarters of the neighbours' share on sail-edge, half of the descriptors on sail-dispatcher. A full server closes the connection that has been open for longest, 100 ms at least, without a reply, or else the new one, so that peers with a connection keep it. A peer whose first call takes longer than 100 ms can lose its connection while a crowd is there; its link dials again.

--- a/daemon/crowdtest/admin_test.go
+++ b/daemon/crowdtest/admin_test.go
@@ -6,18 +6,18 @@
 	"testing"
 )
 
-// adminCrowds are the crowds at the addresses for operators, fixed together with the bounds of all tests.
+// adminCrowds are the crowds at the addresses that are not for callers, fixed together with the bounds of all tests.
 var adminCrowds = map[string]crowd{
 	"many-short-header-lines": {1200, shortHeaderLines},
 	"silent":                  {2 * maxFDs, idleCrowds["silent"]},
 }
 
-// allStarts are the processes with an address for readiness and metrics.
+// allStarts are the processes with an address for readiness and metrics, and those with an address for other processes.
 var allStarts = map[string]start{"sail-edge": edge, "sail-gateway": gateway, "sail-dispatcher": dispatcher}
 
-// Guards against clients that find an address for readiness and metrics, and take the memory or the
+// Guards against clients that find an address for readiness and metrics, or for other processes, and take the memory or the
 // descriptors of the process there.
-func TestAddressesOfOperatorsStayWithinTheBounds(t *testing.T) {
+func TestAddressesOfOperatorsAndPeersStayWithinTheBounds(t *testing.T) {
 	for name, begin := range allStarts {
 		for crowdName, c := range adminCrowds {
 			t.Run(name+"/admin/"+crowdName, func(t *testing.T) {
@@ -27,6 +27,14 @@
 				p.crowdAddress = u.Host
 				p.holdsUnder(c)
 			})
+			if name == "sail-gateway" {
+				continue // it has no address for other processes
+			}
+			t.Run(name+"/peer/"+crowdName, func(t *testing.T) {
+				p := begin(t, memoryMB, maxFDs)
+				p.crowdAddress = p.peerAddress
+				p.holdsUnder(c)
+			})
 		}
 	}
 }
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -83,6 +83,7 @@
 	storeClient := store.Connect(string(s.StoreAddress), string(s.VM), s.StoreTimeoutMs.Duration())
 	server := peer.NewServer(string(s.PeerAddress))
 	server.Listen = d.base.Listen
+	server.MaxConnections = s.PeerConnections()
 	server.WrapListener(d.base.Identity.PeerListener)
 	mirror := process.NewMirror()
 	services := map[string]any{
@@ -126,6 +127,8 @@
 	d.base.Group.Add(d.placer.duty())
 	d.base.Group.Add(d.planner.duty())
 	d.base.Group.Add(watch.Duty())
+	d.base.Metrics.Gauge("sail_peer_connections", func() float64 { return float64(server.Connections()) })
+	d.base.Metrics.Gauge("sail_peer_connections_evicted_total", func() float64 { return float64(server.Evictions()) })
 	d.base.Group.Add(server.Duty())
 	d.base.Group.Add(d.registration.Duty())
 	d.base.Group.Add(process.ShutdownHook(departureTimeout, d.depart))
--- a/daemon/edge/descriptors.go
+++ b/daemon/edge/descriptors.go
@@ -29,6 +29,10 @@
 // descriptorShares divides the descriptors for sockets among their purposes. A share of 0 has no limit.
 type descriptorShares struct{ own, neighbours, targets, clients int }
 
+// mirrorConnections returns how many connections other VMs may have to this one, 0 for no limit. The other quarter of the neighbours'
+// share is for questions to them.
+func (d descriptorShares) mirrorConnections() int { return d.neighbours * 3 / 4 }
+
 // divideDescriptors returns the shares of a number of descriptors, 0 for no limit. It fails if they don't suffice for the VM's own
 // connections.
 func divideDescriptors(sockets int) (d descriptorShares, err error) {
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -223,6 +223,9 @@
 	if err := mirror.Register("Mirror", &Mirror{storeCache: e.storeCache.in}); err != nil {
 		return err
 	}
+	mirror.MaxConnections = e.descriptors.mirrorConnections()
+	e.metrics.Gauge("sail_peer_connections", func() float64 { return float64(mirror.Connections()) })
+	e.metrics.Gauge("sail_peer_connections_evicted_total", func() float64 { return float64(mirror.Evictions()) })
 	e.group.Add(mirror.Duty())
 	e.addSession()
 	e.addCoordinator(reports)
--- a/daemon/process/capacity.go
+++ b/daemon/process/capacity.go
@@ -46,6 +46,10 @@
 	return capacity.Connections(s.memory(), callers)
 }
 
+// PeerConnections returns how many connections from other processes a dispatcher may have, 0 for no limit. As many descriptors are
+// for its connections to targets and to other dispatchers.
+func (s *Settings) PeerConnections() int { return s.descriptors() / 2 }
+
 // limitRuntime sets the memory limit of the Go runtime if the memory of the process is known.
 func (s *Settings) limitRuntime() {
 	if limit, known := capacity.RuntimeLimit(s.memory()); known {
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -16,6 +16,10 @@
 // duty.DefaultStopTimeout.
 const replyTimeout = duty.DefaultStopTimeout - 500*time.Millisecond
 
+// minSilentAge is how long a connection may have been open without a reply before it may be closed to make room for another one.
+// A peer sends its first call as soon as it is connected.
+const minSilentAge = 100 * time.Millisecond
+
 // expired is a deadline in the past, which ends a pending read.
 var expired = time.Unix(1, 0)
 
@@ -32,6 +36,9 @@
 type Server struct {
 	// Listen opens the listener. The default is ListenTCP.
 	Listen Listen
+	// MaxConnections is the number of connections that may be open, 0 for no limit. A full server closes the connection that has
+	// been open for longest without a reply, or else the new one.
+	MaxConnections int
 
 	address      string
 	rpc          *rpc.Server
@@ -41,7 +48,10 @@
 
 // NewServer returns a server for address, which is host:port.
 func NewServer(address string) *Server {
-	return &Server{Listen: ListenTCP, address: address, rpc: rpc.NewServer(), wrapListener: unwrapped}
+	return &Server{
+		Listen: ListenTCP, address: address, rpc: rpc.NewServer(), wrapListener: unwrapped,
+		listener: &trackingListener{removed: make(chan struct{}, 1)},
+	}
 }
 
 func unwrapped(l net.Listener) net.Listener { return l }
@@ -61,6 +71,12 @@
 // Address returns the address that the server listens on. It is valid after Provision.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Connections returns the number of open connections.
+func (s *Server) Connections() int { return int(s.listener.count.Load()) }
+
+// Evictions returns the number of connections that were closed because there were too many.
+func (s *Server) Evictions() uint64 { return s.listener.evictions.Load() }
+
 // Duty returns the duty that accepts connections.
 func (s *Server) Duty() duty.Duty {
 	return duty.Duty{
@@ -76,7 +92,7 @@
 	if err != nil {
 		return types.WrapFault(types.CodeBadSettings, err, "listen on %s", s.address)
 	}
-	s.listener = &trackingListener{Listener: s.wrapListener(l), removed: make(chan struct{}, 1)}
+	s.listener.Listener, s.listener.limit = s.wrapListener(l), s.MaxConnections
 	return nil
 }
 
@@ -106,8 +122,11 @@
 // trackingListener tracks its open connections, so that stop can end and close them.
 type trackingListener struct {
 	net.Listener
-	open  sync.Map
-	count atomic.Int64
+	// limit is the number of connections that may be open, 0 for no limit.
+	limit     int
+	open      sync.Map
+	count     atomic.Int64
+	evictions atomic.Uint64
 	// removed holds a wake-up for waitClosed.
 	removed chan struct{}
 	// stopping is true once endReading has been called.
@@ -115,17 +134,45 @@
 }
 
 func (l *trackingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.limit == 0 || l.count.Load() < int64(l.limit) || l.evictSilent() {
+			return l.track(conn), nil
+		}
+		l.evictions.Add(1)
+		_ = conn.Close()
 	}
-	tracked := &trackedConn{Conn: conn, listener: l}
+}
+
+// evictSilent closes the connection that has been open for longest without a reply. It returns false if there is none.
+func (l *trackingListener) evictSilent() bool {
+	var oldest *trackedConn
+	l.open.Range(func(k, _ any) bool {
+		c := k.(*trackedConn)
+		if !c.replied.Load() && time.Since(c.accepted) > minSilentAge && (oldest == nil || c.accepted.Before(oldest.accepted)) {
+			oldest = c
+		}
+		return true
+	})
+	if oldest == nil {
+		return false
+	}
+	l.evictions.Add(1)
+	_ = oldest.Close()
+	return true
+}
+
+func (l *trackingListener) track(conn net.Conn) *trackedConn {
+	tracked := &trackedConn{Conn: conn, listener: l, accepted: time.Now()}
 	l.count.Add(1)
 	l.open.Store(tracked, struct{}{})
 	if l.stopping.Load() {
 		_ = tracked.SetReadDeadline(expired)
 	}
-	return tracked, nil
+	return tracked
 }
 
 // endReading makes all connections read nothing more.
@@ -159,6 +206,14 @@
 type trackedConn struct {
 	net.Conn
 	listener *trackingListener
+	accepted time.Time
+	// replied is true once a reply has been written.
+	replied atomic.Bool
+}
+
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.replied.Store(true)
+	return c.Conn.Write(p)
 }
 
 func (c *trackedConn) Close() error {
