crowdtest: a crowd while something else happens to the process

The mixed crowd while the configuration changes every 100 ms, while the store is away, at a sail-edge that has just started, and during a planned stop of sail-edge and sail-gateway.

--- a/daemon/crowdtest/process_test.go
+++ b/daemon/crowdtest/process_test.go
@@ -75,6 +75,8 @@
 	address, readyURL, peerAddress string
 	// crowdAddress is where the clients of a crowd connect.
 	crowdAddress string
+	// store is the store of a sail-edge, nil for other processes.
+	store *backend.Server
 }
 
 // runs numbers the processes, so that each has loopback addresses of its own.
@@ -109,14 +111,17 @@
 func edgeWith(edit func(configuration []byte) []byte) start {
 	return func(t *testing.T, memoryMB float64, maxFDs int) *process {
 		t.Helper()
-		return startEdge(t, memoryMB, maxFDs, edit)
+		p := executeEdge(t, memoryMB, maxFDs, edit)
+		p.awaitServing()
+		return p
 	}
 }
 
 // edge starts a sail-edge process whose configuration allows requests of hugeBytes.
 var edge = edgeWith(withLargeBodies)
 
-func startEdge(t *testing.T, memoryMB float64, maxFDs int, edit func(configuration []byte) []byte) *process {
+// executeEdge starts a sail-edge process and does not wait for it.
+func executeEdge(t *testing.T, memoryMB float64, maxFDs int, edit func(configuration []byte) []byte) *process {
 	t.Helper()
 	group, b := duty.NewGroup(), backend.New(backend.DefaultHistory)
 	storeListener, err := standin.Listen(t.Context())
@@ -126,9 +131,7 @@
 	check(t, group.Start(t.Context()))
 	t.Cleanup(func() { _ = group.Abort(context.Background()) })
 	registerTarget(t, b)
-	put(t, b, standin.ConfigurationKey, edit(standin.Configuration(16, []standin.Route{
-		{Name: "all", Host: "a.example", Prefix: "/", Idempotent: true, Service: "maps", Timeout: 20 * time.Second, Attempts: 2},
-	}, []standin.Service{{Name: "maps", ColdTime: time.Second, ColdRate: 10}})))
+	put(t, b, standin.ConfigurationKey, edit(configuration(16)))
 	vm := standin.VM{
 		Name: "vm-1", DataCentre: "north", DataCentres: []types.DataCentre{"north"}, IP: standin.LoopbackIP(runs.Add(1), 0),
 		StoreAddress: storeListener.Addr().String(), StopGracePeriod: 4 * time.Second, MaxGrantTTL: 5 * time.Second,
@@ -137,11 +140,23 @@
 	}
 	file := filepath.Join(t.TempDir(), "settings.json")
 	check(t, os.WriteFile(file, vm.SettingsFile(), 0o600))
-	p := &process{t: t, address: vm.CallerAddress(), readyURL: vm.ReadyURL(), peerAddress: vm.ControlAddress()}
+	p := &process{t: t, address: vm.CallerAddress(), readyURL: vm.ReadyURL(), peerAddress: vm.ControlAddress(), store: b}
 	p.execute("sail-edge", []string{standin.SettingsEnvironment(file)})
+	return p
+}
+
+// awaitServing waits until the process serves.
+func (p *process) awaitServing() {
+	p.t.Helper()
 	p.await("readiness", readyLimit, p.isReady)
 	p.await("an answer", answerLimit, p.answersOne)
-	return p
+}
+
+// configuration returns a version of the configuration of a sail-edge.
+func configuration(version uint32) []byte {
+	return standin.Configuration(version, []standin.Route{
+		{Name: "all", Host: "a.example", Prefix: "/", Idempotent: true, Service: "maps", Timeout: 20 * time.Second, Attempts: 2},
+	}, []standin.Service{{Name: "maps", ColdTime: time.Second, ColdRate: 10}})
 }
 
 // withLargeBodies returns a configuration that allows requests of hugeBytes.
