--- a/daemon/process/tls_test.go
+++ b/daemon/process/tls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -99,3 +100,32 @@
 	is.Equal(l.Depth(), 1)
 	is.Equal(o.metrics.Counter(`sail_tls_handshakes_failed_total{side="accept"}`).Get(), uint64(3))
 }
+
+// Guards against handshakes that stop half-way and take the connections of a process, so that its peers find none.
+func TestUnfinishedHandshakesMakeRoomForPeers(t *testing.T) {
+	is := is.New(t)
+	const most = 4
+	a := identitytest.NewAuthority(t)
+	server := peer.NewServer("127.0.0.1:0")
+	server.MaxConnections = most
+	server.WrapListener(startIdentity(t, a, "vm-1").PeerListener)
+	mirror := NewMirror()
+	mirror.apply(Update{Snapshot: true, Events: []store.Event{configEvent(3, 7)}, Revision: 7})
+	is.NoErr(server.Register("Peer", &PeerService{Mirror: mirror}))
+	group := duty.NewGroup()
+	group.Add(server.Duty())
+	is.NoErr(group.Start(t.Context()))
+	defer func() { _ = group.Abort(context.Background()) }()
+	for range 3 * most {
+		c, err := net.Dial("tcp", server.Address())
+		is.NoErr(err)
+		defer c.Close()
+		// The start of a ClientHello of 512 bytes.
+		_, err = c.Write([]byte{22, 3, 1, 2, 0, 1, 0, 1, 252, 3, 3})
+		is.NoErr(err)
+	}
+	time.Sleep(200 * time.Millisecond)
+	is.True(server.Connections() <= most)
+	_, ok := fetchFromPeers(t.Context(), startIdentity(t, a, "vm-2"), []settings.Address{settings.Address(server.Address())})
+	is.True(ok)
+}
