soak: crowds of clients that keep to no limit

They are silent, send header sections of very many short lines with or without end, uploads without end, tiny chunks or empty lines; nothing that a target may run. Seeds of other runs keep their faults.

--- a/soak/check/check.go
+++ b/soak/check/check.go
@@ -88,6 +88,11 @@
 		Planned bool
 		Status  string
 	}
+	// MemoryExceeded reports that a process has taken more memory than its settings allow, in MiB.
+	MemoryExceeded struct {
+		VM        int
+		MB, Limit float64
+	}
 	// FaultInterval reports an injected fault that may have effects from At until Until.
 	FaultInterval struct {
 		Scope Scope
@@ -208,6 +213,8 @@
 		c.configs[len(c.configs)-1].accepted = e.At
 	case VMExited:
 		c.addViolation("EXIT", "VM %d ended: %s, planned: %v", e.VM, e.Status, e.Planned)
+	case MemoryExceeded:
+		c.addViolation("MEMORY", "VM %d used %.1f MB of %.0f", e.VM, e.MB, e.Limit)
 	case FaultInterval:
 		c.faults = append(c.faults, e)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -27,6 +27,10 @@
 	case plan.CallerLinkDelay, plan.CallerLinkReset:
 		o.reportFault(ctx, check.FaultInterval{Scope: check.ScopeVM, VM: f.Index}, f.Duration)
 		return o.injectLinkFault(o.callerLinks[f.Index], f)
+	case plan.CallerCrowd:
+		o.reportFault(ctx, check.FaultInterval{Scope: check.ScopeVM, VM: f.Index}, f.Duration)
+		o.schedule(f.Duration, "measure memory", func(ctx context.Context) error { return o.vms[f.Index].commands.Put(ctx, measureVM{}) })
+		return o.crowds[f.Index].faults.Put(ctx, f)
 	case plan.TargetLinkDelay, plan.TargetLinkReset, plan.TargetLinkOneWay, plan.TargetPause:
 		// TargetPause delays bytes by f.Duration, so that the last ones arrive at most f.Duration after its end.
 		o.reportFault(ctx, check.FaultInterval{Scope: check.ScopeTarget, Target: o.endpoints[f.Index].settings.Target}, 2*f.Duration)
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -55,12 +55,14 @@
 	vms         []*vm
 	storeLinks  []*link.Link
 	callerLinks []*link.Link
-	endpoints   []*endpoint
-	store       *backend.Server
-	client      store.Store
-	events      *ring.Ring[any]
-	rotation    *rotation
-	logf        func(format string, args ...any)
+	// crowds holds the crowd of each VM in runs with crowds.
+	crowds    []*crowd
+	endpoints []*endpoint
+	store     *backend.Server
+	client    store.Store
+	events    *ring.Ring[any]
+	rotation  *rotation
+	logf      func(format string, args ...any)
 	// done receives one element when the run is over.
 	done *ring.Ring[outcome]
 
--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -36,6 +36,8 @@
 	StoreLinkReset  Kind = "store-link-reset"
 	CallerLinkDelay Kind = "caller-link-delay"
 	CallerLinkReset Kind = "caller-link-reset"
+	// CallerCrowd sends clients that keep to no limit to one VM.
+	CallerCrowd     Kind = "caller-crowd"
 	TargetLinkDelay Kind = "target-link-delay"
 	TargetLinkReset Kind = "target-link-reset"
 	// TargetLinkOneWay drops the bytes that the target sends.
@@ -106,6 +108,9 @@
 	{ConfigChange, scopeStore, 4, 0, 0},
 }
 
+// crowdSpec is added to faultSpecs in runs with crowds, so that the seeds of other runs keep their faults.
+var crowdSpec = faultSpec{CallerCrowd, scopeVM, 20, time.Second, 4 * time.Second}
+
 // repeatChance is the probability that a fault is followed within a second by one of the same kind.
 const repeatChance = 0.35
 
@@ -119,6 +124,8 @@
 	FaultPeriod, MeanGap time.Duration
 	// PlannedWork limits the faults to planned work.
 	PlannedWork bool
+	// Crowds adds crowds of clients to the faults.
+	Crowds bool
 }
 
 // Fault is one planned fault. At is the time from the start of the run to its beginning.
@@ -147,6 +154,9 @@
 	if s.PlannedWork {
 		specs = slices.DeleteFunc(specs, func(spec faultSpec) bool { return !spec.isPlannedWork() })
 	}
+	if s.Crowds {
+		specs = append(specs, crowdSpec)
+	}
 	for _, spec := range specs {
 		totalWeight += spec.weight
 	}
--- a/soak/plan/plan_test.go
+++ b/soak/plan/plan_test.go
@@ -38,3 +38,20 @@
 	}
 	is.Equal(len(seen), len(faultSpecs))
 }
+
+// Guards against crowds that never come, and against seeds of other runs that get other faults because of them.
+func TestCrowdsComeOnlyInTheirRuns(t *testing.T) {
+	is := is.New(t)
+	count := func(s Size) (n int) {
+		for _, f := range Generate(5, s) {
+			if f.Kind == CallerCrowd {
+				n++
+			}
+		}
+		return n
+	}
+	crowds := size
+	crowds.Crowds = true
+	is.Equal(count(size), 0)
+	is.True(count(crowds) > 10)
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -75,6 +75,9 @@
 	// PlannedWork limits the faults to planned work. Some requests then take slowServiceTime, and callers wait longer for
 	// their answers and between two requests.
 	PlannedWork bool
+	// Crowds adds crowds of clients that keep to no limit to the faults. VMs then have crowdMemoryMB of memory and
+	// crowdDescriptors descriptors, and a VM that takes more memory breaks MEMORY.
+	Crowds bool
 }
 
 // requestTimeout returns how long a caller waits for an answer.
@@ -183,7 +186,7 @@
 	tb.operator = &operator{
 		faults: plan.Generate(tb.options.Seed, plan.Size{
 			VMs: tb.options.VMs, Targets: tb.options.Targets, FaultPeriod: tb.options.FaultPeriod, MeanGap: tb.options.MeanGap,
-			PlannedWork: tb.options.PlannedWork,
+			PlannedWork: tb.options.PlannedWork, Crowds: tb.options.Crowds,
 		}),
 		requestTimeout: tb.options.requestTimeout(),
 		store:          tb.store, client: tb.store.Client("operator"), events: tb.events, logf: tb.logf, done: ring.New[outcome](1),
@@ -239,6 +242,12 @@
 		if err != nil {
 			return err
 		}
+		if tb.options.Crowds {
+			s.MemoryMB, s.MaxFDs = crowdMemoryMB, crowdDescriptors
+			c := newCrowd(i, s.CallerAddress())
+			tb.operator.crowds = append(tb.operator.crowds, c)
+			tb.group.Add(c.duty())
+		}
 		s.StoreAddress = storeLink.Address()
 		v := newVM(i, s, tb.options.Binary, tb.options.Dir, tb.events)
 		tb.group.Add(v.duty())
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,6 +18,7 @@
 	vms    = flag.Int("vms", 0, "number of VMs, 0 for the default")
 
 	planned = flag.Bool("planned", false, "planned work only")
+	crowds  = flag.Bool("crowds", false, "crowds of clients that keep to no limit, too")
 )
 
 // failedSeeds are seeds that have failed in earlier versions, with the cause.
@@ -44,7 +45,7 @@
 	return binary
 }
 
-func runSeed(t *testing.T, binary string, seed uint64, plannedWork bool) {
+func runSeed(t *testing.T, binary string, seed uint64, plannedWork, crowds bool) {
 	t.Helper()
 	dir := t.TempDir()
 	if *keep != "" {
@@ -60,7 +61,7 @@
 	if *vms > 0 {
 		o.VMs = *vms
 	}
-	o.PlannedWork = plannedWork
+	o.PlannedWork, o.Crowds = plannedWork, crowds
 	r, err := Run(t.Context(), o)
 	if err != nil {
 		t.Fatalf("seed %d: %v", seed, err)
@@ -83,18 +84,21 @@
 			t.Run("regression-"+strconv.FormatUint(seed, 10), func(t *testing.T) {
 				t.Parallel()
 				t.Log(cause)
-				runSeed(t, binary, seed, false)
+				runSeed(t, binary, seed, false, false)
 			})
 		}
 		for seed, cause := range failedPlannedSeeds {
 			t.Run("planned-"+strconv.FormatUint(seed, 10), func(t *testing.T) {
 				t.Parallel()
 				t.Log(cause)
-				runSeed(t, binary, seed, true)
+				runSeed(t, binary, seed, true, false)
 			})
 		}
 	}
+	if *seeds == 0 {
+		t.Run("crowds", func(t *testing.T) { runSeed(t, binary, 1, false, true) })
+	}
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSeed(t, binary, seed, *planned) })
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSeed(t, binary, seed, *planned, *crowds) })
 	}
 }
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -30,6 +31,8 @@
 	stopVM struct{ restartDelay time.Duration }
 	// reloadVM rewrites the settings file and sends SIGHUP.
 	reloadVM struct{}
+	// measureVM reports the largest memory that the process has had if it is more than its settings allow.
+	measureVM struct{}
 )
 
 // processExit reports that a process has exited.
@@ -81,7 +84,7 @@
 		var err error
 		select {
 		case <-v.commands.Ready():
-			v.commands.Drain(func(m any) { v.handle(m) })
+			v.commands.Drain(func(m any) { v.handle(ctx, m) })
 		case <-v.exits.Ready():
 			v.exits.Drain(func(e processExit) { v.processExited(ctx, e) })
 		case <-v.timer.C:
@@ -143,7 +146,7 @@
 	}
 }
 
-func (v *vm) handle(m any) {
+func (v *vm) handle(ctx context.Context, m any) {
 	if v.process == nil {
 		return
 	}
@@ -168,7 +171,26 @@
 		if err := os.WriteFile(v.settingsFile(), v.settings.SettingsFile(), 0o600); err == nil {
 			v.signal(syscall.SIGHUP)
 		}
+	case measureVM:
+		if mb := peakMemoryMB(v.process.Pid); mb > v.settings.MemoryMB {
+			_ = v.events.Put(ctx, check.MemoryExceeded{VM: v.index, MB: mb, Limit: v.settings.MemoryMB})
+		}
+	}
+}
+
+// peakMemoryMB returns the largest resident memory that a process has had, in MiB, 0 if it has ended.
+func peakMemoryMB(pid int) float64 {
+	status, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/status")
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	value, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
+	kib, err := strconv.ParseFloat(value, 64)
+	if err != nil {
+		return 0
 	}
+	return kib / 1024
 }
 
 // processExited reports an unexpected exit of the process and schedules its restart.
