httpserver: reading a body gives way to other requests

Cause: a goroutine that reads such a body never waits, because its next bytes are always there, and keeps its processor for 10 ms at a time. A request passes several goroutines, each of which waits for its turn behind all of them.

Change: the reader of a body yields after each read that was not the last one. Small bodies arrive with one read.

Test: TestReadingABodyGivesWay counts the turns of another goroutine on one processor; it failed before.

--- a/daemon/httpserver/body.go
+++ b/daemon/httpserver/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime"
 	"time"
 
 	"sequoiasail.example/transport/forward"
@@ -91,6 +92,9 @@
 		var tooLarge *http.MaxBytesError
 		switch {
 		case err == nil:
+			// A body that arrives faster than it is read never waits, and would keep its processor for 10 ms at a time: with 200 such
+			// bodies, each of the goroutines that serve another request would wait for hundreds of milliseconds.
+			runtime.Gosched()
 		case errors.Is(err, io.EOF):
 			return nil
 		case errors.As(err, &tooLarge):
--- a/daemon/httpserver/body_test.go
+++ b/daemon/httpserver/body_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -78,3 +80,38 @@
 type failingReader struct{}
 
 func (failingReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// readyReader returns a byte at each read, the given number of times, without waiting.
+type readyReader struct{ left int }
+
+func (r *readyReader) Read(p []byte) (int, error) {
+	if r.left--; r.left < 0 {
+		return 0, io.EOF
+	}
+	p[0] = 'b'
+	return 1, nil
+}
+
+// Guards against bodies that never wait for their bytes and keep the processors from other requests.
+func TestReadingABodyGivesWay(t *testing.T) {
+	is := is.New(t)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const reads = 1000
+	var turns atomic.Int64
+	var done atomic.Bool
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for !done.Load() {
+			turns.Add(1)
+			runtime.Gosched()
+		}
+	}()
+	r := uploadRequest(0, true)
+	r.Body = io.NopCloser(&readyReader{left: reads})
+	b := &Body{Budget: forward.NewBudget(1 << 20)}
+	is.True(b.read(httptest.NewRecorder(), r, 1<<20) == nil)
+	done.Store(true)
+	<-ended
+	is.True(turns.Load() > reads/2)
+}
