httpserver: no byte of the next request is read as the end of a body

Cause: behind the chunks of a body that ends with a bare line feed, or whose trailer begins a line with a bare carriage return, net/http goes on reading to find the end of the trailer. The connection passed on what came next, which is the header section of the next request, while the handler had the request before: its memory was in no budget, up to the 4 KiB of the buffer of net/http for each connection.

Change: such an end of a trailer is malformed: the body is incomplete and answered with 400. While a handler runs, a read behind the body may ask for a single byte only, which is how net/http watches for the end of a connection; any other read fails.

--- a/daemon/httpserver/connection.go
+++ b/daemon/httpserver/connection.go
@@ -87,6 +87,11 @@
 	if c.failed != nil {
 		return 0, c.failed
 	}
+	// While a handler runs, net/http reads a single byte behind the body, to detect that the caller has gone.
+	ahead := c.handled.Load() && c.stream.part == framingHeader
+	if ahead && len(p) > 1 {
+		return 0, c.failRead(errBodyEnded)
+	}
 	received, fromRest := c.rest, len(c.rest) > 0
 	if !fromRest {
 		if n, err = c.receive(p); n == 0 || err != nil {
@@ -95,8 +100,6 @@
 		received = p[:n]
 	}
 	received = received[:min(len(received), len(p))]
-	// net/http reads a byte while a handler runs, to detect that the caller has gone.
-	ahead := c.handled.Load() && c.stream.part == framingHeader
 	next, err := c.pass(received, ahead)
 	if err != nil {
 		return 0, err
--- a/daemon/httpserver/fuzz_test.go
+++ b/daemon/httpserver/fuzz_test.go
@@ -1,7 +1,11 @@
 package httpserver
 
 import (
+	"bufio"
 	"bytes"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -37,3 +41,43 @@
 		}
 	})
 }
+
+// Guards against a body whose end the connection and net/http see at different bytes: what follows would be taken for a request by one
+// of them only, or be parsed without having been checked.
+func FuzzChunkedBodies(f *testing.F) {
+	for _, seed := range []string{
+		"1\r\nb\r\n0\r\n\r\nGET", "4;e=1\r\nbody\r\n0;x\r\nT: 1\r\nT: 2\r\n\r\nGET", "00\r\n\nGET", "0\r\n\rT\r\n\r\nGET", "5 \r\nab", "1\nb\n0\n\r\n",
+	} {
+		f.Add([]byte(seed), 3)
+	}
+	f.Fuzz(func(t *testing.T, data []byte, size int) {
+		if size < 1 {
+			return
+		}
+		var s stream
+		s.beginBody(-1)
+		var passed []byte
+		for rest := data; len(rest) > 0 && s.part != framingHeader; {
+			p, err := s.next(rest[:min(size, len(rest))], 1000)
+			if err != nil {
+				return // the request is refused
+			}
+			passed = append(passed, rest[p.skip:p.skip+p.n]...)
+			rest = rest[p.skip+p.n:]
+		}
+		in := bufio.NewReader(io.MultiReader(strings.NewReader("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"), bytes.NewReader(passed)))
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return // the connection is closed
+		}
+		if s.part != framingHeader {
+			t.Errorf("%q is a whole body for net/http, and none for the connection", passed)
+		}
+		if n := in.Buffered(); n > 0 {
+			t.Errorf("net/http leaves %d bytes of %q", n, passed)
+		}
+	})
+}
--- a/daemon/httpserver/header.go
+++ b/daemon/httpserver/header.go
@@ -59,9 +59,13 @@
 	case errEvicted:
 		c.refused = true
 	}
-	// net/http answers nothing after an error of a read, and may read again.
+	return piece{}, c.failRead(err)
+}
+
+// failRead makes this read and all further ones fail. net/http answers nothing after an error of a read, and may read again.
+func (c *connection) failRead(err error) error {
 	c.failed = &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
-	return piece{}, c.failed
+	return c.failed
 }
 
 // refuse answers a request that net/http does not get to see, so it does not run.
--- a/daemon/httpserver/stream.go
+++ b/daemon/httpserver/stream.go
@@ -11,9 +11,10 @@
 
 // Faults of requests that are refused while they are read.
 var (
-	errHeaderTooLarge  = types.NewFault(types.CodeBadRequest, "header section over the limit")
-	errEmptyLines      = types.NewFault(types.CodeBadRequest, "empty lines over the limit before a request")
-	errTrailerTooLarge = types.NewFault(types.CodeBadRequest, "trailer over the limit")
+	errHeaderTooLarge = types.NewFault(types.CodeBadRequest, "header section over the limit")
+	errEmptyLines     = types.NewFault(types.CodeBadRequest, "empty lines over the limit before a request")
+	errTrailer        = types.NewFault(types.CodeBadRequest, "trailer malformed or over the limit")
+	errBodyEnded      = types.NewFault(types.CodeBadRequest, "malformed body: bytes of the next request are read as its end")
 )
 
 // framing tells which part of a request the next byte of a connection belongs to.
@@ -204,31 +205,30 @@
 }
 
 // nextTrailer drops the fields of a trailer: no handler uses them, and net/http would parse all of them. The line break at its end is
-// passed on.
+// passed on. It must have a carriage return: net/http would else look for the end in the next request.
 func (s *stream) nextTrailer(data []byte, limit int) (p piece, err error) {
 	for _, b := range data {
-		if s.lineSize == 0 {
+		if s.lineSize++; s.lineSize == 1 {
 			s.lineStart = b
 		}
-		s.lineSize++
-		mayEnd := b == '\n' && s.isEmptyLine() || b == '\r' && s.lineSize == 1
-		if !mayEnd {
-			// Bytes that were kept for a line break belong to a field.
-			p.skip, p.n = p.skip+p.n+1, 0
-		} else {
+		switch {
+		case s.lineStart == '\n', s.lineStart == '\r' && s.lineSize == 2 && b != '\n':
+			return piece{}, errTrailer
+		case s.lineStart == '\r':
 			p.n++
-		}
-		if b != '\n' {
+			if b == '\n' {
+				s.beginHeader()
+				return p, nil
+			}
 			continue
 		}
-		if mayEnd {
-			s.beginHeader()
-			return p, nil
+		p.skip++
+		if b == '\n' {
+			s.size, s.lineSize = s.size+s.lineSize, 0
 		}
-		s.size, s.lineSize = s.size+s.lineSize, 0
 	}
 	if s.size+s.lineSize > limit {
-		return piece{}, errTrailerTooLarge
+		return piece{}, errTrailer
 	}
 	return p, nil
 }
