--- a/daemon/httpserver/body.go
+++ b/daemon/httpserver/body.go
@@ -50,8 +50,11 @@
 // stops waiting, would hold memory and a connection for nothing. Its faults have CodeOverloaded if the budget is used up,
 // CodeBodyTooLarge if the body is larger than limit bytes, or CodeTruncatedBody.
 func (b *Body) ReadWithin(d time.Duration, w http.ResponseWriter, r *http.Request, limit int64) *types.Fault {
-	if r.ContentLength == 0 {
+	switch {
+	case r.ContentLength == 0:
 		return b.read(w, r, limit)
+	case r.ContentLength > limit:
+		return tooLargeBody(limit)
 	}
 	control := http.NewResponseController(w)
 	// Errors mean that the connection has ended.
@@ -98,13 +101,17 @@
 		case errors.Is(err, io.EOF):
 			return nil
 		case errors.As(err, &tooLarge):
-			return types.NotRun(types.CodeBodyTooLarge, "the body is larger than %d bytes", limit)
+			return tooLargeBody(limit)
 		default:
 			return types.NotRun(types.CodeTruncatedBody, "the body is incomplete: %v", err)
 		}
 	}
 }
 
+func tooLargeBody(limit int64) *types.Fault {
+	return types.NotRun(types.CodeBodyTooLarge, "the body is larger than %d bytes", limit)
+}
+
 // add appends an empty segment of the given size. It fails if the budget is used up.
 func (b *Body) add(size int64) bool {
 	if !b.Budget.Take(size) {
--- a/daemon/httpserver/body_test.go
+++ b/daemon/httpserver/body_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -115,3 +116,13 @@
 	<-ended
 	is.True(turns.Load() > reads/2)
 }
+
+// Guards against a body that is announced as too large and read all the same: it takes memory and time before it is refused.
+func TestBodyAnnouncedAsTooLargeIsNotRead(t *testing.T) {
+	is := is.New(t)
+	r := uploadRequest(100, false)
+	r.Body = io.NopCloser(failingReader{})
+	b := &Body{Budget: forward.NewBudget(1 << 20)}
+	is.Equal(b.ReadWithin(time.Second, httptest.NewRecorder(), r, 99).Code, types.CodeBodyTooLarge)
+	is.Equal(b.Budget.Left(), int64(1<<20))
+}
