--- a/daemon/edge/descriptors.go
+++ b/daemon/edge/descriptors.go
@@ -3,8 +3,6 @@
 import (
 	"os"
 
-	"github.com/apex/log"
-
 	"sequoiasail.example/platform"
 	"sequoiasail.example/settings"
 	"sequoiasail.example/transport/forward"
@@ -87,13 +85,3 @@
 		return float64(len(list))
 	})
 }
-
-// logConnections logs that the callers' share of connections has become short, or no longer is.
-func (e *Edge) logConnections(short bool) {
-	fields := log.Fields{"connections": e.server.Connections(), "limit": e.server.MaxConnections}
-	if short {
-		e.log.Warn("connections of callers run short, idle ones are closed", fields)
-		return
-	}
-	e.log.Info("connections of callers no longer run short", fields)
-}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -372,7 +372,8 @@
 		Rejected: e.frontend.rejectUnparsed,
 	}
 	e.server.MaxConnections = capacity.Connections(e.settings.MemoryBytes, e.descriptors.clients)
-	e.server.ShortChanged, e.frontend.short = e.logConnections, e.server.Short
+	e.server.LogShortage(e.log)
+	e.frontend.short = e.server.Short
 	e.addDescriptorMetrics()
 	e.server.Current, e.server.Headers = e.frontend.limits, headers
 	e.bodies.OnShort = e.server.ResetSlowReaders
--- a/daemon/httpserver/metrics.go
+++ b/daemon/httpserver/metrics.go
@@ -1,6 +1,10 @@
 package httpserver
 
-import "sequoiasail.example/telemetry"
+import (
+	"github.com/apex/log"
+
+	"sequoiasail.example/telemetry"
+)
 
 // Publish adds the metrics of the server, whose callers are those of the process.
 func (s *Server) Publish(m *telemetry.Metrics) {
@@ -15,3 +19,15 @@
 		m.Gauge("sail_header_memory_left_bytes", func() float64 { return float64(s.Headers.Left()) })
 	}
 }
+
+// LogShortage makes the server log when its connections, which are those of callers, run short and when they no longer do.
+func (s *Server) LogShortage(l *telemetry.Log) {
+	s.ShortChanged = func(short bool) {
+		fields := log.Fields{"connections": s.Connections(), "limit": s.MaxConnections}
+		if short {
+			l.Warn("connections of callers run short, idle ones are closed", fields)
+			return
+		}
+		l.Info("connections of callers no longer run short", fields)
+	}
+}
--- a/daemon/process/capacity.go
+++ b/daemon/process/capacity.go
@@ -4,8 +4,6 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/apex/log"
-
 	"sequoiasail.example/daemon/capacity"
 	"sequoiasail.example/daemon/httpserver"
 )
@@ -64,13 +62,6 @@
 // metrics of the server.
 func (b *Base) LimitCallers(s *httpserver.Server) {
 	s.Headers, s.MaxConnections = b.headers, b.callerConnections
-	s.ShortChanged = func(short bool) {
-		fields := log.Fields{"connections": s.Connections(), "limit": s.MaxConnections}
-		if short {
-			b.Log.Warn("connections of callers run short, idle ones are closed", fields)
-			return
-		}
-		b.Log.Info("connections of callers no longer run short", fields)
-	}
+	s.LogShortage(b.Log)
 	s.Publish(b.Metrics)
 }
