dispatcher: remembered orders have a bounded part of the memory

A process with less memory ends, and with it the memory that keeps orders from running twice.

Cause: the table of identifiers is limited to 262,144 entries, but each entry keeps its request and its answer, of any size.

Change: of a request that is done only the answer is kept. The payloads have a quarter of the memory, if that is stated; beyond it the core refuses new orders as not run (503, table-full), as it does with a full table. Resends and lookups need no memory and are served as before. Copies from other dispatchers are not stored then, which may cost an answer after a takeover and never lets a request run twice; entries of a handover always are.

--- a/daemon/capacity/capacity.go
+++ b/daemon/capacity/capacity.go
@@ -2,6 +2,8 @@
 // its callers. It is the same for all processes that callers reach.
 package capacity
 
+import "math"
+
 const (
 	// headerShare is the part of the memory, as a divisor, for the header sections of all requests that are read or in progress.
 	// Together with the bodies, it leaves most of the memory to connections and to the garbage collector. minHeaderMemory has room
@@ -16,6 +18,9 @@
 	smallBodyPercent = 46
 	minBodyMemory    = 8 << 20
 
+	// rememberedShare is the part of the memory, as a divisor, for requests that are remembered with their answers.
+	rememberedShare = 4
+
 	// connectionShare is the part of the memory, as a divisor, for the connections of callers, connectionBytes what one takes with
 	// the buffers and stacks of net/http.
 	connectionShare = 4
@@ -45,6 +50,15 @@
 	return max(memory/bodyShare, min(largest, memory*smallBodyPercent/100), minBodyMemory)
 }
 
+// RememberedMemory returns the estimated memory, in bytes, of the requests that a process with the given memory may remember with
+// their answers. There is no limit if the memory is 0, which means that it is not known.
+func RememberedMemory(memory int64) int64 {
+	if memory == 0 {
+		return math.MaxInt64
+	}
+	return memory / rememberedShare
+}
+
 // Connections returns how many connections callers of a process with the given memory and descriptors for callers may have, 0 for no
 // limit. A memory or a number of descriptors of 0 means that it is not known. Connections that don't fit into the memory are no use.
 func Connections(memory int64, descriptors int) int {
--- a/daemon/crowdtest/crowd_test.go
+++ b/daemon/crowdtest/crowd_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -238,6 +239,20 @@
 	}
 }
 
+// distinctOrders sends requests that may run once only, of which no two have the same identifier.
+func distinctOrders(ctx context.Context, c net.Conn, client int) {
+	for i := 0; ctx.Err() == nil; i++ {
+		request := bytes.Replace(post("/v1/small/1", client), fmt.Appendf(nil, "Idempotency-Key: c-%d", client),
+			fmt.Appendf(nil, "Idempotency-Key: c-%d-%d-%d", client, i, time.Now().UnixNano()), 1)
+		if _, err := c.Write(append(request, "Content-Length: 1024\r\n\r\n"+strings.Repeat("b", 1024)...)); err != nil {
+			return
+		}
+		if _, err := c.Read(make([]byte, 4096)); err != nil {
+			return
+		}
+	}
+}
+
 // mixed behaves like another crowd, depending on the client.
 func mixed(ctx context.Context, c net.Conn, client int) {
 	all := []behaviour{
--- a/daemon/crowdtest/gateway_test.go
+++ b/daemon/crowdtest/gateway_test.go
@@ -32,6 +32,7 @@
 	"trailers":                   {300, trailers},
 	"tiny-chunks":                {200, tinyChunks},
 	"distinct-values":            {100, distinctValues},
+	"distinct-orders":            {100, distinctOrders},
 	"mixed":                      {300, mixed},
 }
 
--- a/daemon/dispatcher/apply_serve.go
+++ b/daemon/dispatcher/apply_serve.go
@@ -169,7 +169,7 @@
 }
 
 func (w *worker) inFlightOutside(d *pendingDrain) bool {
-	for _, p := range w.payloads {
+	for _, p := range w.payloads.byHandle {
 		if len(p.cancels) == 0 || p.request == nil {
 			continue
 		}
--- a/daemon/dispatcher/control.go
+++ b/daemon/dispatcher/control.go
@@ -23,7 +23,8 @@
 	if m.links != nil {
 		w.links = m.links
 	}
-	if m.receivedCopy != nil {
+	// A copy that is not stored costs the answer if this dispatcher takes over. Entries of a handover are always stored.
+	if m.receivedCopy != nil && !w.payloads.full() {
 		w.storeCopy(ctx, m.receivedCopy)
 	}
 	for _, message := range m.messages {
--- a/daemon/dispatcher/dedup_copy.go
+++ b/daemon/dispatcher/dedup_copy.go
@@ -56,7 +56,7 @@
 // sendCopy sends a deduplication entry to the second dispatcher. The dispatch core waits for the result only if the
 // entry has state EntrySent, because it does not send the request before that.
 func (w *worker) sendCopy(a *dispatch.Action) {
-	p := w.payloads[a.Handle]
+	p := w.payloads.byHandle[a.Handle]
 	if p == nil || p.request == nil {
 		return
 	}
@@ -121,7 +121,7 @@
 func (w *worker) storeCopy(ctx context.Context, e *peer.MemoryEntry) {
 	w.lastHandle++
 	handle := w.lastHandle
-	w.payloads[handle] = &payload{targetResponse: &targetResponse{status: e.Status, header: e.Header, body: e.Body}}
+	w.payloads.add(handle, &payload{targetResponse: &targetResponse{status: e.Status, header: e.Header, body: e.Body}})
 	w.step(ctx, dispatch.Message{Kind: dispatch.MessageCopyStored, Handle: handle, Entry: dispatch.Entry{
 		Service:     e.Service,
 		Target:      e.Target,
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -66,7 +66,7 @@
 		Peer:       ownership.Peer{VM: s.VM, Incarnation: d.member.Incarnation},
 		DataCentre: s.DataCentre,
 	}
-	d.worker = newWorker(s.VM, s.DataCentre, d.base.Log, d.base.Metrics)
+	d.worker = newWorker(s.VM, s.DataCentre, s.RememberedMemory(), d.base.Log, d.base.Metrics)
 	d.manager = newLeaseManager(self, d.base.Log, d.base.Metrics, d.worker)
 	d.worker.reportCondition = d.manager.observeCondition
 	d.worker.drained = d.manager.drained
--- a/daemon/dispatcher/fixture_test.go
+++ b/daemon/dispatcher/fixture_test.go
@@ -73,7 +73,7 @@
 }
 
 func newTestWorker(t *testing.T, client target.Client) *testWorker {
-	w := newWorker(testVM, testCentre, quietLog(), telemetry.NewMetrics())
+	w := newWorker(testVM, testCentre, 1<<30, quietLog(), telemetry.NewMetrics())
 	out := &testWorker{worker: w, t: t, drained: make(chan ownership.Drained, 16)}
 	w.reportCondition = func(types.TargetID, dispatch.Condition) {}
 	w.drained = func(d ownership.Drained) bool { out.drained <- d; return true }
--- a/daemon/dispatcher/handover.go
+++ b/daemon/dispatcher/handover.go
@@ -147,7 +147,7 @@
 	out := make([]peer.MemoryEntry, 0, len(remembered))
 	for _, r := range remembered {
 		var stored *targetResponse
-		if p := w.payloads[r.Handle]; p != nil {
+		if p := w.payloads.byHandle[r.Handle]; p != nil {
 			stored = p.targetResponse
 		}
 		out = append(out, *encodeEntry(r.Entry, stored))
--- a/daemon/dispatcher/perform.go
+++ b/daemon/dispatcher/perform.go
@@ -39,7 +39,7 @@
 	case dispatch.ActionStoreCopy:
 		w.sendCopy(a)
 	case dispatch.ActionForget:
-		delete(w.payloads, a.Handle)
+		w.payloads.remove(a.Handle)
 	case dispatch.ActionAnnounceQuarantine:
 		w.announceQuarantine(a)
 	case dispatch.ActionCloseConnection:
@@ -54,7 +54,7 @@
 // sendAttempt queues an attempt for the sender of its connection. An attempt that cannot be queued counts as not
 // started.
 func (w *worker) sendAttempt(ctx context.Context, a *dispatch.Action) {
-	p, ok := w.payloads[a.Handle]
+	p, ok := w.payloads.byHandle[a.Handle]
 	if !ok || p.request == nil {
 		return
 	}
@@ -107,7 +107,7 @@
 }
 
 func (w *worker) cancelSend(a *dispatch.Action) {
-	p, ok := w.payloads[a.Handle]
+	p, ok := w.payloads.byHandle[a.Handle]
 	if !ok {
 		return
 	}
@@ -123,12 +123,12 @@
 }
 
 func (w *worker) reply(a *dispatch.Action) {
-	p, ok := w.payloads[a.Handle]
+	p, ok := w.payloads.byHandle[a.Handle]
 	if !ok || p.reply == nil {
 		return
 	}
 	out := peer.DoAnswer{Outcome: a.Outcome}
-	stored := w.payloads[a.Replay]
+	stored := w.payloads.byHandle[a.Replay]
 	if a.Outcome == types.OutcomeDone && stored != nil && stored.targetResponse != nil {
 		out.Status = stored.targetResponse.status
 		out.Header = stored.targetResponse.header
@@ -142,6 +142,10 @@
 	if w.activeRequests[requestKeyOf(p.request)] == a.Handle {
 		delete(w.activeRequests, requestKeyOf(p.request))
 	}
+	if a.Outcome == types.OutcomeDone {
+		p.dropContent()
+		w.payloads.resize(p)
+	}
 }
 
 func (w *worker) publishCondition(a *dispatch.Action) {
--- a/daemon/dispatcher/worker.go
+++ b/daemon/dispatcher/worker.go
@@ -63,6 +63,8 @@
 	request        *peer.DoRequest
 	reply          chan peer.DoAnswer
 	targetResponse *targetResponse
+	// counted is the estimated memory with which the payload counts.
+	counted int64
 	// cancels holds the cancel functions of the attempts that have no result yet.
 	cancels map[dispatch.Attempt]context.CancelFunc
 }
@@ -108,7 +110,7 @@
 	peers     *peerSet
 	// links holds the links to the other dispatchers.
 	links    map[types.VM]*peer.Link
-	payloads map[dispatch.Handle]*payload
+	payloads *payloads
 	// activeRequests are the requests that have no reply yet.
 	activeRequests map[requestKey]dispatch.Handle
 	senders        map[connectionKey]*sender
@@ -145,7 +147,8 @@
 	drainStarts map[types.TargetID]types.Instant
 }
 
-func newWorker(vm types.VM, dataCentre types.DataCentre, log *telemetry.Log, metrics *telemetry.Metrics) *worker {
+// newWorker returns a worker that remembers requests of the given estimated memory with their answers, in bytes.
+func newWorker(vm types.VM, dataCentre types.DataCentre, remembered int64, log *telemetry.Log, metrics *telemetry.Metrics) *worker {
 	seed := uint64(time.Now().UnixNano())
 	w := &worker{
 		vm:             vm,
@@ -158,7 +161,7 @@
 		answerBudget:   forward.NewBudget(answerBudgetBytes),
 		core:           dispatch.New(&config.Configuration{}, vm, rand.NewPCG(seed, seed)),
 		addresses:      make(map[types.TargetID]string),
-		payloads:       make(map[dispatch.Handle]*payload),
+		payloads:       newPayloads(remembered),
 		activeRequests: make(map[requestKey]dispatch.Handle),
 		senders:        make(map[connectionKey]*sender),
 		group:          duty.NewGroup(),
@@ -175,6 +178,7 @@
 		drainStarts:    make(map[types.TargetID]types.Instant),
 		statusPage:     telemetry.NewStatusPage(telemetry.Status{}),
 	}
+	metrics.Gauge("sail_dispatch_remembered_bytes", func() float64 { return float64(w.payloads.bytes.Load()) })
 	w.connect = w.connectHTTP
 	return w
 }
@@ -245,7 +249,7 @@
 			m.reply <- refusal(types.CodeShuttingDown)
 		}
 	}
-	for _, p := range w.payloads {
+	for _, p := range w.payloads.byHandle {
 		if p.reply != nil {
 			p.reply <- peer.DoAnswer{Failure: peer.Failure{
 				Code:    types.CodeShuttingDown,
@@ -270,7 +274,7 @@
 	w.lastHandle++
 	handle := w.lastHandle
 	r := m.request
-	w.payloads[handle] = &payload{request: r, reply: m.reply}
+	w.payloads.add(handle, &payload{request: r, reply: m.reply})
 	w.activeRequests[requestKeyOf(r)] = handle
 	now := telemetry.Now()
 	w.step(ctx, dispatch.Message{Kind: dispatch.MessageRequest, Handle: handle, Request: dispatch.Request{
@@ -288,6 +292,7 @@
 		LeaseEpoch:  r.LeaseEpoch,
 		SlotEpoch:   r.SlotEpoch,
 		Fingerprint: dispatch.Fingerprint(r.Fingerprint),
+		NoMemory:    w.payloads.full(),
 	}})
 }
 
@@ -307,8 +312,9 @@
 }
 
 func (w *worker) applyResult(ctx context.Context, m sendResult) {
-	if p, ok := w.payloads[m.handle]; ok {
+	if p, ok := w.payloads.byHandle[m.handle]; ok {
 		p.endAttempt(m)
+		w.payloads.resize(p)
 		if p.request != nil {
 			w.recordIncarnation(types.TargetID{Service: p.request.Service, Target: p.request.Target}, m.result.Incarnation)
 		}
--- a/daemon/process/capacity.go
+++ b/daemon/process/capacity.go
@@ -58,6 +58,9 @@
 // BodyMemory returns how many bytes the bodies of all requests and answers may have, if the largest has the given size.
 func (s *Settings) BodyMemory(largest int64) int64 { return capacity.BodyMemory(s.memory(), largest) }
 
+// RememberedMemory returns the estimated memory of requests that a dispatcher may remember with their answers, in bytes.
+func (s *Settings) RememberedMemory() int64 { return capacity.RememberedMemory(s.memory()) }
+
 // LimitCallers bounds what the callers of a server may take of the memory and the descriptors of the process. It publishes the
 // metrics of the server.
 func (b *Base) LimitCallers(s *httpserver.Server) {
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -70,7 +70,7 @@
 		return failure{types.CodeQuarantined, ReasonQuarantined}, true
 	case c.now >= r.Deadline:
 		return failure{types.CodeDeadlineExceeded, ReasonDeadline}, true
-	case !r.Idempotent && c.dedupTable.full():
+	case !r.Idempotent && (r.NoMemory || c.dedupTable.full()):
 		return failure{types.CodeOverloaded, ReasonTableFull}, true
 	case t.inFlight == 0 && t.queued == 0 && t.classes[r.Class].placesTaken == 0:
 		return failure{}, false
--- a/dispatch/limits_test.go
+++ b/dispatch/limits_test.go
@@ -182,3 +182,23 @@
 	}
 	f.Equal(reported, map[types.TargetID]Condition{unkeyedA: ConditionHealthy})
 }
+
+// Guards against orders that are accepted without memory for their identifiers and answers, and against a resend that is refused as not
+// run because memory is short although its first send has run.
+func TestOrdersAreRefusedWithoutMemory(t *testing.T) {
+	f := newFixture(t)
+	first := f.order(unkeyedA, "o1")
+	f.request(first)
+	f.result(ResultAnswered)
+	f.advance(time.Millisecond)
+	first.NoMemory = true
+	f.outcome(f.request(first), types.OutcomeDone, "")
+	second := f.order(unkeyedA, "o2")
+	second.NoMemory = true
+	f.outcome(f.request(second), types.OutcomeNotRun, types.CodeOverloaded)
+	q := lookup(unkeyedA)
+	q.NoMemory = true
+	h := f.request(q)
+	f.result(ResultAnswered)
+	f.outcome(h, types.OutcomeDone, "")
+}
--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -98,6 +98,9 @@
 	LeaseEpoch  types.Epoch
 	SlotEpoch   types.Epoch
 	Fingerprint Fingerprint
+	// NoMemory is true when the process has no memory for another identifier with its answer. Requests that are not idempotent are
+	// then refused, except for resends, which need none.
+	NoMemory bool
 }
 
 // ResultKind is the way in which an attempt ended.
