--- a/daemon/capacity/capacity.go
+++ b/daemon/capacity/capacity.go
@@ -1,5 +1,5 @@
-// Package capacity divides the memory and the descriptors of a process among the header sections, the bodies and the connections of
-// its callers. It is the same for all processes that callers reach.
+// Package capacity divides the memory of a process among the header sections, the bodies, the connections and the remembered requests of
+// its callers. It is the same for all processes.
 package capacity
 
 import "math"
