httpserver: who closes an unfinished header section finds its memory

Callers saw: while memory for header sections is short, a costly request could be refused with 503 although an unfinished section had just been closed for it.

Cause: closing the section's connection wakes the goroutine that serves it, which may close it first and give the memory back a moment later. Who had asked for the room then found none, and no other section to close.

Change: the memory is given back before the connection is closed.

--- a/daemon/httpserver/header.go
+++ b/daemon/httpserver/header.go
@@ -154,6 +154,8 @@
 		return false
 	}
 	c.server.evictions.Add(1)
+	// The goroutine that serves the connection may close it at the same time. Who asks for room must find it all the same.
+	c.releaseHeader()
 	c.reset()
 	return true
 }
--- a/daemon/httpserver/header_test.go
+++ b/daemon/httpserver/header_test.go
@@ -223,12 +223,16 @@
 	unfinished := dial(t, s)
 	_, err := io.WriteString(unfinished, "GET / HTTP/1.1\r\nHost: h\r\n"+lines(100))
 	is.NoErr(err)
+	for budget.Left() > 60_000 {
+		time.Sleep(time.Millisecond)
+	}
 	time.Sleep(minHeaderAge + 50*time.Millisecond)
 	for range 2 {
 		_, err := io.WriteString(dial(t, s), "GET /slow HTTP/1.1\r\n"+costly)
 		is.NoErr(err)
 	}
-	for end := time.Now().Add(500 * time.Millisecond); budget.Left() > 20_000 && time.Now().Before(end); {
+	// The unfinished section makes room for the second request.
+	for end := time.Now().Add(500 * time.Millisecond); (s.Evictions() == 0 || budget.Left() > 20_000) && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 	refused := dial(t, s)
