edge, catalog: tell how long a missing registration is kept

`target gone` did not tell whether the target is still used, nor how old the copy was; registrations missing from a whole list had no line, and a grace taken over from a neighbour had none either. No decision changes.

--- a/catalog/registry.go
+++ b/catalog/registry.go
@@ -88,19 +88,28 @@
 	r.entries[g.Target] = registryEntry{Registration: g, coldUntil: now.Add(g.ColdFor)}
 }
 
+// Removal is a registration that has gone missing.
+type Removal struct {
+	Target types.Target
+	// KeptFor is how much longer the target is used, 0 if it is not.
+	KeptFor time.Duration
+}
+
 // Remove removes a registration. During the grace period after a store outage it is kept for the rest of that period,
 // because it may have expired while its target could not renew it. A draining target is removed at once.
-func (r *Registry) Remove(now types.Instant, t types.Target) {
+func (r *Registry) Remove(now types.Instant, t types.Target) Removal {
 	e, ok := r.entries[t]
 	if !ok {
-		return
+		return Removal{Target: t}
 	}
-	if e.Draining || r.GraceLeft(now) == 0 {
+	left := r.GraceLeft(now)
+	if e.Draining || left == 0 {
 		r.drop(now, e)
-		return
+		return Removal{Target: t}
 	}
 	e.missing, e.expiresAt = true, r.recoveredAt.Add(recoveryGrace)
 	r.entries[t] = e
+	return Removal{Target: t, KeptFor: left}
 }
 
 // Discard removes the registration of a target whose entry no longer names it. Unlike one that has expired, it is removed at
@@ -117,8 +126,9 @@
 	return ok || r.services == nil
 }
 
-// Replace applies a complete list: registrations that are not in it are removed.
-func (r *Registry) Replace(now types.Instant, list []Registration) {
+// Replace applies a complete list: registrations that are not in it are removed. It returns those that were not missing before,
+// in no order.
+func (r *Registry) Replace(now types.Instant, list []Registration) (removed []Removal) {
 	present := make(map[types.Target]bool, len(list))
 	for _, g := range list {
 		present[g.Target] = true
@@ -130,11 +140,15 @@
 		e.Sequence = max(e.Sequence, g.Sequence)
 		r.entries[g.Target] = e
 	}
-	for t := range r.entries {
-		if !present[t] {
-			r.Remove(now, t)
+	for t, e := range r.entries {
+		if present[t] {
+			continue
+		}
+		if removal := r.Remove(now, t); !e.missing {
+			removed = append(removed, removal)
 		}
 	}
+	return removed
 }
 
 // SetEvacuated records whether a data centre is out of service.
--- a/daemon/edge/storecache.go
+++ b/daemon/edge/storecache.go
@@ -78,6 +78,9 @@
 	changeDeadline time.Duration
 	// leavingUntil is when a target that begins to drain with the current update must get no more requests.
 	leavingUntil types.Instant
+	// registrationsCurrentAt is the last time before the current update for which the copy of the registrations was proved to be
+	// current.
+	registrationsCurrentAt types.Instant
 	// targets holds the registered targets. It is replaced, not changed.
 	targets map[types.Target]listedTarget
 	// registrations holds the decoded registrations with their encoding, so that unchanged ones are not decoded again.
@@ -243,6 +246,7 @@
 		return
 	}
 	if c != nil && u.prefix == platform.TargetPrefix {
+		sc.registrationsCurrentAt = c.confirmedAt
 		sc.leavingUntil = leavingUntil(c.confirmedAt, sc.changeDeadline)
 	}
 	if u.same {
@@ -267,6 +271,9 @@
 	}
 	if u.prefix == platform.TargetPrefix {
 		sc.registry.StoreAvailable()
+		if u.graceLeft > 0 {
+			sc.log.Info("another VM keeps missing registrations", log.Fields{"left": u.graceLeft.String(), "own": sc.registry.GraceLeft(now).String()})
+		}
 		sc.registry.AdoptGrace(now, u.graceLeft)
 	}
 	if u.mirrored {
@@ -339,9 +346,8 @@
 			continue
 		}
 		if e.Deleted {
-			sc.log.Info("target gone", log.Fields{"target": t, "revision": e.Revision})
 			delete(sc.registrations, t)
-			sc.registry.Remove(now, t)
+			sc.logRemoval(now, sc.registry.Remove(now, t), e.Revision)
 			continue
 		}
 		if d, known := sc.registrations[t]; known && bytes.Equal(d.raw, e.Value) {
@@ -374,13 +380,28 @@
 		}
 	}
 	maps.DeleteFunc(sc.registrations, func(t types.Target, _ decodedRegistration) bool { return !present[t] })
-	sc.registry.Replace(now, list)
+	for _, removal := range sc.registry.Replace(now, list) {
+		sc.logRemoval(now, removal, sc.prefixCache[platform.TargetPrefix].knownRevision)
+	}
 	for _, t := range invalid {
 		sc.registry.Discard(t)
 	}
 	sc.registrationsRead = true
 }
 
+// logRemoval logs that a registration was found missing at a revision of the store.
+func (sc *storeCache) logRemoval(now types.Instant, removal catalog.Removal, revision types.Revision) {
+	sc.log.Info("target gone", log.Fields{
+		"target": removal.Target, "revision": revision, "keptFor": removal.KeptFor.String(), "copyAge": sc.copyAge(now).String(),
+	})
+}
+
+// copyAge returns how long ago this VM's copy of the registrations was last proved to be current. A change that is learnt now is at
+// most that old, apart from the pause between two calls of a watch.
+func (sc *storeCache) copyAge(now types.Instant) time.Duration {
+	return now.Sub(sc.registrationsCurrentAt)
+}
+
 // registeredTarget returns the target that an entry belongs to. ok is false when its key can't name one.
 func (sc *storeCache) registeredTarget(e store.Entry, deleted bool) (t types.Target, ok bool) {
 	t, ok = platform.RegisteredTarget(e.Key)
@@ -405,7 +426,7 @@
 	sc.invalid.remove(e.Key)
 	sc.log.Info("target registered", log.Fields{
 		"target": t, "life": r.Incarnation, "service": r.Service, "address": r.Address, "dataCentre": r.DataCentre,
-		"draining": r.Draining, "coldFor": r.ColdFor.String(), "revision": e.Revision,
+		"draining": r.Draining, "coldFor": r.ColdFor.String(), "revision": e.Revision, "copyAge": sc.copyAge(sc.now()).String(),
 	})
 	return r, true
 }
