--- a/daemon/edge/propagation_test.go
+++ b/daemon/edge/propagation_test.go
@@ -72,6 +72,8 @@
 	began  time.Time
 	// silent holds the VMs that the store doesn't answer.
 	silent atomic.Pointer[map[types.VM]bool]
+	// refuses is true if the store refuses the silent VMs at once.
+	refuses bool
 	// failed holds the first reads that have failed, by VM and prefix.
 	failed sync.Map
 	// listTime bounds the time that a list takes, in nanoseconds.
@@ -97,7 +99,9 @@
 // answer delays a call and withholds its answer while the store is silent for the VM.
 func (s *simStore) answer(ctx context.Context, took time.Duration, call func() error) error {
 	if !duty.Pause(ctx, time.Millisecond+rand.N(4*time.Millisecond)) || s.isSilent() {
-		<-ctx.Done()
+		if !s.fleet.refuses {
+			<-ctx.Done()
+		}
 		return types.NewFault(types.CodeStoreUnavailable, "no answer")
 	}
 	err := call()
