catalog, edge: missing registrations are kept after outages of the store only

Seen by callers: requests reach a target that has left without announcing it after the bound on leaving targets (DRAIN).

Cause: removals that come shortly after a silence of the store count as registrations that expired in an outage, and their targets are used for another 2.2 s. Each VM judged the silence by the answers to its own calls. A VM that the store alone turned away took the removals of its absence for such ones, counted the 2.2 s from its own first answer, which is up to 1.6 s after the end, and passed them on to neighbours that the store had answered all the time. And a read that failed meanwhile, also one beside a working watch, stopped the end of the 2.2 s until the registrations changed the next time.

An outage is now a time in which the store has answered no VM that this one hears of: itself, and its neighbours by the age of their digests and answers. The first such answer begins the grace period, and an answer after its end ends it, whatever single reads do. A neighbour's grace counts only for a VM that had the outage itself. In a further outage missing registrations are kept as before.

Tests that set the former flags now give the registry answers at the same times; what they assert is unchanged, and a further outage and the adoption have tests of their own.

--- a/catalog/registry.go
+++ b/catalog/registry.go
@@ -8,20 +8,14 @@
 	"sequoiasail.example/types"
 )
 
-// recoveryGrace is how long after the recovery of the store a registration that has gone missing is kept, so that its
-// target can register again.
-const recoveryGrace = 2200 * time.Millisecond
-
 // Registry tracks the registrations and evacuated data centres read from the store. It must be used by one goroutine
 // only.
 type Registry struct {
 	entries map[types.Target]registryEntry
 	// evacuated holds the data centres that are out of service.
 	evacuated map[types.DataCentre]bool
-	// recoveredAt is when the store last recovered from an outage long enough for registrations to expire; 0 when
-	// there was none.
-	recoveredAt types.Instant
-	storeDown   bool
+	// contact tells when the store has answered.
+	contact storeContact
 	// services holds the configured services, nil until they are known.
 	services map[types.Service]Service
 	// era holds what is known from before the store went back to a snapshot; see registry_era.go.
@@ -31,9 +25,8 @@
 type registryEntry struct {
 	Registration
 	coldUntil types.Instant
-	// missing is true for an entry that is gone from the store and kept until expiresAt.
-	missing   bool
-	expiresAt types.Instant
+	// missing is true for an entry that is gone from the store and kept for the grace period after an outage.
+	missing bool
 }
 
 // Listing is a registration with the warm-up end of its target and the state of its data centre.
@@ -51,35 +44,6 @@
 	}
 }
 
-// StoreUnavailable records that the store does not answer. Missing registrations are kept until it does.
-func (r *Registry) StoreUnavailable() { r.storeDown = true }
-
-// StoreAvailable records that the store answers.
-func (r *Registry) StoreAvailable() { r.storeDown = false }
-
-// StoreRecovered records that the store answered at the given time, after an outage long enough for registrations to
-// expire. Removed registrations are kept for recoveryGrace from then on.
-func (r *Registry) StoreRecovered(at types.Instant) {
-	if r.recoveredAt.Before(at) {
-		r.recoveredAt = at
-	}
-}
-
-// GraceLeft returns how much longer removed registrations are kept.
-func (r *Registry) GraceLeft(now types.Instant) time.Duration {
-	if r.recoveredAt == 0 {
-		return 0
-	}
-	return max(0, r.recoveredAt.Add(recoveryGrace).Sub(now))
-}
-
-// AdoptGrace records that another VM keeps removed registrations for the given time from now on.
-func (r *Registry) AdoptGrace(now types.Instant, left time.Duration) {
-	if left > 0 {
-		r.StoreRecovered(now.Add(left - recoveryGrace))
-	}
-}
-
 // Put adds or replaces a registration, unless it is older than one known before the store went back to a snapshot.
 func (r *Registry) Put(now types.Instant, g Registration) {
 	if r.outdated(now, g) {
@@ -107,7 +71,7 @@
 		r.drop(now, e)
 		return Removal{Target: t}
 	}
-	e.missing, e.expiresAt = true, r.recoveredAt.Add(recoveryGrace)
+	e.missing = true
 	r.entries[t] = e
 	return Removal{Target: t, KeptFor: left}
 }
@@ -183,7 +147,7 @@
 func (r *Registry) Expire(now types.Instant) bool {
 	dropped := r.expireEra(now)
 	for _, e := range r.entries {
-		if e.missing && !r.storeDown && !now.Before(e.expiresAt) {
+		if e.missing && r.contact.graceEnded() {
 			r.drop(now, e)
 			dropped = true
 		}
--- a/catalog/registry_era.go
+++ b/catalog/registry_era.go
@@ -62,7 +62,7 @@
 		r.era.earlier[t] = versionOf(e.Registration)
 	}
 	r.era.began, r.era.keepsEvacuations = now, true
-	r.StoreRecovered(now)
+	r.contact.recoveredAt = now
 }
 
 // outdated reports whether a registration comes from the snapshot and not from its target: a later version was known before, or the
--- a/catalog/registry_test.go
+++ b/catalog/registry_test.go
@@ -24,19 +24,42 @@
 	now := types.Instant(time.Hour)
 	a, b := Registration{Target: "a", Address: "a"}, Registration{Target: "b", Address: "b"}
 	r := NewRegistry()
+	r.StoreAnswered(now)
 	r.Replace(now, []Registration{a, b})
-	r.StoreUnavailable()
 	is.True(!r.Expire(now.Add(time.Minute)))
 	now = now.Add(time.Minute)
-	r.StoreAvailable()
-	r.StoreRecovered(now)
+	is.Equal(r.StoreAnswered(now), time.Minute)
 	r.Replace(now, nil)
 	is.Equal(names(r), []types.Target{"a", "b"})
 	r.Put(now.Add(time.Second), a)
+	r.StoreAnswered(now.Add(time.Second))
+	r.StoreAnswered(now.Add(recoveryGrace))
 	is.True(r.Expire(now.Add(recoveryGrace)))
 	is.Equal(names(r), []types.Target{"a"})
 }
 
+// Fails if targets that had no time to register again, because the store went away once more, are removed; or if they are kept
+// although they do not register after that outage either.
+func TestLapsedRegistrationsMayReturnAfterFurtherOutage(t *testing.T) {
+	is := is.New(t)
+	now := types.Instant(time.Hour)
+	r := NewRegistry()
+	r.StoreAnswered(now)
+	r.Replace(now, []Registration{{Target: "a", Address: "a"}})
+	now = now.Add(time.Minute)
+	r.StoreAnswered(now)
+	r.Replace(now, nil)
+	is.True(!r.Expire(now.Add(time.Minute)))
+	now = now.Add(time.Minute)
+	r.StoreAnswered(now)
+	r.Replace(now, nil)
+	r.StoreAnswered(now.Add(time.Second))
+	is.True(!r.Expire(now.Add(recoveryGrace - time.Millisecond)))
+	r.StoreAnswered(now.Add(recoveryGrace))
+	is.True(r.Expire(now.Add(recoveryGrace)))
+	is.Equal(len(names(r)), 0)
+}
+
 // Fails if VMs extend each other's grace period: a VM that adopts it from another must not keep a missing
 // registration longer than that VM does. Reproduces the test run zcsp-brana-grown trouble-2, where requests
 // reached a target 2.5 s after its removal.
@@ -44,18 +67,54 @@
 	is := is.New(t)
 	now := types.Instant(time.Hour)
 	first, second := NewRegistry(), NewRegistry()
-	first.StoreRecovered(now)
+	for _, r := range []*Registry{first, second} {
+		r.StoreAnswered(now.Add(-time.Minute))
+	}
+	first.StoreAnswered(now)
 	second.Replace(now, []Registration{{Target: "a", Address: "a"}})
 	now = now.Add(recoveryGrace - time.Millisecond)
-	second.AdoptGrace(now, first.GraceLeft(now))
+	second.StoreAnsweredOther(now, 0, first.GraceLeft(now))
 	second.Replace(now, nil)
 	is.Equal(len(names(second)), 1)
-	is.True(second.Expire(now.Add(time.Millisecond)))
+	now = now.Add(time.Millisecond)
+	second.StoreAnsweredOther(now, 0, first.GraceLeft(now))
+	is.True(second.Expire(now))
 	now = now.Add(time.Second)
-	second.AdoptGrace(now, first.GraceLeft(now))
+	second.StoreAnsweredOther(now, 0, first.GraceLeft(now))
 	is.Equal(second.GraceLeft(now), time.Duration(0))
 }
 
+// Fails if a VM keeps the target of a removed registration because a neighbour does so after the store did not answer that
+// neighbour: the store has answered this VM all the time.
+func TestGraceOfAnotherVMIsNotAdoptedWithoutOutage(t *testing.T) {
+	is := is.New(t)
+	now := types.Instant(time.Hour)
+	r := NewRegistry()
+	r.StoreAnswered(now)
+	r.Replace(now, []Registration{{Target: "a", Address: "a"}})
+	now = now.Add(lapseTime - time.Millisecond)
+	is.Equal(r.StoreAnsweredOther(now, 0, recoveryGrace), time.Duration(0))
+	is.Equal(r.Remove(now, "a"), Removal{Target: "a"})
+	is.Equal(len(names(r)), 0)
+}
+
+// Fails if a VM that the store alone has not answered takes removals after that for registrations that expired in an outage,
+// although answers to its neighbours show that there was none.
+func TestAnswersToOthersShowThatThereWasNoOutage(t *testing.T) {
+	is := is.New(t)
+	now := types.Instant(time.Hour)
+	r := NewRegistry()
+	r.StoreAnswered(now)
+	r.Replace(now, []Registration{{Target: "a", Address: "a"}})
+	for range 20 {
+		now = now.Add(500 * time.Millisecond)
+		is.Equal(r.StoreAnsweredOther(now, 300*time.Millisecond, 0), time.Duration(0))
+	}
+	is.Equal(r.StoreAnswered(now), time.Duration(0))
+	r.Replace(now, nil)
+	is.Equal(len(names(r)), 0)
+}
+
 // Fails if a removal is delayed without a preceding store outage, or for a draining target.
 func TestRemovalIsImmediate(t *testing.T) {
 	is := is.New(t)
@@ -64,7 +123,10 @@
 	r.Replace(now, []Registration{{Target: "a", Address: "a"}, {Target: "b", Address: "b", Draining: true}})
 	r.Remove(now, "a")
 	is.Equal(names(r), []types.Target{"b"})
-	r.StoreRecovered(now)
+	r.StoreAnswered(now)
+	now = now.Add(time.Minute)
+	r.StoreAnswered(now)
+	is.Equal(r.GraceLeft(now), recoveryGrace)
 	r.Remove(now, "b")
 	is.Equal(len(names(r)), 0)
 }
@@ -96,9 +158,10 @@
 	is := is.New(t)
 	now := types.Instant(time.Hour)
 	r := NewRegistry()
+	r.StoreAnswered(now)
 	r.Replace(now, []Registration{{Target: "a", Address: "a"}, {Target: "b", Address: "b"}})
-	r.StoreUnavailable()
-	r.StoreRecovered(now)
+	now = now.Add(time.Minute)
+	r.StoreAnswered(now)
 	r.Discard("a")
 	is.Equal(names(r), []types.Target{"b"})
 	r.Replace(now, nil)
--- a/daemon/edge/entries_test.go
+++ b/daemon/edge/entries_test.go
@@ -152,7 +152,7 @@
 			sc := newRegistryCache(now)
 			sc.apply(t.Context(), update{prefix: "servers/", snapshot: true, revision: 6, entries: []store.Entry{goodRegistration("i-1", 6)}})
 			is.Equal(len(sc.registry.List()), 1)
-			sc.registry.StoreRecovered(now)
+			is.True(sc.registry.StoreAnswered(sc.now().Add(time.Minute)) > 0)
 			sc.apply(t.Context(), u)
 			is.Equal(len(sc.registry.List()), 0)
 		})
--- a/daemon/edge/era_test.go
+++ b/daemon/edge/era_test.go
@@ -273,11 +273,15 @@
 	}
 	sc.list(t, platform.TargetPrefix, 8, registrationOf("drain", 1, 1, 6, false), registrationOf("gone", 1, 1, 7, false))
 	is.Equal(states(), map[types.Target]bool{"drain": true, "missing": false})
-	// A registration that the snapshot lacks is kept for 2.2 s.
-	now = now.Add(2100 * time.Millisecond)
+	// A registration that the snapshot lacks is kept for 2.2 s, while the store answers.
+	for range 21 {
+		now = now.Add(100 * time.Millisecond)
+		sc.registry.StoreAnswered(now)
+	}
 	sc.registry.Expire(now)
 	is.Equal(len(states()), 2)
 	now = now.Add(200 * time.Millisecond)
+	sc.registry.StoreAnswered(now)
 	sc.registry.Expire(now)
 	is.Equal(states(), map[types.Target]bool{"drain": true})
 	// The targets' own later registrations count: a higher number, or a newer start.
--- a/daemon/edge/removal_test.go
+++ b/daemon/edge/removal_test.go
@@ -7,7 +7,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"sequoiasail.example/duty"
+	"sequoiasail.example/platform"
 	"sequoiasail.example/platform/standin"
 	"sequoiasail.example/transport/store"
 	"sequoiasail.example/types"
@@ -89,6 +92,7 @@
 						f := newSimFleet(t.Context(), t, propagationCase{deadline: removalDeadline, revoke: true})
 						defer f.stop(context.Background(), t)
 						calm, returned := c.run(t.Context(), t, f)
+						t.Logf("used for longer than allowed: %v and %v", calm, returned)
 						if calm > 0 || returned > 0 {
 							t.Errorf("used for longer than allowed: %v by a VM that was answered all the time, %v by one that was cut off", calm, returned)
 						}
@@ -98,3 +102,25 @@
 		}
 	}
 }
+
+// Guards against the target of a missing registration that is used until the registrations change the next time, because a read
+// beside the watch has failed while the registration was kept after an outage of the store.
+func TestFailedReadDoesNotKeepMissingRegistration(t *testing.T) {
+	is := is.New(t)
+	now := types.Instant(time.Hour)
+	sc := newRegistryCache(now)
+	sc.now = func() types.Instant { return now }
+	sc.noteStoreAnswer(now)
+	targets := func(u update) { u.prefix = platform.TargetPrefix; sc.apply(t.Context(), u) }
+	targets(update{snapshot: true, revision: 6, entries: []store.Entry{goodRegistration("i-1", 6)}})
+	now = now.Add(time.Minute)
+	targets(update{snapshot: true, revision: 7})
+	is.Equal(len(sc.registry.List()), 1)
+	targets(update{audit: true, err: types.NewFault(types.CodeTimeout, "no answer")})
+	for range 6 {
+		now = now.Add(500 * time.Millisecond)
+		sc.noteStoreAnswer(now)
+	}
+	sc.registry.Expire(now)
+	is.Equal(len(sc.registry.List()), 0)
+}
--- a/daemon/edge/storecache.go
+++ b/daemon/edge/storecache.go
@@ -198,6 +198,7 @@
 // begin starts the watch of the list of VMs, from which every VM first learns its neighbours; see initialWatchTime.
 func (sc *storeCache) begin(now types.Instant) {
 	sc.watchState.startedAt, sc.watchState.storeAnsweredAt = now, now
+	sc.registry.StoreAnswered(now)
 	for _, c := range sc.prefixCache {
 		c.confirmedAt = now
 	}
@@ -249,6 +250,9 @@
 		sc.registrationsCurrentAt = c.confirmedAt
 		sc.leavingUntil = leavingUntil(c.confirmedAt, sc.changeDeadline)
 	}
+	if u.mirrored {
+		sc.noteOutage(sc.registry.StoreAnsweredOther(now, u.age, u.graceLeft))
+	}
 	if u.same {
 		if c != nil && c.knownRevision == u.revision {
 			c.confirm(now.Add(-u.age))
@@ -264,18 +268,8 @@
 		c.noteWatch(now, u)
 	}
 	if u.err != nil {
-		if u.prefix == platform.TargetPrefix && types.CodeOf(u.err) != types.CodeNotFound {
-			sc.registry.StoreUnavailable()
-		}
 		return
 	}
-	if u.prefix == platform.TargetPrefix {
-		sc.registry.StoreAvailable()
-		if u.graceLeft > 0 {
-			sc.log.Info("another VM keeps missing registrations", log.Fields{"left": u.graceLeft.String(), "own": sc.registry.GraceLeft(now).String()})
-		}
-		sc.registry.AdoptGrace(now, u.graceLeft)
-	}
 	if u.mirrored {
 		sc.log.Info("another VM told what the store holds", log.Fields{"prefix": u.prefix, "revision": u.revision})
 	}
--- a/daemon/edge/watchers.go
+++ b/daemon/edge/watchers.go
@@ -27,9 +27,6 @@
 	// watcherRenewInterval.
 	storeSilence        = 1600 * time.Millisecond
 	watcherStoreSilence = time.Second
-	// registrationLapseTime is how long the store must have been silent for registrations to have expired meanwhile: three
-	// heartbeats of a target, 2.6 s, less the time between two calls of this VM.
-	registrationLapseTime = 1800 * time.Millisecond
 	// missedChangeDelay is how long a change shown by another VM's digest may take to arrive before the store is read.
 	missedChangeDelay = 400 * time.Millisecond
 	// discoveryTime is how long after its start a VM that knows no neighbours waits for their entries before it starts to
@@ -241,19 +238,26 @@
 	return now.Sub(sc.watchState.storeAnsweredAt) < limit
 }
 
-// noteStoreAnswer records that the store has answered. After a long silence the registrations of targets may have expired, and
-// a watch call from before it may never be answered.
+// noteStoreAnswer records that the store has answered this VM. A watch call from before a long silence may never be answered.
 func (sc *storeCache) noteStoreAnswer(now types.Instant) {
-	if now.Sub(sc.watchState.storeAnsweredAt) >= registrationLapseTime {
-		sc.log.Info("store answers after a long silence", log.Fields{"silence": now.Sub(sc.watchState.storeAnsweredAt).String()})
-		sc.registry.StoreRecovered(now)
+	silence := now.Sub(sc.watchState.storeAnsweredAt)
+	if silence >= storeSilence {
+		sc.log.Info("store answers after a long silence", log.Fields{"silence": silence.String()})
 	}
-	if sc.watchState.active && now.Sub(sc.watchState.storeAnsweredAt) >= sc.reliance {
+	sc.noteOutage(sc.registry.StoreAnswered(now))
+	if sc.watchState.active && silence >= sc.reliance {
 		sc.restartWatches()
 	}
 	sc.watchState.storeAnsweredAt = now
 }
 
+// noteOutage logs the end of an outage of the store, after which missing registrations are kept for a while.
+func (sc *storeCache) noteOutage(outage time.Duration) {
+	if outage > 0 {
+		sc.log.Info("the store answers after an outage, missing registrations are kept", log.Fields{"outage": outage.String(), "for": sc.registry.GraceLeft(sc.now()).String()})
+	}
+}
+
 // restartWatches makes the watches read their prefixes again.
 func (sc *storeCache) restartWatches() {
 	for prefix, c := range sc.prefixCache {
@@ -279,6 +283,7 @@
 	fromNeighbour := sc.isNeighbour(from)
 	if fromNeighbour {
 		sc.hear(from, d.prefix, now.Add(-d.age))
+		sc.noteOutage(sc.registry.StoreAnsweredOther(now, d.age, 0))
 	}
 	if from == sc.coordinatorVM {
 		sc.coordinatorDigestAt = now
