catalog, edge: an evacuation ends once the registrations are known as of its end

Cause: the operator's entries and the registrations are followed by two watches, and each pauses for 0.4 s after an answer. The end of an evacuation was in force at once, also while the registrations were not yet known that say that its targets have turned cold meanwhile.

The targets of the data centre now stay out of service until the copy of the registrations is proved to be as new as the end of the evacuation, 3 s at most: 0.5 s and the time until the next answer of the store. They are cold at that time as a rule, so little capacity is missed.

TestEvacuationMarksTargets gives the proof and asserts what it did.

--- a/catalog/registry.go
+++ b/catalog/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,6 +15,8 @@
 	entries map[types.Target]registryEntry
 	// evacuated holds the data centres that are out of service.
 	evacuated map[types.DataCentre]bool
+	// returning holds the data centres whose evacuation has ended, with when that was learnt; see RegistrationsCurrent.
+	returning map[types.DataCentre]types.Instant
 	// contact tells when the store has answered.
 	contact storeContact
 	// services holds the configured services, nil until they are known.
@@ -40,7 +43,8 @@
 func NewRegistry() *Registry {
 	return &Registry{
 		entries: make(map[types.Target]registryEntry), evacuated: make(map[types.DataCentre]bool),
-		era: registryEra{removed: make(map[types.Target]removedRegistration)},
+		returning: make(map[types.DataCentre]types.Instant),
+		era:       registryEra{removed: make(map[types.Target]removedRegistration)},
 	}
 }
 
@@ -115,37 +119,69 @@
 	return removed
 }
 
-// SetEvacuated records whether a data centre is out of service.
-func (r *Registry) SetEvacuated(d types.DataCentre, outOfService bool) {
+// SetEvacuated records whether a data centre is out of service, as learnt at now.
+func (r *Registry) SetEvacuated(now types.Instant, d types.DataCentre, outOfService bool) {
 	r.era.missing = slices.DeleteFunc(r.era.missing, func(m types.DataCentre) bool { return m == d })
 	if outOfService {
 		r.evacuated[d] = true
+		delete(r.returning, d)
 	} else {
-		delete(r.evacuated, d)
+		r.endEvacuation(now, d)
 	}
 }
 
-// ReplaceEvacuations sets the complete list of data centres that are out of service. After the store went back to a snapshot, those
-// that are missing are kept for a grace period.
-func (r *Registry) ReplaceEvacuations(list []types.DataCentre) {
+// ReplaceEvacuations sets the complete list of data centres that are out of service, as learnt at now. After the store went back to a
+// snapshot, those that are missing are kept for a grace period.
+func (r *Registry) ReplaceEvacuations(now types.Instant, list []types.DataCentre) {
 	r.era.missing = nil
-	if r.era.keepsEvacuations {
-		for d := range r.evacuated {
-			if !slices.Contains(list, d) {
-				r.era.missing = append(r.era.missing, d)
-			}
+	for d := range r.evacuated {
+		switch {
+		case slices.Contains(list, d):
+		case r.era.keepsEvacuations:
+			r.era.missing = append(r.era.missing, d)
+		default:
+			r.endEvacuation(now, d)
 		}
-	} else {
-		clear(r.evacuated)
 	}
 	for _, d := range list {
 		r.evacuated[d] = true
+		delete(r.returning, d)
+	}
+}
+
+// endEvacuation puts a data centre back into service once the registrations are known as of now.
+func (r *Registry) endEvacuation(now types.Instant, d types.DataCentre) {
+	if r.evacuated[d] {
+		delete(r.evacuated, d)
+		r.returning[d] = now
 	}
 }
 
+// returnLimit is how long after the end of an evacuation the targets of the data centre are used at the latest, also if the store
+// does not answer.
+const returnLimit = 3 * time.Second
+
+// RegistrationsCurrent records that all changes of the registrations before the given time are known, and puts the data centres back
+// into service whose evacuation had ended by then. It reports whether there were any. Targets may turn cold while they are out of
+// service, and the end of the evacuation may be known earlier than that.
+func (r *Registry) RegistrationsCurrent(at types.Instant) bool {
+	before := len(r.returning)
+	maps.DeleteFunc(r.returning, func(_ types.DataCentre, since types.Instant) bool { return !at.Before(since) })
+	return len(r.returning) < before
+}
+
+// outOfService reports whether the targets of a data centre get no requests.
+func (r *Registry) outOfService(d types.DataCentre) bool {
+	_, returning := r.returning[d]
+	return returning || r.evacuated[d]
+}
+
 // Expire deletes missing registrations and evacuations whose grace period has ended. It reports whether there were any.
 func (r *Registry) Expire(now types.Instant) bool {
 	dropped := r.expireEra(now)
+	if r.RegistrationsCurrent(now.Add(-returnLimit)) {
+		dropped = true
+	}
 	for _, e := range r.entries {
 		if e.missing && r.contact.graceEnded() {
 			r.drop(now, e)
@@ -175,7 +211,7 @@
 		if e.Incarnation < newest[e.Address] {
 			continue
 		}
-		list = append(list, Listing{Registration: e.Registration, Evacuated: r.evacuated[e.DataCentre], ColdUntil: e.coldUntil})
+		list = append(list, Listing{Registration: e.Registration, Evacuated: r.outOfService(e.DataCentre), ColdUntil: e.coldUntil})
 	}
 	slices.SortFunc(list, func(a, b Listing) int { return cmp.Compare(a.Target, b.Target) })
 	return list
--- a/catalog/registry_test.go
+++ b/catalog/registry_test.go
@@ -144,14 +144,48 @@
 // Fails if an evacuation hides registrations or remains in effect after it was ended.
 func TestEvacuationMarksTargets(t *testing.T) {
 	is := is.New(t)
+	now := types.Instant(time.Hour)
 	r := NewRegistry()
 	r.Put(1, Registration{Target: "a", Address: "a", DataCentre: "north"})
-	r.SetEvacuated("north", true)
+	r.SetEvacuated(now, "north", true)
 	is.True(r.List()[0].Evacuated)
-	r.ReplaceEvacuations(nil)
+	r.ReplaceEvacuations(now, nil)
+	is.True(r.RegistrationsCurrent(now))
 	is.True(!r.List()[0].Evacuated)
 }
 
+// Fails if targets that have turned cold while their data centre was out of service get requests before their registrations are
+// known as of the end of the evacuation; or if they get none without a proof of that, while the store does not answer.
+func TestEvacuationEndsWithCurrentRegistrations(t *testing.T) {
+	for _, event := range []bool{false, true} {
+		is := is.New(t)
+		now := types.Instant(time.Hour)
+		r := NewRegistry()
+		r.Put(1, Registration{Target: "a", Address: "a", DataCentre: "north"})
+		r.SetEvacuated(now, "north", true)
+		if event {
+			r.SetEvacuated(now, "north", false)
+		} else {
+			r.ReplaceEvacuations(now, nil)
+		}
+		is.True(!r.RegistrationsCurrent(now.Add(-time.Millisecond)))
+		is.True(r.List()[0].Evacuated)
+		is.True(r.RegistrationsCurrent(now))
+		is.True(!r.List()[0].Evacuated)
+		is.True(!r.RegistrationsCurrent(now.Add(time.Second)))
+
+		r.SetEvacuated(now, "north", true)
+		r.SetEvacuated(now, "north", false)
+		r.SetEvacuated(now, "north", true)
+		is.True(!r.RegistrationsCurrent(now))
+		is.True(r.List()[0].Evacuated)
+		r.SetEvacuated(now, "north", false)
+		is.True(!r.Expire(now.Add(returnLimit - time.Millisecond)))
+		is.True(r.Expire(now.Add(returnLimit)))
+		is.True(!r.List()[0].Evacuated)
+	}
+}
+
 // Fails if a target is still listed after its registration was replaced by one that can't be read, also while missing
 // registrations are kept after a store outage: the target has not expired, its entry names no target.
 func TestDiscardedRegistrationIsNotKept(t *testing.T) {
--- a/daemon/edge/propagation.go
+++ b/daemon/edge/propagation.go
@@ -18,6 +18,8 @@
 	// forwardingReserve is the time of a request from the last check of its target by a sender to its arrival: a new connection
 	// and the network.
 	forwardingReserve = 250 * time.Millisecond
+	// watchCallReserve is the time of a call of a watch that has changes to tell.
+	watchCallReserve = 100 * time.Millisecond
 	// minReliance keeps VMs from watching the store all the time where the platform's bound is very short.
 	minReliance = 400 * time.Millisecond
 )
--- a/daemon/edge/removal_test.go
+++ b/daemon/edge/removal_test.go
@@ -124,3 +124,28 @@
 	sc.registry.Expire(now)
 	is.Equal(len(sc.registry.List()), 0)
 }
+
+// Guards against requests to targets that have turned cold before the end of the evacuation of their data centre, but whose
+// registrations arrive after it: the watches of both pause on their own.
+func TestEndOfEvacuationWaitsForRegistrations(t *testing.T) {
+	is := is.New(t)
+	now := types.Instant(time.Hour)
+	sc := newRegistryCache(now)
+	sc.now = func() types.Instant { return now }
+	followAll(sc, now)
+	answered := func() { sc.handle(t.Context(), storeAnswered{sentAt: now}) }
+	sc.handle(t.Context(), update{prefix: platform.TargetPrefix, snapshot: true, revision: 6, entries: []store.Entry{goodRegistration("i-1", 6)}})
+	sc.handle(t.Context(), update{prefix: platform.OperatorPrefix, events: []store.Event{{Entry: evacuation(0)}}})
+	is.True(sc.evacuated())
+	now = now.Add(8 * time.Second)
+	answered()
+	sc.handle(t.Context(), update{prefix: platform.OperatorPrefix, events: []store.Event{{Entry: evacuation(0), Deleted: true}}})
+	answered()
+	is.True(sc.evacuated())
+	now = now.Add(watchSpacing)
+	answered()
+	is.True(sc.evacuated())
+	now = now.Add(watchCallReserve)
+	answered()
+	is.True(!sc.evacuated())
+}
--- a/daemon/edge/storecache.go
+++ b/daemon/edge/storecache.go
@@ -219,6 +219,7 @@
 		sc.noteStoreAnswer(sc.now())
 		sc.confirmFollowed(m.sentAt)
 		sc.sendDigests(sc.now(), false)
+		sc.endEvacuations(ctx)
 		return
 	case roleResigned:
 		sc.announceResignation()
@@ -230,9 +231,20 @@
 	case eraBegan:
 		sc.beginEra(ctx, sc.now(), m.era)
 	}
+	sc.endEvacuations(ctx)
 	sc.publish()
 }
 
+// endEvacuations puts data centres back into service once the copy of the registrations is proved to be as new as the end of their
+// evacuation. The proof may lack changes of the pause between two calls of a watch and of the call itself.
+func (sc *storeCache) endEvacuations(ctx context.Context) {
+	currentAt := sc.prefixCache[platform.TargetPrefix].confirmedAt.Add(-watchSpacing - watchCallReserve)
+	if sc.registry.RegistrationsCurrent(currentAt) {
+		sc.log.Info("targets of a data centre are used again after its evacuation", nil)
+		sc.publishTargets(ctx)
+	}
+}
+
 // apply takes the result of a read of the store, a watch or a mirror, and passes changes on.
 func (sc *storeCache) apply(ctx context.Context, u update) {
 	now := sc.now()
@@ -458,12 +470,12 @@
 			}
 			sc.applyConfiguration(ctx, e)
 		}
-		sc.registry.ReplaceEvacuations(out)
+		sc.registry.ReplaceEvacuations(sc.now(), out)
 	}
 	for _, e := range u.events {
 		if d, ok := platform.EvacuatedDataCentre(e.Key); ok {
 			sc.log.Info("data centre evacuation", log.Fields{"dataCentre": d, "out": !e.Deleted, "revision": e.Revision})
-			sc.registry.SetEvacuated(d, !e.Deleted)
+			sc.registry.SetEvacuated(sc.now(), d, !e.Deleted)
 			continue
 		}
 		if !e.Deleted {
