--- a/admission/coldfleet_test.go
+++ b/admission/coldfleet_test.go
@@ -81,8 +81,8 @@
 	vms    []*coldFleetVM
 	events coldFleetQueue
 	order  int
-	// coldUntil is when the target is no longer cold. arrivals holds when requests have reached it until then, by their number
-	// from each VM.
+	// coldUntil is when the target is no longer cold. Until then, arrivals holds the time of each request that has reached it, and
+	// by the number of those from each VM.
 	coldUntil types.Instant
 	arrivals  []types.Instant
 	by        map[types.VM]int
@@ -150,7 +150,7 @@
 	r := vm.core.Report()
 	for _, o := range f.vms {
 		heardAt, heard := vm.heardAt[o.name]
-		if o == vm || o.dataCentre != vm.dataCentre || (!vm.listed[o.name] && (!heard || f.now.Sub(heardAt) >= 3*time.Second)) {
+		if o == vm || o.dataCentre != vm.dataCentre || (!vm.listed[o.name] && (!heard || f.now.Sub(heardAt) >= correspondentTTL)) {
 			continue
 		}
 		f.after(f.between(2*time.Millisecond, 15*time.Millisecond), o, func() {
--- a/admission/coldstart_test.go
+++ b/admission/coldstart_test.go
@@ -67,6 +67,9 @@
 	return []catalog.Listing{cold}
 }
 
+// correspondentTTL is how long after its last report a VM that is not listed gets reports.
+const correspondentTTL = 3 * time.Second
+
 // coldStartSimulation runs the cores of VMs that start at different times and learn of each other late, with requests for one
 // cold target at each of them, and returns the times of the sends.
 func coldStartSimulation(d time.Duration, vms []*coldVM) []types.Instant {
@@ -80,8 +83,6 @@
 		workTime       = 25 * time.Millisecond
 		reportInterval = 25 * time.Millisecond
 		reportRefresh  = 500 * time.Millisecond
-		// correspondentTTL is how long after its last report a VM that is not listed gets reports.
-		correspondentTTL = 3 * time.Second
 		// Each VM gets a request in each step, for the owner of a key once in so many steps: 5 a second.
 		keyedArrivalSteps = 40
 	)
--- a/catalog/evacuation.go
+++ b/catalog/evacuation.go
@@ -53,7 +53,11 @@
 // RegistrationsCurrent records that all changes of the registrations before the given time are known, and puts the data centres back
 // into service whose evacuation had ended by then. It reports whether there were any. Targets may turn cold while they are out of
 // service, and the end of the evacuation may be known earlier than that.
-func (r *Registry) RegistrationsCurrent(at types.Instant) bool {
+func (r *Registry) RegistrationsCurrent(at types.Instant) bool { return r.returnEndedBy(at) }
+
+// returnEndedBy puts the data centres back into service whose evacuation had ended by the given time, and reports whether there were
+// any.
+func (r *Registry) returnEndedBy(at types.Instant) bool {
 	before := len(r.returning)
 	maps.DeleteFunc(r.returning, func(_ types.DataCentre, since types.Instant) bool { return !at.Before(since) })
 	return len(r.returning) < before
--- a/catalog/registry.go
+++ b/catalog/registry.go
@@ -118,10 +118,11 @@
 	return removed
 }
 
-// Expire deletes missing registrations and evacuations whose grace period has ended. It reports whether there were any.
+// Expire deletes missing registrations and evacuations whose grace period has ended, and puts data centres back into service
+// returnLimit after the end of their evacuation. It reports whether there were any.
 func (r *Registry) Expire(now types.Instant) bool {
 	dropped := r.expireEra(now)
-	if r.RegistrationsCurrent(now.Add(-returnLimit)) {
+	if r.returnEndedBy(now.Add(-returnLimit)) {
 		dropped = true
 	}
 	for _, e := range r.entries {
--- a/catalog/registry_test.go
+++ b/catalog/registry_test.go
@@ -17,15 +17,21 @@
 	return list
 }
 
+// newAnsweredRegistry returns a registry with the given registrations, read at now from a store that answers.
+func newAnsweredRegistry(now types.Instant, list ...Registration) *Registry {
+	r := NewRegistry()
+	r.StoreAnswered(now)
+	r.Replace(now, list)
+	return r
+}
+
 // Fails if a target is removed because its registration expired during a store outage, or if one that does not
 // register again is kept.
 func TestLapsedRegistrationsMayReturnAfterStoreOutage(t *testing.T) {
 	is := is.New(t)
 	now := types.Instant(time.Hour)
 	a, b := Registration{Target: "a", Address: "a"}, Registration{Target: "b", Address: "b"}
-	r := NewRegistry()
-	r.StoreAnswered(now)
-	r.Replace(now, []Registration{a, b})
+	r := newAnsweredRegistry(now, a, b)
 	is.True(!r.Expire(now.Add(time.Minute)))
 	now = now.Add(time.Minute)
 	is.Equal(r.StoreAnswered(now), time.Minute)
@@ -43,9 +49,7 @@
 func TestLapsedRegistrationsMayReturnAfterFurtherOutage(t *testing.T) {
 	is := is.New(t)
 	now := types.Instant(time.Hour)
-	r := NewRegistry()
-	r.StoreAnswered(now)
-	r.Replace(now, []Registration{{Target: "a", Address: "a"}})
+	r := newAnsweredRegistry(now, Registration{Target: "a", Address: "a"})
 	now = now.Add(time.Minute)
 	r.StoreAnswered(now)
 	r.Replace(now, nil)
@@ -89,9 +93,7 @@
 func TestGraceOfAnotherVMIsNotAdoptedWithoutOutage(t *testing.T) {
 	is := is.New(t)
 	now := types.Instant(time.Hour)
-	r := NewRegistry()
-	r.StoreAnswered(now)
-	r.Replace(now, []Registration{{Target: "a", Address: "a"}})
+	r := newAnsweredRegistry(now, Registration{Target: "a", Address: "a"})
 	now = now.Add(lapseTime - time.Millisecond)
 	is.Equal(r.StoreAnsweredOther(now, 0, recoveryGrace), time.Duration(0))
 	is.Equal(r.Remove(now, "a"), Removal{Target: "a"})
@@ -103,9 +105,7 @@
 func TestAnswersToOthersShowThatThereWasNoOutage(t *testing.T) {
 	is := is.New(t)
 	now := types.Instant(time.Hour)
-	r := NewRegistry()
-	r.StoreAnswered(now)
-	r.Replace(now, []Registration{{Target: "a", Address: "a"}})
+	r := newAnsweredRegistry(now, Registration{Target: "a", Address: "a"})
 	for range 20 {
 		now = now.Add(500 * time.Millisecond)
 		is.Equal(r.StoreAnsweredOther(now, 300*time.Millisecond, 0), time.Duration(0))
@@ -191,9 +191,7 @@
 func TestDiscardedRegistrationIsNotKept(t *testing.T) {
 	is := is.New(t)
 	now := types.Instant(time.Hour)
-	r := NewRegistry()
-	r.StoreAnswered(now)
-	r.Replace(now, []Registration{{Target: "a", Address: "a"}, {Target: "b", Address: "b"}})
+	r := newAnsweredRegistry(now, Registration{Target: "a", Address: "a"}, Registration{Target: "b", Address: "b"})
 	now = now.Add(time.Minute)
 	r.StoreAnswered(now)
 	r.Discard("a")
