daemon/edge: start the simulated VMs at different instants

Cause: the race detector of Go 1.26.8. Timers of one synctest bubble that are due at the same instant corrupt its state when one of them starts a goroutine (time.AfterFunc, an expired context.WithTimeout). The simulation started all duties of all VMs at the same instant, so their tickers stayed in phase for the whole run.

Evidence: in all dumps g0 runs timers of the bubble, and the newest goroutine was created by time.goFunc.

Why this works: the VMs start 10.007 us apart, as no two real VMs start at the same nanosecond, so their timers are not due together. The checks and bounds are unchanged.

--- a/daemon/edge/propagation_test.go
+++ b/daemon/edge/propagation_test.go
@@ -57,6 +57,9 @@
 	simSettleTime = 6 * time.Second
 	// simPatience is how long after the leaving the VMs are observed.
 	simPatience = 8 * time.Second
+	// simStartInterval is the time between the starts of two VMs. The race detector of Go 1.26.8 crashes when timers of a synctest
+	// bubble are due at the same instant and one of them starts a goroutine.
+	simStartInterval = 10007 * time.Nanosecond
 	// simTargets is the number of targets besides the leaving one.
 	simTargets = 20
 )
@@ -169,6 +172,7 @@
 	}
 	f.register(ctx, t, "leaving", 1, false)
 	for i := range simVMs {
+		duty.Pause(ctx, simStartInterval)
 		f.startVM(ctx, t, types.VM(fmt.Sprintf("vm-%02d", i)))
 	}
 	return f
