daemon/edge: log the first failed renewal of the VM's entry

What callers saw: nothing by itself.

A series of failures has one line, since each VM repeats the call until the store answers. Its time and error tell whether calls failed, or were not made because the VM had no processor time.

--- a/daemon/edge/session.go
+++ b/daemon/edge/session.go
@@ -71,6 +71,8 @@
 	renewAt types.Instant
 	// registered is true once the VM's entry has been written under lease.
 	registered bool
+	// renewalFailed is true if the latest renewal of the entry failed.
+	renewalFailed bool
 	// elected is true while this VM is the coordinator.
 	elected bool
 	// stopRequested is closed when the VM begins to stop: it then resigns as coordinator.
@@ -214,7 +216,9 @@
 		}
 	}
 	if !s.now().Before(s.renewAt) {
-		if err := s.renew(ctx); err != nil {
+		err := s.renew(ctx)
+		s.noteRenewal(err)
+		if err != nil {
 			return sessionRetryDelay + s.jitter(sessionRetryDelay/3)
 		}
 		s.renewAt = s.now().Add(s.renewInterval())
@@ -267,6 +271,15 @@
 	return err
 }
 
+// noteRenewal logs the first of several failures in a row to renew this VM's entry. A long series has one line, because each VM
+// repeats the call until the store answers.
+func (s *session) noteRenewal(err error) {
+	if err != nil && !s.renewalFailed {
+		s.log.Warn("failed to renew the entry of this VM", log.Fields{"error": err.Error()})
+	}
+	s.renewalFailed = err != nil
+}
+
 // renew requests or renews the lease of this VM's entry, and writes the entry if it is missing.
 func (s *session) renew(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
