daemon/edge: a VM that is cut off asks the neighbour that shows a change

Cause: two rules that put off the query to the neighbour whose digest shows the change. A VM waits for its own watch if that follows the prefix, also while the store has not answered this VM for longer than a watching VM is trusted. And the query that such a VM sends to its neighbours in turn every 600 ms, to one that may know as little, held back those after digests for 600 ms as well.

The store turns away 31 VMs at 3.976 s, all three watching VMs of praha-b among them; i-6efcc5f88c leaves at 4.05 s. The VMs of praha-b that the store answers know it at 5.21 to 5.30 s and send digests. edge-praha-b-1, whose watch still counts as following, asks edge-praha-b-24 at 5.63 s, which knows nothing newer, and learns of the leaving at 6.64 s, after a last request to the target at 6.31 s. Others, held back by the 600 ms, learn of it at 5.64 to 6.44 s.

Why this works: a watch that the store does not answer delivers nothing, so it is not waited for; and each query after a digest only keeps the 100 ms from the latest query. A digest names a VM that has the change. The platform's bound does not hold for VMs that the store turns away, but their callers do not know that.

--- a/daemon/edge/audit.go
+++ b/daemon/edge/audit.go
@@ -92,8 +92,8 @@
 	// there is none. If the changes don't arrive in time, the prefix is read from the store.
 	recheck      digest
 	recheckSince types.Instant
-	// nextMirrorAt is when the next query to another VM is allowed.
-	nextMirrorAt types.Instant
+	// mirrorQueriedAt is when this VM last queried another VM for the prefix.
+	mirrorQueriedAt types.Instant
 	// knownRevision is the store revision up to which changes are known.
 	knownRevision types.Revision
 	// newestRevision is the highest revision of the entries, unless newestUnknown is set.
--- a/daemon/edge/mirror.go
+++ b/daemon/edge/mirror.go
@@ -222,10 +222,10 @@
 		return
 	}
 	for prefix, c := range sc.prefixCache {
-		if (!c.unavailable && sc.storeReachable(now)) || now.Before(c.nextMirrorAt) {
+		if (!c.unavailable && sc.storeReachable(now)) || now.Sub(c.mirrorQueriedAt) < unavailableSpacing {
 			continue
 		}
-		c.nextMirrorAt = now.Add(unavailableSpacing)
+		c.mirrorQueriedAt = now
 		sc.queueMirrorRequest(prefix, addresses[sc.nextMirror%len(addresses)])
 	}
 	if sc.configuration != nil && len(sc.owners) == 0 && !sc.storeReachable(now) {
--- a/daemon/edge/watchers.go
+++ b/daemon/edge/watchers.go
@@ -299,10 +299,11 @@
 		return
 	}
 	sc.recheck(now, c, d)
-	// The calls of a watch are spaced, so a working watch may still deliver the change. The watch of the list of VMs after the
-	// start is not waited for, because VMs that do not know the coordinator stand for election, with two calls each.
-	if fromNeighbour && !(sc.watchState.active && c.following) && !now.Before(c.nextMirrorAt) {
-		c.nextMirrorAt = now.Add(mirrorSpacing)
+	// The calls of a watch are spaced, so a watch that the store answers may still deliver the change. The watch of the list of
+	// VMs after the start is not waited for, because VMs that do not know the coordinator stand for election, with two calls each.
+	watchWorks := sc.watchState.active && c.following && sc.storeReachable(now)
+	if fromNeighbour && !watchWorks && now.Sub(c.mirrorQueriedAt) >= mirrorSpacing {
+		c.mirrorQueriedAt = now
 		sc.queueMirrorRequest(d.prefix, sc.vms[from].MirrorAddress)
 	}
 }
