daemon/edge: drop queries to other VMs whose answer is already known

Cause, in part: a VM queues a query to each watching neighbour whose digest shows the change, at most one each 100 ms, and sends them one after the other. An answer takes 0.3 to 0.4 s then, so the queries behind it were made before it and ask for the whole configuration again. About 20 VMs of a data centre ask two or three neighbours, which thus send each configuration two or three times.

Why this works: a query names the revision that its VM knows. If an answer has told a later one since the query was queued, the query is dropped; if the neighbour knows still more, its next digest, 200 ms later at most, leads to a new query. Queries after failures, after "nothing newer" and for all entries are sent as before.

--- a/daemon/edge/changes_test.go
+++ b/daemon/edge/changes_test.go
@@ -25,8 +25,8 @@
 	q := mirrorQuery{question: request.question, reply: make(chan MirrorAnswer, 1)}
 	other.answerMirrorQuery(now, q)
 	a := <-q.reply
-	client := &mirrorClient{out: ring.New[any](4), log: telemetry.NewLog(io.Discard, nil)}
-	client.query = func(_ context.Context, _ string, _ MirrorQuestion) (MirrorAnswer, error) { return a, nil }
+	query := func(_ context.Context, _ string, _ MirrorQuestion) (MirrorAnswer, error) { return a, nil }
+	client := newMirrorClient(nil, ring.New[any](4), query, telemetry.NewLog(io.Discard, nil))
 	if err := client.handle(t.Context(), request); err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -250,7 +250,7 @@
 	e.storeCache.reports, e.storeCache.vm, e.storeCache.firstStart = reports, e.settings.VM, e.settings.FirstStart
 	e.storeCache.entry, e.storeCache.seeds = e.entry(), e.settings.Seeds
 	e.storeCache.mirrorRequests = ring.New[mirrorRequest](storeReadCapacity)
-	e.group.Add((&mirrorClient{in: e.storeCache.mirrorRequests, out: updates, query: e.queryMirror, log: e.log}).duty())
+	e.group.Add(newMirrorClient(e.storeCache.mirrorRequests, updates, e.queryMirror, e.log).duty())
 	e.group.Add(e.storeCache.duty())
 	e.group.Add((&eraObserver{in: e.eras, out: updates, era: e.storeEra}).duty())
 	e.group.Add((&ownerReader{in: e.storeCache.ownersRequests, out: updates, store: e.store}).duty())
--- a/daemon/edge/mirror.go
+++ b/daemon/edge/mirror.go
@@ -105,6 +105,12 @@
 	// query sends one query.
 	query mirrorQuerier
 	log   *telemetry.Log
+	// toldRevisions holds the revision of the latest copy of each prefix that was passed on.
+	toldRevisions map[string]types.Revision
+}
+
+func newMirrorClient(in *ring.Ring[mirrorRequest], out *ring.Ring[any], query mirrorQuerier, l *telemetry.Log) *mirrorClient {
+	return &mirrorClient{in: in, out: out, query: query, log: l, toldRevisions: make(map[string]types.Revision)}
 }
 
 // mirrorQuerier sends a query to the VM at address. It returns a CodePeerUnavailable fault if there is no answer within
@@ -118,8 +124,12 @@
 	return nil
 }
 
-// handle sends a query and passes newer entries to the store cache.
+// handle sends a query and passes newer entries to the store cache. A query that was queued before an answer which told later revisions
+// is dropped: the next digest shows whether there is more.
 func (m *mirrorClient) handle(ctx context.Context, q mirrorRequest) error {
+	if known := q.question.Known; known > 0 && known < m.toldRevisions[q.question.Prefix] {
+		return nil
+	}
 	a, err := m.query(ctx, q.address, q.question)
 	if err != nil {
 		m.log.Warn("mirror query failed", log.Fields{"address": q.address, "error": err.Error()})
@@ -132,6 +142,7 @@
 		m.log.Info("another VM has nothing newer", log.Fields{"prefix": q.question.Prefix, "known": q.question.Known, "address": q.address})
 		return nil
 	}
+	m.toldRevisions[q.question.Prefix] = a.Revision
 	if a.Partial {
 		return m.out.Put(ctx, update{
 			prefix: q.question.Prefix, changes: true, mirrored: true, events: a.Changes, hash: a.Hash, revision: a.Revision, age: a.Age,
--- a/daemon/edge/mirrorquery_test.go
+++ b/daemon/edge/mirrorquery_test.go
@@ -36,11 +36,11 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var asked []string
-			client := &mirrorClient{out: ring.New[any](4), log: telemetry.NewLog(io.Discard, nil)}
-			client.query = func(_ context.Context, address string, _ MirrorQuestion) (MirrorAnswer, error) {
+			query := func(_ context.Context, address string, _ MirrorQuestion) (MirrorAnswer, error) {
 				asked = append(asked, address)
 				return c.first, c.err
 			}
+			client := newMirrorClient(nil, ring.New[any](4), query, telemetry.NewLog(io.Discard, nil))
 			for _, address := range []string{"a", "b"} {
 				request := mirrorRequest{question: MirrorQuestion{Prefix: platform.OperatorPrefix, Known: c.known}, address: address}
 				is.NoErr(client.handle(t.Context(), request))
