daemon/edge: a query to another VM may take longer while its answer arrives

Cause, in part: a query to another VM ended after 400 ms in all. When a configuration of 1,703 routes comes, about 20 VMs of a data centre ask two or three neighbours at the same moment; those whose transfer is not complete by then drop what they have, and ask again with the others.

Why this works: 400 ms now bound the time without a byte of the answer, and 1.2 s the whole query, which leaves time for one to another VM within the platform's bound of 2.5 s.

--- a/daemon/edge/mirror.go
+++ b/daemon/edge/mirror.go
@@ -19,8 +19,11 @@
 )
 
 const (
-	// mirrorCallTimeout bounds a query to another VM.
+	// mirrorCallTimeout bounds the time to connect to another VM, and the time without a byte of its answer.
 	mirrorCallTimeout = 400 * time.Millisecond
+	// mirrorTransferTimeout bounds a query, so that there is time for one to another VM within the platform's bound. All VMs of a data
+	// centre ask at the same moment for a new configuration, and a transfer that is cut off starts from its beginning.
+	mirrorTransferTimeout = 1200 * time.Millisecond
 	// mirrorSpacing is the shortest time between two queries for one prefix after digests of neighbours.
 	mirrorSpacing = 100 * time.Millisecond
 	// unavailableSpacing is the time between two queries for one prefix while the store is unavailable to this VM.
@@ -113,8 +116,8 @@
 	return &mirrorClient{in: in, out: out, query: query, log: l, toldRevisions: make(map[string]types.Revision)}
 }
 
-// mirrorQuerier sends a query to the VM at address. It returns a CodePeerUnavailable fault if there is no answer within
-// mirrorCallTimeout.
+// mirrorQuerier sends a query to the VM at address. It returns a CodePeerUnavailable fault if no byte of the answer arrives for
+// mirrorCallTimeout, or if the answer is not complete within mirrorTransferTimeout.
 type mirrorQuerier func(ctx context.Context, address string, q MirrorQuestion) (MirrorAnswer, error)
 
 func (m *mirrorClient) duty() duty.Duty { return duty.Duty{Name: "mirror-client", Run: m.run} }
@@ -163,7 +166,9 @@
 		return a, types.WrapFault(types.CodePeerUnavailable, err, "connect to %s", address)
 	}
 	_ = conn.SetDeadline(time.Now().Add(mirrorCallTimeout))
-	client := rpc.NewClient(boundedConn{Conn: conn, in: io.LimitReader(conn, maxMirrorAnswerBytes)})
+	client := rpc.NewClient(boundedConn{
+		Conn: conn, in: io.LimitReader(conn, maxMirrorAnswerBytes), end: time.Now().Add(mirrorTransferTimeout),
+	})
 	defer client.Close()
 	if err := client.Call(mirrorMethod, q, &a); err != nil {
 		return a, types.WrapFault(types.CodePeerUnavailable, err, "query the mirror at %s", address)
@@ -171,14 +176,25 @@
 	return a, nil
 }
 
-// boundedConn is a connection of which only the bytes of in are read. net/rpc has no limit for a message.
+// boundedConn is a connection of which only the bytes of in are read, until end. net/rpc has no limit for a message.
 type boundedConn struct {
 	net.Conn
-	in io.Reader
+	in  io.Reader
+	end time.Time
 }
 
-// Read implements net.Conn.
-func (b boundedConn) Read(p []byte) (int, error) { return b.in.Read(p) }
+// Read implements net.Conn. Bytes that arrive extend the deadline of the next ones.
+func (b boundedConn) Read(p []byte) (int, error) {
+	n, err := b.in.Read(p)
+	if n > 0 {
+		next := time.Now().Add(mirrorCallTimeout)
+		if next.After(b.end) {
+			next = b.end
+		}
+		_ = b.SetReadDeadline(next)
+	}
+	return n, err
+}
 
 // answerMirrorQuery returns the entries of a prefix if this VM's copy was current a short time ago and is newer than the
 // caller's. A caller that knows nothing gets this VM's copy, however old.
