soak: targets leave unannounced while the store excludes a third of the VMs

The incident's fault needs a target that leaves without announcing it while the store does not answer some of the VMs, and no soak had both. Runs with departures (-departures) add two kinds of faults: the store leaves the calls of a third of the VMs unanswered or closes their connections for 2.5 to 6 s, and the entry of a target is removed while the target still serves. The bound of DRAIN then holds for the VMs that the store answers. Seeds of other runs keep their faults.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -19,7 +20,7 @@
 	switch f.Kind {
 	case plan.VMPause, plan.VMKill, plan.VMStop, plan.VMReload:
 		return o.injectVMFault(ctx, f)
-	case plan.StoreDown, plan.StoreSlow, plan.StoreLose, plan.StoreCompact, plan.StoreSilent, plan.StoreCut:
+	case plan.StoreDown, plan.StoreSlow, plan.StoreLose, plan.StoreCompact, plan.StoreSilent, plan.StoreCut, plan.StorePartial:
 		return o.injectStoreFault(ctx, f)
 	case plan.StoreLinkSilent, plan.StoreLinkReset:
 		o.reportFault(ctx, check.FaultInterval{Scope: check.ScopeVM, VM: f.Index}, f.Duration)
@@ -37,7 +38,7 @@
 		return o.injectLinkFault(o.endpoints[f.Index].link, f)
 	case plan.TargetCrash, plan.TargetReuse:
 		return o.crashTarget(ctx, o.endpoints[f.Index], f)
-	case plan.TargetDrain:
+	case plan.TargetDrain, plan.TargetRemoval:
 		return o.drainTarget(ctx, o.endpoints[f.Index], f)
 	case plan.ConfigChange:
 		o.routeMoved = !o.routeMoved
@@ -67,13 +68,12 @@
 }
 
 func (o *operator) injectStoreFault(ctx context.Context, f plan.Fault) error {
-	affected := check.FaultInterval{Scope: check.ScopeStore}
-	name := string(o.vms[f.Index].settings.Name)
+	affected := []check.FaultInterval{{Scope: check.ScopeStore}}
 	faults := o.storeFaults
 	clearFault := func(*backend.Faults) {}
 	switch f.Kind {
 	case plan.StoreCompact:
-		o.reportFault(ctx, affected, 0)
+		o.reportFault(ctx, affected[0], 0)
 		return o.store.Compact(ctx)
 	case plan.StoreDown:
 		faults.Down = true
@@ -84,18 +84,29 @@
 	case plan.StoreLose:
 		faults.LoseAnswers = 1 + int(f.Intensity*maxLostAnswers)
 		clearFault = func(f *backend.Faults) { f.LoseAnswers = 0 }
-	case plan.StoreSilent:
-		affected = check.FaultInterval{Scope: check.ScopeVM, VM: f.Index}
-		faults.SilentClients = append([]string{name}, faults.SilentClients...)
-		clearFault = func(f *backend.Faults) { f.SilentClients = removeOne(f.SilentClients, name) }
-	case plan.StoreCut:
-		affected = check.FaultInterval{Scope: check.ScopeVM, VM: f.Index}
-		faults.CutClients = append([]string{name}, faults.CutClients...)
-		clearFault = func(f *backend.Faults) { f.CutClients = removeOne(f.CutClients, name) }
+	case plan.StoreSilent, plan.StoreCut, plan.StorePartial:
+		var names []string
+		affected = nil
+		for _, i := range o.excludedVMs(f) {
+			names = append(names, string(o.vms[i].settings.Name))
+			affected = append(affected, check.FaultInterval{Scope: check.ScopeVM, VM: i})
+		}
+		excluded := func(f *backend.Faults) *[]string { return &f.SilentClients }
+		if f.Kind == plan.StoreCut || (f.Kind == plan.StorePartial && f.Intensity < 0.5) {
+			excluded = func(f *backend.Faults) *[]string { return &f.CutClients }
+		}
+		*excluded(&faults) = slices.Concat(names, *excluded(&faults))
+		clearFault = func(f *backend.Faults) {
+			for _, name := range names {
+				*excluded(f) = removeOne(*excluded(f), name)
+			}
+		}
 	}
 	// StoreLose has no duration of its own; the minimum leaves time for calls whose answers are lost.
 	duration := max(f.Duration, storeRetryInterval)
-	o.reportFault(ctx, affected, duration)
+	for _, interval := range affected {
+		o.reportFault(ctx, interval, duration)
+	}
 	o.schedule(duration, "clear store fault", func(ctx context.Context) error {
 		clearFault(&o.storeFaults)
 		return o.store.SetFaults(ctx, o.storeFaults)
@@ -104,6 +115,21 @@
 	return o.store.SetFaults(ctx, faults)
 }
 
+// partialShare is the share of the VMs that StorePartial excludes from the store, as on the users' days.
+const partialShare = 1.0 / 3
+
+// excludedVMs returns the indices of the VMs that a fault excludes from the store.
+func (o *operator) excludedVMs(f plan.Fault) []int {
+	if f.Kind != plan.StorePartial {
+		return []int{f.Index}
+	}
+	var list []int
+	for i := range int(math.Ceil(partialShare * float64(len(o.vms)))) {
+		list = append(list, (f.Index+i)%len(o.vms))
+	}
+	return list
+}
+
 // removeOne returns list without one occurrence of name. Overlapping faults may name the same client, so that the other
 // occurrences stay.
 func removeOne(list []string, name string) []string {
@@ -183,20 +209,29 @@
 	}
 }
 
+// removal returns the write that deletes the entry of a target from the store.
+func removal(t types.Target) store.Write {
+	key, _ := standin.Registration(standin.TargetSettings{Target: t}, "", false, 0)
+	return store.Write{Key: key, Delete: true}
+}
+
 // removeEntry deletes the entry of a target from the store.
 func (o *operator) removeEntry(ctx context.Context, t types.Target) error {
-	key, _ := standin.Registration(standin.TargetSettings{Target: t}, "", false, 0)
-	return o.writeStore(ctx, store.Write{Key: key, Delete: true})
+	return o.writeStore(ctx, removal(t))
 }
 
-// drainTarget marks a target as draining, lets it serve for drainTime and stops it. Another target starts at the same
-// address after the fault.
+// drainTarget marks a target as draining, or removes its entry for TargetRemoval. It lets the target serve for drainTime and stops it.
+// Another target starts at the same address after the fault.
 func (o *operator) drainTarget(ctx context.Context, e *endpoint, f plan.Fault) error {
 	if e.changing {
 		return nil
 	}
 	old := e.settings.Target
-	if err := o.writeStore(ctx, e.registration(true)); err != nil {
+	announcement := e.registration(true)
+	if f.Kind == plan.TargetRemoval {
+		announcement = removal(old)
+	}
+	if err := o.writeStore(ctx, announcement); err != nil {
 		return err
 	}
 	e.changing = true
@@ -204,9 +239,11 @@
 	o.schedule(drainTime, "stop target", func(ctx context.Context) error {
 		o.reportFault(ctx, check.FaultInterval{Scope: check.ScopeTarget, Target: old}, 0)
 		e.stop(ctx)
-		return nil
+		if f.Kind == plan.TargetRemoval {
+			return nil
+		}
+		return o.removeEntry(ctx, old)
 	})
-	o.schedule(drainTime, "remove entry of drained target", func(ctx context.Context) error { return o.removeEntry(ctx, old) })
 	o.schedule(f.Duration, "start target", func(ctx context.Context) error {
 		e.changing = false
 		return o.startTarget(ctx, e, o.newTargetID())
--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -28,6 +28,8 @@
 	StoreCompact Kind = "store-compact"
 	StoreSilent  Kind = "store-silent"
 	StoreCut     Kind = "store-cut"
+	// StorePartial leaves the calls of a third of the VMs unanswered or closes their connections.
+	StorePartial Kind = "store-partial"
 )
 
 // Faults of connections: of one VM to the store, of callers to one VM, and of all VMs to one target.
@@ -48,6 +50,8 @@
 const (
 	TargetCrash Kind = "target-crash"
 	TargetDrain Kind = "target-leave"
+	// TargetRemoval removes the entry of a target that has not announced that it leaves.
+	TargetRemoval Kind = "target-removal"
 	// TargetReuse crashes a target and starts a new one at its address, possibly of another service.
 	TargetReuse Kind = "target-address-reused"
 	// TargetPause delays all bytes to and from the target by the duration of the fault.
@@ -111,6 +115,13 @@
 // crowdSpec is added to faultSpecs in runs with crowds, so that the seeds of other runs keep their faults.
 var crowdSpec = faultSpec{CallerCrowd, scopeVM, 20, time.Second, 4 * time.Second}
 
+// departureSpecs are added to faultSpecs in runs with departures, so that the seeds of other runs keep their faults. The store is
+// unavailable to VMs for longer than they take to notice.
+var departureSpecs = []faultSpec{
+	{StorePartial, scopeVM, 12, 2500 * time.Millisecond, 6 * time.Second},
+	{TargetRemoval, scopeTarget, 24, 3500 * time.Millisecond, 5 * time.Second},
+}
+
 // repeatChance is the probability that a fault is followed within a second by one of the same kind.
 const repeatChance = 0.35
 
@@ -126,6 +137,8 @@
 	PlannedWork bool
 	// Crowds adds crowds of clients to the faults.
 	Crowds bool
+	// Departures adds removals of targets and partial outages of the store to the faults.
+	Departures bool
 }
 
 // Fault is one planned fault. At is the time from the start of the run to its beginning.
@@ -157,6 +170,9 @@
 	if s.Crowds {
 		specs = append(specs, crowdSpec)
 	}
+	if s.Departures {
+		specs = append(specs, departureSpecs...)
+	}
 	for _, spec := range specs {
 		totalWeight += spec.weight
 	}
--- a/soak/plan/plan_test.go
+++ b/soak/plan/plan_test.go
@@ -42,16 +42,29 @@
 // Guards against crowds that never come, and against seeds of other runs that get other faults because of them.
 func TestCrowdsComeOnlyInTheirRuns(t *testing.T) {
 	is := is.New(t)
-	count := func(s Size) (n int) {
-		for _, f := range Generate(5, s) {
-			if f.Kind == CallerCrowd {
-				n++
-			}
-		}
-		return n
-	}
 	crowds := size
 	crowds.Crowds = true
-	is.Equal(count(size), 0)
-	is.True(count(crowds) > 10)
+	is.Equal(count(CallerCrowd, size), 0)
+	is.True(count(CallerCrowd, crowds) > 10)
+}
+
+// Guards against departures that never come, and against seeds of other runs that get other faults because of them.
+func TestDeparturesComeOnlyInTheirRuns(t *testing.T) {
+	is := is.New(t)
+	departures := size
+	departures.Departures = true
+	for _, kind := range []Kind{StorePartial, TargetRemoval} {
+		is.Equal(count(kind, size), 0)
+		is.True(count(kind, departures) > 10)
+	}
+}
+
+// count returns the number of faults of a kind in a run of the given size.
+func count(kind Kind, s Size) (n int) {
+	for _, f := range Generate(5, s) {
+		if f.Kind == kind {
+			n++
+		}
+	}
+	return n
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -78,6 +78,8 @@
 	// Crowds adds crowds of clients that keep to no limit to the faults. VMs then have crowdMemoryMB of memory and
 	// crowdDescriptors descriptors, and a VM that takes more memory breaks MEMORY.
 	Crowds bool
+	// Departures adds removals of targets and partial outages of the store to the faults.
+	Departures bool
 }
 
 // requestTimeout returns how long a caller waits for an answer.
@@ -186,7 +188,7 @@
 	tb.operator = &operator{
 		faults: plan.Generate(tb.options.Seed, plan.Size{
 			VMs: tb.options.VMs, Targets: tb.options.Targets, FaultPeriod: tb.options.FaultPeriod, MeanGap: tb.options.MeanGap,
-			PlannedWork: tb.options.PlannedWork, Crowds: tb.options.Crowds,
+			PlannedWork: tb.options.PlannedWork, Crowds: tb.options.Crowds, Departures: tb.options.Departures,
 		}),
 		requestTimeout: tb.options.requestTimeout(),
 		store:          tb.store, client: tb.store.Client("operator"), events: tb.events, logf: tb.logf, done: ring.New[outcome](1),
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,8 +17,9 @@
 	keep   = flag.String("keep", "", "directory that keeps the logs of failed runs")
 	vms    = flag.Int("vms", 0, "number of VMs, 0 for the default")
 
-	planned = flag.Bool("planned", false, "planned work only")
-	crowds  = flag.Bool("crowds", false, "crowds of clients that keep to no limit, too")
+	planned    = flag.Bool("planned", false, "planned work only")
+	crowds     = flag.Bool("crowds", false, "crowds of clients that keep to no limit, too")
+	departures = flag.Bool("departures", false, "removals of targets and partial outages of the store, too")
 )
 
 // failedSeeds are seeds that have failed in earlier versions, with the cause.
@@ -45,7 +46,10 @@
 	return binary
 }
 
-func runSeed(t *testing.T, binary string, seed uint64, plannedWork, crowds bool) {
+// faultKinds selects the kinds of faults of a run.
+type faultKinds struct{ planned, crowds, departures bool }
+
+func runSeed(t *testing.T, binary string, seed uint64, kinds faultKinds) {
 	t.Helper()
 	dir := t.TempDir()
 	if *keep != "" {
@@ -61,7 +65,7 @@
 	if *vms > 0 {
 		o.VMs = *vms
 	}
-	o.PlannedWork, o.Crowds = plannedWork, crowds
+	o.PlannedWork, o.Crowds, o.Departures = kinds.planned, kinds.crowds, kinds.departures
 	r, err := Run(t.Context(), o)
 	if err != nil {
 		t.Fatalf("seed %d: %v", seed, err)
@@ -84,21 +88,22 @@
 			t.Run("regression-"+strconv.FormatUint(seed, 10), func(t *testing.T) {
 				t.Parallel()
 				t.Log(cause)
-				runSeed(t, binary, seed, false, false)
+				runSeed(t, binary, seed, faultKinds{})
 			})
 		}
 		for seed, cause := range failedPlannedSeeds {
 			t.Run("planned-"+strconv.FormatUint(seed, 10), func(t *testing.T) {
 				t.Parallel()
 				t.Log(cause)
-				runSeed(t, binary, seed, true, false)
+				runSeed(t, binary, seed, faultKinds{planned: true})
 			})
 		}
 	}
 	if *seeds == 0 {
-		t.Run("crowds", func(t *testing.T) { runSeed(t, binary, 1, false, true) })
+		t.Run("crowds", func(t *testing.T) { runSeed(t, binary, 1, faultKinds{crowds: true}) })
+		t.Run("departures", func(t *testing.T) { runSeed(t, binary, 1, faultKinds{departures: true}) })
 	}
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSeed(t, binary, seed, *planned, *crowds) })
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSeed(t, binary, seed, faultKinds{*planned, *crowds, *departures}) })
 	}
 }
