daemon/edge: load reports in the simulated fleet of VMs that are cut off

The simulation was wrong. A VM that the store lists no more goes on to send load reports, and the others send it their digests (peerSender.unlisted). The simulated VMs sent no load reports, so that one without an entry got no digests.

The case now asks for load reports, and passReports uses the product's own rules for VMs that are not listed. The copy of the slow transfer is 768 KiB in place of 1 MiB: 0.6 s, between the 0.4 s of the fault and the 1.2 s of the limit, so that a busy machine does not decide.

--- a/daemon/edge/cutoff_test.go
+++ b/daemon/edge/cutoff_test.go
@@ -49,7 +49,7 @@
 	for seed := range 24 {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newSimFleet(t.Context(), t, propagationCase{deadline: removalDeadline, revoke: seed%2 == 0})
+				f := newSimFleet(t.Context(), t, propagationCase{deadline: removalDeadline, revoke: seed%2 == 0, loadReports: true})
 				defer f.stop(context.Background(), t)
 				duty.Pause(t.Context(), simSettleTime+time.Duration(seed)*80*time.Millisecond)
 				away := f.watchingVMs(t.Context(), t)
--- a/daemon/edge/mirrorquery_test.go
+++ b/daemon/edge/mirrorquery_test.go
@@ -85,7 +85,7 @@
 		}
 	}()
 	sc, _ := newTestCache(types.Instant(time.Hour))
-	big := store.Entry{Key: platform.OperatorPrefix + "config", Revision: 9, Value: make([]byte, 1<<20)}
+	big := store.Entry{Key: platform.OperatorPrefix + "config", Revision: 9, Value: make([]byte, 6*slowChunk)}
 	sc.prefixCache[platform.OperatorPrefix].apply(update{snapshot: true, revision: 9, entries: []store.Entry{big}})
 	sc.prefixCache[platform.OperatorPrefix].confirm(types.Instant(time.Hour))
 	go func() {
@@ -96,6 +96,6 @@
 	a, err := queryMirror(t.Context(), l.Addr().String(), MirrorQuestion{Prefix: platform.OperatorPrefix, Known: 5})
 	is.NoErr(err)
 	is.Equal(len(a.Entries), 1)
-	is.Equal(len(a.Entries[0].Value), 1<<20)
+	is.Equal(len(a.Entries[0].Value), 6*slowChunk)
 	t.Logf("took %v", time.Since(began))
 }
--- a/daemon/edge/propagation_test.go
+++ b/daemon/edge/propagation_test.go
@@ -49,6 +49,8 @@
 	// busy changes other registrations all the time, so that the watches pause.
 	busy      bool
 	firstRead readFault
+	// loadReports makes the VMs send load reports, by which the others know them while the store doesn't list them.
+	loadReports bool
 }
 
 const (
@@ -88,6 +90,7 @@
 	edge    *Edge
 	reports *ring.Ring[report]
 	members *ring.Ring[membership]
+	heard   *ring.Ring[correspondent]
 	// learntAt is when admission was told that the target leaves, as time since the start; 0 while it was not.
 	learntAt atomic.Int64
 }
@@ -238,7 +241,9 @@
 }
 
 func (f *simFleet) startVM(ctx context.Context, t *testing.T, name types.VM) {
-	v := &simVM{reports: ring.New[report](reportCapacity), members: ring.New[membership](1)}
+	v := &simVM{
+		reports: ring.New[report](reportCapacity), members: ring.New[membership](1), heard: ring.New[correspondent](correspondentCapacity),
+	}
 	f.vms[name] = v
 	e := &Edge{
 		settings: platform.Settings{
@@ -254,6 +259,9 @@
 	e.addSession()
 	e.group.Add(e.log.Duty())
 	e.group.Add(duty.Duty{Name: "peers", Run: func(ctx context.Context) error { return f.passReports(ctx, name, v) }})
+	if f.loadReports {
+		e.group.Add(duty.Duty{Name: "load-reports", Run: v.reportLoad})
+	}
 	e.group.Add(duty.Duty{Name: "admission", Run: func(ctx context.Context) error { return f.observe(ctx, v) }})
 	e.group.Add(duty.Duty{Name: "coordinator", Run: func(ctx context.Context) error {
 		e.coordinator.Serve(ctx, func(any) error { return nil })
@@ -262,40 +270,68 @@
 	f.launch(ctx, t, e.group)
 }
 
+// reportLoad sends load reports until ctx ends.
+func (v *simVM) reportLoad(ctx context.Context) error {
+	for duty.Pause(ctx, reportRefresh) {
+		_ = v.reports.Replace(report{to: toDataCentre, load: &admission.PeerReport{VM: v.edge.settings.VM}})
+	}
+	return nil
+}
+
 // passReports passes the reports of a VM to their recipients.
 func (f *simFleet) passReports(ctx context.Context, name types.VM, v *simVM) error {
-	sender := &peerSender{vm: name, dataCentre: "north"}
-	var list membership
+	sender := &peerSender{vm: name, dataCentre: "north", now: f.now, correspondents: make(map[types.VM]correspondent)}
+	setMembers := func(m membership) {
+		sender.remotes, sender.coordinatorVM = make(map[types.VM]remoteVM), m.coordinator
+		for _, entry := range m.vms {
+			sender.remotes[entry.VM] = remoteVM{vmEntry: entry}
+		}
+	}
 	send := func(r report) {
 		data, err := encodeReport(name, r)
 		if err != nil {
 			panic(err)
 		}
-		for _, m := range list.vms {
-			to := f.vms[m.VM]
-			if m.VM == name || to == nil || !sender.isRecipient(r, remoteVM{vmEntry: m}) {
-				continue
+		for _, remote := range sender.remotes {
+			if remote.VM != name && sender.isRecipient(r, remote) {
+				f.deliver(ctx, data, remote.VM)
+			}
+		}
+		for _, c := range sender.unlisted(f.now()) {
+			if sender.isUnlistedRecipient(r, c) {
+				f.deliver(ctx, data, c.vm)
 			}
-			receiver := peerReceiver{admission: to.edge.admission, coordinator: to.edge.coordinator, storeCache: to.edge.storeCache.in}
-			time.AfterFunc(time.Millisecond+rand.N(9*time.Millisecond), func() {
-				if from, r, err := decodeReport(data); err == nil {
-					receiver.dispatch(ctx, from, r)
-				}
-			})
 		}
 	}
 	for {
-		v.members.Drain(func(m membership) { list, sender.coordinatorVM = m, m.coordinator })
+		v.members.Drain(setMembers)
+		v.heard.Drain(sender.addCorrespondent)
 		v.reports.Drain(send)
 		select {
 		case <-v.reports.Ready():
 		case <-v.members.Ready():
+		case <-v.heard.Ready():
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// deliver passes an encoded report to a VM after the delay of the network.
+func (f *simFleet) deliver(ctx context.Context, data []byte, name types.VM) {
+	to := f.vms[name]
+	if to == nil {
+		return
+	}
+	receiver := peerReceiver{admission: to.edge.admission, coordinator: to.edge.coordinator, storeCache: to.edge.storeCache.in}
+	time.AfterFunc(time.Millisecond+rand.N(9*time.Millisecond), func() {
+		if from, r, err := decodeReport(data); err == nil {
+			_ = to.heard.TryPut(correspondent{vm: from, neighbour: r.load != nil, heardAt: f.now()})
+			receiver.dispatch(ctx, from, r)
+		}
+	})
+}
+
 // observe records when the VM's admission learns that the target leaves.
 func (f *simFleet) observe(ctx context.Context, v *simVM) error {
 	seen := false
