daemon/edge: keep queries for revisions that no answer has told yet

A query after a digest was dropped if an answer had told any later revision since it was queued, also if the digest had shown one that the answer did not have.

Why this works: a query carries the revision that its digest showed, and is dropped only if an answer has told that revision. The case "later digest" of TestQueryIsNotRepeatedAfterNewerAnswer does not hold without the comparison.

Measured: the tests of the package that concern queries, digests and leaving targets pass.

--- a/daemon/edge/mirror.go
+++ b/daemon/edge/mirror.go
@@ -99,6 +99,8 @@
 type mirrorRequest struct {
 	question MirrorQuestion
 	address  string
+	// shown is the revision that the digest of the VM at address showed, 0 without a digest.
+	shown types.Revision
 }
 
 // mirrorClient sends queries to other VMs, one at a time.
@@ -127,10 +129,11 @@
 	return nil
 }
 
-// handle sends a query and passes newer entries to the store cache. A query that was queued before an answer which told later revisions
-// is dropped: the next digest shows whether there is more.
+// handle sends a query and passes newer entries to the store cache. A query is dropped if an answer has told the revision that it is for
+// since it was queued.
 func (m *mirrorClient) handle(ctx context.Context, q mirrorRequest) error {
-	if known := q.question.Known; known > 0 && known < m.toldRevisions[q.question.Prefix] {
+	told := m.toldRevisions[q.question.Prefix]
+	if known := q.question.Known; known > 0 && known < told && q.shown <= told {
 		return nil
 	}
 	a, err := m.query(ctx, q.address, q.question)
--- a/daemon/edge/mirrorquery_test.go
+++ b/daemon/edge/mirrorquery_test.go
@@ -25,9 +25,11 @@
 		first MirrorAnswer
 		err   error
 		known types.Revision
+		shown types.Revision
 		asked []string
 	}{
-		"newer":          {first: MirrorAnswer{Newer: true, Revision: 9}, known: 5, asked: []string{"a"}},
+		"newer":          {first: MirrorAnswer{Newer: true, Revision: 9}, known: 5, shown: 9, asked: []string{"a"}},
+		"later digest":   {first: MirrorAnswer{Newer: true, Revision: 9}, known: 5, shown: 10, asked: []string{"a", "b"}},
 		"nothing newer":  {known: 5, asked: []string{"a", "b"}},
 		"failed":         {err: types.NewFault(types.CodePeerUnavailable, "no answer"), known: 5, asked: []string{"a", "b"}},
 		"all entries":    {first: MirrorAnswer{Newer: true, Revision: 9}, known: 0, asked: []string{"a", "b"}},
@@ -42,7 +44,7 @@
 			}
 			client := newMirrorClient(nil, ring.New[any](4), query, telemetry.NewLog(io.Discard, nil))
 			for _, address := range []string{"a", "b"} {
-				request := mirrorRequest{question: MirrorQuestion{Prefix: platform.OperatorPrefix, Known: c.known}, address: address}
+				request := mirrorRequest{question: MirrorQuestion{Prefix: platform.OperatorPrefix, Known: c.known}, address: address, shown: c.shown}
 				is.NoErr(client.handle(t.Context(), request))
 			}
 			is.Equal(asked, c.asked)
--- a/daemon/edge/watchers.go
+++ b/daemon/edge/watchers.go
@@ -304,7 +304,7 @@
 	watchWorks := sc.watchState.active && c.following && sc.storeReachable(now)
 	if fromNeighbour && !watchWorks && now.Sub(c.mirrorQueriedAt) >= mirrorSpacing {
 		c.mirrorQueriedAt = now
-		sc.queueMirrorRequest(d.prefix, sc.vms[from].MirrorAddress)
+		sc.queueMirrorRequestFor(d, sc.vms[from].MirrorAddress)
 	}
 }
 
@@ -342,10 +342,15 @@
 
 // queueMirrorRequest queues a query to the VM at address for the entries of a prefix if they differ from this VM's.
 func (sc *storeCache) queueMirrorRequest(prefix, address string) {
-	q := MirrorQuestion{Prefix: prefix}
-	if c := sc.prefixCache[prefix]; c != nil && !c.incomplete {
-		d := c.digest(prefix)
-		q.Known, q.NewestRevision, q.Count, q.Hash, q.AcceptsChanges = c.knownRevision, d.newestRevision, d.count, d.hash, true
+	sc.queueMirrorRequestFor(digest{prefix: prefix}, address)
+}
+
+// queueMirrorRequestFor queues a query to the VM at address, which has sent a digest.
+func (sc *storeCache) queueMirrorRequestFor(d digest, address string) {
+	q := MirrorQuestion{Prefix: d.prefix}
+	if c := sc.prefixCache[d.prefix]; c != nil && !c.incomplete {
+		own := c.digest(d.prefix)
+		q.Known, q.NewestRevision, q.Count, q.Hash, q.AcceptsChanges = c.knownRevision, own.newestRevision, own.count, own.hash, true
 	}
-	_ = sc.mirrorRequests.Replace(mirrorRequest{question: q, address: address})
+	_ = sc.mirrorRequests.Replace(mirrorRequest{question: q, address: address, shown: d.atRevision})
 }
