--- a/daemon/edge/propagation_test.go
+++ b/daemon/edge/propagation_test.go
@@ -280,20 +280,14 @@
 
 // passReports passes the reports of a VM to their recipients.
 func (f *simFleet) passReports(ctx context.Context, name types.VM, v *simVM) error {
-	sender := &peerSender{vm: name, dataCentre: "north", now: f.now, correspondents: make(map[types.VM]correspondent)}
-	setMembers := func(m membership) {
-		sender.remotes, sender.coordinatorVM = make(map[types.VM]remoteVM), m.coordinator
-		for _, entry := range m.vms {
-			sender.remotes[entry.VM] = remoteVM{vmEntry: entry}
-		}
-	}
+	sender := &peerSender{vm: name, dataCentre: "north", now: f.now, log: v.edge.log, correspondents: make(map[types.VM]correspondent)}
 	send := func(r report) {
 		data, err := encodeReport(name, r)
 		if err != nil {
 			panic(err)
 		}
 		for _, remote := range sender.remotes {
-			if remote.VM != name && sender.isRecipient(r, remote) {
+			if sender.isRecipient(r, remote) {
 				f.deliver(ctx, data, remote.VM)
 			}
 		}
@@ -304,7 +298,7 @@
 		}
 	}
 	for {
-		v.members.Drain(setMembers)
+		v.members.Drain(sender.setMembers)
 		v.heard.Drain(sender.addCorrespondent)
 		v.reports.Drain(send)
 		select {
